--- /dev/null
+++ b/src/configuration/index.ts
@@ -0,0 +1,2 @@
+/** The operators' configuration: its schema and its rules. */
+export * from './schema.js'
--- /dev/null
+++ b/src/request/index.ts
@@ -0,0 +1,2 @@
+/** Requests: identity, at-most-once, hand-over and outcome. */
+export * from './types.js'
--- /dev/null
+++ b/src/upstream/index.ts
@@ -0,0 +1,2 @@
+/** Upstreams: what is known of them and which one a request goes to. */
+export * from './types.js'
