--- /dev/null
+++ b/src/membership/index.ts
@@ -0,0 +1,2 @@
+/** Membership: which entry nodes there are and which of them a caller uses. */
+export * from './types.js'
--- a/src/request/index.ts
+++ b/src/request/index.ts
@@ -1,2 +1,3 @@
 /** Requests: identity, at-most-once, hand-over and outcome. */
 export * from './types.js'
+export * from './answer.js'
--- a/src/upstream/index.ts
+++ b/src/upstream/index.ts
@@ -1,2 +1,3 @@
 /** Upstreams: what is known of them and which one a request goes to. */
 export * from './types.js'
+export * from './choice.js'
--- /dev/null
+++ b/stand-ins/key-value.ts
@@ -0,0 +1,128 @@
+/** HTTP face of the key-value stand-in, in the JSON form of the etcd v3 API. */
+import type { Clock } from '../src/clock.js'
+import { SECOND } from '../src/clock.js'
+import type { KeyValueChange, KeyValueEntry } from '../src/platform/key-value.js'
+import type { Random } from '../src/random.js'
+import { createFaultSwitch } from './faults.js'
+import type { FaultSwitch } from './faults.js'
+import { serveStandIn, StandInFailure } from './http-server.js'
+import type { StandInCall, StandInServer } from './http-server.js'
+import { createKeyValueStore } from './key-value-store.js'
+import type { KeyValueStore } from './key-value-store.js'
+
+/** A running key-value stand-in. */
+export interface KeyValueStandIn extends StandInServer {
+  readonly store: KeyValueStore
+  readonly faultSwitch: FaultSwitch
+}
+
+const EXPIRY_PERIOD = SECOND / 4
+
+/**
+ * @example
+ * const keyValue = await serveKeyValue({ port: 0, clock, random })
+ */
+export async function serveKeyValue (options: { port: number, clock: Clock, random: Random }): Promise<KeyValueStandIn> {
+  const store = createKeyValueStore(options.clock)
+  const faultSwitch = createFaultSwitch(options.clock, options.random)
+  const server = await serveStandIn(options.port, options.clock, faultSwitch, (call) => handle(store, call))
+  const expiry = setInterval(() => store.expire(), EXPIRY_PERIOD)
+  expiry.unref()
+  return {
+    ...server,
+    store,
+    faultSwitch,
+    kill: () => {
+      clearInterval(expiry)
+      return server.kill()
+    }
+  }
+}
+
+function handle (store: KeyValueStore, call: StandInCall): unknown {
+  const body = parse(call.body)
+  switch (call.path) {
+    case '/v3/kv/range': return range(store, body)
+    case '/v3/kv/put': return put(store, body)
+    case '/v3/kv/txn': return transaction(store, body)
+    case '/v3/lease/grant': return { ID: store.grantLease(Number(body.TTL) * SECOND), TTL: body.TTL }
+    case '/v3/lease/keepalive': return { result: { ID: body.ID, TTL: String(store.keepAlive(String(body.ID)) / SECOND) } }
+    case '/v3/lease/revoke': return revoke(store, body)
+    case '/v3/watch': return watch(store, body, call)
+    default: throw new StandInFailure(404, { error: { message: 'no such call', verdict: 'not-run' } })
+  }
+}
+
+type Body = Record<string, any>
+
+function range (store: KeyValueStore, body: Body): object {
+  const listing = store.list(decode(body.key), decode(body.range_end ?? ''))
+  return { header: header(listing.revision), kvs: listing.entries.map(toWire), count: String(listing.entries.length) }
+}
+
+function put (store: KeyValueStore, body: Body): object {
+  return { header: header(store.put(decode(body.key), decode(body.value), body.lease)) }
+}
+
+function transaction (store: KeyValueStore, body: Body): object {
+  const key = decode(body.compare[0].key)
+  const expected = Number(body.compare[0].mod_revision)
+  const write = body.success[0].request_put
+  const result = write === undefined
+    ? store.compareAndDelete(key, expected)
+    : store.compareAndSwap(key, expected, decode(write.value), write.lease)
+  if (result.kind === 'swapped') return { header: header(result.revision), succeeded: true }
+  const kvs = result.current === undefined ? [] : [toWire(result.current)]
+  return { header: header(store.revision()), succeeded: false, responses: [{ response_range: { kvs } }] }
+}
+
+function revoke (store: KeyValueStore, body: Body): object {
+  store.revokeLease(String(body.ID))
+  return { header: header(store.revision()) }
+}
+
+function watch (store: KeyValueStore, body: Body, call: StandInCall): undefined {
+  const create = body.create_request
+  const send = (changes: readonly KeyValueChange[]): void => {
+    const result = { header: header(store.revision()), events: changes.map(toEvent) }
+    call.response.write(JSON.stringify({ result }) + '\n')
+  }
+  call.response.writeHead(200, { 'content-type': 'application/json' })
+  send([])
+  const unsubscribe = store.subscribe(decode(create.key), decode(create.range_end ?? ''), Number(create.start_revision), send)
+  const progress = setInterval(() => send([]), 5 * SECOND)
+  call.response.once('close', () => {
+    clearInterval(progress)
+    unsubscribe()
+  })
+  return undefined
+}
+
+function toEvent (change: KeyValueChange): object {
+  if (change.kind === 'put') return { type: 'PUT', kv: toWire(change.entry) }
+  return { type: 'DELETE', kv: { key: encode(change.key), mod_revision: String(change.revision) } }
+}
+
+function toWire (entry: KeyValueEntry): object {
+  return { key: encode(entry.key), value: encode(entry.value), mod_revision: String(entry.revision) }
+}
+
+function header (revision: number): object {
+  return { revision: String(revision) }
+}
+
+function parse (body: Buffer): Body {
+  try {
+    return JSON.parse(body.toString('utf8'))
+  } catch {
+    throw new StandInFailure(400, { error: { message: 'malformed JSON', verdict: 'not-run' } })
+  }
+}
+
+function encode (text: string): string {
+  return Buffer.from(text, 'utf8').toString('base64')
+}
+
+function decode (text: string): string {
+  return Buffer.from(text, 'base64').toString('utf8')
+}
