--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import neostandard from 'neostandard'
 
 /** Folders that hold pure decisions: they may import no I/O, no timers and no platform clients. */
-const decisionFolders = ['request', 'upstream', 'membership', 'configuration', 'lease', 'capacity', 'report']
+const decisionFolders = ['request', 'admission', 'upstream', 'membership', 'configuration', 'lease', 'capacity', 'report']
 
 /** Modules that perform I/O, or folders that do. */
 const inputOutput = [
--- /dev/null
+++ b/src/admission/index.ts
@@ -0,0 +1,2 @@
+/** Admission: order, limits and refusal under load. */
+export * from './types.js'
--- /dev/null
+++ b/src/lease/index.ts
@@ -0,0 +1,2 @@
+/** Leases: holding, losing and fencing. */
+export * from './types.js'
--- /dev/null
+++ b/src/report/index.ts
@@ -0,0 +1,2 @@
+/** Reports: counters, facts and their folding. */
+export * from './types.js'
