--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,38 @@
+/** `npm run bench -- NAME [--json] [--seed N]`: runs one benchmark, or lists them. */
+import { cac } from 'cac'
+import { runCommand } from '../src/bin/command-line.js'
+import { ServingError } from '../src/verdict.js'
+import { formatTable } from './table.js'
+import type { Bench } from './table.js'
+
+/** Each topic's module; loaded only when it is asked for. */
+const TOPICS: Readonly<Record<string, () => Promise<{ bench: Bench }>>> = {}
+
+const DEFAULT_SEED = 1
+
+runCommand(async () => {
+  const program = cac('bench')
+  program.command('[name]', 'Run one benchmark, or list them')
+    .option('--seed <seed>', 'Seed of the random numbers', { default: DEFAULT_SEED })
+    .option('--json', 'Print JSON')
+    .action(run)
+  program.help()
+  program.parse(process.argv, { run: false })
+  await program.runMatchedCommand()
+})
+
+async function run (name: string | undefined, options: { seed: number, json?: boolean }): Promise<void> {
+  if (name === undefined) return list()
+  const load = TOPICS[name]
+  if (load === undefined) throw new ServingError(`no benchmark ${name}; there are ${Object.keys(TOPICS).join(', ')}`, { code: 'invalid-request', verdict: 'not-run' })
+  const { bench } = await load()
+  const tables = await bench.run({ seed: Number(options.seed) })
+  process.stdout.write(options.json ? JSON.stringify(tables, null, 2) + '\n' : tables.map(formatTable).join(''))
+}
+
+async function list (): Promise<void> {
+  for (const load of Object.values(TOPICS)) {
+    const { bench } = await load()
+    process.stdout.write(`${bench.name.padEnd(20)} ${bench.description}\n`)
+  }
+}
