--- /dev/null
+++ b/test/platform/cloud.test.ts
@@ -0,0 +1,68 @@
+/** The cloud's client against its stand-in: idempotent orders, refusals, notices, lost replies. */
+import assert from 'node:assert/strict'
+import { after, before, test } from 'node:test'
+import { offerSchema, startOrderSchema } from '../../src/capacity/index.js'
+import { failureDomainSchema } from '../../src/identifiers.js'
+import { createCloud } from '../../src/platform/cloud.js'
+import type { Cloud } from '../../src/platform/cloud.js'
+import { createConnections } from '../../src/platform/http.js'
+import type { Connections } from '../../src/platform/http.js'
+import { createRandom } from '../../src/random.js'
+import { serveCloud } from '../../stand-ins/cloud.js'
+import type { CloudStandIn } from '../../stand-ins/cloud.js'
+import { createManualClock } from '../../stand-ins/manual-clock.js'
+
+const OFFER = offerSchema.parse({ failureDomain: 'zone-a', machineClass: 'large', market: 'reclaimable', pricePerHour: 2 })
+const clock = createManualClock()
+let standIn: CloudStandIn
+let connections: Connections
+let cloud: Cloud
+
+before(async () => {
+  standIn = await serveCloud({ port: 0, clock, random: createRandom(1), offers: [OFFER], startTime: 0 })
+  connections = createConnections(4)
+  cloud = createCloud(connections, standIn.address)
+})
+
+after(async () => {
+  await connections.destroy()
+  await standIn.kill()
+})
+
+// A bill shows one machine twice: the reply to a start order was lost after the machine had been
+// started, and the order was sent again. The name makes the second order find the first machine.
+test('an order whose reply was lost buys once when it is sent again', async () => {
+  standIn.faultSwitch.faults.lostReplies = 1
+  await assert.rejects(cloud.start(orderNamed('assistant-1')), { verdict: 'may-have-run' })
+  standIn.faultSwitch.faults.lostReplies = 0
+  assert.equal((await cloud.start(orderNamed('assistant-1'))).kind, 'started')
+  assert.equal(standIn.state.bought().length, 1)
+})
+
+// A machine that was given back runs again and nobody knows of it: a paused planner's start order
+// arrives after its successor released the name.
+test('a start order that arrives after the release of its name starts nothing', async () => {
+  await cloud.release(orderNamed('assistant-2').name)
+  assert.deepEqual(await cloud.start(orderNamed('assistant-2')), { kind: 'ended' })
+})
+
+test('a refusal is an answer', async () => {
+  standIn.state.limit(OFFER, 0)
+  assert.equal((await cloud.start(orderNamed('assistant-3'))).kind, 'refused')
+  standIn.state.limit(OFFER, undefined)
+})
+
+test('notices are read once each, oldest first, with the time that is left', async () => {
+  standIn.state.reclaimDomain(failureDomainSchema.parse('zone-a'), 5_000)
+  await clock.advance(1_000)
+  const page = await cloud.notices(0)
+  assert.deepEqual(page.notices.map((notice) => [notice.instance, notice.remainingMs]), [['assistant-1', 4_000]])
+  assert.deepEqual((await cloud.notices(page.next)).notices, [])
+  assert.equal((await cloud.list('sample'))[0]?.state, 'reclaiming')
+  await clock.advance(4_000)
+  assert.deepEqual(await cloud.list('sample'), [])
+})
+
+function orderNamed (name: string) {
+  return startOrderSchema.parse({ name, group: 'sample', service: 'assistant', failureDomain: 'zone-a', machineClass: 'large', market: 'reclaimable' })
+}
