Engine stand-in: batching, prefix cache, continuation, export, orders, faults

Tests of failures need an engine that behaves as engines do. It now decodes a bounded batch in steps, keeps a queue by priority, computes only what its prefix cache lacks, continues what another engine began, moves an answer over one shared link, checks or ignores fencing, and can crash on a marked prompt, stall, go silent, reset, refuse, repeat, reorder and mix in foreign events. Counters tell what was computed, cached, imported and computed again.

--- a/stand-ins/engine.ts
+++ b/stand-ins/engine.ts
@@ -4,168 +4,242 @@
  * with or without fencing. Its answers are a function of the prompt, so that any caller can tell a
  * whole answer of its own from anything else.
  */
-import { createHash, randomUUID } from 'node:crypto'
-import type { ServerResponse } from 'node:http'
-import type { Clock, Milliseconds } from '../src/clock.js'
-import type { UpstreamName } from '../src/identifiers.js'
-import { formatEvent } from '../src/platform/server-sent-events.js'
-import type { Random } from '../src/random.js'
+import { z } from 'zod'
+import { addressSchema } from '../src/identifiers.js'
+import type { Address } from '../src/identifiers.js'
+import { engineOrderSchema } from '../src/platform/engine.js'
+import { createConnections, exchangeJson } from '../src/platform/http.js'
+import { createBatch } from './engine/batch.js'
+import { createCacheFeed } from './engine/cache-feed.js'
+import { createDesiredState } from './engine/desired-state.js'
+import { follow } from './engine/follower.js'
+import { createLink } from './engine/link.js'
+import { createLoadHistory } from './engine/load-history.js'
+import { createPrefixCache } from './engine/prefix-cache.js'
+import { createStream, engineBodySchema, importSchema, isOpen, setState } from './engine/stream.js'
+import type { EngineBody, ImportedStream, Stream } from './engine/stream.js'
+import type { EngineFaults, EngineOptions, EngineShape, EngineStandIn, EngineTokens } from './engine/types.js'
 import { createFaultSwitch } from './faults.js'
-import type { FaultSwitch } from './faults.js'
 import { serveStandIn, StandInFailure } from './http-server.js'
-import type { StandInCall, StandInServer } from './http-server.js'
-
-/** How fast and how large the engine is. */
-export interface EngineShape {
-  /** Tokens of prompt computed per millisecond. */
-  readonly prefillRate: number
-  /** Time for one token of every running answer. */
-  readonly tokenTime: Milliseconds
-  /** Answers decoded at a time. */
-  readonly batch: number
-}
+import type { StandInCall } from './http-server.js'
 
-/** A running engine. */
-export interface EngineStandIn extends StandInServer {
-  readonly upstream: UpstreamName
-  readonly faultSwitch: FaultSwitch
-  /** Answers begun, by request body; a test asserts how often each ran. */
-  readonly started: readonly string[]
-  /** Tokens of prompt computed since the start. */
-  computed (): number
-  setLeaving (leaving: boolean): void
-}
+export { CRASH_MARK } from './engine/types.js'
+export type { EngineFaults, EngineOptions, EngineShape, EngineStandIn, EngineTokens } from './engine/types.js'
+export { answerWords, countTokens } from './engine/words.js'
 
-interface Stream {
-  readonly handle: string
-  readonly words: readonly string[]
-  readonly firstOffset: number
-  readonly promptTokens: number
-  sent: number
-  cancelled: boolean
-  changed: () => void
+const DEFAULT_SHAPE: EngineShape = {
+  prefillRate: 20,
+  tokenTime: 5,
+  batchCost: 0.03,
+  batch: 16,
+  cacheTokens: 65_536,
+  linkRate: 40,
+  loadLag: 0,
+  cacheFeedDelay: 0,
+  loadTime: 1_000
 }
 
-const DEFAULT_SHAPE: EngineShape = { prefillRate: 20, tokenTime: 5, batch: 16 }
+/** Streams remembered after their end, so that a late resumption still finds them. */
+const KEPT_STREAMS = 4_096
+
+/** Bound on the last step of an export, at the target. */
+const IMPORT_TIMEOUT = 2_000
+
+const exportSchema = z.object({ handle: z.string(), target: addressSchema })
+const importAnswerSchema = z.object({ handle: z.string() })
 
 /**
+ * Starts an engine.
+ *
+ * - An answer outlives its connections; it goes on until it is whole, cancelled or moved.
+ * - An export holds the answer at its offset. When it succeeds, the answer goes on at the target under
+ *   the returned handle, and connections here stay open and silent; when it fails, it goes on here.
+ * - A prompt with {@link CRASH_MARK} kills the process once the prompt has been computed.
+ *
  * @example
  * const engine = await serveEngine({ port: 0, upstream, clock, random })
  */
-export async function serveEngine (options: { port: number, upstream: UpstreamName, clock: Clock, random: Random, shape?: EngineShape }): Promise<EngineStandIn> {
-  const { clock, upstream } = options
-  const shape = options.shape ?? DEFAULT_SHAPE
-  const faultSwitch = createFaultSwitch(clock, options.random)
+export async function serveEngine (options: EngineOptions): Promise<EngineStandIn> {
+  const { clock, upstream, random } = options
+  const shape = { ...DEFAULT_SHAPE, ...options.shape }
+  const owner = new AbortController()
+  const { signal } = owner
+  const connections = createConnections(4)
+  const faultSwitch = createFaultSwitch(clock, random)
+  const faults = noFaults()
+  const tokens: EngineTokens = { prompt: 0, cached: 0, recomputed: 0, generated: 0, imported: 0 }
   const streams = new Map<string, Stream>()
   const started: string[] = []
-  let computed = 0
+  const deathListeners = new Set<() => void>()
   let leaving = false
 
+  const feed = createCacheFeed({ clock, random, delay: shape.cacheFeedDelay, gaps: () => faults.cacheFeedGaps })
+  const cache = createPrefixCache(shape.cacheTokens, feed.push)
+  const link = createLink(clock, shape.linkRate)
+  const batch = createBatch({ shape, faults, tokens, cache, clock, signal, crash: () => { kill().catch(() => {}) } })
+  const load = createLoadHistory(clock, shape.loadLag, () => ({ running: batch.running(), waiting: batch.waiting(), cacheUsed: cache.used() }))
+  const state = createDesiredState({
+    checkFencing: options.checkFencing ?? true,
+    models: options.models ?? [],
+    adapters: options.adapters ?? [],
+    loadWeights: options.loadWeights ?? ((_name, loading) => clock.sleep(shape.loadTime, loading)),
+    signal
+  })
+
   async function start (call: StandInCall): Promise<undefined> {
-    const body = JSON.parse(call.body.toString('utf8'))
-    if (leaving) throw new StandInFailure(503, { error: { message: 'leaving', verdict: 'not-run' } })
+    const body = parse(engineBodySchema, call)
+    refuseIfUnable(body)
     started.push(call.body.toString('utf8'))
-    const promptTokens = countTokens(body.messages)
-    const firstOffset: number = body.continuation?.offset ?? 0
-    const stream: Stream = {
-      handle: randomUUID(),
-      words: answerWords(body.messages, body.max_tokens),
-      firstOffset,
-      promptTokens,
-      sent: firstOffset,
-      cancelled: false,
-      changed: () => {}
-    }
-    streams.set(stream.handle, stream)
-    computed += promptTokens + firstOffset
-    generate(stream).catch(() => {})
-    await follow(stream, firstOffset, call.response)
+    const offset = body.continuation?.offset ?? 0
+    const stream = createStream(body, offset, false)
+    remember(stream)
+    await follow(stream, offset, true, faults, call.response)
     return undefined
   }
 
-  async function generate (stream: Stream): Promise<void> {
-    await clock.sleep(stream.promptTokens / shape.prefillRate)
-    while (stream.sent < stream.words.length && !stream.cancelled) {
-      await clock.sleep(shape.tokenTime)
-      stream.sent += 1
-      stream.changed()
-    }
+  function remember (stream: Stream): void {
+    streams.set(stream.handle, stream)
+    batch.enter(stream)
+    if (streams.size <= KEPT_STREAMS) return
+    const oldest = [...streams.values()].find((known) => !isOpen(known) && known.followers.size === 0)
+    if (oldest !== undefined) streams.delete(oldest.handle)
   }
 
-  async function follow (stream: Stream, offset: number, response: ServerResponse): Promise<void> {
-    response.writeHead(200, { 'content-type': 'text/event-stream', 'x-stream-handle': stream.handle })
-    response.flushHeaders()
-    let next = offset
-    response.once('close', () => stream.changed())
-    while (!response.destroyed && !stream.cancelled) {
-      while (next < stream.sent) {
-        response.write(tokenEvent(stream, next))
-        next += 1
-      }
-      if (next >= stream.words.length) return finish(stream, response)
-      await new Promise<void>((resolve) => {
-        stream.changed = resolve
-      })
+  function refuseIfUnable (body: EngineBody): void {
+    if (faults.refuse) throw refusal(503, 'refused')
+    if (leaving) throw refusal(503, 'leaving')
+    if (options.models !== undefined && !state.models().includes(body.model)) throw refusal(503, `model ${body.model} is not loaded`)
+    if (body.adapter !== undefined && options.models !== undefined && !state.adapters().includes(body.adapter)) throw refusal(503, `adapter ${body.adapter} is not loaded`)
+  }
+
+  async function exportStream (call: StandInCall): Promise<object> {
+    const { handle, target } = parse(exportSchema, call)
+    const stream = find(handle)
+    if (faults.refuseExport) throw refusal(503, 'export refused')
+    if (!isOpen(stream)) throw new StandInFailure(409, { error: { message: `the stream is ${stream.state}`, verdict: 'ran' } })
+    if (!stream.prepared || stream.prefillLeft > 0) throw refusal(409, 'the prompt has not been computed yet')
+    stream.state = 'exporting'
+    try {
+      const moved = stream.promptTokens + stream.sent
+      await link.transfer(moved, signal)
+      const there = await sendStream(stream, target)
+      if (stream.state === 'exporting') setState(stream, 'moved')
+      if (faults.loseExportReply) call.response.destroy()
+      return { tokens: moved, handle: there }
+    } catch (error) {
+      takeBack(stream)
+      throw new StandInFailure(502, { error: { message: `export failed: ${String(error)}`, verdict: 'may-have-run' } })
     }
-    response.destroy()
   }
 
-  function finish (stream: Stream, response: ServerResponse): void {
-    const usage = { prompt_tokens: stream.promptTokens, completion_tokens: stream.words.length, cached_tokens: 0 }
-    response.write(formatEvent(JSON.stringify({ id: stream.handle, choices: [{ index: 0, delta: {}, finish_reason: 'stop' }], usage })))
-    response.end(formatEvent('[DONE]'))
+  function takeBack (stream: Stream): void {
+    if (stream.state !== 'exporting') return
+    stream.state = 'waiting'
+    batch.enter(stream)
   }
 
-  async function handle (call: StandInCall): Promise<unknown> {
-    const [, , kind, name, action] = call.path.split('/')
-    if (call.path === '/v1/chat/completions') return start(call)
-    if (call.path === '/v1/load') return load()
-    const stream = kind === 'streams' && name !== undefined ? streams.get(decodeURIComponent(name)) : undefined
+  async function sendStream (stream: Stream, target: Address): Promise<string> {
+    const imported: ImportedStream = { body: stream.body, offset: stream.sent }
+    const answer = await exchangeJson(connections, { address: target, method: 'POST', path: '/v1/cache/import', body: imported, silence: IMPORT_TIMEOUT, signal }, importAnswerSchema)
+    return answer.handle
+  }
+
+  function importStream (call: StandInCall): object {
+    const { body, offset } = parse(importSchema, call)
+    refuseIfUnable(body)
+    const stream = createStream(body, offset, true)
+    tokens.imported += stream.promptTokens + offset
+    remember(stream)
+    return { handle: stream.handle }
+  }
+
+  function find (handle: string): Stream {
+    const stream = streams.get(handle)
     if (stream === undefined) throw new StandInFailure(404, { error: { message: 'no such stream', verdict: 'not-run' } })
+    return stream
+  }
+
+  async function handleStream (call: StandInCall, handle: string, action: string | undefined): Promise<unknown> {
+    const stream = find(handle)
     if (action === 'cancel') {
-      stream.cancelled = true
-      stream.changed()
+      if (stream.state !== 'finished') setState(stream, 'cancelled')
       return {}
     }
-    await follow(stream, Number(call.query.get('offset') ?? 0), call.response)
+    if (stream.state === 'moved') throw new StandInFailure(410, { error: { message: 'the stream has moved', verdict: 'ran' } })
+    await follow(stream, Number(call.query.get('offset') ?? 0), false, faults, call.response)
     return undefined
   }
 
-  function load (): object {
-    const open = [...streams.values()].filter((stream) => stream.sent < stream.words.length && !stream.cancelled).length
-    return { upstream, running: Math.min(open, shape.batch), waiting: Math.max(0, open - shape.batch), cacheUsed: 0, ageMs: 0, leaving }
+  function loadReport (): object {
+    const { figures, ageMs } = load()
+    return { upstream, ...figures, ageMs, leaving, models: state.models(), adapters: state.adapters(), role: state.role(), generation: state.generation() }
+  }
+
+  async function handle (call: StandInCall): Promise<unknown> {
+    const [, , kind, name, action] = call.path.split('/')
+    if (kind === 'streams' && name !== undefined) return handleStream(call, decodeURIComponent(name), action)
+    switch (`${call.method} ${call.path}`) {
+      case 'POST /v1/chat/completions': return start(call)
+      case 'GET /v1/load': return loadReport()
+      case 'GET /v1/cache/events': return feed.after(Number(call.query.get('after') ?? 0))
+      case 'POST /v1/cache/export': return exportStream(call)
+      case 'POST /v1/cache/import': return importStream(call)
+      case 'POST /v1/orders': return { obeyed: state.order(parse(engineOrderSchema, call)) }
+      default: throw new StandInFailure(404, { error: { message: 'no such call', verdict: 'not-run' } })
+    }
+  }
+
+  async function kill (): Promise<void> {
+    if (signal.aborted) return
+    owner.abort()
+    for (const listener of deathListeners) listener()
+    await Promise.all([server.kill(), connections.destroy()])
   }
 
   const server = await serveStandIn(options.port, clock, faultSwitch, handle)
   return {
-    ...server,
+    address: server.address,
+    kill,
     upstream,
     faultSwitch,
+    faults,
+    tokens,
     started,
-    computed: () => computed,
-    setLeaving: (value) => { leaving = value }
+    startsOf: (text) => started.filter((body) => body.includes(text)).length,
+    computed: () => tokens.prompt - tokens.cached + tokens.recomputed,
+    open: () => [...streams.values()].filter(isOpen).length,
+    orders: state.obeyed,
+    models: state.models,
+    setLeaving: (value) => { leaving = value },
+    alive: () => !signal.aborted,
+    onDeath: (listener) => { deathListeners.add(listener) }
   }
 }
 
-/**
- * The answer every engine gives to a prompt.
- *
- * @example
- * answerWords([{ role: 'user', content: 'resin?' }], 3) // three words that depend on the prompt
- */
-export function answerWords (messages: unknown, maxTokens: number): string[] {
-  const digest = createHash('sha256').update(JSON.stringify(messages)).digest('hex')
-  return Array.from({ length: maxTokens }, (_, index) => `${digest.slice(index % 56, index % 56 + 6)}-${index} `)
+function noFaults (): EngineFaults {
+  return {
+    refuse: false,
+    slowdown: 1,
+    stallAfter: undefined,
+    silentAfter: undefined,
+    resetAfter: undefined,
+    duplicates: false,
+    outOfOrder: false,
+    foreignEvents: false,
+    cacheFeedGaps: 0,
+    refuseExport: false,
+    loseExportReply: false
+  }
 }
 
-function tokenEvent (stream: Stream, offset: number): string {
-  return formatEvent(JSON.stringify({
-    id: stream.handle,
-    offset,
-    choices: [{ index: 0, delta: { content: stream.words[offset] }, finish_reason: null }]
-  }), offset)
+function refusal (status: number, message: string): StandInFailure {
+  return new StandInFailure(status, { error: { message, verdict: 'not-run' } })
 }
 
-function countTokens (messages: readonly { content: string }[]): number {
-  return messages.reduce((sum, message) => sum + Math.ceil(message.content.length / 4), 0)
+function parse<T> (schema: z.ZodType<T>, call: StandInCall): T {
+  try {
+    return schema.parse(JSON.parse(call.body.toString('utf8')))
+  } catch (error) {
+    throw new StandInFailure(400, { error: { message: `malformed body: ${String(error)}`, verdict: 'not-run' } })
+  }
 }
