--- a/src/request/types.ts
+++ b/src/request/types.ts
@@ -3,7 +3,6 @@
 import type { Milliseconds } from '../clock.js'
 import { classNameSchema, organisationNameSchema, requestIdSchema, upstreamNameSchema } from '../identifiers.js'
 import type { ClassName, OrganisationName, RequestId } from '../identifiers.js'
-import type { Verdict } from '../verdict.js'
 
 /** One message of a conversation, in the shape language-model clients use. */
 export const chatMessageSchema = z.object({
@@ -73,11 +72,13 @@
 export type FinishReason = 'stop' | 'length'
 
 /** How a request ended, once and for good. */
-export type Outcome =
-  | { kind: 'served', finish: FinishReason, late: boolean }
-  | { kind: 'refused', code: string }
-  | { kind: 'lost', verdict: Verdict }
-  | { kind: 'unknown' }
+export const outcomeSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('served'), finish: z.enum(['stop', 'length']), late: z.boolean() }),
+  z.object({ kind: z.literal('refused'), code: z.string() }),
+  z.object({ kind: z.literal('lost'), verdict: z.enum(['not-run', 'may-have-run', 'ran']) }),
+  z.object({ kind: z.literal('unknown') })
+])
+export type Outcome = z.infer<typeof outcomeSchema>
 
 /** The facts that reports count. */
 export interface RequestTimes {
