--- /dev/null
+++ b/src/report/fact.ts
@@ -0,0 +1,36 @@
+/** One fact in the life of a request, as it is remembered and told to peers and operators. */
+import { z } from 'zod'
+import { classNameSchema, organisationNameSchema, requestIdSchema, upstreamNameSchema } from '../identifiers.js'
+import type { Outcome } from '../request/index.js'
+
+const verdictSchema = z.enum(['not-run', 'may-have-run', 'ran'])
+
+/** How a request ended; the schema of {@link Outcome}. */
+export const outcomeSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('served'), finish: z.enum(['stop', 'length']), late: z.boolean() }),
+  z.object({ kind: z.literal('refused'), code: z.string() }),
+  z.object({ kind: z.literal('lost'), verdict: verdictSchema }),
+  z.object({ kind: z.literal('unknown') })
+]) satisfies z.ZodType<Outcome>
+
+export const factSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('accepted') }),
+  z.object({ kind: z.literal('refused'), code: z.string(), retryAfter: z.number() }),
+  z.object({ kind: z.literal('dispatched'), upstream: upstreamNameSchema, attempt: z.number(), reason: z.string() }),
+  z.object({ kind: z.literal('first-token'), upstream: upstreamNameSchema }),
+  z.object({ kind: z.literal('attempt-failed'), upstream: upstreamNameSchema, verdict: verdictSchema, message: z.string() }),
+  z.object({ kind: z.literal('moved-cache'), from: upstreamNameSchema, to: upstreamNameSchema, tokens: z.number() }),
+  z.object({ kind: z.literal('handed-over'), to: z.string() }),
+  z.object({ kind: z.literal('taken-over'), from: z.string() }),
+  z.object({ kind: z.literal('attached'), offset: z.number() }),
+  z.object({ kind: z.literal('ended'), outcome: outcomeSchema })
+])
+/** One fact in the life of a request. */
+export type Fact = z.infer<typeof factSchema>
+
+/** What one node remembers about a request, as it travels. */
+export const requestFactsSchema = z.object({
+  key: z.object({ id: requestIdSchema, organisation: organisationNameSchema, class: classNameSchema }),
+  facts: z.array(z.object({ at: z.number(), fact: factSchema })),
+  dropped: z.number().int().nonnegative()
+})
--- a/src/report/types.ts
+++ b/src/report/types.ts
@@ -1,8 +1,8 @@
 /** What is counted and remembered about requests, for reports and explanations. */
 import type { Milliseconds } from '../clock.js'
-import type { ClassName, OrganisationName, RequestId, UpstreamName } from '../identifiers.js'
+import type { ClassName, OrganisationName, RequestId } from '../identifiers.js'
 import type { Outcome, RequestKey, RequestTimes } from '../request/index.js'
-import type { Verdict } from '../verdict.js'
+import type { Fact } from './fact.js'
 
 /** Work that an answer took. */
 export interface WorkDone {
@@ -14,7 +14,8 @@
 
 /**
  * Counters of one node. Accepted plus refused equals served, late, refused, lost, unknown and open,
- * always. A late answer is not counted as served.
+ * always. A late answer is not counted as served. A second end of a request, or the end of one that
+ * is not open here, changes nothing.
  */
 export interface Ledger {
   accepted (request: RequestKey): void
@@ -24,31 +25,33 @@
   ended (request: RequestKey, outcome: Outcome, times: RequestTimes, work: WorkDone): void
   /** The request continues at another node, which counts its end; it leaves this node's sums. */
   handedOver (request: RequestKey): void
-  /** A request taken over from another node: accepted there, open here. */
-  takenOver (request: RequestKey): void
+  /**
+   * A request taken over from another node: accepted there, open here.
+   *
+   * @param acceptedAtWall wall time of its acceptance, which decides the period it is counted in;
+   * now when the other node did not tell
+   */
+  takenOver (request: RequestKey, acceptedAtWall?: Milliseconds): void
 }
 
-/** One fact in the life of a request. */
-export type Fact =
-  | { kind: 'accepted' }
-  | { kind: 'refused', code: string, retryAfter: Milliseconds }
-  | { kind: 'dispatched', upstream: UpstreamName, attempt: number, reason: string }
-  | { kind: 'first-token', upstream: UpstreamName }
-  | { kind: 'attempt-failed', upstream: UpstreamName, verdict: Verdict, message: string }
-  | { kind: 'moved-cache', from: UpstreamName, to: UpstreamName, tokens: number }
-  | { kind: 'handed-over', to: string }
-  | { kind: 'taken-over', from: string }
-  | { kind: 'attached', offset: number }
-  | { kind: 'ended', outcome: Outcome }
-
 /** A fact with its wall time. */
 export interface TimedFact {
   readonly at: Milliseconds
   readonly fact: Fact
 }
 
+/** What is remembered about one request. */
+export interface RequestFacts {
+  readonly key: RequestKey
+  readonly facts: readonly TimedFact[]
+  /** Facts in the middle of its life that were dropped to keep memory bounded. */
+  readonly dropped: number
+}
+
 /** Facts of recent requests, in bounded memory. */
 export interface FactStore {
   record (request: RequestKey, at: Milliseconds, fact: Fact): void
-  explain (id: RequestId): { key: RequestKey, facts: readonly TimedFact[] } | undefined
+  explain (id: RequestId): RequestFacts | undefined
+  /** Estimated bytes in use, and requests forgotten since the start to stay within the bound. */
+  usage (): { bytes: number, forgotten: number }
 }
