Executions in small modules behind the scheduler, ledger and facts

One file held submission, choice, attempts and generation, so nothing else could plug in. The verdict of a failure covers all attempts: a refusal after an attempt that may have run is no longer told as not-run. Calls that may not be repeated use connections of their own.

--- /dev/null
+++ b/src/entry/attempts.ts
@@ -0,0 +1,214 @@
+/** Runs a request: attempt after attempt, as far as the verdicts allow, until its answer ends. */
+import type { AttemptResult, PendingAttempt } from '../admission/index.js'
+import { SECOND } from '../clock.js'
+import type { Milliseconds } from '../clock.js'
+import { findClass, findService } from '../configuration/index.js'
+import type { Service } from '../configuration/index.js'
+import type { UpstreamName } from '../identifiers.js'
+import { prefixBlocks, promptTokens } from '../platform/prompt.js'
+import type { AnswerEnd } from '../request/index.js'
+import type { UpstreamView } from '../upstream/index.js'
+import { mayRepeat, ServingError, toServingError } from '../verdict.js'
+import type { Verdict } from '../verdict.js'
+import type { ExecutionContext } from './context.js'
+import type { Placement } from './dispatcher.js'
+import type { Execution } from './execution.js'
+import { generate } from './generation.js'
+import { callPlain } from './plain-call.js'
+
+/** How one attempt ended. */
+export type AttemptEnd =
+  | { kind: 'whole', end: Extract<AnswerEnd, { kind: 'finished' | 'plain' }>, result: AttemptResult }
+  /** `upstreamDied`: new connections are refused or the upstream lost its streams. */
+  | { kind: 'failed', failure: ServingError, upstreamDied: boolean }
+  /** The upstream is being left; the request goes on elsewhere from its tokens so far. */
+  | { kind: 'recompute' }
+
+/** Failed attempts of one request, the first included. Attempts that left a reclaimed upstream do not count. */
+const MOST_FAILURES = 4
+
+/** Longest pause before the second attempt; each further one doubles it. */
+const FIRST_PAUSE: Milliseconds = 50
+
+const LONGEST_PAUSE: Milliseconds = 2 * SECOND
+
+/**
+ * Runs an execution to the end of its answer, and books what happens.
+ *
+ * @returns the final mark, already set on the answer
+ * @example
+ * const end = await runAttempts(context, execution)
+ */
+export async function runAttempts (context: ExecutionContext, execution: Execution): Promise<AnswerEnd> {
+  const span = context.tracing.start('request', execution.traceparent, { 'hornbeamgap.request': execution.request.id, 'hornbeamgap.class': execution.request.class })
+  try {
+    return finish(context, execution, await attemptUntilEnd(context, execution, span.traceparent))
+  } catch (error) {
+    return finish(context, execution, { kind: 'failed', failure: toServingError(error, 'may-have-run') })
+  } finally {
+    span.end()
+  }
+}
+
+async function attemptUntilEnd (context: ExecutionContext, execution: Execution, traceparent: string): Promise<AnswerEnd> {
+  const { request } = execution
+  const service = serviceOf(context, execution)
+  const excluded = new Set<UpstreamName>()
+  let verdict: Verdict = execution.answer.offset() > 0 ? 'ran' : 'not-run'
+  let failures = 0
+  const attached = await attachFirst(context, execution, service, traceparent)
+  if (attached?.kind === 'whole') return attached.end
+  for (let attempt = 1; ; attempt += 1) {
+    forgetWhenAllExcluded(context, service, excluded)
+    const end = await attemptOnce(context, execution, service, attempt, excluded, traceparent)
+    switch (end.kind) {
+      case 'whole': return end.end
+      case 'recompute': break
+      case 'refused': return { kind: 'failed', failure: withVerdict(end.failure, stronger(verdict, end.failure.verdict)) }
+      case 'failed':
+        failures += 1
+        verdict = stronger(verdict, end.failure.verdict)
+        if (context.signal.aborted || execution.owner.signal.aborted || failures >= MOST_FAILURES || !mayRepeat(end.failure.verdict, request.idempotent)) {
+          return { kind: 'failed', failure: withVerdict(end.failure, verdict) }
+        }
+        await context.clock.sleep(pauseAfter(failures, context), execution.owner.signal).catch(() => {})
+    }
+  }
+}
+
+/**
+ * A request that was taken over goes on at the stream it has. When that is gone, it is run again from
+ * its tokens so far, if it may be.
+ */
+async function attachFirst (context: ExecutionContext, execution: Execution, service: Service, traceparent: string): Promise<AttemptEnd | undefined> {
+  const upstream = execution.position && context.directory.find(execution.position.upstream)
+  if (execution.position === undefined) return undefined
+  const end: AttemptEnd = upstream === undefined
+    ? { kind: 'failed', failure: new ServingError(`${execution.position.upstream} is gone`, { code: 'upstream-failed', verdict: 'may-have-run' }), upstreamDied: true }
+    : await attemptAt(context, execution, { upstream, priority: 0, handle: execution.position.handle }, service, traceparent)
+  if (end.kind === 'failed') {
+    context.bookkeeping.attemptFailed(execution, execution.position.upstream, end.failure)
+    if (!mayRepeat(end.failure.verdict, execution.request.idempotent)) throw end.failure
+  }
+  return end
+}
+
+type Attempted = AttemptEnd | { kind: 'refused', failure: ServingError }
+
+async function attemptOnce (context: ExecutionContext, execution: Execution, service: Service, attempt: number, excluded: Set<UpstreamName>, traceparent: string): Promise<Attempted> {
+  let placement: Placement
+  try {
+    placement = await context.dispatcher.place(pendingAttempt(execution, attempt, excluded), execution.owner.signal)
+  } catch (error) {
+    return { kind: 'refused', failure: toServingError(error, 'not-run') }
+  }
+  const { upstream } = placement
+  accept(context, execution)
+  context.bookkeeping.dispatched(execution, upstream.name, attempt, `priority ${placement.priority}`)
+  const end = await attemptAt(context, execution, placement, service, traceparent)
+  context.dispatcher.ended(execution.request.id, resultOf(end))
+  if (end.kind !== 'whole') excluded.add(upstream.name)
+  if (end.kind === 'failed') context.bookkeeping.attemptFailed(execution, upstream.name, end.failure)
+  return end
+}
+
+async function attemptAt (context: ExecutionContext, execution: Execution, placement: Placement, service: Service, traceparent: string): Promise<AttemptEnd> {
+  const leave = context.directory.enter(placement.upstream.name)
+  const span = context.tracing.start('attempt', traceparent, { 'hornbeamgap.upstream': placement.upstream.name })
+  try {
+    const { work } = execution.request
+    if (work.kind === 'model' && service.kind === 'model') return await generate(context, execution, placement, work.body, service.model, span.traceparent)
+    if (work.kind === 'plain' && service.kind === 'plain') return await callPlain(context, execution, placement, work.call, span.traceparent)
+    return { kind: 'failed', failure: wrongKind(execution, service), upstreamDied: false }
+  } finally {
+    leave()
+    execution.attempt = undefined
+    span.end()
+  }
+}
+
+function accept (context: ExecutionContext, execution: Execution): void {
+  if (execution.accepted) return
+  execution.accept()
+  context.bookkeeping.accepted(execution)
+}
+
+/** What was handed over is counted by the node that goes on. */
+function finish (context: ExecutionContext, execution: Execution, end: AnswerEnd): AnswerEnd {
+  if (execution.owner.signal.reason === 'handed-over') return execution.answer.end() ?? end
+  execution.endedAt = context.clock.now()
+  execution.answer.close(end)
+  const first = execution.answer.end() ?? end
+  if (execution.accepted) {
+    context.bookkeeping.ended(execution, first)
+  } else if (first.kind === 'failed') {
+    context.bookkeeping.refused(execution.request, first.failure)
+  }
+  return first
+}
+
+function serviceOf (context: ExecutionContext, execution: Execution): Service {
+  const configuration = context.configuration()
+  if (configuration === undefined) throw new ServingError('no configuration is known yet', { code: 'no-configuration', verdict: 'not-run', retryAfter: SECOND })
+  const requestClass = findClass(configuration, execution.request.class)
+  const service = requestClass && findService(configuration, requestClass.service)
+  if (service === undefined) throw new ServingError(`unknown class ${execution.request.class}`, { code: 'invalid-request', verdict: 'not-run' })
+  return service
+}
+
+function pendingAttempt (execution: Execution, attempt: number, excluded: ReadonlySet<UpstreamName>): PendingAttempt {
+  const { request, answer } = execution
+  const body = request.work.kind === 'model' ? request.work.body : undefined
+  return {
+    id: request.id,
+    organisation: request.organisation,
+    class: request.class,
+    attempt,
+    arrivedAt: execution.arrivedAt,
+    promptTokens: body === undefined ? 0 : promptTokens(body.messages),
+    maxTokens: body?.max_tokens ?? 0,
+    tokensSoFar: answer.offset(),
+    prefixBlocks: body === undefined ? [] : prefixBlocks(body.messages, body.adapter),
+    adapter: body?.adapter,
+    excluded: [...excluded],
+    apart: execution.apart,
+    accepted: execution.accepted
+  }
+}
+
+/**
+ * Failure guarded against: a lost path to every upstream of a service leaves a request with nowhere to
+ * go, although the upstreams live. When all are excluded, none is.
+ */
+function forgetWhenAllExcluded (context: ExecutionContext, service: Service, excluded: Set<UpstreamName>): void {
+  const live = context.directory.views().filter((view: UpstreamView) => view.service === service.name && !view.leaving)
+  if (live.every((view) => excluded.has(view.name))) excluded.clear()
+}
+
+function pauseAfter (failures: number, context: ExecutionContext): Milliseconds {
+  return context.random.fraction() * Math.min(LONGEST_PAUSE, FIRST_PAUSE * 2 ** (failures - 1))
+}
+
+function resultOf (end: AttemptEnd): AttemptResult {
+  switch (end.kind) {
+    case 'whole': return end.result
+    case 'failed': return { kind: 'failed', verdict: end.failure.verdict, upstreamDied: end.upstreamDied }
+    case 'recompute': return { kind: 'withdrawn' }
+  }
+}
+
+const STRENGTH: Record<Verdict, number> = { 'not-run': 0, 'may-have-run': 1, ran: 2 }
+
+/** What several attempts prove together: one that may have run cannot be undone by a later refusal. */
+function stronger (left: Verdict, right: Verdict): Verdict {
+  return STRENGTH[left] >= STRENGTH[right] ? left : right
+}
+
+function withVerdict (failure: ServingError, verdict: Verdict): ServingError {
+  if (failure.verdict === verdict) return failure
+  return new ServingError(failure.message, { code: failure.code, verdict, cause: failure, ...(failure.retryAfter === undefined ? {} : { retryAfter: failure.retryAfter }) })
+}
+
+function wrongKind (execution: Execution, service: Service): ServingError {
+  return new ServingError(`class ${execution.request.class} is served by a ${service.kind} service`, { code: 'invalid-request', verdict: 'not-run' })
+}
--- /dev/null
+++ b/src/entry/bookkeeping.ts
@@ -0,0 +1,127 @@
+/** Every point in a request's life where it is counted and remembered, in one place. */
+import type { Clock, Milliseconds } from '../clock.js'
+import type { Configuration, Target } from '../configuration/index.js'
+import { findClass } from '../configuration/index.js'
+import type { UpstreamName } from '../identifiers.js'
+import type { Fact, FactStore, Ledger } from '../report/index.js'
+import type { AnswerEnd, Outcome, Request, RequestTimes } from '../request/index.js'
+import type { ServingError } from '../verdict.js'
+import type { Execution } from './execution.js'
+import type { EntryMetrics } from '../metrics.js'
+
+/** Counts and remembers what happens to executions. */
+export interface Bookkeeping {
+  /** The caller holds the id; to be called once for each execution. */
+  accepted (execution: Execution): void
+  /** Refused before anything was accepted. */
+  refused (request: Request, failure: ServingError): void
+  dispatched (execution: Execution, upstream: UpstreamName, attempt: number, reason: string): void
+  firstToken (execution: Execution, upstream: UpstreamName): void
+  attemptFailed (execution: Execution, upstream: UpstreamName, failure: ServingError): void
+  movedCache (execution: Execution, from: UpstreamName, to: UpstreamName): void
+  attached (execution: Execution, offset: number): void
+  handedOver (execution: Execution, to: string): void
+  takenOver (execution: Execution, from: string): void
+  /** End of an accepted request; `moved` is counted by the node that goes on. */
+  ended (execution: Execution, end: AnswerEnd): void
+}
+
+/**
+ * @example
+ * const bookkeeping = createBookkeeping({ ledger, facts, metrics, clock, configuration })
+ */
+export function createBookkeeping (options: { ledger: Ledger, facts: FactStore, metrics: EntryMetrics, clock: Clock, configuration: () => Configuration | undefined }): Bookkeeping {
+  const { ledger, facts, metrics, clock } = options
+
+  function record (request: Request, fact: Fact): void {
+    facts.record(request, clock.wall(), fact)
+  }
+
+  function outcomeOf (execution: Execution, end: AnswerEnd): Outcome {
+    switch (end.kind) {
+      case 'finished': return { kind: 'served', finish: end.finish, late: late(execution) }
+      case 'plain': return { kind: 'served', finish: 'stop', late: late(execution) }
+      case 'moved': return { kind: 'unknown' }
+      case 'failed': return failedOutcome(execution.request, end.failure)
+    }
+  }
+
+  function late (execution: Execution): boolean {
+    const current = options.configuration()
+    const target = current && findClass(current, execution.request.class)?.target
+    return target !== undefined && isLate(target, timesOf(execution), execution.answer.offset())
+  }
+
+  return {
+    accepted: (execution) => {
+      ledger.accepted(execution.request)
+      metrics.accepted(execution.request)
+      record(execution.request, { kind: 'accepted' })
+    },
+    refused: (request, failure) => {
+      ledger.refused(request.organisation, request.class, failure.code)
+      metrics.refused(request, failure.code)
+      record(request, { kind: 'refused', code: failure.code, retryAfter: failure.retryAfter ?? 0 })
+    },
+    dispatched: (execution, upstream, attempt, reason) => record(execution.request, { kind: 'dispatched', upstream, attempt, reason }),
+    firstToken: (execution, upstream) => {
+      metrics.firstToken(execution.request, clock.now() - execution.arrivedAt)
+      record(execution.request, { kind: 'first-token', upstream })
+    },
+    attemptFailed: (execution, upstream, failure) => {
+      metrics.attemptFailed(execution.request, failure.verdict)
+      record(execution.request, { kind: 'attempt-failed', upstream, verdict: failure.verdict, message: failure.message })
+    },
+    movedCache: (execution, from, to) => record(execution.request, { kind: 'moved-cache', from, to, tokens: execution.answer.offset() }),
+    attached: (execution, offset) => record(execution.request, { kind: 'attached', offset }),
+    handedOver: (execution, to) => {
+      ledger.handedOver(execution.request)
+      record(execution.request, { kind: 'handed-over', to })
+    },
+    takenOver: (execution, from) => {
+      ledger.takenOver(execution.request, execution.arrivedAtWall)
+      record(execution.request, { kind: 'taken-over', from })
+    },
+    ended: (execution, end) => {
+      if (end.kind === 'moved') return
+      const outcome = outcomeOf(execution, end)
+      const work = { generatedTokens: execution.answer.offset(), recomputedTokens: execution.recomputedTokens }
+      ledger.ended(execution.request, outcome, timesOf(execution), work)
+      metrics.ended(execution.request, outcome, (execution.endedAt ?? clock.now()) - execution.arrivedAt, work)
+      record(execution.request, { kind: 'ended', outcome })
+    }
+  }
+}
+
+/**
+ * Whether an answer missed its class's target.
+ *
+ * @param tokens tokens of the answer; 0 for plain services
+ * @example
+ * isLate(target, { acceptedAt: 0, firstTokenAt: 300, endedAt: 9_000 }, 120) // true for whole_answer_ms = 8_000
+ */
+export function isLate (target: Target, times: RequestTimes, tokens: number): boolean {
+  const endedAt = times.endedAt ?? times.acceptedAt
+  if (endedAt - times.acceptedAt > target.whole_answer_ms) return true
+  if (times.firstTokenAt === undefined) return false
+  if (exceeds(times.firstTokenAt - times.acceptedAt, target.first_token_ms)) return true
+  return tokens > 1 && exceeds((endedAt - times.firstTokenAt) / (tokens - 1), target.between_tokens_ms)
+}
+
+function exceeds (duration: Milliseconds, limit: Milliseconds | undefined): boolean {
+  return limit !== undefined && duration > limit
+}
+
+/** Times of a request as reports count them: measured from its arrival. */
+function timesOf (execution: Execution): RequestTimes {
+  return {
+    acceptedAt: execution.arrivedAt,
+    ...(execution.firstTokenAt === undefined ? {} : { firstTokenAt: execution.firstTokenAt }),
+    ...(execution.endedAt === undefined ? {} : { endedAt: execution.endedAt })
+  }
+}
+
+function failedOutcome (request: Request, failure: ServingError): Outcome {
+  if (failure.verdict === 'may-have-run' && !request.idempotent) return { kind: 'unknown' }
+  return { kind: 'lost', verdict: failure.verdict }
+}
--- /dev/null
+++ b/src/entry/context.ts
@@ -0,0 +1,26 @@
+/** What the modules that run requests share. */
+import type { Clock } from '../clock.js'
+import type { Configuration } from '../configuration/index.js'
+import type { Connections } from '../platform/http.js'
+import type { Random } from '../random.js'
+import type { Tracing } from '../tracing.js'
+import type { Bookkeeping } from './bookkeeping.js'
+import type { Dispatcher } from './dispatcher.js'
+import type { UpstreamDirectory } from './upstream-directory.js'
+
+/** What executions need from their node. */
+export interface ExecutionContext {
+  readonly directory: UpstreamDirectory
+  readonly dispatcher: Dispatcher
+  readonly bookkeeping: Bookkeeping
+  readonly tracing: Tracing
+  /** Connections that are kept and used again. */
+  readonly connections: Connections
+  /** Connections that serve one exchange each, for what must not meet a silent pooled one. */
+  readonly freshConnections: Connections
+  readonly configuration: () => Configuration | undefined
+  readonly clock: Clock
+  readonly random: Random
+  /** The node's life. */
+  readonly signal: AbortSignal
+}
--- /dev/null
+++ b/src/entry/dispatcher.ts
@@ -0,0 +1,101 @@
+/** Carries out what the scheduler decides: attempts wait here until they are placed or refused. */
+import type { AttemptResult, PendingAttempt, Scheduler, SchedulerEffect, SchedulerEvent } from '../admission/index.js'
+import type { Clock } from '../clock.js'
+import type { RequestId } from '../identifiers.js'
+import type { UpstreamView } from '../upstream/index.js'
+import { ServingError } from '../verdict.js'
+import type { UpstreamDirectory } from './upstream-directory.js'
+
+/** Where an attempt runs. */
+export interface Placement {
+  readonly upstream: UpstreamView
+  /** Smaller runs earlier at the engine. */
+  readonly priority: number
+  /** The stream to attach to; undefined when a new one begins. */
+  readonly handle: string | undefined
+}
+
+/** The scheduler as the rest of the node uses it. */
+export interface Dispatcher {
+  /**
+   * Waits for an upstream.
+   *
+   * @throws ServingError `not-run` when the scheduler refuses, or when the signal aborts first
+   */
+  place (attempt: PendingAttempt, signal: AbortSignal): Promise<Placement>
+  firstToken (id: RequestId): void
+  /** Ends a placed attempt. */
+  ended (id: RequestId, result: AttemptResult): void
+  /** Tells the scheduler something else that happened. */
+  feed (event: SchedulerEvent): void
+  /** Attempts that wait. */
+  waiting (): number
+}
+
+interface Waiter {
+  readonly place: (placement: Placement) => void
+  readonly refuse: (failure: ServingError) => void
+}
+
+/**
+ * @example
+ * const dispatcher = createDispatcher({ scheduler, directory, clock })
+ * const { upstream, priority } = await dispatcher.place(attempt, signal)
+ */
+export function createDispatcher (options: { scheduler: Scheduler, directory: UpstreamDirectory, clock: Clock }): Dispatcher {
+  const { scheduler, directory, clock } = options
+  const waiters = new Map<RequestId, Waiter>()
+
+  function handle (event: SchedulerEvent): void {
+    for (const effect of scheduler.handle(event, clock.now())) carryOut(effect)
+  }
+
+  function carryOut (effect: SchedulerEffect): void {
+    const waiter = waiters.get(effect.id)
+    if (waiter === undefined) return
+    waiters.delete(effect.id)
+    switch (effect.kind) {
+      case 'dispatch': return dispatch(effect, waiter)
+      case 'refuse': return waiter.refuse(refusal(effect))
+    }
+  }
+
+  function dispatch (effect: Extract<SchedulerEffect, { kind: 'dispatch' }>, waiter: Waiter): void {
+    const upstream = directory.find(effect.upstream)
+    if (upstream !== undefined) return waiter.place({ upstream, priority: effect.priority, handle: undefined })
+    handle({ kind: 'ended', id: effect.id, result: { kind: 'withdrawn' } })
+    waiter.refuse(new ServingError(`${effect.upstream} is gone`, { code: 'no-upstream', verdict: 'not-run' }))
+  }
+
+  return {
+    place: (attempt, signal) => new Promise((resolve, reject) => {
+      const withdraw = (): void => {
+        waiters.delete(attempt.id)
+        handle({ kind: 'ended', id: attempt.id, result: { kind: 'withdrawn' } })
+        reject(new ServingError('withdrawn before it was dispatched', { code: 'cancelled', verdict: 'not-run', cause: signal.reason }))
+      }
+      if (signal.aborted) return reject(new ServingError('withdrawn before it was dispatched', { code: 'cancelled', verdict: 'not-run' }))
+      signal.addEventListener('abort', withdraw, { once: true })
+      const settle = <T>(settled: (value: T) => void) => (value: T): void => {
+        signal.removeEventListener('abort', withdraw)
+        settled(value)
+      }
+      waiters.set(attempt.id, { place: settle(resolve), refuse: settle(reject) })
+      handle({ kind: 'arrived', attempt })
+    }),
+    firstToken: (id) => handle({ kind: 'first-token', id }),
+    ended: (id, result) => handle({ kind: 'ended', id, result }),
+    feed: handle,
+    waiting: () => waiters.size
+  }
+}
+
+function refusal (effect: Extract<SchedulerEffect, { kind: 'refuse' }>): ServingError {
+  return new ServingError(REFUSALS[effect.code], { code: effect.code, verdict: 'not-run', retryAfter: effect.retryAfter })
+}
+
+const REFUSALS: Record<Extract<SchedulerEffect, { kind: 'refuse' }>['code'], string> = {
+  overloaded: 'the class\'s target cannot be met now',
+  'organisation-limit': 'the organisation uses its share already',
+  'no-upstream': 'no upstream of the service is live'
+}
--- a/src/entry/execution.ts
+++ b/src/entry/execution.ts
@@ -1,129 +1,125 @@
-/** Runs requests at their home: attempts at upstreams, answers, and their end. */
-import type { Configuration, RequestClass, Service } from '../configuration/index.js'
-import { findClass, findService } from '../configuration/index.js'
-import type { OrganisationName, RequestId, UpstreamName } from '../identifiers.js'
-import { createEngine } from '../platform/engine.js'
-import type { Connections } from '../platform/http.js'
-import type { Random } from '../random.js'
+/** One request at the node that runs it: its answer, where its stream stands, and its times. */
+import type { Clock, Milliseconds } from '../clock.js'
+import type { RequestId, UpstreamName } from '../identifiers.js'
 import { createAnswer } from '../request/index.js'
-import type { Answer, ChatBody, Request } from '../request/index.js'
-import { chooseUpstream } from '../upstream/index.js'
-import type { UpstreamView } from '../upstream/index.js'
-import { mayRepeat, ServingError, toServingError } from '../verdict.js'
-import type { UpstreamDirectory } from './upstream-directory.js'
+import type { Answer, Request, StreamPosition } from '../request/index.js'
 
-/** A request and its answer, from acceptance on. */
+/** Where a running attempt shall go on instead. */
+export type Redirection =
+  /** The cache was exported: attach to the stream of that handle. */
+  | { kind: 'attach', upstream: UpstreamName, handle: string }
+  /** Start again elsewhere from the prompt and the tokens so far. */
+  | { kind: 'recompute' }
+
+/** An attempt that runs at an upstream. */
+export interface OpenAttempt {
+  readonly upstream: UpstreamName
+  /** The upstream's name for the stream; empty for plain services and before the stream has begun. */
+  handle: string
+  readonly startedAt: Milliseconds
+  /** Leaves the upstream's stream and goes on as told. */
+  redirect (redirection: Redirection): void
+}
+
+/** Why a run ends here before its answer does. */
+export type StopReason =
+  /** It goes on at another node, which attaches to the upstream's stream. */
+  | 'handed-over'
+  /** Its caller is gone for good; the upstream is told to cancel. */
+  | 'abandoned'
+
+/** A request from its arrival to its end. */
 export interface Execution {
   readonly request: Request
   readonly answer: Answer
+  readonly arrivedAt: Milliseconds
+  /** The same on the wall clock, for reports. */
+  readonly arrivedAtWall: Milliseconds
+  /** W3C trace context that the caller sent or this node began. */
+  readonly traceparent: string | undefined
+  /** Aborts when the run ends here before its answer does, with a {@link StopReason}, or with the node. */
+  readonly owner: AbortController
+  /** Where the first attempt goes on, for a request that was taken over. */
+  readonly position: StreamPosition | undefined
+  /** Resolves when the request is accepted; never when it is refused. */
+  readonly acceptance: Promise<void>
+  /** Marks the request as accepted: from now on its caller holds the id of an answer that has begun. */
+  accept (): void
+  /** The attempt that runs now. */
+  attempt: OpenAttempt | undefined
+  accepted: boolean
+  /** Suspected of crashing upstreams: it runs where no other request of this node runs. */
+  apart: boolean
+  firstTokenAt: Milliseconds | undefined
+  endedAt: Milliseconds | undefined
+  /** Tokens computed again because of reclaims, crashes or retries. */
+  recomputedTokens: number
+  /** An earlier attempt has computed the prompt. */
+  computedBefore: boolean
+  /** Callers that are connected. */
+  readers: number
+  /** When the last caller went away. */
+  unreadSince: Milliseconds | undefined
 }
 
-/** The executions of one node. */
-export interface Executions {
-  /** Starts a request, or returns the execution it already has. */
-  submit (request: Request): Execution
-  /** The execution of an id, only for the organisation it belongs to. */
-  find (organisation: OrganisationName, id: RequestId): Execution | undefined
-}
-
-/** What executions need from their node. */
-export interface ExecutionContext {
-  readonly directory: UpstreamDirectory
-  readonly connections: Connections
-  readonly configuration: () => Configuration | undefined
-  readonly random: Random
-  readonly signal: AbortSignal
+/** What an execution begins with. */
+export interface ExecutionStart {
+  readonly request: Request
+  readonly traceparent?: string | undefined
+  /** Tokens that exist already, for a request that is taken over. */
+  readonly tokens?: readonly string[]
+  /** Where its stream stands at an upstream, for a request that is taken over. */
+  readonly position?: StreamPosition | undefined
+  /** How long ago it arrived at the node before, in milliseconds. */
+  readonly age?: Milliseconds
 }
 
-/** Attempts of one request, the first included. */
-const MOST_ATTEMPTS = 4
-
-/** Tokens read ahead of the fastest reader before the upstream is left waiting. */
-const READ_AHEAD = 1_024
-
 /**
  * @example
- * const executions = createExecutions(context)
- * for await (const part of executions.submit(request).answer.read(0, signal)) send(part)
+ * const execution = createExecution({ request }, clock)
  */
-export function createExecutions (context: ExecutionContext): Executions {
-  const executions = new Map<RequestId, Execution>()
-
-  return {
-    submit: (request) => {
-      const known = executions.get(request.id)
-      if (known !== undefined) return matching(known, request)
-      const execution = { request, answer: createAnswer() }
-      executions.set(request.id, execution)
-      run(context, execution).catch((error) => {
-        execution.answer.close({ kind: 'failed', failure: toServingError(error, 'may-have-run') })
-      })
-      return execution
+export function createExecution (start: ExecutionStart, clock: Clock): Execution {
+  const owner = new AbortController()
+  let markAccepted = (): void => {}
+  const acceptance = new Promise<void>((resolve) => { markAccepted = resolve })
+  const execution: Execution = {
+    request: start.request,
+    answer: createAnswer(start.tokens),
+    arrivedAt: clock.now() - (start.age ?? 0),
+    arrivedAtWall: clock.wall() - (start.age ?? 0),
+    traceparent: start.traceparent,
+    owner,
+    position: start.position,
+    acceptance,
+    accept: () => {
+      execution.accepted = true
+      markAccepted()
     },
-    find: (organisation, id) => {
-      const known = executions.get(id)
-      return known?.request.organisation === organisation ? known : undefined
-    }
+    attempt: undefined,
+    accepted: false,
+    apart: false,
+    firstTokenAt: undefined,
+    endedAt: undefined,
+    recomputedTokens: 0,
+    computedBefore: (start.tokens?.length ?? 0) > 0,
+    readers: 0,
+    unreadSince: undefined
   }
+  return execution
 }
 
-function matching (known: Execution, request: Request): Execution {
-  if (known.request.organisation !== request.organisation) throw new ServingError('no such request', { code: 'not-found', verdict: 'not-run' })
-  if (known.request.fingerprint === request.fingerprint) return known
-  throw new ServingError('this request id was used with another body', { code: 'conflict', verdict: 'not-run' })
-}
-
-async function run (context: ExecutionContext, execution: Execution): Promise<void> {
-  const { requestClass, service } = requirements(context.configuration(), execution.request)
-  const excluded = new Set<UpstreamName>()
-  for (let attempt = 1; ; attempt += 1) {
-    const upstream = chooseUpstream(context.directory.views(), service.name, excluded, context.random)
-    if (upstream === undefined) throw new ServingError(`no upstream of ${service.name} is live`, { code: 'no-upstream', verdict: 'not-run', retryAfter: 1_000 })
-    try {
-      return await attemptAt(context, execution, upstream, service)
-    } catch (error) {
-      const failure = toServingError(error, 'may-have-run')
-      if (attempt >= MOST_ATTEMPTS || !mayRepeat(failure.verdict, requestClass.idempotent)) throw failure
-      excluded.add(upstream.name)
-    }
-  }
-}
-
-function requirements (configuration: Configuration | undefined, request: Request): { requestClass: RequestClass, service: Service } {
-  if (configuration === undefined) throw new ServingError('no configuration is known yet', { code: 'no-configuration', verdict: 'not-run', retryAfter: 1_000 })
-  const requestClass = findClass(configuration, request.class)
-  const service = requestClass && findService(configuration, requestClass.service)
-  if (requestClass === undefined || service === undefined) throw new ServingError(`unknown class ${request.class}`, { code: 'invalid-request', verdict: 'not-run' })
-  return { requestClass, service }
-}
-
-async function attemptAt (context: ExecutionContext, execution: Execution, upstream: UpstreamView, service: Service): Promise<void> {
-  const leave = context.directory.enter(upstream.name)
-  try {
-    if (execution.request.work.kind === 'model' && service.kind === 'model') {
-      await generate(context, execution, upstream, execution.request.work.body, service.model)
-    } else {
-      throw new ServingError(`class ${execution.request.class} is served by a ${service.kind} service`, { code: 'invalid-request', verdict: 'not-run' })
-    }
-  } finally {
-    leave()
-  }
-}
-
-async function generate (context: ExecutionContext, execution: Execution, upstream: UpstreamView, body: ChatBody, model: string): Promise<void> {
-  const { answer } = execution
-  const engine = createEngine(context.connections, upstream.address)
-  const continuation = answer.offset() === 0 ? {} : { continuation: { offset: answer.offset(), text: answer.text() } }
-  const stream = await engine.start({ body, model, priority: 0, ...continuation, signal: context.signal })
-  for await (const event of stream.events) {
-    switch (event.kind) {
-      case 'token':
-        answer.append(event)
-        await answer.room(READ_AHEAD, context.signal)
-        break
-      case 'finished':
-        answer.close(event)
-        break
-    }
-  }
+/** An accepted stream as the decisions about reclaims see it. */
+export interface OpenStream {
+  readonly id: RequestId
+  readonly upstream: UpstreamName
+  readonly handle: string
+  readonly kind: 'model' | 'plain'
+  readonly idempotent: boolean
+  /** Tokens of the answer so far. */
+  readonly offset: number
+  /** Estimated tokens of the prompt. */
+  readonly promptTokens: number
+  /** Most tokens the answer can have. */
+  readonly maxTokens: number
+  readonly startedAt: Milliseconds
 }
--- /dev/null
+++ b/src/entry/plain-call.ts
@@ -0,0 +1,32 @@
+/** One attempt of a plain call. */
+import { callPlainService } from '../platform/plain-service.js'
+import type { PlainCall } from '../request/index.js'
+import { toServingError } from '../verdict.js'
+import type { AttemptEnd } from './attempts.js'
+import type { ExecutionContext } from './context.js'
+import type { Placement } from './dispatcher.js'
+import type { Execution } from './execution.js'
+
+const NO_TOKENS = { prompt_tokens: 0, completion_tokens: 0, cached_tokens: 0 }
+
+/**
+ * Passes a call through to a plain service.
+ *
+ * Failure guarded against: a pooled connection that the network has forgotten swallows a call, and
+ * its outcome stays unknown. Calls that may not be repeated therefore get a connection of their own.
+ *
+ * @example
+ * const end = await callPlain(context, execution, placement, call, traceparent)
+ */
+export async function callPlain (context: ExecutionContext, execution: Execution, placement: Placement, call: PlainCall, traceparent: string): Promise<AttemptEnd> {
+  const { upstream } = placement
+  const connections = execution.request.idempotent ? context.connections : context.freshConnections
+  execution.attempt = { upstream: upstream.name, handle: '', startedAt: context.clock.now(), redirect: () => {} }
+  try {
+    const response = await callPlainService(connections, upstream.address, call, { signal: execution.owner.signal, traceparent })
+    return { kind: 'whole', end: { kind: 'plain', response }, result: { kind: 'whole', usage: NO_TOKENS } }
+  } catch (error) {
+    const failure = toServingError(error, 'may-have-run')
+    return { kind: 'failed', failure, upstreamDied: false }
+  }
+}
--- a/src/entry/upstream-directory.ts
+++ b/src/entry/upstream-directory.ts
@@ -1,4 +1,5 @@
-/** The upstreams that one node knows, kept fresh from the instance list. */
+/** The upstreams that one node knows, kept fresh from the instance list and from other sources' notices. */
+import Emittery from 'emittery'
 import type { Clock, Milliseconds } from '../clock.js'
 import { every, SECOND } from '../clock.js'
 import type { UpstreamName } from '../identifiers.js'
@@ -6,11 +7,31 @@
 import type { InstanceList } from '../platform/instance-list.js'
 import type { Instance, UpstreamView } from '../upstream/index.js'
 
+/** Who said that an upstream is leaving. */
+export type NoticeSource = 'instance-list' | 'cloud' | 'engine' | 'peer' | 'connection'
+
+/** What the directory tells the rest of the node. */
+export interface DirectoryNotices {
+  /** The views changed in anything but the requests in flight. */
+  changed: readonly UpstreamView[]
+  /** First notice that an upstream is leaving. */
+  leaving: { upstream: UpstreamName, source: NoticeSource }
+}
+
 /** Upstreams and the requests this node has at them. */
 export interface UpstreamDirectory {
+  readonly notices: Emittery<DirectoryNotices>
   views (): readonly UpstreamView[]
+  find (upstream: UpstreamName): UpstreamView | undefined
+  /** Instances as the list shows them, entry nodes included. */
+  instances (): readonly Instance[]
   /** Counts a request in; the returned function counts it out. */
   enter (upstream: UpstreamName): () => void
+  /**
+   * Gives an upstream no new work from now on, whatever the instance list still shows. Lasts until
+   * the list no longer names the instance, so that a lagging list cannot take it back.
+   */
+  markLeaving (upstream: UpstreamName, source: NoticeSource): void
   refresh (): Promise<void>
 }
 
@@ -23,27 +44,71 @@
  */
 export function createUpstreamDirectory (options: { instanceList: InstanceList, clock: Clock, log: Log, signal: AbortSignal }): UpstreamDirectory {
   const { instanceList, clock, log, signal } = options
+  const notices = new Emittery<DirectoryNotices>()
   const inFlight = new Map<UpstreamName, number>()
+  const leaving = new Set<UpstreamName>()
   let instances: readonly Instance[] = []
+  let known = new Map<UpstreamName, Instance>()
+  let shape = ''
 
   async function refresh (): Promise<void> {
     const fresh = await instanceList.read(signal)
-    logLeaving(fresh)
     instances = fresh
+    known = new Map(fresh.flatMap((instance) => instance.role.kind === 'upstream' ? [[instance.role.upstream, instance]] : []))
+    for (const upstream of leaving) {
+      if (!known.has(upstream)) leaving.delete(upstream)
+    }
+    for (const [upstream, instance] of known) {
+      if (instance.state === 'leaving') markLeaving(upstream, 'instance-list')
+    }
+    await announce()
+  }
+
+  function markLeaving (upstream: UpstreamName, source: NoticeSource): void {
+    if (leaving.has(upstream)) return
+    leaving.add(upstream)
+    log.info('upstream-leaving', { upstream, source })
+    announce().catch(() => {})
+    notices.emit('leaving', { upstream, source }).catch(() => {})
   }
 
-  function logLeaving (fresh: readonly Instance[]): void {
-    const before = new Set(instances.filter((instance) => instance.state === 'leaving').map((instance) => instance.name))
-    for (const instance of fresh) {
-      if (instance.state === 'leaving' && !before.has(instance.name)) log.info('instance-leaving', { instance: instance.name, source: 'instance-list' })
+  async function announce (): Promise<void> {
+    const present = views()
+    const now = JSON.stringify(present.map((view) => [view.name, view.address, view.leaving]))
+    if (now === shape) return
+    shape = now
+    await notices.emit('changed', present)
+  }
+
+  function views (): UpstreamView[] {
+    return [...known].map(([upstream, instance]) => toView(upstream, instance))
+  }
+
+  function toView (name: UpstreamName, instance: Instance): UpstreamView {
+    const role = instance.role as Extract<Instance['role'], { kind: 'upstream' }>
+    return {
+      name,
+      service: role.service,
+      failureDomain: instance.failureDomain,
+      address: instance.address,
+      protocol: role.protocol,
+      leaving: leaving.has(name),
+      inFlight: inFlight.get(name) ?? 0
     }
   }
 
   every(clock, REFRESH_PERIOD, signal, refresh, (error) => log.warn('instance-list-unavailable', { error: String(error) })).catch(() => {})
 
   return {
+    notices,
     refresh,
-    views: () => instances.flatMap((instance) => toView(instance, inFlight)),
+    views,
+    find: (upstream) => {
+      const instance = known.get(upstream)
+      return instance && toView(upstream, instance)
+    },
+    instances: () => instances,
+    markLeaving,
     enter: (upstream) => {
       inFlight.set(upstream, (inFlight.get(upstream) ?? 0) + 1)
       let left = false
@@ -55,16 +120,3 @@
     }
   }
 }
-
-function toView (instance: Instance, inFlight: ReadonlyMap<UpstreamName, number>): UpstreamView[] {
-  if (instance.role.kind !== 'upstream') return []
-  return [{
-    name: instance.role.upstream,
-    service: instance.role.service,
-    failureDomain: instance.failureDomain,
-    address: instance.address,
-    protocol: instance.role.protocol,
-    leaving: instance.state === 'leaving',
-    inFlight: inFlight.get(instance.role.upstream) ?? 0
-  }]
-}
--- a/src/platform/http.ts
+++ b/src/platform/http.ts
@@ -16,7 +16,7 @@
 /** One exchange. */
 export interface HttpExchange {
   readonly address: Address
-  readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE'
+  readonly method: 'GET' | 'HEAD' | 'POST' | 'PUT' | 'PATCH' | 'DELETE'
   readonly path: string
   readonly headers?: Readonly<Record<string, string>>
   readonly body?: unknown
@@ -52,6 +52,22 @@
   })
 }
 
+/**
+ * Connections that serve one exchange each.
+ *
+ * Failure guarded against: the network between two ends forgets an idle connection; the next call on
+ * it is swallowed and may or may not have run. A connection made for the call either opens or proves
+ * `not-run`.
+ *
+ * @param connections most connections to one address
+ * @example
+ * const fresh = createFreshConnections(64)
+ */
+export function createFreshConnections (connections: number): Connections {
+  const agent = new Agent({ connections, pipelining: 1, connect: { timeout: CONNECT_TIMEOUT } })
+  return agent.compose((dispatch) => (options, handler) => dispatch({ ...options, reset: true }, handler))
+}
+
 /**
  * Sends one exchange and returns the response with its body still streaming.
  *
@@ -145,7 +161,7 @@
 }
 
 function headersOf (exchange: HttpExchange): Record<string, string> {
-  if (exchange.body === undefined) return { ...exchange.headers }
+  if (exchange.body === undefined || Buffer.isBuffer(exchange.body)) return { ...exchange.headers }
   return { 'content-type': 'application/json', ...exchange.headers }
 }
 
