--- /dev/null
+++ b/src/entry/key-watch.ts
@@ -0,0 +1,70 @@
+/** Follows a prefix of the key-value service: one read, then a watch, opened again when it fails. */
+import type { Clock, Milliseconds } from '../clock.js'
+import { SECOND } from '../clock.js'
+import type { KeyValue, KeyValueChange } from '../platform/key-value.js'
+import type { Random } from '../random.js'
+
+/** What is followed and by whom. */
+export interface KeyWatch {
+  readonly keyValue: KeyValue
+  readonly prefix: string
+  readonly clock: Clock
+  readonly random: Random
+  readonly signal: AbortSignal
+  /** Whether this node is to watch now; others do it for the rest of the fleet. */
+  readonly wanted: () => boolean
+  /** Reads the present state; resolves to the service's revision of it. */
+  readonly load: () => Promise<number>
+  /** Takes changes; an empty list is a sign of progress. */
+  readonly changed: (changes: readonly KeyValueChange[]) => void
+  readonly failed: (error: unknown) => void
+}
+
+const IDLE_CHECK: Milliseconds = SECOND
+const FIRST_PAUSE: Milliseconds = SECOND
+const LONGEST_PAUSE: Milliseconds = 8 * SECOND
+
+/**
+ * Follows until the signal aborts.
+ *
+ * @example
+ * followKeys({ keyValue, prefix, clock, random, signal, wanted: () => true, load, changed, failed })
+ */
+export async function followKeys (watch: KeyWatch): Promise<void> {
+  let pause = FIRST_PAUSE
+  while (!watch.signal.aborted) {
+    if (!watch.wanted()) {
+      await rest(watch, IDLE_CHECK)
+      continue
+    }
+    try {
+      const revision = await watch.load()
+      pause = FIRST_PAUSE
+      await followFrom(watch, revision + 1)
+    } catch (error) {
+      if (watch.signal.aborted) return
+      watch.failed(error)
+      // Failure guarded against: when the service comes back, all watchers would call in the same
+      // instant. The pauses grow and are spread over half their length.
+      await rest(watch, pause * (1 + watch.random.fraction()) / 2)
+      pause = Math.min(LONGEST_PAUSE, pause * 2)
+    }
+  }
+}
+
+async function followFrom (watch: KeyWatch, revision: number): Promise<void> {
+  const owner = new AbortController()
+  const signal = AbortSignal.any([watch.signal, owner.signal])
+  try {
+    for await (const changes of watch.keyValue.watch(watch.prefix, revision, signal)) {
+      watch.changed(changes)
+      if (!watch.wanted()) return
+    }
+  } finally {
+    owner.abort()
+  }
+}
+
+function rest (watch: KeyWatch, duration: Milliseconds): Promise<void> {
+  return watch.clock.sleep(duration, watch.signal).catch(() => {})
+}
--- a/src/membership/index.ts
+++ b/src/membership/index.ts
@@ -1,2 +1,5 @@
 /** Membership: which entry nodes there are and which of them a caller uses. */
 export * from './types.js'
+export * from './places.js'
+export * from './view.js'
+export * from './suspicion.js'
