--- a/src/report/ledger.ts
+++ b/src/report/ledger.ts
@@ -38,6 +38,8 @@
 export interface CountingLedger extends Ledger {
   /** Adds what a service's instances cost. */
   spent (service: ServiceName, amount: number): void
+  /** Wall time of the running epoch's first moment. */
+  since (): Milliseconds
   /** Counts of the running epoch. */
   snapshot (): EpochCounts
   /** Ends the running epoch and returns its counts, which are final. */
@@ -123,6 +125,7 @@
       if (cell !== undefined) cell.counts.takenOver += 1
     },
     spent: (service, amount) => addSpend(periodOf(wall()), service, amount),
+    since: () => since,
     snapshot,
     closeEpoch: () => {
       const closed = snapshot()
