Scheduler: slack order, fair shares, early refusal, learnt estimates, upstream cost

Cause: least in flight knows neither targets nor prompts; nothing held work back when the upstreams were full, and nothing was refused before it was late. Change: attempts wait at the node in the order of their latest start, moved back by what their flow is ahead of its fair share; the set that waits is kept such that all of it can start in time, and what does not fit is refused at once. Speeds are bounded-step quantiles of what answers took. An upstream is chosen by the time a request waits there and holds others up, with the expected prefix hit and a sample of the load that the report cannot show yet. Outliers are ejected under a cap and probed. UpstreamView gains an optional machineClass; nothing else of the contract changes.

--- a/src/admission/scheduler.ts
+++ b/src/admission/scheduler.ts
@@ -1,21 +1,21 @@
-/** The scheduler of one node: it keeps what waits and what runs, and decides where and when. */
+/**
+ * The scheduler of one node. Each service has its own queue, order and upstreams; this is where
+ * events find theirs.
+ */
 import type { Milliseconds } from '../clock.js'
 import { SECOND } from '../clock.js'
-import { findClass } from '../configuration/index.js'
 import type { Configuration } from '../configuration/index.js'
-import type { RequestId, UpstreamName } from '../identifiers.js'
+import type { ClassName, RequestId, ServiceName, UpstreamName } from '../identifiers.js'
 import type { Random } from '../random.js'
-import { chooseUpstream } from '../upstream/index.js'
 import type { UpstreamView } from '../upstream/index.js'
+import { createClassState } from './class-state.js'
+import type { ClassState } from './class-state.js'
+import { createServiceScheduler } from './service-scheduler.js'
+import type { ServiceScheduler } from './service-scheduler.js'
 import type { PendingAttempt, Scheduler, SchedulerEffect, SchedulerEvent } from './types.js'
 
-/** Earliest sensible next attempt while no upstream is live. */
-const NO_UPSTREAM_RETRY: Milliseconds = 2 * SECOND
-
-interface Running {
-  readonly attempt: PendingAttempt
-  readonly upstream: UpstreamName
-}
+/** Earliest sensible next attempt for a class that is not configured. */
+const UNKNOWN_CLASS_RETRY: Milliseconds = 2 * SECOND
 
 /**
  * @param random seeded; equal seeds and equal events give equal effects
@@ -24,84 +24,100 @@
  * for (const effect of scheduler.handle({ kind: 'arrived', attempt }, clock.now())) carryOut(effect)
  */
 export function createScheduler (options: { random: Random }): Scheduler {
-  const { random } = options
-  const waiting = new Map<RequestId, PendingAttempt>()
-  const running = new Map<RequestId, Running>()
-  const inFlight = new Map<UpstreamName, number>()
-  const reserved = new Set<UpstreamName>()
-  let configuration: Configuration | undefined
+  const services = new Map<ServiceName, ServiceScheduler>()
+  const classes = new Map<ClassName, ClassState>()
+  const serviceOfUpstream = new Map<UpstreamName, ServiceName>()
+  const serviceOfRequest = new Map<RequestId, ServiceName>()
   let upstreams: readonly UpstreamView[] = []
+  let nodes = 1
+
+  function configure (configuration: Configuration, now: Milliseconds): SchedulerEffect[] {
+    const names = new Set(configuration.classes.map((requestClass) => requestClass.name))
+    for (const name of classes.keys()) if (!names.has(name)) classes.delete(name)
+    for (const requestClass of configuration.classes) {
+      const known = classes.get(requestClass.name)?.requestClass
+      if (JSON.stringify(known) !== JSON.stringify(requestClass)) classes.set(requestClass.name, createClassState(requestClass))
+    }
+    for (const service of configuration.services) if (!services.has(service.name)) services.set(service.name, createService())
+    return updateUpstreams(upstreams, now)
+  }
 
-  function count (upstream: UpstreamName): number {
-    return inFlight.get(upstream) ?? 0
+  function createService (): ServiceScheduler {
+    const service = createServiceScheduler(options.random)
+    service.fleet.shared(nodes)
+    return service
   }
 
-  function place (attempt: PendingAttempt, now: Milliseconds): SchedulerEffect[] {
-    const requestClass = configuration && findClass(configuration, attempt.class)
-    if (requestClass === undefined) return giveUp(attempt)
-    const served = upstreams
-      .filter((view) => view.service === requestClass.service && !attempt.excluded.includes(view.name))
-      .map((view) => ({ ...view, inFlight: count(view.name) }))
-    const free = served.filter((view) => !reserved.has(view.name) && (!attempt.apart || view.inFlight === 0))
-    const chosen = chooseUpstream(free, requestClass.service, new Set(), random)
-    if (chosen !== undefined) return start(attempt, chosen.name, requestClass.target.whole_answer_ms, now)
-    return served.some((view) => !view.leaving) ? wait(attempt) : giveUp(attempt)
+  function updateUpstreams (views: readonly UpstreamView[], now: Milliseconds): SchedulerEffect[] {
+    upstreams = views
+    serviceOfUpstream.clear()
+    for (const view of views) serviceOfUpstream.set(view.name, view.service)
+    for (const [name, service] of services) service.fleet.update(views.filter((view) => view.service === name), now)
+    return forEachService((service) => service.advance(now))
   }
 
-  function start (attempt: PendingAttempt, upstream: UpstreamName, target: Milliseconds, now: Milliseconds): SchedulerEffect[] {
-    waiting.delete(attempt.id)
-    running.set(attempt.id, { attempt, upstream })
-    inFlight.set(upstream, count(upstream) + 1)
-    if (attempt.apart) reserved.add(upstream)
-    return [{ kind: 'dispatch', id: attempt.id, upstream, priority: Math.round(attempt.arrivedAt + target - now) }]
+  function arrived (attempt: PendingAttempt, now: Milliseconds): SchedulerEffect[] {
+    const classState = classes.get(attempt.class)
+    const service = classState && services.get(classState.requestClass.service)
+    if (classState === undefined || service === undefined) {
+      return [{ kind: 'refuse', id: attempt.id, code: 'no-upstream', retryAfter: UNKNOWN_CLASS_RETRY }]
+    }
+    serviceOfRequest.set(attempt.id, classState.requestClass.service)
+    return service.arrived(attempt, classState, now)
   }
 
-  function wait (attempt: PendingAttempt): SchedulerEffect[] {
-    waiting.set(attempt.id, attempt)
-    return []
+  function serviceAt (upstream: UpstreamName): ServiceScheduler | undefined {
+    const name = serviceOfUpstream.get(upstream)
+    return name === undefined ? undefined : services.get(name)
   }
 
-  function giveUp (attempt: PendingAttempt): SchedulerEffect[] {
-    if (attempt.accepted) return wait(attempt)
-    waiting.delete(attempt.id)
-    return [{ kind: 'refuse', id: attempt.id, code: 'no-upstream', retryAfter: NO_UPSTREAM_RETRY }]
+  function serviceWith (id: RequestId): ServiceScheduler | undefined {
+    const name = serviceOfRequest.get(id)
+    return name === undefined ? undefined : services.get(name)
   }
 
-  function release (id: RequestId): void {
-    waiting.delete(id)
-    const ended = running.get(id)
-    if (ended === undefined) return
-    running.delete(id)
-    inFlight.set(ended.upstream, count(ended.upstream) - 1)
-    if (ended.attempt.apart) reserved.delete(ended.upstream)
+  function forEachService (run: (service: ServiceScheduler) => SchedulerEffect[]): SchedulerEffect[] {
+    return [...services.values()].flatMap(run)
   }
 
-  function placeWaiting (now: Milliseconds): SchedulerEffect[] {
-    return [...waiting.values()].flatMap((attempt) => place(attempt, now))
+  function decide (event: SchedulerEvent, now: Milliseconds): SchedulerEffect[] {
+    switch (event.kind) {
+      case 'configured':
+        return configure(event.configuration, now)
+      case 'upstreams':
+        return updateUpstreams(event.upstreams, now)
+      case 'load': {
+        const service = serviceAt(event.report.upstream)
+        service?.fleet.reported(event.report, now)
+        return service?.advance(now) ?? []
+      }
+      case 'cache':
+        serviceAt(event.upstream)?.fleet.cacheChanged(event.upstream, event.stored, event.evicted, event.gap)
+        return []
+      case 'nodes':
+        nodes = event.count
+        for (const service of services.values()) service.fleet.shared(nodes)
+        return []
+      case 'arrived':
+        return arrived(event.attempt, now)
+      case 'first-token':
+        serviceWith(event.id)?.firstToken(event.id, now)
+        return []
+      case 'ended': {
+        const service = serviceWith(event.id)
+        serviceOfRequest.delete(event.id)
+        return service?.ended(event.id, event.result, now) ?? []
+      }
+      case 'tick':
+        return forEachService((service) => service.tick(now))
+    }
   }
 
   return {
-    handle: (event: SchedulerEvent, now: Milliseconds): readonly SchedulerEffect[] => {
-      switch (event.kind) {
-        case 'configured':
-          configuration = event.configuration
-          return placeWaiting(now)
-        case 'upstreams':
-          upstreams = event.upstreams
-          return placeWaiting(now)
-        case 'arrived':
-          return place(event.attempt, now)
-        case 'ended':
-          release(event.id)
-          return placeWaiting(now)
-        case 'tick':
-          return placeWaiting(now)
-        case 'load':
-        case 'cache':
-        case 'nodes':
-        case 'first-token':
-          return []
-      }
+    handle: (event, now) => {
+      const effects = decide(event, now)
+      for (const effect of effects) if (effect.kind === 'refuse') serviceOfRequest.delete(effect.id)
+      return effects
     }
   }
 }
--- /dev/null
+++ b/src/admission/service-rate.ts
@@ -0,0 +1,64 @@
+/**
+ * Work per millisecond that a node can have done by a service's upstreams, measured while attempts
+ * wait: what is dispatched then is all that the upstreams take from this node.
+ */
+import type { Milliseconds } from '../clock.js'
+
+/** Rate of one service at one node, in milliseconds of one upstream per millisecond. */
+export interface ServiceRate {
+  /** Called before each change: `waiting` says whether something waited since the last call. */
+  passed (waiting: boolean, now: Milliseconds): void
+  dispatched (work: number): void
+  /** @param expected upstreams times this node's share; bounds what was measured */
+  value (expected: number): number
+}
+
+/** Waiting time over which one measurement is taken. */
+const INTERVAL: Milliseconds = 500
+
+const STEP = 0.25
+
+/** The measured rate is believed within these factors of what the number of upstreams suggests. */
+const LEAST_FACTOR = 0.2
+const MOST_FACTOR = 3
+
+/**
+ * @example
+ * const rate = createServiceRate()
+ * rate.passed(true, now)
+ * rate.dispatched(120)
+ * rate.value(fleet.size() * fleet.share())
+ */
+export function createServiceRate (): ServiceRate {
+  let factor = 1
+  let lastExpected = 1
+  let at: Milliseconds | undefined
+  let busy: Milliseconds = 0
+  let work = 0
+
+  function measure (): void {
+    const measured = work / busy / lastExpected
+    factor += STEP * (Math.min(MOST_FACTOR, Math.max(LEAST_FACTOR, measured)) - factor)
+    busy = 0
+    work = 0
+  }
+
+  return {
+    passed: (waiting, now) => {
+      if (at !== undefined && waiting) busy += now - at
+      if (!waiting) {
+        busy = 0
+        work = 0
+      }
+      at = now
+      if (busy >= INTERVAL) measure()
+    },
+    dispatched: (amount) => {
+      work += amount
+    },
+    value: (expected) => {
+      lastExpected = Math.max(expected, 0.001)
+      return factor * lastExpected
+    }
+  }
+}
--- /dev/null
+++ b/src/admission/service-scheduler.ts
@@ -0,0 +1,215 @@
+/** Order, refusal and dispatch for the attempts of one service at one node. */
+import type { Milliseconds } from '../clock.js'
+import { SECOND } from '../clock.js'
+import type { RequestId } from '../identifiers.js'
+import type { Random } from '../random.js'
+import { createServiceFleet } from '../upstream/index.js'
+import type { Demand, Placement, ServiceFleet } from '../upstream/index.js'
+import type { ClassState } from './class-state.js'
+import { createFairShare } from './fair-share.js'
+import { createFreePlaces } from './free-places.js'
+import { retryAfter } from './retry-after.js'
+import { createServiceRate } from './service-rate.js'
+import type { AttemptResult, PendingAttempt, RefusalCode, SchedulerEffect } from './types.js'
+import { chooseVictim } from './victim.js'
+import { createWaitingList } from './waiting.js'
+import type { WaitingAttempt } from './waiting.js'
+
+/** The scheduler of one service. */
+export interface ServiceScheduler {
+  readonly fleet: ServiceFleet
+  arrived (attempt: PendingAttempt, classState: ClassState, now: Milliseconds): SchedulerEffect[]
+  firstToken (id: RequestId, now: Milliseconds): void
+  ended (id: RequestId, result: AttemptResult, now: Milliseconds): SchedulerEffect[]
+  /** Dispatches and refuses after anything else changed. */
+  advance (now: Milliseconds): SchedulerEffect[]
+  tick (now: Milliseconds): SchedulerEffect[]
+}
+
+interface RunningAttempt {
+  readonly attempt: PendingAttempt
+  readonly classState: ClassState
+  readonly demand: Demand
+  readonly placement: Placement
+  readonly sentAt: Milliseconds
+  /** Without a first token by then, the attempt counts against its upstream. */
+  readonly stalledAt: Milliseconds
+  firstTokenAt: Milliseconds | undefined
+}
+
+const NO_UPSTREAM_RETRY: Milliseconds = 2 * SECOND
+
+/** A first token is overdue after this many times its expected time, and never earlier than the bound. */
+const STALL_FACTOR = 4
+const SHORTEST_STALL: Milliseconds = 2 * SECOND
+
+/**
+ * Tokens of an answer that has begun are lost when it waits too long: it goes before all new work.
+ */
+const ACCEPTED_ADVANCE: Milliseconds = 3_600 * SECOND
+
+/**
+ * @example
+ * const service = createServiceScheduler(createRandom(1))
+ * const effects = service.arrived(attempt, classState, now)
+ */
+export function createServiceScheduler (random: Random): ServiceScheduler {
+  const fleet = createServiceFleet(random)
+  const waiting = createWaitingList()
+  const shares = createFairShare()
+  const rate = createServiceRate()
+  const places = createFreePlaces()
+  const running = new Map<RequestId, RunningAttempt>()
+  /** Running attempts without a first token. */
+  const unstarted = new Map<RequestId, RunningAttempt>()
+
+  function currentRate (): number {
+    return rate.value(fleet.size() * fleet.share())
+  }
+
+  function entryOf (attempt: PendingAttempt, classState: ClassState, now: Milliseconds): WaitingAttempt {
+    const demand = classState.demandOf(attempt)
+    const patience = classState.patience(fleet.expect(demand))
+    const latestStart = attempt.arrivedAt + patience
+    const lead = shares.lead(attempt.organisation, attempt.class, now)
+    const order = attempt.accepted ? latestStart - ACCEPTED_ADVANCE : latestStart + lead
+    return { attempt, classState, demand, work: fleet.work(demand), latestStart, order }
+  }
+
+  function dispatch (entry: WaitingAttempt, placement: Placement, now: Milliseconds): SchedulerEffect {
+    const { attempt, classState, demand } = entry
+    const expected = fleet.expect(demand).firstToken
+    const stalledAt = now + Math.max(SHORTEST_STALL, STALL_FACTOR * expected)
+    const started = { attempt, classState, demand, placement, sentAt: now, stalledAt, firstTokenAt: undefined }
+    waiting.remove(attempt.id)
+    running.set(attempt.id, started)
+    unstarted.set(attempt.id, started)
+    fleet.sent(placement, demand, now)
+    rate.dispatched(entry.work)
+    places.sent(demand.urgent)
+    classState.dispatched()
+    return { kind: 'dispatch', id: attempt.id, upstream: placement.upstream, priority: Math.max(0, Math.round(entry.latestStart - now)) }
+  }
+
+  function refuse (entry: WaitingAttempt, code: RefusalCode, now: Milliseconds): SchedulerEffect {
+    const { attempt } = entry
+    waiting.remove(attempt.id)
+    if (attempt.apart) fleet.stopEmptying()
+    shares.returned(attempt.organisation, attempt.class, entry.work, currentRate(), now)
+    entry.classState.refused()
+    const lead = shares.lead(attempt.organisation, attempt.class, now)
+    return { kind: 'refuse', id: attempt.id, code, retryAfter: code === 'no-upstream' ? NO_UPSTREAM_RETRY : retryAfter(lead, random) }
+  }
+
+  function serve (now: Milliseconds): SchedulerEffect[] {
+    const effects: SchedulerEffect[] = []
+    const spare = places.kept(fleet)
+    const blocked = new Set<number>()
+    const entries = waiting.entries()
+    let index = 0
+    while (index < entries.length) {
+      const entry = entries[index] as WaitingAttempt
+      const kind = kindOf(entry.demand)
+      const placement = blocked.has(kind) ? undefined : fleet.choose(entry.demand, spare, now)
+      if (placement !== undefined) effects.push(dispatch(entry, placement, now))
+      else {
+        if (kind !== SPECIAL) blocked.add(kind)
+        index += 1
+      }
+    }
+    return effects
+  }
+
+  function shed (now: Milliseconds): SchedulerEffect[] {
+    const effects: SchedulerEffect[] = []
+    if (fleet.size() === 0) return refuseAll(now)
+    for (let index = waiting.firstLate(currentRate(), now); index >= 0; index = waiting.firstLate(currentRate(), now)) {
+      const victim = chooseVictim(waiting.entries(), index, shares, now)
+      const ahead = shares.lead(victim.attempt.organisation, victim.attempt.class, now) > 0
+      const code = ahead && shares.contended(now) ? 'organisation-limit' : 'overloaded'
+      effects.push(refuse(victim, code, now))
+    }
+    return effects
+  }
+
+  function refuseAll (now: Milliseconds): SchedulerEffect[] {
+    const refused = waiting.entries().filter((entry) => !entry.attempt.accepted)
+    return refused.map((entry) => refuse(entry, 'no-upstream', now))
+  }
+
+  function advance (now: Milliseconds): SchedulerEffect[] {
+    rate.passed(waiting.size() > 0, now)
+    const dispatched = serve(now)
+    return waiting.size() === 0 ? dispatched : [...dispatched, ...shed(now)]
+  }
+
+  function strikeStalled (now: Milliseconds): void {
+    for (const [id, started] of unstarted) {
+      if (now < started.stalledAt) continue
+      unstarted.delete(id)
+      fleet.struck(started.placement.upstream, now)
+    }
+  }
+
+  return {
+    fleet,
+    arrived: (attempt, classState, now) => {
+      rate.passed(waiting.size() > 0, now)
+      const entry = entryOf(attempt, classState, now)
+      waiting.add(entry)
+      shares.admitted(attempt.organisation, attempt.class, entry.work, currentRate(), now)
+      return advance(now)
+    },
+    firstToken: (id, now) => {
+      const started = running.get(id)
+      if (started === undefined || started.firstTokenAt !== undefined) return
+      started.firstTokenAt = now
+      unstarted.delete(id)
+      fleet.firstToken(started.placement)
+    },
+    ended: (id, result, now) => {
+      if (waiting.remove(id)?.demand.apart) fleet.stopEmptying()
+      const started = running.get(id)
+      if (started !== undefined) finish(started, result, now)
+      return advance(now)
+    },
+    advance,
+    tick: (now) => {
+      strikeStalled(now)
+      places.observe()
+      return advance(now)
+    }
+  }
+
+  function finish (started: RunningAttempt, result: AttemptResult, now: Milliseconds): void {
+    const { attempt, demand, placement } = started
+    running.delete(attempt.id)
+    unstarted.delete(attempt.id)
+    places.ended(demand.urgent)
+    fleet.released(placement, demand, started.firstTokenAt !== undefined, now)
+    switch (result.kind) {
+      case 'whole': {
+        const whole = now - started.sentAt
+        const firstToken = (started.firstTokenAt ?? now) - started.sentAt
+        fleet.observed(placement, demand, result.usage, firstToken, whole, now)
+        if (attempt.tokensSoFar === 0) started.classState.answered(attempt.maxTokens, result.usage.completion_tokens)
+        break
+      }
+      case 'failed':
+        fleet.failed(placement, result.upstreamDied, now)
+        break
+      case 'withdrawn':
+        fleet.withdrawn(placement.upstream)
+        break
+    }
+  }
+}
+
+/** Attempts that not every upstream with room may take. */
+const SPECIAL = -1
+
+/** Attempts of one kind have room at the same upstreams. */
+function kindOf (demand: Demand): number {
+  if (demand.apart || demand.adapter !== undefined || demand.excluded.length > 0) return SPECIAL
+  return (demand.urgent ? 1 : 0) + (demand.probe ? 2 : 0)
+}
--- /dev/null
+++ b/src/admission/waiting.ts
@@ -0,0 +1,84 @@
+/** Attempts of one service that wait at a node, in the order in which they are to be dispatched. */
+import type { Milliseconds } from '../clock.js'
+import type { RequestId } from '../identifiers.js'
+import type { Demand } from '../upstream/index.js'
+import type { ClassState } from './class-state.js'
+import type { PendingAttempt } from './types.js'
+
+/** One waiting attempt. */
+export interface WaitingAttempt {
+  readonly attempt: PendingAttempt
+  readonly classState: ClassState
+  readonly demand: Demand
+  /** Expected work, in milliseconds of one upstream. */
+  readonly work: number
+  /** Latest dispatch that is likely to meet the target. */
+  readonly latestStart: Milliseconds
+  /** Position: the latest start, moved back by what its flow is ahead of its fair share. */
+  readonly order: Milliseconds
+}
+
+/** The waiting attempts of one service. */
+export interface WaitingList {
+  add (entry: WaitingAttempt): void
+  remove (id: RequestId): WaitingAttempt | undefined
+  size (): number
+  /** In order of dispatch; not to be changed. */
+  entries (): readonly WaitingAttempt[]
+  /**
+   * First entry that would start too late if all before it are served at `rate`, or -1.
+   *
+   * @param rate work done per millisecond
+   */
+  firstLate (rate: number, now: Milliseconds): number
+}
+
+/**
+ * @example
+ * const waiting = createWaitingList()
+ * waiting.add(entry)
+ * waiting.firstLate(rate, now)
+ */
+export function createWaitingList (): WaitingList {
+  const entries: WaitingAttempt[] = []
+  const byId = new Map<RequestId, WaitingAttempt>()
+
+  /** First index whose order is not smaller. */
+  function position (order: Milliseconds): number {
+    let low = 0
+    let high = entries.length
+    while (low < high) {
+      const middle = (low + high) >> 1
+      if ((entries[middle] as WaitingAttempt).order < order) low = middle + 1
+      else high = middle
+    }
+    return low
+  }
+
+  return {
+    add: (entry) => {
+      let index = position(entry.order)
+      while (index < entries.length && (entries[index] as WaitingAttempt).order === entry.order) index += 1
+      entries.splice(index, 0, entry)
+      byId.set(entry.attempt.id, entry)
+    },
+    remove: (id) => {
+      const entry = byId.get(id)
+      if (entry === undefined) return undefined
+      byId.delete(id)
+      entries.splice(entries.indexOf(entry, position(entry.order)), 1)
+      return entry
+    },
+    size: () => entries.length,
+    entries: () => entries,
+    firstLate: (rate, now) => {
+      let work = 0
+      for (let index = 0; index < entries.length; index += 1) {
+        const entry = entries[index] as WaitingAttempt
+        if (!entry.attempt.accepted && now + work / rate > entry.latestStart) return index
+        work += entry.work
+      }
+      return -1
+    }
+  }
+}
--- a/src/upstream/choice.ts
+++ b/src/upstream/choice.ts
@@ -7,6 +7,8 @@
   readonly name: UpstreamName
   readonly service: ServiceName
   readonly failureDomain: FailureDomain
+  /** Upstreams of one machine class are about equally fast. */
+  readonly machineClass?: string | undefined
   readonly address: Address
   readonly protocol: 'model' | 'plain'
   readonly leaving: boolean
--- /dev/null
+++ b/src/upstream/load.ts
@@ -0,0 +1,149 @@
+/**
+ * Load of one upstream as one of several nodes sees it: exact about its own requests, and a late
+ * report about everybody's.
+ */
+import type { Milliseconds } from '../clock.js'
+import { SECOND } from '../clock.js'
+import type { Random } from '../random.js'
+import type { LoadReport } from './types.js'
+
+/** Load of one upstream. */
+export interface UpstreamLoad {
+  sent (promptTokens: number, now: Milliseconds): void
+  firstToken (promptTokens: number): void
+  ended (promptTokens: number, firstTokenCame: boolean, now: Milliseconds): void
+  /** @param share this node's share of the service's requests, 1 over the number of nodes at least */
+  reported (report: LoadReport, share: number, now: Milliseconds): void
+  /** Requests of this node there. */
+  own (): number
+  /** Prompt tokens sent whose first token has not come. */
+  pendingTokens (): number
+  /** Requests of all nodes there as last reported, in decoding and waiting. */
+  reportedTotal (): number
+  /** Requests of all nodes there now, as far as is known. */
+  total (): number
+  /** A guess at {@link total}, drawn anew each time from what may have happened since the report. */
+  sampledTotal (now: Milliseconds, random: Random): number
+  /** Requests that it decodes at a time, learnt. */
+  slots (): number
+  /** Whether this node may send one more, keeping `spare` places free for urgent requests. */
+  hasRoom (share: number, spare: number, now: Milliseconds): boolean
+}
+
+interface Change {
+  readonly at: Milliseconds
+  readonly by: 1 | -1
+}
+
+/** Slots before any report showed more or less. */
+const PRIOR_SLOTS = 8
+
+/** How many slots may be tried beyond those seen in use. */
+const SLOT_GROWTH = 1.25
+
+/** Requests kept waiting at the engine, so that it never idles between two reports. */
+const STANDING_QUEUE = 2
+
+/** A report older than this says nothing about the others any more. */
+const REPORT_LIFETIME: Milliseconds = 5 * SECOND
+
+/** Requests allowed at an upstream that has not answered yet; doubles with each first token. */
+const FIRST_WINDOW = 4
+
+/** Reports closer together than this show no arrivals of others. */
+const SHORTEST_INTERVAL: Milliseconds = 50
+
+/**
+ * @param now time at which the upstream was first seen
+ * @example
+ * const load = createUpstreamLoad(now)
+ * if (load.hasRoom(1 / nodes, 0, now)) load.sent(attempt.promptTokens, now)
+ */
+export function createUpstreamLoad (now: Milliseconds): UpstreamLoad {
+  let changes: Change[] = []
+  let own = 0
+  let pendingTokens = 0
+  let others = 0
+  let othersRate = 0
+  let limit = Number.POSITIVE_INFINITY
+  let reportedTotal = 0
+  let reportedAt = now
+  let slots = PRIOR_SLOTS
+  let window = FIRST_WINDOW
+
+  /** Requests of this node that were there when the report was made. */
+  function ownAt (time: Milliseconds): number {
+    let count = own
+    for (let index = changes.length - 1; index >= 0; index -= 1) {
+      const change = changes[index] as Change
+      if (change.at <= time) break
+      count -= change.by
+    }
+    return Math.max(0, count)
+  }
+
+  function record (at: Milliseconds, by: 1 | -1): void {
+    if (changes.length > 0 && (changes[0] as Change).at < at - REPORT_LIFETIME) changes = changes.filter((change) => change.at >= at - REPORT_LIFETIME)
+    changes.push({ at, by })
+    own += by
+  }
+
+  function learnSlots (report: LoadReport): void {
+    if (report.running === 0) return
+    if (report.waiting > 0) slots = report.running
+    else if (report.running >= slots - 1) slots = report.running * SLOT_GROWTH + 1
+  }
+
+  /**
+   * Failure guarded against: all nodes see the same free places in one report and all fill them. Each
+   * takes only its share of what is free, or gives up its share of what is too much.
+   */
+  function renewLimit (ownThen: number, share: number): void {
+    const free = slots + STANDING_QUEUE - reportedTotal
+    const part = free >= 0 ? share : ownThen / Math.max(1, reportedTotal)
+    limit = ownThen + free * part
+  }
+
+  return {
+    sent: (promptTokens, at) => {
+      record(at, 1)
+      pendingTokens += promptTokens
+    },
+    firstToken: (promptTokens) => {
+      pendingTokens = Math.max(0, pendingTokens - promptTokens)
+      window *= 2
+    },
+    ended: (promptTokens, firstTokenCame, at) => {
+      record(at, -1)
+      if (!firstTokenCame) pendingTokens = Math.max(0, pendingTokens - promptTokens)
+    },
+    reported: (report, share, at) => {
+      const seenAt = at - report.ageMs
+      const ownThen = ownAt(seenAt)
+      reportedTotal = report.running + report.waiting
+      const othersNow = Math.max(0, reportedTotal - ownThen)
+      const interval = Math.max(SHORTEST_INTERVAL, at - reportedAt)
+      othersRate += 0.3 * (Math.abs(othersNow - others) / interval - othersRate)
+      others = othersNow
+      reportedAt = at
+      learnSlots(report)
+      renewLimit(ownThen, share)
+    },
+    own: () => own,
+    pendingTokens: () => pendingTokens,
+    reportedTotal: () => reportedTotal,
+    total: () => own + others,
+    sampledTotal: (at, random) => {
+      const age = Math.min(REPORT_LIFETIME, at - reportedAt)
+      const spread = Math.sqrt(1 + othersRate * age)
+      return Math.max(own, own + others + (random.fraction() - 0.5) * 2 * spread)
+    },
+    slots: () => slots,
+    hasRoom: (share, spare, at) => {
+      if (own >= window) return false
+      const guaranteed = Math.max(1, (slots + STANDING_QUEUE) * share)
+      if (at - reportedAt > REPORT_LIFETIME) return own + 1 <= guaranteed - spare * share
+      return own + 1 <= Math.max(guaranteed - spare * share, limit - spare * share)
+    }
+  }
+}
