--- a/src/request/retry.ts
+++ b/src/request/retry.ts
@@ -82,8 +82,8 @@
 
   function refusalReason (failed: FailedAttempt): GiveUpReason | undefined {
     if (!mayRepeat(failed.verdict, failed.idempotent)) return 'may-have-run'
-    if (FINAL_CODES.has(failed.code)) return 'not-retryable'
     if (failed.cause === 'leaving') return undefined
+    if (FINAL_CODES.has(failed.code)) return 'not-retryable'
     if (failed.attempt >= mostAttempts) return 'attempts-used'
     /**
      * Failure guarded against: upstreams slow down, every request is tried four times, and the fourfold load
