--- a/src/capacity/types.ts
+++ b/src/capacity/types.ts
@@ -55,3 +55,17 @@
   remainingMs: z.number().nonnegative()
 })
 export type ReclaimNotice = z.infer<typeof reclaimNoticeSchema>
+
+/** What makes two offers the same apart from their price. */
+export type OfferIdentity = Pick<Offer, 'failureDomain' | 'machineClass' | 'market'>
+
+/** An offer's identity as one string, for maps. */
+export type OfferKey = string & { readonly offerKey: unique symbol }
+
+/**
+ * @example
+ * offerKey({ failureDomain, machineClass: 'large', market: 'on-demand' }) // 'zone-a/large/on-demand'
+ */
+export function offerKey (offer: OfferIdentity): OfferKey {
+  return `${offer.failureDomain}/${offer.machineClass}/${offer.market}` as OfferKey
+}
