--- /dev/null
+++ b/bench/agreement/virtual-clock.ts
@@ -0,0 +1,90 @@
+/** Virtual time for many copies in one process: whole milliseconds, sleepers in a binary heap. */
+import type { Clock, Milliseconds } from '../../src/clock.js'
+
+/** A clock that runs as fast as the work allows. */
+export interface VirtualClock extends Clock {
+  /** Lets time pass; what is due in the same millisecond wakes together. */
+  advance (duration: Milliseconds): Promise<void>
+}
+
+interface Sleeper {
+  readonly due: Milliseconds
+  wake: () => void
+}
+
+/**
+ * @example
+ * const clock = createVirtualClock()
+ * await clock.advance(60_000)
+ */
+export function createVirtualClock (): VirtualClock {
+  const heap: Sleeper[] = []
+  let time = 0
+
+  function sleep (delay: Milliseconds, signal?: AbortSignal): Promise<void> {
+    return new Promise((resolve, reject) => {
+      if (signal?.aborted) return reject(signal.reason)
+      const sleeper = { due: Math.ceil(time + Math.max(delay, 1)), wake }
+      push(heap, sleeper)
+      signal?.addEventListener('abort', abort, { once: true })
+
+      function wake (): void {
+        signal?.removeEventListener('abort', abort)
+        resolve()
+      }
+
+      function abort (): void {
+        sleeper.wake = () => {}
+        reject(signal?.reason)
+      }
+    })
+  }
+
+  return {
+    now: () => time,
+    wall: () => time,
+    sleep,
+    advance: async (duration) => {
+      const until = time + duration
+      for (let next = heap[0]; next !== undefined && next.due <= until; next = heap[0]) {
+        time = next.due
+        while (heap[0] !== undefined && heap[0].due <= time) pop(heap).wake()
+        await settle()
+      }
+      time = until
+      await settle()
+    }
+  }
+}
+
+function settle (): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve))
+}
+
+function push (heap: Sleeper[], item: Sleeper): void {
+  let index = heap.push(item) - 1
+  while (index > 0) {
+    const parent = (index - 1) >> 1
+    if ((heap[parent] as Sleeper).due <= item.due) break
+    heap[index] = heap[parent] as Sleeper
+    index = parent
+  }
+  heap[index] = item
+}
+
+function pop (heap: Sleeper[]): Sleeper {
+  const top = heap[0] as Sleeper
+  const last = heap.pop() as Sleeper
+  if (heap.length === 0) return top
+  let index = 0
+  for (;;) {
+    let child = 2 * index + 1
+    if (child >= heap.length) break
+    if (child + 1 < heap.length && (heap[child + 1] as Sleeper).due < (heap[child] as Sleeper).due) child += 1
+    if ((heap[child] as Sleeper).due >= last.due) break
+    heap[index] = heap[child] as Sleeper
+    index = child
+  }
+  heap[index] = last
+  return top
+}
--- a/src/lease/index.ts
+++ b/src/lease/index.ts
@@ -1,2 +1,3 @@
 /** Leases: holding, losing and fencing. */
 export * from './types.js'
+export * from './holder.js'
--- a/src/platform/key-value.ts
+++ b/src/platform/key-value.ts
@@ -63,7 +63,10 @@
   /** Resolves to the remaining time, 0 when the lease has lapsed. */
   keepAlive (lease: LeaseId, signal?: AbortSignal): Promise<Milliseconds>
   revokeLease (lease: LeaseId, signal?: AbortSignal): Promise<void>
-  /** Changes under a prefix from a revision on. Ends by an error when the connection does. */
+  /**
+   * Changes under a prefix from a revision on. An empty list is a sign of progress. Ends by an error
+   * when the connection does or when it has been silent for too long.
+   */
   watch (prefix: string, fromRevision: number, signal: AbortSignal): AsyncIterable<readonly KeyValueChange[]>
 }
 
@@ -165,8 +168,7 @@
       const create = { key: encode(prefix), range_end: encode(prefixEnd(prefix)), start_revision: String(fromRevision), progress_notify: true }
       const response = await send(connections, exchangeOf('/v3/watch', { create_request: create }, WATCH_SILENCE, signal))
       for await (const line of linesOf(response.body)) {
-        const changes = watchSchema.parse(JSON.parse(line)).result.events.map(toChange)
-        if (changes.length > 0) yield changes
+        yield watchSchema.parse(JSON.parse(line)).result.events.map(toChange)
       }
     }
   }
