Requests find their home: plain calls, keys, forwarding by peers, limits, retention

A send that arrives at another node than its home is answered from there by a streamed tRPC call with keep-alives; a silent one is replaced by a new connection. Bare keys of calls that may not be repeated are claimed before they run. Answers are kept within time and bytes, then told as gone (ran). The listener bounds headers, bodies, times and connections, and bytes that are no HTTP get a clear refusal. Metrics and health pages.

--- a/src/entry/attempts.ts
+++ b/src/entry/attempts.ts
@@ -6,7 +6,7 @@
 import type { Service } from '../configuration/index.js'
 import type { UpstreamName } from '../identifiers.js'
 import { prefixBlocks, promptTokens } from '../platform/prompt.js'
-import type { AnswerEnd } from '../request/index.js'
+import type { AnswerEnd, RetryDecision } from '../request/index.js'
 import type { UpstreamView } from '../upstream/index.js'
 import { mayRepeat, ServingError, toServingError } from '../verdict.js'
 import type { Verdict } from '../verdict.js'
@@ -24,14 +24,6 @@
   /** The upstream is being left; the request goes on elsewhere from its tokens so far. */
   | { kind: 'recompute' }
 
-/** Failed attempts of one request, the first included. Attempts that left a reclaimed upstream do not count. */
-const MOST_FAILURES = 4
-
-/** Longest pause before the second attempt; each further one doubles it. */
-const FIRST_PAUSE: Milliseconds = 50
-
-const LONGEST_PAUSE: Milliseconds = 2 * SECOND
-
 /**
  * Runs an execution to the end of its answer, and books what happens.
  *
@@ -51,11 +43,11 @@
 }
 
 async function attemptUntilEnd (context: ExecutionContext, execution: Execution, traceparent: string): Promise<AnswerEnd> {
-  const { request } = execution
   const service = serviceOf(context, execution)
   const excluded = new Set<UpstreamName>()
   let verdict: Verdict = execution.answer.offset() > 0 ? 'ran' : 'not-run'
   let failures = 0
+  let decision: RetryDecision
   const attached = await attachFirst(context, execution, service, traceparent)
   if (attached?.kind === 'whole') return attached.end
   for (let attempt = 1; ; attempt += 1) {
@@ -68,10 +60,9 @@
       case 'failed':
         failures += 1
         verdict = stronger(verdict, end.failure.verdict)
-        if (context.signal.aborted || execution.owner.signal.aborted || failures >= MOST_FAILURES || !mayRepeat(end.failure.verdict, request.idempotent)) {
-          return { kind: 'failed', failure: withVerdict(end.failure, verdict) }
-        }
-        await context.clock.sleep(pauseAfter(failures, context), execution.owner.signal).catch(() => {})
+        decision = decideRetry(context, execution, end.failure, failures)
+        if (decision.kind === 'give-up') return { kind: 'failed', failure: withVerdict(end.failure, verdict, decision.retryAfter) }
+        await context.clock.sleep(decision.delay, execution.owner.signal).catch(() => {})
     }
   }
 }
@@ -130,26 +121,28 @@
 function accept (context: ExecutionContext, execution: Execution): void {
   if (execution.accepted) return
   execution.accept()
+  context.retries.firstAttempt(execution.request.class)
   context.bookkeeping.accepted(execution)
 }
 
 /** What was handed over is counted by the node that goes on. */
 function finish (context: ExecutionContext, execution: Execution, end: AnswerEnd): AnswerEnd {
-  if (execution.owner.signal.reason === 'handed-over') return execution.answer.end() ?? end
   execution.endedAt = context.clock.now()
   execution.answer.close(end)
   const first = execution.answer.end() ?? end
+  if (first.kind === 'moved') return first
   if (execution.accepted) {
     context.bookkeeping.ended(execution, first)
   } else if (first.kind === 'failed') {
-    context.bookkeeping.refused(execution.request, first.failure)
+    context.bookkeeping.refused(execution, first.failure)
   }
   return first
 }
 
 function serviceOf (context: ExecutionContext, execution: Execution): Service {
   const configuration = context.configuration()
-  if (configuration === undefined) throw new ServingError('no configuration is known yet', { code: 'no-configuration', verdict: 'not-run', retryAfter: SECOND })
+  const mayBegin = execution.accepted || context.usable()
+  if (configuration === undefined || !mayBegin) throw new ServingError('no configuration is known for certain', { code: 'no-configuration', verdict: 'not-run', retryAfter: SECOND })
   const requestClass = findClass(configuration, execution.request.class)
   const service = requestClass && findService(configuration, requestClass.service)
   if (service === undefined) throw new ServingError(`unknown class ${execution.request.class}`, { code: 'invalid-request', verdict: 'not-run' })
@@ -185,8 +178,18 @@
   if (live.every((view) => excluded.has(view.name))) excluded.clear()
 }
 
-function pauseAfter (failures: number, context: ExecutionContext): Milliseconds {
-  return context.random.fraction() * Math.min(LONGEST_PAUSE, FIRST_PAUSE * 2 ** (failures - 1))
+function decideRetry (context: ExecutionContext, execution: Execution, failure: ServingError, failures: number): RetryDecision {
+  const { request, owner } = execution
+  const code = owner.signal.aborted ? 'cancelled' : failure.code
+  return context.retries.afterFailure({
+    class: request.class,
+    idempotent: request.idempotent,
+    attempt: failures,
+    verdict: failure.verdict,
+    code,
+    cause: 'failure',
+    ...(failure.retryAfter === undefined ? {} : { retryAfter: failure.retryAfter })
+  }, context.random)
 }
 
 function resultOf (end: AttemptEnd): AttemptResult {
@@ -204,9 +207,10 @@
   return STRENGTH[left] >= STRENGTH[right] ? left : right
 }
 
-function withVerdict (failure: ServingError, verdict: Verdict): ServingError {
-  if (failure.verdict === verdict) return failure
-  return new ServingError(failure.message, { code: failure.code, verdict, cause: failure, ...(failure.retryAfter === undefined ? {} : { retryAfter: failure.retryAfter }) })
+function withVerdict (failure: ServingError, verdict: Verdict, after?: Milliseconds): ServingError {
+  const retryAfter = failure.retryAfter ?? after
+  if (failure.verdict === verdict && failure.retryAfter === retryAfter) return failure
+  return new ServingError(failure.message, { code: failure.code, verdict, cause: failure, ...(retryAfter === undefined ? {} : { retryAfter }) })
 }
 
 function wrongKind (execution: Execution, service: Service): ServingError {
--- a/src/entry/bookkeeping.ts
+++ b/src/entry/bookkeeping.ts
@@ -14,7 +14,7 @@
   /** The caller holds the id; to be called once for each execution. */
   accepted (execution: Execution): void
   /** Refused before anything was accepted. */
-  refused (request: Request, failure: ServingError): void
+  refused (execution: Execution, failure: ServingError): void
   dispatched (execution: Execution, upstream: UpstreamName, attempt: number, reason: string): void
   firstToken (execution: Execution, upstream: UpstreamName): void
   attemptFailed (execution: Execution, upstream: UpstreamName, failure: ServingError): void
@@ -22,8 +22,8 @@
   attached (execution: Execution, offset: number): void
   handedOver (execution: Execution, to: string): void
   takenOver (execution: Execution, from: string): void
-  /** End of an accepted request; `moved` is counted by the node that goes on. */
-  ended (execution: Execution, end: AnswerEnd): void
+  /** End of an accepted request; what moved is counted by the node that goes on. */
+  ended (execution: Execution, end: Exclude<AnswerEnd, { kind: 'moved' }>): void
 }
 
 /**
@@ -37,11 +37,10 @@
     facts.record(request, clock.wall(), fact)
   }
 
-  function outcomeOf (execution: Execution, end: AnswerEnd): Outcome {
+  function outcomeOf (execution: Execution, end: Exclude<AnswerEnd, { kind: 'moved' }>): Outcome {
     switch (end.kind) {
       case 'finished': return { kind: 'served', finish: end.finish, late: late(execution) }
       case 'plain': return { kind: 'served', finish: 'stop', late: late(execution) }
-      case 'moved': return { kind: 'unknown' }
       case 'failed': return failedOutcome(execution.request, end.failure)
     }
   }
@@ -58,7 +57,9 @@
       metrics.accepted(execution.request)
       record(execution.request, { kind: 'accepted' })
     },
-    refused: (request, failure) => {
+    refused: (execution, failure) => {
+      const { request } = execution
+      execution.outcome = { kind: 'refused', code: failure.code }
       ledger.refused(request.organisation, request.class, failure.code)
       metrics.refused(request, failure.code)
       record(request, { kind: 'refused', code: failure.code, retryAfter: failure.retryAfter ?? 0 })
@@ -83,8 +84,8 @@
       record(execution.request, { kind: 'taken-over', from })
     },
     ended: (execution, end) => {
-      if (end.kind === 'moved') return
       const outcome = outcomeOf(execution, end)
+      execution.outcome = outcome
       const work = { generatedTokens: execution.answer.offset(), recomputedTokens: execution.recomputedTokens }
       ledger.ended(execution.request, outcome, timesOf(execution), work)
       metrics.ended(execution.request, outcome, (execution.endedAt ?? clock.now()) - execution.arrivedAt, work)
--- a/src/entry/context.ts
+++ b/src/entry/context.ts
@@ -3,6 +3,7 @@
 import type { Configuration } from '../configuration/index.js'
 import type { Connections } from '../platform/http.js'
 import type { Random } from '../random.js'
+import type { RetryPolicy } from '../request/index.js'
 import type { Tracing } from '../tracing.js'
 import type { Bookkeeping } from './bookkeeping.js'
 import type { Dispatcher } from './dispatcher.js'
@@ -14,11 +15,14 @@
   readonly dispatcher: Dispatcher
   readonly bookkeeping: Bookkeeping
   readonly tracing: Tracing
+  readonly retries: RetryPolicy
   /** Connections that are kept and used again. */
   readonly connections: Connections
   /** Connections that serve one exchange each, for what must not meet a silent pooled one. */
   readonly freshConnections: Connections
   readonly configuration: () => Configuration | undefined
+  /** Whether the configuration is known well enough to take new work. */
+  readonly usable: () => boolean
   readonly clock: Clock
   readonly random: Random
   /** The node's life. */
--- a/src/entry/execution.ts
+++ b/src/entry/execution.ts
@@ -1,8 +1,8 @@
 /** One request at the node that runs it: its answer, where its stream stands, and its times. */
 import type { Clock, Milliseconds } from '../clock.js'
-import type { RequestId, UpstreamName } from '../identifiers.js'
+import type { UpstreamName } from '../identifiers.js'
 import { createAnswer } from '../request/index.js'
-import type { Answer, Request, StreamPosition } from '../request/index.js'
+import type { Answer, Outcome, Request, StreamPosition } from '../request/index.js'
 
 /** Where a running attempt shall go on instead. */
 export type Redirection =
@@ -52,6 +52,8 @@
   apart: boolean
   firstTokenAt: Milliseconds | undefined
   endedAt: Milliseconds | undefined
+  /** How it ended. */
+  outcome: Outcome | undefined
   /** Tokens computed again because of reclaims, crashes or retries. */
   recomputedTokens: number
   /** An earlier attempt has computed the prompt. */
@@ -70,6 +72,8 @@
   readonly tokens?: readonly string[]
   /** Where its stream stands at an upstream, for a request that is taken over. */
   readonly position?: StreamPosition | undefined
+  /** Its caller had the id at the node before. */
+  readonly accepted?: boolean
   /** How long ago it arrived at the node before, in milliseconds. */
   readonly age?: Milliseconds
 }
@@ -100,6 +104,7 @@
     apart: false,
     firstTokenAt: undefined,
     endedAt: undefined,
+    outcome: undefined,
     recomputedTokens: 0,
     computedBefore: (start.tokens?.length ?? 0) > 0,
     readers: 0,
@@ -107,19 +112,3 @@
   }
   return execution
 }
-
-/** An accepted stream as the decisions about reclaims see it. */
-export interface OpenStream {
-  readonly id: RequestId
-  readonly upstream: UpstreamName
-  readonly handle: string
-  readonly kind: 'model' | 'plain'
-  readonly idempotent: boolean
-  /** Tokens of the answer so far. */
-  readonly offset: number
-  /** Estimated tokens of the prompt. */
-  readonly promptTokens: number
-  /** Most tokens the answer can have. */
-  readonly maxTokens: number
-  readonly startedAt: Milliseconds
-}
--- a/src/entry/node.ts
+++ b/src/entry/node.ts
@@ -1,50 +1,98 @@
 /** An entry node: the parts of one process put together. */
 import { randomBytes } from 'node:crypto'
 import { setMaxListeners } from 'node:events'
-import type { Server } from 'node:http'
-import type { AddressInfo } from 'node:net'
 import restana from 'restana'
 import { createScheduler } from '../admission/index.js'
 import { registerCallerApi } from '../caller/api.js'
-import type { Clock } from '../clock.js'
-import { addressSchema, incarnationSchema } from '../identifiers.js'
+import { sendFailure } from '../caller/http.js'
+import type { Clock, Milliseconds } from '../clock.js'
+import { incarnationSchema } from '../identifiers.js'
 import type { Address, Incarnation } from '../identifiers.js'
 import { createLog } from '../log.js'
-import type { AddressAnswer } from '../membership/index.js'
+import type { Log } from '../log.js'
+import { createEntryMetrics } from '../metrics.js'
+import type { EntryMetrics } from '../metrics.js'
+import { createPeers } from '../peer/client.js'
+import type { Peers } from '../peer/client.js'
+import { createPeerServer } from '../peer/server.js'
 import { createConnections, createFreshConnections } from '../platform/http.js'
 import { createInstanceList } from '../platform/instance-list.js'
 import { createKeyValue } from '../platform/key-value.js'
-import { createEntryMetrics } from '../metrics.js'
+import type { KeyValue } from '../platform/key-value.js'
 import type { Random } from '../random.js'
 import { createFactStore, createLedger } from '../report/index.js'
+import type { CountingLedger, FactStore } from '../report/index.js'
+import { createHomeTable, createRetryPolicy } from '../request/index.js'
+import type { HomeTable } from '../request/index.js'
 import type { EntrySettings } from '../settings.js'
 import { createTracing } from '../tracing.js'
-import { createConfigurationKeeper } from './configuration-keeper.js'
+import { ServingError } from '../verdict.js'
+import { createAgreementPeers } from './agreement-peers.js'
 import { createBookkeeping } from './bookkeeping.js'
+import { createClaimKeeper, writePause } from './claim-keeper.js'
+import { createConfigurationKeeper } from './configuration-keeper.js'
+import type { ConfigurationKeeper } from './configuration-keeper.js'
+import type { ExecutionContext } from './context.js'
 import { createDispatcher } from './dispatcher.js'
+import { closeServer, createCallerServer, listen } from './listener.js'
+import { createMembershipKeeper } from './membership-keeper.js'
+import type { MembershipKeeper } from './membership-keeper.js'
+import { registerObservationApi } from './observation.js'
+import { createRelay } from './relay.js'
+import { createRequestHandlers } from './request-handlers.js'
+import { createRouting } from './routing.js'
 import { startSchedulerFeed } from './scheduler-feed.js'
+import { createStreams } from './streams.js'
+import type { Streams } from './streams.js'
 import { createExecutions } from './submission.js'
-import { createMembershipKeeper } from './membership-keeper.js'
+import type { Executions } from './submission.js'
 import { createUpstreamDirectory } from './upstream-directory.js'
+import type { UpstreamDirectory } from './upstream-directory.js'
 
 /** A running entry node. */
 export interface EntryNode {
   readonly incarnation: Incarnation
   /** Where callers connect; the port is the bound one. */
   readonly address: Address
+  readonly parts: EntryParts
   /** Ends at once, as the death of the process would. */
   kill (): Promise<void>
 }
 
-const CONNECTIONS_PER_UPSTREAM = 256
+/** What a node is made of, for its keepers and for tests. */
+export interface EntryParts {
+  readonly settings: EntrySettings
+  readonly clock: Clock
+  readonly random: Random
+  readonly log: Log
+  /** The node's life. */
+  readonly signal: AbortSignal
+  readonly keyValue: KeyValue
+  readonly peers: Peers
+  readonly directory: UpstreamDirectory
+  readonly configuration: ConfigurationKeeper
+  readonly membership: MembershipKeeper
+  readonly context: ExecutionContext
+  readonly home: HomeTable
+  readonly executions: Executions
+  readonly streams: Streams
+  readonly ledger: CountingLedger
+  readonly facts: FactStore
+  readonly metrics: EntryMetrics
+}
+
+const CONNECTIONS_PER_ADDRESS = 256
 
 /** Memory for facts about recent requests. */
 const FACT_BYTES = 8_388_608
 
+const STARTING_RETRY: Milliseconds = 500
+const LARGEST_SEED = 2 ** 30
+
 /**
  * Starts an entry node and waits until it has read the platform once.
  *
- * @throws ServingError when the address cannot be listened on
+ * @throws ServingError when an address cannot be listened on
  * @example
  * const node = await startEntryNode({ settings, clock, random })
  */
@@ -55,56 +103,86 @@
   setMaxListeners(0, signal)
   const log = createLog(settings.instance, settings.log_level, clock.wall)
   const incarnation = incarnationSchema.parse(`${settings.instance}-${randomBytes(6).toString('hex')}`)
-  const connections = createConnections(CONNECTIONS_PER_UPSTREAM)
+  const connections = createConnections(CONNECTIONS_PER_ADDRESS)
+  const freshConnections = createFreshConnections(CONNECTIONS_PER_ADDRESS)
+  const peers = createPeers(connections, settings.peer_key)
   const keyValue = createKeyValue(connections, settings.platform.key_value)
-  const directory = createUpstreamDirectory({ instanceList: createInstanceList(connections, settings.platform.instance_list), clock, log, signal })
-  const configuration = createConfigurationKeeper({ keyValue, clock, log, signal })
-  const current = () => configuration.current()?.configuration
-  const freshConnections = createFreshConnections(CONNECTIONS_PER_UPSTREAM)
   const metrics = createEntryMetrics()
   const tracing = createTracing(settings.instance, settings.trace_collector)
   const ledger = createLedger({ wall: clock.wall })
   const facts = createFactStore({ bytes: FACT_BYTES })
-  const bookkeeping = createBookkeeping({ ledger, facts, metrics, clock, configuration: current })
-  const dispatcher = createDispatcher({ scheduler: createScheduler({ random }), directory, clock })
-  const executions = createExecutions({ directory, dispatcher, bookkeeping, tracing, connections, freshConnections, configuration: current, clock, random, signal })
 
-  const service = restana()
-  const server = service.getServer()
-  registerCallerApi(service, { incarnation, executions, configuration: current, addresses, bodyLimit: settings.limits.body_bytes })
+  const directory = createUpstreamDirectory({ instanceList: createInstanceList(connections, settings.platform.instance_list), clock, log, signal })
+  const configuration = createConfigurationKeeper({ keyValue, clock, log, signal, random, watching: () => membership.watching() })
+  const current = () => configuration.current()?.configuration
+  const context: ExecutionContext = {
+    directory,
+    dispatcher: createDispatcher({ scheduler: createScheduler({ random }), directory, clock }),
+    bookkeeping: createBookkeeping({ ledger, facts, metrics, clock, configuration: current }),
+    tracing,
+    retries: createRetryPolicy(),
+    connections,
+    freshConnections,
+    configuration: current,
+    usable: () => configuration.usable(clock.now()),
+    clock,
+    random,
+    signal
+  }
+  const home = createHomeTable({ own: incarnation, seed: random.integer(LARGEST_SEED) })
+  const executions = createExecutions(context, home)
+  const streams = createStreams(context, executions)
+
+  const server = createCallerServer(settings.limits, metrics)
+  const service = restana({ server, defaultRoute: (_request: unknown, response: any) => sendFailure(response, unknownRoute()) })
+  let ready = false
+  service.use((_request: unknown, response: any, next: () => void) => ready ? next() : sendFailure(response, startingFailure()))
+  const peerServer = createPeerServer(settings.peer_key, {
+    agreement: {
+      exchange: (message) => membership.handlers.exchange(message),
+      deliver: (delivery) => membership.handlers.deliver(delivery),
+      probe: (target) => membership.handlers.probe(target)
+    },
+    request: createRequestHandlers({ executions, home, clock })
+  })
   const address = await listen(server, settings.listen)
-  const record = { instance: settings.instance, incarnation, failureDomain: settings.failure_domain, address, peerAddress: settings.peer_listen, leaving: false }
-  const membership = createMembershipKeeper({ record, keyValue, clock, log, signal })
+  const peerAddress = await listen(peerServer, settings.peer_listen)
+  const record = { instance: settings.instance, incarnation, failureDomain: settings.failure_domain, address, peerAddress, leaving: false }
+  const membership: MembershipKeeper = createMembershipKeeper({ record, keyValue, peers: createAgreementPeers(peers, settings.peer_key), configuration, clock, random, log, signal })
+
+  const relay = createRelay({ own: incarnation, peers, freshPeers: createPeers(freshConnections, settings.peer_key), membership: () => membership, clock })
+  const claims = createClaimKeeper({ keyValue, clock, signal, pause: () => writePause(membership.count()) })
+  const routing = createRouting({ context, executions, relay, claims })
+  registerCallerApi(service, {
+    incarnation,
+    routing,
+    configuration: current,
+    addresses: (organisation) => membership.addressAnswer(organisation, settings.addresses.lifetime_ms),
+    metrics,
+    bodyLimit: settings.limits.body_bytes
+  })
+  const parts: EntryParts = { settings, clock, random, log, signal, keyValue, peers, directory, configuration, membership, context, home, executions, streams, ledger, facts, metrics }
+  registerObservationApi(service, parts)
   await Promise.allSettled([directory.refresh(), configuration.refresh(), membership.refresh()])
-  startSchedulerFeed({ dispatcher, directory, connections, configuration: current, nodeCount: () => membership.nodes().length, clock, signal })
+  startSchedulerFeed({ dispatcher: context.dispatcher, directory, connections, configuration: current, nodeCount: () => membership.count(), clock, signal })
+  ready = true
   log.info('started', { address, incarnation })
 
-  function addresses (): AddressAnswer {
-    const nodes = membership.nodes().filter((node) => !node.leaving)
-    return {
-      nodes: nodes.map((node) => ({ address: node.address, incarnation: node.incarnation, failure_domain: node.failureDomain })),
-      lifetime_ms: settings.addresses.lifetime_ms
-    }
-  }
-
   return {
     incarnation,
     address,
+    parts,
     kill: async () => {
       owner.abort()
-      await Promise.all([connections.destroy(), freshConnections.destroy(), tracing.close()])
-      server.closeAllConnections()
-      await new Promise((resolve) => server.close(resolve))
+      await Promise.all([closeServer(server), closeServer(peerServer), connections.destroy(), freshConnections.destroy(), tracing.close()])
     }
   }
 }
 
-async function listen (server: Server, address: Address): Promise<Address> {
-  const separator = address.lastIndexOf(':')
-  const host = address.slice(0, separator)
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(Number(address.slice(separator + 1)), host, resolve)
-  })
-  return addressSchema.parse(`${host}:${(server.address() as AddressInfo).port}`)
+function unknownRoute (): ServingError {
+  return new ServingError('no such route', { code: 'not-found', verdict: 'not-run' })
+}
+
+function startingFailure (): ServingError {
+  return new ServingError('this node is starting', { code: 'no-configuration', verdict: 'not-run', retryAfter: STARTING_RETRY })
 }
--- a/src/entry/submission.ts
+++ b/src/entry/submission.ts
@@ -1,128 +1,191 @@
-/** The requests of one node: submission, lookup, and the seams through which their streams are moved. */
+/** The requests of one node: submission, lookup, and the end of each. */
 import type { Milliseconds } from '../clock.js'
-import { MINUTE, SECOND } from '../clock.js'
-import type { OrganisationName, RequestId, UpstreamName } from '../identifiers.js'
-import { createEngine } from '../platform/engine.js'
-import { promptTokens } from '../platform/prompt.js'
-import type { Request } from '../request/index.js'
+import { every, SECOND } from '../clock.js'
+import type { Incarnation, OrganisationName, RequestId } from '../identifiers.js'
+import { submissionFailure, verdictOf } from '../request/index.js'
+import type { AnswerEnd, HomeTable, Outcome, Request, SubmissionDecision } from '../request/index.js'
 import { ServingError } from '../verdict.js'
 import { runAttempts } from './attempts.js'
 import type { ExecutionContext } from './context.js'
 import { createExecution } from './execution.js'
-import type { Execution, ExecutionStart, OpenStream } from './execution.js'
+import type { Execution, ExecutionStart } from './execution.js'
+import { createRetention } from './retention.js'
+
+/** Where a send or a lookup of an id is answered. */
+export type Located =
+  | { kind: 'here', execution: Execution }
+  /** Another node decides. */
+  | { kind: 'elsewhere', incarnation: Incarnation }
 
 /** The executions of one node. */
 export interface Executions {
   /**
-   * Starts a request, or returns the execution it already has.
+   * Starts a new request, or finds the execution it already has.
    *
-   * @throws ServingError `conflict` for another body under a known id, `not-found` for another
-   *   organisation's id
+   * @throws ServingError with the verdict of what became of it, when neither is possible
    */
-  submit (request: Request, traceparent?: string): Execution
-  /** Goes on with a request of another node. */
+  submit (request: Request, traceparent?: string): Located
+  /** Records a new request without running it yet, while its key is being claimed. */
+  reserve (request: Request, traceparent?: string): Reservation
+  /** @throws ServingError with the verdict of what became of it, when its answer is not here */
+  find (organisation: OrganisationName, id: RequestId): Located
+  /** Goes on with a request of another node that this node has inherited. */
   takeOver (start: ExecutionStart, from: string): Execution
-  /** The execution of an id, only for the organisation it belongs to. */
-  find (organisation: OrganisationName, id: RequestId): Execution | undefined
   /** Executions whose answers have not ended. */
   open (): readonly Execution[]
-  /** Model streams that run at an upstream now. */
-  openAt (upstream: UpstreamName): readonly OpenStream[]
+  openOf (id: RequestId): Execution | undefined
+  /** Ended executions that some caller is still reading. */
+  beingRead (): readonly Execution[]
+  /** Stops an execution here because another node goes on with it. */
+  handOver (execution: Execution, to: string, retryAfter: Milliseconds): void
+  usage (): { open: number, answers: number, bytes: number }
+}
+
+/** A request that is recorded and does not run yet. */
+export interface Reservation {
+  start (): Execution
   /**
-   * Exports a stream's cache to another engine and goes on there without computing anything again.
+   * Never runs it. Its id stays refused.
    *
-   * @returns false when the stream has ended or left meanwhile
-   * @throws ServingError when the export fails; the stream stays where it is
+   * @param failure what the caller is told; undefined when the caller is answered by another request
    */
-  moveTo (id: RequestId, target: UpstreamName, signal: AbortSignal): Promise<boolean>
-  /** Leaves the stream and runs the rest elsewhere from prompt and tokens so far. */
-  recompute (id: RequestId): boolean
+  abandon (failure: ServingError | undefined): void
 }
 
 /** A caller that is gone for longer than this does not resume; the rest of its answer is cancelled. */
 export const RESUMPTION_GRACE: Milliseconds = 30 * SECOND
 
-/** How long an ended answer is kept for callers that ask again. */
-export const ANSWER_RETENTION: Milliseconds = 10 * MINUTE
+/** Memory for ended answers. */
+const ANSWER_BYTES = 67_108_864
+
+const SWEEP_PERIOD: Milliseconds = 5 * SECOND
+const STOPPING_RETRY: Milliseconds = SECOND
 
 /**
+ * @param home decides which ids run here
  * @example
- * const executions = createExecutions(context)
- * for await (const part of executions.submit(request).answer.read(0, signal)) send(part)
+ * const located = createExecutions(context, home).submit(request)
+ * if (located.kind === 'here') for await (const part of located.execution.answer.read(0, signal)) send(part)
  */
-export function createExecutions (context: ExecutionContext): Executions {
-  const executions = new Map<RequestId, Execution>()
+export function createExecutions (context: ExecutionContext, home: HomeTable): Executions {
+  const { clock, signal } = context
   const open = new Map<RequestId, Execution>()
+  const retention = createRetention(ANSWER_BYTES)
 
   function run (execution: Execution): Execution {
-    const { id } = execution.request
-    executions.set(id, execution)
-    open.set(id, execution)
-    runAttempts(context, execution).catch(() => {}).finally(() => open.delete(id))
+    open.set(execution.request.id, execution)
+    started(execution)
     return execution
   }
 
-  context.signal.addEventListener('abort', () => {
-    for (const execution of open.values()) execution.owner.abort(context.signal.reason)
+  function started (execution: Execution): void {
+    runAttempts(context, execution).then((end) => settle(execution, end), () => {})
+  }
+
+  function abandon (execution: Execution, failure: ServingError | undefined): void {
+    if (failure !== undefined) context.bookkeeping.refused(execution, failure)
+    execution.outcome = { kind: 'refused', code: failure?.code ?? 'conflict' }
+    const end = { kind: 'failed', failure: failure ?? duplicateFailure() } as const
+    execution.answer.close(end)
+    settle(execution, end)
+  }
+
+  function settle (execution: Execution, end: AnswerEnd): void {
+    const { id } = execution.request
+    open.delete(id)
+    if (end.kind === 'moved') return
+    const outcome = execution.outcome ?? { kind: 'unknown' }
+    home.end(id, { outcome, verdict: verdictOfEnd(end, outcome) }, clock.now())
+    retention.keep(execution)
+  }
+
+  function locate (id: RequestId, decision: Exclude<SubmissionDecision, { kind: 'run' }>): Located {
+    switch (decision.kind) {
+      case 'attach': {
+        const execution = open.get(id) ?? retention.find(id)
+        if (execution !== undefined) return { kind: 'here', execution }
+        throw goneFailure()
+      }
+      case 'ask-home': return { kind: 'elsewhere', incarnation: decision.incarnation }
+      case 'ended': throw decision.ended.outcome.kind === 'served' ? goneFailure() : submissionFailure(decision, STOPPING_RETRY)
+      default: throw submissionFailure(decision, STOPPING_RETRY)
+    }
+  }
+
+  function sweep (): void {
+    for (const id of home.expire(clock.now())) retention.drop(id)
+    for (const execution of open.values()) {
+      if (isAbandoned(execution, clock.now())) execution.owner.abort('abandoned')
+    }
+  }
+
+  every(clock, SWEEP_PERIOD, signal, sweep, () => {}).catch(() => {})
+  signal.addEventListener('abort', () => {
+    for (const execution of open.values()) execution.owner.abort(signal.reason)
   }, { once: true })
 
   return {
     submit: (request, traceparent) => {
-      const known = executions.get(request.id)
-      if (known !== undefined) return matching(known, request)
-      return run(createExecution({ request, traceparent }, context.clock))
+      const decision = home.submit(request, clock.now())
+      if (decision.kind !== 'run') return locate(request.id, decision)
+      return { kind: 'here', execution: run(createExecution({ request, traceparent }, clock)) }
+    },
+    reserve: (request, traceparent) => {
+      const decision = home.submit(request, clock.now())
+      if (decision.kind === 'attach' || decision.kind === 'ask-home') throw new ServingError('the id is taken', { code: 'conflict', verdict: 'not-run' })
+      if (decision.kind !== 'run') throw submissionFailure(decision, STOPPING_RETRY)
+      const execution = createExecution({ request, traceparent }, clock)
+      open.set(request.id, execution)
+      return {
+        start: () => {
+          started(execution)
+          return execution
+        },
+        abandon: (failure) => abandon(execution, failure)
+      }
+    },
+    find: (organisation, id) => {
+      const decision = home.find(organisation, id)
+      if (decision.kind !== 'run') return locate(id, decision)
+      throw submissionFailure({ kind: 'forgotten' }, STOPPING_RETRY)
     },
     takeOver: (start, from) => {
-      const known = executions.get(start.request.id)
+      const known = open.get(start.request.id)
       if (known !== undefined) return known
-      const execution = createExecution(start, context.clock)
-      execution.accept()
-      context.bookkeeping.takenOver(execution, from)
+      const execution = createExecution(start, clock)
+      if (start.accepted) {
+        execution.accept()
+        context.bookkeeping.takenOver(execution, from)
+      }
       return run(execution)
     },
-    find: (organisation, id) => {
-      const known = executions.get(id)
-      return known?.request.organisation === organisation ? known : undefined
-    },
     open: () => [...open.values()],
-    openAt: (upstream) => [...open.values()].flatMap((execution) => toOpenStream(execution, upstream)),
-    moveTo: async (id, target, signal) => {
-      const attempt = open.get(id)?.attempt
-      const from = attempt && context.directory.find(attempt.upstream)
-      const to = context.directory.find(target)
-      if (attempt === undefined || from === undefined || to === undefined || attempt.handle === '') return false
-      const exported = await createEngine(context.connections, from.address).exportCache(attempt.handle, to.address, signal)
-      if (open.get(id)?.attempt !== attempt) return false
-      attempt.redirect({ kind: 'attach', upstream: target, handle: exported.handle })
-      return true
+    openOf: (id) => open.get(id),
+    beingRead: () => [...retention.all()].filter((execution) => execution.readers > 0),
+    handOver: (execution, to, retryAfter) => {
+      if (execution.accepted && execution.answer.end() === undefined) context.bookkeeping.handedOver(execution, to)
+      execution.answer.close({ kind: 'moved', retryAfter })
+      execution.owner.abort('handed-over')
     },
-    recompute: (id) => {
-      const attempt = open.get(id)?.attempt
-      attempt?.redirect({ kind: 'recompute' })
-      return attempt !== undefined
-    }
+    usage: () => ({ open: open.size, ...retention.usage() })
   }
 }
 
-function matching (known: Execution, request: Request): Execution {
-  if (known.request.organisation !== request.organisation) throw new ServingError('no such request', { code: 'not-found', verdict: 'not-run' })
-  if (known.request.fingerprint === request.fingerprint) return known
-  throw new ServingError('this request id was used with another body', { code: 'conflict', verdict: 'not-run' })
+/** Only answers that can be had again are given up: a call that may not be repeated runs to its end. */
+function isAbandoned (execution: Execution, now: Milliseconds): boolean {
+  if (execution.readers > 0 || execution.unreadSince === undefined) return false
+  if (execution.request.work.kind !== 'model' || !execution.request.idempotent) return false
+  return now - execution.unreadSince > RESUMPTION_GRACE
+}
+
+function verdictOfEnd (end: AnswerEnd, outcome: Outcome) {
+  return end.kind === 'failed' ? end.failure.verdict : verdictOf(outcome)
+}
+
+function duplicateFailure (): ServingError {
+  return new ServingError('the key belongs to another request', { code: 'conflict', verdict: 'not-run' })
 }
 
-function toOpenStream (execution: Execution, upstream: UpstreamName): OpenStream[] {
-  const { attempt, request, answer } = execution
-  if (attempt === undefined || attempt.upstream !== upstream) return []
-  const body = request.work.kind === 'model' ? request.work.body : undefined
-  return [{
-    id: request.id,
-    upstream,
-    handle: attempt.handle,
-    kind: request.work.kind,
-    idempotent: request.idempotent,
-    offset: answer.offset(),
-    promptTokens: body === undefined ? 0 : promptTokens(body.messages),
-    maxTokens: body?.max_tokens ?? 0,
-    startedAt: attempt.startedAt
-  }]
+function goneFailure (): ServingError {
+  return new ServingError('the request ran and was answered; its answer is no longer kept', { code: 'gone', verdict: 'ran' })
 }
--- a/src/peer/client.ts
+++ b/src/peer/client.ts
@@ -15,7 +15,10 @@
 
 /** The peers of a node. */
 export interface Peers {
+  /** For short calls; those made together share one exchange. */
   at (address: Address): PeerClient
+  /** For streams: each call is an exchange of its own, which its signal ends. */
+  streamAt (address: Address): PeerClient
   /** Bytes of messages sent to and received from peers, bodies only. */
   bytes (): { sent: number, received: number }
 }
@@ -23,19 +26,24 @@
 /** Bound on the silence of a peer; on a timeout the connection is destroyed and the next call opens a new one. */
 export const PEER_TIMEOUT: Milliseconds = 2 * SECOND
 
+/** Short calls that share one exchange. */
+const MOST_CALLS = 32
+
 /**
  * @example
  * const reply = await createPeers(connections, settings.peer_key).at(address).agreement.exchange.mutate(message)
  */
 export function createPeers (connections: Connections, peerKey: string): Peers {
   const clients = new Map<Address, PeerClient>()
+  const streamClients = new Map<Address, PeerClient>()
   let sent = 0
   let received = 0
 
-  function create (address: Address): PeerClient {
+  function create (address: Address, mostCalls: number): PeerClient {
     return createTRPCClient<PeerRouter>({
       links: [httpBatchStreamLink({
         url: `http://${address}`,
+        maxItems: mostCalls,
         headers: { authorization: `Bearer ${peerKey}` },
         fetch: async (url, options) => {
           const body = options?.body
@@ -47,12 +55,15 @@
     })
   }
 
+  function find (known: Map<Address, PeerClient>, address: Address, mostCalls: number): PeerClient {
+    const client = known.get(address) ?? create(address, mostCalls)
+    known.set(address, client)
+    return client
+  }
+
   return {
-    at: (address) => {
-      const known = clients.get(address) ?? create(address)
-      clients.set(address, known)
-      return known
-    },
+    at: (address) => find(clients, address, MOST_CALLS),
+    streamAt: (address) => find(streamClients, address, 1),
     bytes: () => ({ sent, received })
   }
 }
--- a/src/peer/router.ts
+++ b/src/peer/router.ts
@@ -5,18 +5,24 @@
 import { agreementProcedures } from './agreement.js'
 import type { AgreementHandlers } from './agreement.js'
 import { peerRouter } from './procedure.js'
+import { requestProcedures } from './request.js'
+import type { RequestHandlers } from './request.js'
 
 /** What a node does when a peer asks. */
 export interface PeerHandlers {
   readonly agreement: AgreementHandlers
+  readonly request: RequestHandlers
 }
 
 /**
  * @example
- * createPeerRouter({ agreement: { exchange: async (message) => reply } })
+ * createPeerRouter({ agreement: membership.handlers, request: requestHandlers })
  */
 export function createPeerRouter (handlers: PeerHandlers) {
-  return peerRouter({ agreement: agreementProcedures(handlers.agreement) })
+  return peerRouter({
+    agreement: agreementProcedures(handlers.agreement),
+    request: requestProcedures(handlers.request)
+  })
 }
 
 /** Type of the whole router, for clients. */
--- a/src/verdict.ts
+++ b/src/verdict.ts
@@ -22,6 +22,8 @@
   | 'forbidden'
   | 'not-found'
   | 'conflict'
+  /** The request ran and was answered; its answer is no longer kept. */
+  | 'gone'
   | 'too-large'
   | 'moved'
   | 'overloaded'
@@ -83,6 +85,7 @@
   forbidden: 403,
   'not-found': 404,
   conflict: 409,
+  gone: 410,
   'too-large': 413,
   moved: 421,
   overloaded: 503,
