Deployment from a platform's description: machines, servers, notices and deaths linked

An instance that the cloud's stand-in starts boots its server, a reclaim notice marks it as leaving in the instance list, and its end kills the server. startDeployment keeps its signature and gains plain services, classes for them, a second organisation and the platform's parts.

--- a/stand-ins/deployment.ts
+++ b/stand-ins/deployment.ts
@@ -1,110 +1,192 @@
 /** A whole small deployment in one process: platform stand-ins, upstreams and entry nodes. */
 import type { Clock } from '../src/clock.js'
 import { configurationRevisionSchema } from '../src/configuration/index.js'
+import type { Configuration } from '../src/configuration/index.js'
 import { sha256 } from '../src/credentials.js'
 import { CONFIGURATION_KEY } from '../src/entry/configuration-keeper.js'
 import { startEntryNode } from '../src/entry/node.js'
 import type { EntryNode } from '../src/entry/node.js'
-import { upstreamNameSchema } from '../src/identifiers.js'
 import type { Address } from '../src/identifiers.js'
 import { createRandom } from '../src/random.js'
 import { entrySettingsSchema } from '../src/settings.js'
-import { instanceSchema } from '../src/upstream/index.js'
-import type { Instance } from '../src/upstream/index.js'
-import { serveEngine } from './engine.js'
+import type { EntrySettings } from '../src/settings.js'
+import type { CloudStandIn } from './cloud.js'
 import type { EngineStandIn } from './engine.js'
-import { serveInstanceList } from './instance-list.js'
+import type { Fleet } from './fleet.js'
 import type { InstanceListStandIn } from './instance-list.js'
-import { serveKeyValue } from './key-value.js'
 import type { KeyValueStandIn } from './key-value.js'
+import { startPlatform } from './platform.js'
+import type { Platform } from './platform.js'
+import { platformSampleSchema } from './platform-sample.js'
+import type { EngineShapeSample, PlatformSample } from './platform-sample.js'
+import type { BookingLedger, PlainServiceStandIn } from './plain-service.js'
+
+/** How large a deployment is and how it behaves. */
+export interface DeploymentOptions {
+  readonly clock: Clock
+  readonly seed: number
+  readonly entries: number
+  readonly engines: number
+  /** Processes of the plain service. Default 0. */
+  readonly plainServices?: number
+  readonly logLevel: 'info' | 'warn' | 'silent'
+  readonly engineShape?: EngineShapeSample
+  /** Whether engines refuse orders with an older fencing number. Default true. */
+  readonly checkFencing?: boolean
+  /** Changes to each entry's settings, as its TOML file would have them. */
+  readonly entrySettings?: Readonly<Record<string, unknown>>
+}
 
 /** A running deployment. */
 export interface Deployment {
+  readonly platform: Platform
   readonly keyValue: KeyValueStandIn
   readonly instanceList: InstanceListStandIn
+  readonly cloud: CloudStandIn
+  readonly fleet: Fleet
+  readonly ledger: BookingLedger
+  /** Engines of the start, dead ones included. */
   readonly engines: readonly EngineStandIn[]
+  /** Plain services of the start, dead ones included. */
+  readonly plainServices: readonly PlainServiceStandIn[]
   readonly entries: readonly EntryNode[]
   readonly addresses: readonly Address[]
   /** Bearer key of the organisation `tejo`. */
   readonly key: string
+  /** Bearer key of the organisation `ribeira`. */
+  readonly otherKey: string
+  readonly operatorKey: string
+  /** Starts one more entry node. */
+  addEntry (): Promise<EntryNode>
   kill (): Promise<void>
 }
 
 const DOMAINS = ['zone-a', 'zone-b', 'zone-c']
+const KEY = 'tejo-key-for-demonstration'
+const OTHER_KEY = 'ribeira-key-for-demonstration'
+const OPERATOR_KEY = 'operator-key'
+const PEER_KEY = 'peer-key-for-demonstration'
+const MODEL = 'assistant-7b'
 
 /**
+ * Starts a deployment with the classes `service-plan`, `short-question`, `booking` and
+ * `roster-lookup`, and the organisations `tejo` and `ribeira`.
+ *
  * @example
  * const deployment = await startDeployment({ clock, seed: 1, entries: 3, engines: 3, logLevel: 'silent' })
  */
-export async function startDeployment (options: { clock: Clock, seed: number, entries: number, engines: number, logLevel: 'info' | 'silent' }): Promise<Deployment> {
+export async function startDeployment (options: DeploymentOptions): Promise<Deployment> {
   const { clock, seed } = options
-  const random = createRandom(seed)
-  const key = 'tejo-key-for-demonstration'
-  const keyValue = await serveKeyValue({ port: 0, clock, random })
-  const instanceList = await serveInstanceList({ port: 0, clock, random, lag: 0 })
-  const engines = await Promise.all(Array.from({ length: options.engines }, (_, index) =>
-    serveEngine({ port: 0, upstream: upstreamNameSchema.parse(`engine-${index + 1}`), clock, random })))
-  instanceList.set(engines.map((engine, index) => engineInstance(engine, index)))
-  keyValue.store.put(CONFIGURATION_KEY, JSON.stringify(sampleRevision(key)))
+  const platform = await startPlatform({ clock, random: createRandom(seed), sample: samplePlatform(options) })
+  platform.keyValue.store.put(CONFIGURATION_KEY, JSON.stringify(sampleRevision()))
   const entries: EntryNode[] = []
-  for (let index = 0; index < options.entries; index += 1) {
-    entries.push(await startEntryNode({ settings: entrySettings(index, keyValue, instanceList, options.logLevel), clock, random: createRandom(seed + index + 1) }))
+
+  async function addEntry (): Promise<EntryNode> {
+    const index = entries.length
+    const entry = await startEntryNode({ settings: entrySettings(platform, options, index), clock, random: createRandom(seed + index + 1) })
+    entries.push(entry)
+    return entry
   }
+
+  for (let index = 0; index < options.entries; index += 1) await addEntry()
   return {
-    keyValue,
-    instanceList,
-    engines,
+    platform,
+    keyValue: platform.keyValue,
+    instanceList: platform.instanceList,
+    cloud: platform.cloud,
+    fleet: platform.fleet,
+    ledger: platform.ledger,
+    engines: platform.fleet.engines(),
+    plainServices: platform.fleet.plainServices(),
     entries,
     addresses: entries.map((entry) => entry.address),
-    key,
+    key: KEY,
+    otherKey: OTHER_KEY,
+    operatorKey: OPERATOR_KEY,
+    addEntry,
     kill: async () => {
       await Promise.all(entries.map((entry) => entry.kill()))
-      await Promise.all([...engines, keyValue, instanceList].map((standIn) => standIn.kill()))
+      await platform.kill()
     }
   }
 }
 
-function engineInstance (engine: EngineStandIn, index: number): Instance {
-  return instanceSchema.parse({
-    name: `instance-${engine.upstream}`,
-    failureDomain: DOMAINS[index % DOMAINS.length],
-    machineClass: 'accelerated',
-    address: engine.address,
-    role: { kind: 'upstream', upstream: engine.upstream, service: 'servicing-assistant', protocol: 'model' },
-    state: 'live'
+function samplePlatform (options: DeploymentOptions): PlatformSample {
+  const plain = options.plainServices ?? 0
+  return platformSampleSchema.parse({
+    group: 'sample',
+    failure_domains: DOMAINS,
+    weight_store: { bytes_per_ms: 1_000_000, models: [{ model: MODEL, bytes: 1_000_000 }] },
+    offers: DOMAINS.flatMap((domain) => [
+      { failure_domain: domain, machine_class: 'accelerated', market: 'reclaimable', price_per_hour: 1 },
+      { failure_domain: domain, machine_class: 'accelerated', market: 'on-demand', price_per_hour: 3 },
+      { failure_domain: domain, machine_class: 'general', market: 'reclaimable', price_per_hour: 0.1 },
+      { failure_domain: domain, machine_class: 'general', market: 'on-demand', price_per_hour: 0.3 }
+    ]),
+    upstreams: [
+      ...(options.engines === 0 ? [] : [{ service: 'servicing-assistant', protocol: 'model', count: options.engines, machine_class: 'accelerated', model: MODEL, check_fencing: options.checkFencing ?? true, shape: options.engineShape ?? {} }]),
+      ...(plain === 0 ? [] : [{ service: 'dispatch', protocol: 'plain', count: plain, machine_class: 'general' }])
+    ]
   })
 }
 
-function entrySettings (index: number, keyValue: KeyValueStandIn, instanceList: InstanceListStandIn, logLevel: string) {
+function entrySettings (platform: Platform, options: DeploymentOptions, index: number): EntrySettings {
   return entrySettingsSchema.parse({
     instance: `entry-${index + 1}`,
     failure_domain: DOMAINS[index % DOMAINS.length],
     listen: '127.0.0.1:0',
     peer_listen: '127.0.0.1:0',
-    log_level: logLevel,
-    operator_key_sha256: sha256('operator-key'),
-    peer_key: 'peer-key-for-demonstration',
-    platform: { key_value: [keyValue.address], instance_list: instanceList.address, cloud: instanceList.address }
+    log_level: options.logLevel,
+    operator_key_sha256: sha256(OPERATOR_KEY),
+    peer_key: PEER_KEY,
+    platform: platformSettings(platform),
+    ...options.entrySettings
   })
 }
 
-function sampleRevision (key: string): unknown {
+/**
+ * Where a platform's services answer, as entries and planners have it in their settings.
+ *
+ * @example
+ * entrySettingsSchema.parse({ ...settings, platform: platformSettings(platform) })
+ */
+export function platformSettings (platform: Platform): EntrySettings['platform'] {
+  return {
+    key_value: [platform.keyValue.address],
+    instance_list: platform.instanceList.address,
+    cloud: platform.cloud.address,
+    weight_store: platform.weightStore.address
+  }
+}
+
+function sampleRevision (): unknown {
   return configurationRevisionSchema.parse({
     revision: 1,
     changeId: 'sample-change',
     author: 'demonstration',
     reason: 'first configuration',
     changedAt: 0,
-    configuration: {
-      deployment: { name: 'sample', target: { cost_per_thousand_answers: 2, recomputed_per_thousand_tokens: 20 } },
-      services: [{ kind: 'model', name: 'servicing-assistant', model: 'assistant-7b' }],
-      organisations: [{ name: 'tejo', key_sha256: [sha256(key)] }],
-      classes: [{
-        name: 'short-question',
-        service: 'servicing-assistant',
-        idempotent: true,
-        target: { first_token_ms: 560, between_tokens_ms: 34, whole_answer_ms: 8_000, quantile: 0.95, reliability: 0.999 }
-      }]
-    }
+    configuration: sampleConfiguration()
   })
 }
+
+function sampleConfiguration (): unknown {
+  const modelTarget = { first_token_ms: 560, between_tokens_ms: 34, quantile: 0.95, reliability: 0.999 }
+  return {
+    deployment: { name: 'sample', target: { cost_per_thousand_answers: 2, recomputed_per_thousand_tokens: 20 } },
+    services: [
+      { kind: 'model', name: 'servicing-assistant', model: MODEL },
+      { kind: 'plain', name: 'dispatch' }
+    ],
+    organisations: [
+      { name: 'tejo', key_sha256: [sha256(KEY)] },
+      { name: 'ribeira', key_sha256: [sha256(OTHER_KEY)] }
+    ],
+    classes: [
+      { name: 'service-plan', service: 'servicing-assistant', idempotent: true, target: { ...modelTarget, whole_answer_ms: 30_000 } },
+      { name: 'short-question', service: 'servicing-assistant', idempotent: true, target: { ...modelTarget, whole_answer_ms: 8_000 } },
+      { name: 'booking', service: 'dispatch', idempotent: false, target: { whole_answer_ms: 2_000, quantile: 0.99, reliability: 0.999 } },
+      { name: 'roster-lookup', service: 'dispatch', idempotent: true, target: { whole_answer_ms: 1_000, quantile: 0.99, reliability: 0.999 } }
+    ]
+  } satisfies { [key in keyof Configuration]: unknown }
+}
