--- a/stand-ins/engine.ts
+++ b/stand-ins/engine.ts
@@ -25,7 +25,7 @@
 
 export { CRASH_MARK } from './engine/types.js'
 export type { EngineFaults, EngineOptions, EngineShape, EngineStandIn, EngineTokens } from './engine/types.js'
-export { answerWords, countTokens } from './engine/words.js'
+export { answerWords } from './engine/words.js'
 
 const DEFAULT_SHAPE: EngineShape = {
   prefillRate: 20,
--- a/stand-ins/engine/prefix-cache.ts
+++ b/stand-ins/engine/prefix-cache.ts
@@ -1,5 +1,5 @@
 /** Prefix cache of an engine stand-in: hash chains of prompt blocks, the least recently used go first. */
-import { createHash } from 'node:crypto'
+import { BLOCK_CHARACTERS } from '../../src/platform/prompt.js'
 
 /** One change, for the engine's cache feed. */
 export interface CacheChange {
@@ -18,28 +18,8 @@
   used (): number
 }
 
-/** Characters of a block; at four a token these are 16 tokens. */
-const BLOCK_LENGTH = 64
-
-/** Tokens of a block. */
-export const BLOCK_TOKENS = 16
-
-/**
- * Hash chain of a prompt's full blocks: each hash covers all text up to the block's end.
- *
- * @example
- * promptBlocks([{ role: 'user', content: 'a'.repeat(200) }]).length // 3
- */
-export function promptBlocks (messages: readonly { role: string, content: string }[]): string[] {
-  const text = messages.map((message) => `${message.role}:${message.content}\n`).join('')
-  const blocks: string[] = []
-  let previous = ''
-  for (let start = 0; start + BLOCK_LENGTH <= text.length; start += BLOCK_LENGTH) {
-    previous = createHash('sha256').update(previous).update(text.slice(start, start + BLOCK_LENGTH)).digest('hex').slice(0, 16)
-    blocks.push(previous)
-  }
-  return blocks
-}
+/** Tokens of a block, at four characters each. */
+const BLOCK_TOKENS = BLOCK_CHARACTERS / 4
 
 /**
  * @param capacity tokens that fit
--- a/stand-ins/engine/stream.ts
+++ b/stand-ins/engine/stream.ts
@@ -1,9 +1,9 @@
 /** One answer at an engine stand-in, from its arrival to long after its last connection. */
 import { randomUUID } from 'node:crypto'
 import { z } from 'zod'
+import { prefixBlocks, promptTokens } from '../../src/platform/prompt.js'
 import { chatMessageSchema } from '../../src/request/index.js'
-import { promptBlocks } from './prefix-cache.js'
-import { answerWords, countTokens } from './words.js'
+import { answerWords } from './words.js'
 
 /** Body of a request as engines receive it. */
 export const engineBodySchema = z.object({
@@ -63,8 +63,8 @@
     handle: randomUUID(),
     body,
     words: answerWords(body.messages, body.max_tokens),
-    blocks: promptBlocks(body.messages),
-    promptTokens: countTokens(body.messages),
+    blocks: prefixBlocks(body.messages, body.adapter),
+    promptTokens: promptTokens(body.messages),
     imported,
     prepared: imported,
     cachedTokens: 0,
--- a/stand-ins/engine/words.ts
+++ b/stand-ins/engine/words.ts
@@ -1,9 +1,6 @@
-/** Answers and token counts of engine stand-ins: functions of the prompt alone. */
+/** Answers of engine stand-ins: functions of the prompt alone. */
 import { createHash } from 'node:crypto'
 
-/** Characters that count as one token of a prompt. */
-const TOKEN_LENGTH = 4
-
 const WORD_LENGTH = 6
 
 /**
@@ -18,12 +15,3 @@
   const starts = digest.length - WORD_LENGTH - 2
   return Array.from({ length: maxTokens }, (_, index) => `${digest.slice(index % starts, index % starts + WORD_LENGTH)}-${index} `)
 }
-
-/**
- * @returns tokens of a prompt
- * @example
- * countTokens([{ content: 'Which resin?' }]) // 3
- */
-export function countTokens (messages: readonly { content: string }[]): number {
-  return messages.reduce((sum, message) => sum + Math.ceil(message.content.length / TOKEN_LENGTH), 0)
-}
--- /dev/null
+++ b/stand-ins/sample.ts
@@ -0,0 +1,99 @@
+/** The sample deployments in `samples/`: what operators apply, settings, keys and callers' requests. */
+import { readdirSync } from 'node:fs'
+import { join } from 'node:path'
+import { z } from 'zod'
+import { classNameSchema, organisationNameSchema } from '../src/identifiers.js'
+import type { OrganisationName } from '../src/identifiers.js'
+import { chatMessageSchema, plainCallSchema } from '../src/request/index.js'
+import { describeIssue, entrySettingsSchema, loadSettings, readText } from '../src/settings.js'
+import type { EntrySettings } from '../src/settings.js'
+import { ServingError } from '../src/verdict.js'
+import { platformSampleSchema } from './platform-sample.js'
+import type { PlatformSample } from './platform-sample.js'
+
+/** One request as a caller of a sample organisation sends it. */
+export const sampleRequestSchema = z.union([
+  z.strictObject({
+    organisation: organisationNameSchema,
+    class: classNameSchema,
+    max_tokens: z.number().int().positive(),
+    messages: z.array(chatMessageSchema).min(1)
+  }),
+  z.strictObject({
+    organisation: organisationNameSchema,
+    class: classNameSchema,
+    call: z.strictObject({ method: plainCallSchema.shape.method, path: plainCallSchema.shape.path, body: z.unknown().optional() })
+  })
+])
+export type SampleRequest = z.infer<typeof sampleRequestSchema>
+
+/** Bearer keys of a sample. */
+const keysSchema = z.strictObject({
+  operator: z.string().min(8),
+  organisations: z.array(z.strictObject({ name: organisationNameSchema, key: z.string().min(8) })).min(1)
+})
+
+/** A sample deployment. */
+export interface Sample {
+  readonly folder: string
+  /** The operators' document, as TOML. */
+  readonly configuration: string
+  readonly platform: PlatformSample
+  readonly entries: readonly EntrySettings[]
+  readonly operatorKey: string
+  readonly organisations: readonly { readonly name: OrganisationName, readonly key: string }[]
+  readonly requests: readonly SampleRequest[]
+}
+
+const ENTRY_FILE = /^entry-\d+\.toml$/
+const REQUEST_FILE = /\.jsonl$/
+
+/**
+ * Reads a sample.
+ *
+ * @throws ServingError `invalid-request` that names the file and what is wrong in it
+ * @example
+ * const sample = loadSample('samples/calcaria-lisbon')
+ */
+export function loadSample (folder: string): Sample {
+  const keys = loadSettings(keysSchema, join(folder, 'keys.toml'))
+  return {
+    folder,
+    configuration: readText(join(folder, 'configuration.toml')),
+    platform: loadSettings(platformSampleSchema, join(folder, 'platform.toml')),
+    entries: files(folder, ENTRY_FILE).map((path) => loadSettings(entrySettingsSchema, path)),
+    operatorKey: keys.operator,
+    organisations: keys.organisations,
+    requests: files(join(folder, 'requests'), REQUEST_FILE).flatMap(loadRequests)
+  }
+}
+
+/**
+ * Reads requests from a file with one JSON document a line.
+ *
+ * @throws ServingError `invalid-request` that names the line
+ * @example
+ * loadRequests('samples/calcaria-lisbon/requests/bookings.jsonl').length // 40
+ */
+export function loadRequests (path: string): SampleRequest[] {
+  const lines = readText(path).split('\n').filter((line) => line !== '')
+  return lines.map((line, index) => parseLine(line, `${path}:${index + 1}`))
+}
+
+function parseLine (line: string, origin: string): SampleRequest {
+  const result = sampleRequestSchema.safeParse(parseJson(line, origin))
+  if (result.success) return result.data
+  throw new ServingError(`${origin}: ${result.error.issues.map(describeIssue).join('; ')}`, { code: 'invalid-request', verdict: 'not-run' })
+}
+
+function parseJson (text: string, origin: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch (cause) {
+    throw new ServingError(`${origin}: ${(cause as Error).message}`, { code: 'invalid-request', verdict: 'not-run', cause })
+  }
+}
+
+function files (folder: string, pattern: RegExp): string[] {
+  return readdirSync(folder).filter((name) => pattern.test(name)).sort().map((name) => join(folder, name))
+}
