--- a/src/capacity/mix-search.ts
+++ b/src/capacity/mix-search.ts
@@ -9,7 +9,7 @@
  * deterministic; docs/design/capacity.md has its gap to the exact optimum.
  */
 import type { FailureDomain } from '../identifiers.js'
-import { figuresOf, isTaken, withoutImpossible } from './mix.js'
+import { figuresOf, fixedAfter, isTaken, withoutImpossible } from './mix.js'
 import type { Counts, Loss, MixFigures, MixOffer, MixProblem } from './mix.js'
 
 /** A mix and its figures. */
@@ -69,6 +69,36 @@
   return { counts, figures: figuresOf(problem, counts), unsurvivable }
 }
 
+/**
+ * The mix nearest to a present one that does what the problem asks: what is missing is added, what is
+ * to spare is given up, and nothing else is moved.
+ *
+ * @example
+ * const { counts } = amendMix(problem, presentCounts)
+ */
+export function amendMix (problem: MixProblem, present: Counts): MixSolution {
+  const { problem: possible, unsurvivable } = withoutImpossible(problem)
+  const layout = layOut(possible)
+  const draft = emptyDraft(layout)
+  layout.most.forEach((most, index) => change(layout, draft, index, Math.min(most, present[index] ?? 0)))
+  repair(layout, draft, 0)
+  for (const index of dearestFirst(layout)) giveUpSpare(layout, draft, index)
+  return { counts: draft.counts, figures: figuresOf(problem, draft.counts), unsurvivable }
+}
+
+function dearestFirst (layout: Layout): number[] {
+  return layout.price.map((_, index) => index).sort((left, right) => priceOfWork(layout, right, 0) - priceOfWork(layout, left, 0))
+}
+
+function giveUpSpare (layout: Layout, draft: Draft, index: number): void {
+  while ((draft.counts[index] ?? 0) > 0) {
+    change(layout, draft, index, -1)
+    if (shortfall(layout, draft) <= LEAST_SHORTFALL) continue
+    change(layout, draft, index, 1)
+    return
+  }
+}
+
 function cheapestWithinBound (layout: Layout): Counts {
   const bound = layout.problem.recomputedBound
   const free = descendFromAll(layout, 0)
@@ -109,7 +139,7 @@
   const drafts: Draft[] = []
   for (let used = 1; used <= domains.length; used += 1) {
     const draft = emptyDraft(layout)
-    const share = (layout.needs[0] ?? 0) / Math.max(1, used - largestLoss)
+    const share = Math.max(0, layout.needs[0] ?? 0) / Math.max(1, used - largestLoss)
     for (const index of domains.slice(0, used)) change(layout, draft, index, Math.min(layout.most[index] ?? 0, Math.ceil(share / (layout.capacity[index] ?? 1))))
     drafts.push(repair(layout, draft, price))
   }
@@ -207,7 +237,10 @@
     capacity: offers.map((offer) => offer.capacity),
     recomputed: offers.map((offer) => offer.reclaimsPerHour * tokens),
     most: offers.map((offer) => offer.most),
-    needs: [problem.need, ...losses.map((loss) => loss.need ?? problem.need)],
+    needs: [
+      problem.need - fixedAfter(problem, undefined),
+      ...losses.map((loss) => (loss.need ?? problem.need) - fixedAfter(problem, loss))
+    ],
     remains: [offers.map(() => true), ...losses.map((loss) => offers.map((offer: MixOffer) => !isTaken(loss, offer)))]
   }
 }
--- a/src/capacity/mix.ts
+++ b/src/capacity/mix.ts
@@ -28,12 +28,20 @@
   readonly need?: number
 }
 
+/** Work a second carried in a failure domain whatever the mix. */
+export interface FixedWork {
+  readonly failureDomain: FailureDomain
+  readonly work: number
+}
+
 /** What a mix for one service must do. */
 export interface MixProblem {
   /** Work a second to be served within targets, also after a loss. */
   readonly need: number
   readonly offers: readonly MixOffer[]
   readonly losses: readonly Loss[]
+  /** Work a second that instances carry which are not the planner's to change. */
+  readonly fixed?: readonly FixedWork[]
   /** Tokens computed again for each reclaim of an instance. */
   readonly recomputedPerReclaim: number
   /** Tokens generated an hour, by which recomputed ones are counted. */
@@ -158,7 +166,7 @@
 }
 
 function remaining (problem: MixProblem, counts: Counts, loss: Loss | undefined): number {
-  let sum = 0
+  let sum = fixedAfter(problem, loss)
   for (let index = 0; index < problem.offers.length; index += 1) {
     const offer = problem.offers[index]
     const count = counts[index] ?? 0
@@ -168,6 +176,17 @@
   return sum
 }
 
+/**
+ * Fixed work that remains after a loss; a reclaim may take it too, since nothing is known of its market.
+ *
+ * @example
+ * const already = fixedAfter(problem, loss)
+ */
+export function fixedAfter (problem: MixProblem, loss: Loss | undefined): number {
+  const left = (problem.fixed ?? []).filter((fixed) => !loss?.failureDomains.includes(fixed.failureDomain))
+  return left.reduce((sum, fixed) => sum + fixed.work, 0)
+}
+
 function waveProbability (domain: DomainWaves, within: Milliseconds): number {
   return 1 - Math.exp(-domain.wavesPerHour * within / HOUR)
 }
--- a/src/capacity/types.ts
+++ b/src/capacity/types.ts
@@ -57,7 +57,8 @@
 export type ReclaimNotice = z.infer<typeof reclaimNoticeSchema>
 
 /** What makes two offers the same apart from their price. */
-export type OfferIdentity = Pick<Offer, 'failureDomain' | 'machineClass' | 'market'>
+export const offerIdentitySchema = offerSchema.pick({ failureDomain: true, machineClass: true, market: true })
+export type OfferIdentity = z.infer<typeof offerIdentitySchema>
 
 /** An offer's identity as one string, for maps. */
 export type OfferKey = string & { readonly offerKey: unique symbol }
