--- a/src/caller/delivery.ts
+++ b/src/caller/delivery.ts
@@ -6,7 +6,7 @@
 import { formatEvent } from '../platform/server-sent-events.js'
 import type { AnswerEnd, PlainResponse } from '../request/index.js'
 import { ServingError } from '../verdict.js'
-import { failureBody, sendFailure, sendJson, VERDICT_HEADER, writeSlowly } from './http.js'
+import { ANSWER_HEADER, failureBody, sendFailure, sendJson, writeSlowly } from './http.js'
 
 /** A stream without tokens shows this often that it is alive. */
 export const KEEP_ALIVE_PERIOD: Milliseconds = 5 * SECOND
@@ -85,7 +85,7 @@
   const headers = new Map<string, string[]>()
   for (const [name, value] of plain.headers) headers.set(name, [...(headers.get(name) ?? []), value])
   for (const [name, values] of headers) response.setHeader(name, values.length === 1 ? values[0] as string : values)
-  response.setHeader(VERDICT_HEADER, 'ran')
+  response.setHeader(ANSWER_HEADER, 'whole')
   response.writeHead(plain.status)
   response.end(Buffer.from(plain.body, 'base64'))
 }
--- a/src/caller/http.ts
+++ b/src/caller/http.ts
@@ -9,6 +9,9 @@
 /** Header that carries the verdict of a failure. */
 export const VERDICT_HEADER = 'hornbeamgap-verdict'
 
+/** Header that marks a plain service's answer; the system's own failures lack it. */
+export const ANSWER_HEADER = 'hornbeamgap-answer'
+
 /** A request as restana hands it over. */
 export type ApiRequest = IncomingMessage & { params: Record<string, string>, query: Record<string, string | string[]> }
 
