A configuration accepted after the start comes into force; samples run in one process

Callers of nodes that had started before the first configuration were told for ever that there is none. Cause: the configuration keeper asks at once whether it should watch, the node's membership did not exist yet, and the ReferenceError ended the watch silently. Ruled out: the key-value stand-in (a read returned the revision). The node now answers no until it is ready; the keeper asks again a second later. The new whole-path test fails with the old line and passes with the new one.

--- a/src/entry/node.ts
+++ b/src/entry/node.ts
@@ -113,7 +113,9 @@
   const facts = createFactStore({ bytes: FACT_BYTES })
 
   const directory = createUpstreamDirectory({ instanceList: createInstanceList(connections, settings.platform.instance_list), clock, log, signal })
-  const configuration = createConfigurationKeeper({ keyValue, clock, log, signal, random, watching: () => membership.watching() })
+  let ready = false
+  // The keeper asks at once, when there is no membership yet; it asks again a second later.
+  const configuration = createConfigurationKeeper({ keyValue, clock, log, signal, random, watching: () => ready && membership.watching() })
   const current = () => configuration.current()?.configuration
   const context: ExecutionContext = {
     directory,
@@ -135,7 +137,6 @@
 
   const server = createCallerServer(settings.limits, metrics)
   const service = restana({ server, defaultRoute: (_request: unknown, response: any) => sendFailure(response, unknownRoute()) })
-  let ready = false
   service.use((_request: unknown, response: any, next: () => void) => ready ? next() : sendFailure(response, startingFailure()))
   const peerServer = createPeerServer(settings.peer_key, {
     agreement: {
--- a/stand-ins/deployment.ts
+++ b/stand-ins/deployment.ts
@@ -78,7 +78,7 @@
 export async function startDeployment (options: DeploymentOptions): Promise<Deployment> {
   const { clock, seed } = options
   const platform = await startPlatform({ clock, random: createRandom(seed), sample: samplePlatform(options) })
-  platform.keyValue.store.put(CONFIGURATION_KEY, JSON.stringify(sampleRevision()))
+  storeConfiguration(platform.keyValue, sampleConfiguration())
   const entries: EntryNode[] = []
 
   async function addEntry (): Promise<EntryNode> {
@@ -111,6 +111,24 @@
   }
 }
 
+/**
+ * Puts a first revision straight into the key-value stand-in, as if operators had applied it.
+ *
+ * @example
+ * storeConfiguration(platform.keyValue, configuration)
+ */
+export function storeConfiguration (keyValue: KeyValueStandIn, configuration: unknown): void {
+  const revision = configurationRevisionSchema.parse({
+    revision: 1,
+    changeId: 'sample-change',
+    author: 'demonstration',
+    reason: 'first configuration',
+    changedAt: 0,
+    configuration
+  })
+  keyValue.store.put(CONFIGURATION_KEY, JSON.stringify(revision))
+}
+
 function samplePlatform (options: DeploymentOptions): PlatformSample {
   const plain = options.plainServices ?? 0
   return platformSampleSchema.parse({
@@ -159,17 +177,6 @@
   }
 }
 
-function sampleRevision (): unknown {
-  return configurationRevisionSchema.parse({
-    revision: 1,
-    changeId: 'sample-change',
-    author: 'demonstration',
-    reason: 'first configuration',
-    changedAt: 0,
-    configuration: sampleConfiguration()
-  })
-}
-
 function sampleConfiguration (): unknown {
   const modelTarget = { first_token_ms: 560, between_tokens_ms: 34, quantile: 0.95, reliability: 0.999 }
   return {
--- /dev/null
+++ b/stand-ins/sample-deployment.ts
@@ -0,0 +1,66 @@
+/** A sample deployment in one process: its platform's stand-ins and entry nodes, on free ports. */
+import type { Clock } from '../src/clock.js'
+import { startEntryNode } from '../src/entry/node.js'
+import type { EntryNode } from '../src/entry/node.js'
+import type { Address } from '../src/identifiers.js'
+import { createRandom } from '../src/random.js'
+import type { EntrySettings } from '../src/settings.js'
+import { platformSettings } from './deployment.js'
+import { startPlatform } from './platform.js'
+import type { Platform } from './platform.js'
+import type { PlatformSample } from './platform-sample.js'
+import type { Sample } from './sample.js'
+
+/** A running sample. */
+export interface SampleDeployment {
+  readonly platform: Platform
+  readonly entries: readonly EntryNode[]
+  readonly addresses: readonly Address[]
+  kill (): Promise<void>
+}
+
+/** How a sample is started. */
+export interface SampleDeploymentOptions {
+  readonly sample: Sample
+  readonly clock: Clock
+  readonly seed: number
+  readonly logLevel: EntrySettings['log_level']
+}
+
+const ANY_PORT = '127.0.0.1:0' as Address
+
+/**
+ * Starts a sample without a configuration; operators apply it as they would anywhere.
+ *
+ * @example
+ * const deployment = await startSampleDeployment({ sample, clock, seed: 1, logLevel: 'warn' })
+ */
+export async function startSampleDeployment (options: SampleDeploymentOptions): Promise<SampleDeployment> {
+  const { sample, clock, seed } = options
+  const platform = await startPlatform({ clock, random: createRandom(seed), sample: onFreePorts(sample.platform) })
+  const entries: EntryNode[] = []
+  for (const [index, settings] of sample.entries.entries()) {
+    entries.push(await startEntryNode({ settings: localSettings(settings, platform, options), clock, random: createRandom(seed + index + 1) }))
+  }
+  return {
+    platform,
+    entries,
+    addresses: entries.map((entry) => entry.address),
+    kill: async () => {
+      await Promise.all(entries.map((entry) => entry.kill()))
+      await platform.kill()
+    }
+  }
+}
+
+function onFreePorts (platform: PlatformSample): PlatformSample {
+  return {
+    ...platform,
+    ports: { key_value: 0, instance_list: 0, cloud: 0, weight_store: 0 },
+    upstreams: platform.upstreams.map((group) => ({ ...group, first_port: 0 }))
+  }
+}
+
+function localSettings (settings: EntrySettings, platform: Platform, options: SampleDeploymentOptions): EntrySettings {
+  return { ...settings, listen: ANY_PORT, peer_listen: ANY_PORT, log_level: options.logLevel, platform: platformSettings(platform) }
+}
--- a/test/whole-path.test.ts
+++ b/test/whole-path.test.ts
@@ -2,9 +2,13 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { createClient } from '../src/client/index.js'
-import { createSystemClock } from '../src/clock.js'
-import { startDeployment } from '../stand-ins/deployment.js'
+import { createSystemClock, SECOND } from '../src/clock.js'
+import { configurationSchema } from '../src/configuration/index.js'
+import { parseSettings } from '../src/settings.js'
+import { startDeployment, storeConfiguration } from '../stand-ins/deployment.js'
 import { answerWords } from '../stand-ins/engine.js'
+import { loadSample } from '../stand-ins/sample.js'
+import { startSampleDeployment } from '../stand-ins/sample-deployment.js'
 
 test('a caller receives the whole answer to its own request', async () => {
   const deployment = await startDeployment({ clock: createSystemClock(), seed: 1, entries: 3, engines: 3, logLevel: 'silent' })
@@ -19,3 +23,21 @@
     await deployment.kill()
   }
 })
+
+test('a configuration accepted after the nodes have started comes into force on them', async () => {
+  // A newcomer starts three nodes, then applies the first configuration. Callers kept being told that
+  // no configuration is known. The cause: the node asked whether it should watch the key-value service
+  // before its membership existed, and the watch ended for good.
+  const clock = createSystemClock()
+  const sample = loadSample('samples/calcaria-lisbon')
+  const deployment = await startSampleDeployment({ sample, clock, seed: 1, logLevel: 'silent' })
+  const configuration = parseSettings(configurationSchema, sample.configuration, 'configuration.toml')
+  try {
+    storeConfiguration(deployment.platform.keyValue, configuration)
+    const deadline = clock.now() + 9 * SECOND
+    while (clock.now() < deadline && deployment.entries.some((entry) => entry.parts.configuration.revision() !== 1)) await clock.sleep(50)
+    assert.deepEqual(deployment.entries.map((entry) => entry.parts.configuration.revision()), [1, 1, 1])
+  } finally {
+    await deployment.kill()
+  }
+})
