Agreement over plain HTTP requests: 559 bytes an exchange instead of 816

An exchange carries 154 bytes of bodies. Counted at the sockets of the running server, the batching link with fetch makes 816 bytes of it, tRPC's single link with fetch 666, the single link over plain requests 559. Whether the connection is new makes no difference but TCP's own packets.

--- a/src/entry/agreement-peers.ts
+++ b/src/entry/agreement-peers.ts
@@ -2,10 +2,11 @@
 import type { Milliseconds } from '../clock.js'
 import { SECOND } from '../clock.js'
 import type { Address } from '../identifiers.js'
+import { createAgreementClient } from '../peer/agreement-client.js'
 import type { AgreementMessage, Delivery, DeliveryReceipt, DeliveryTarget, ProbeAnswer } from '../peer/agreement.js'
-import { createPeers } from '../peer/client.js'
-import type { Peers } from '../peer/client.js'
+import type { PeerClient } from '../peer/client.js'
 import { createConnections } from '../platform/http.js'
+import type { Connections } from '../platform/http.js'
 
 /** Calls to peers as the agreement makes them. Every method rejects when the peer does not answer in time. */
 export interface AgreementPeers {
@@ -22,33 +23,40 @@
 /** Bound on a probe: the helper itself waits for an exchange. */
 export const PROBE_TIMEOUT: Milliseconds = 2 * EXCHANGE_TIMEOUT
 
+/** Clients kept; addresses change with every replaced node. */
+const CLIENTS_KEPT = 1_024
+
 /**
- * @param peers the node's connections to peers
- * @param peerKey shared secret, for connections of their own
+ * @param connections the node's connections
+ * @param peerKey shared secret of the system's own processes
  * @example
- * const agreementPeers = createAgreementPeers(peers, settings.peer_key)
+ * const peers = createAgreementPeers(connections, settings.peer_key)
  */
-export function createAgreementPeers (peers: Peers, peerKey: string): AgreementPeers {
-  const exchangeWith = (through: Peers, address: Address, message: AgreementMessage, signal: AbortSignal): Promise<AgreementMessage> =>
-    through.at(address).agreement.exchange.mutate(message, { signal: bounded(signal, EXCHANGE_TIMEOUT) })
+export function createAgreementPeers (connections: Connections, peerKey: string): AgreementPeers {
+  const clients = new Map<Address, PeerClient>()
+
+  function at (address: Address): PeerClient {
+    const client = clients.get(address) ?? createAgreementClient(connections, peerKey, address)
+    clients.set(address, client)
+    if (clients.size > CLIENTS_KEPT) clients.delete(clients.keys().next().value as Address)
+    return client
+  }
 
   return {
-    exchange: (address, message, signal) => exchangeWith(peers, address, message, signal),
+    exchange: (address, message, signal) => at(address).agreement.exchange.mutate(message, within(EXCHANGE_TIMEOUT, signal)),
     exchangeAnew: async (address, message, signal) => {
-      const connections = createConnections(1)
+      const own = createConnections(1)
       try {
-        return await exchangeWith(createPeers(connections, peerKey), address, message, signal)
+        return await createAgreementClient(own, peerKey, address).agreement.exchange.mutate(message, within(EXCHANGE_TIMEOUT, signal))
       } finally {
-        await connections.destroy()
+        await own.destroy()
       }
     },
-    deliver: (address, delivery, signal) =>
-      peers.at(address).agreement.deliver.mutate(delivery, { signal: bounded(signal, delivery.within_ms) }),
-    probe: (address, target, signal) =>
-      peers.at(address).agreement.probe.mutate(target, { signal: bounded(signal, PROBE_TIMEOUT) })
+    deliver: (address, delivery, signal) => at(address).agreement.deliver.mutate(delivery, within(delivery.within_ms, signal)),
+    probe: (address, target, signal) => at(address).agreement.probe.mutate(target, within(PROBE_TIMEOUT, signal))
   }
 }
 
-function bounded (signal: AbortSignal, timeout: Milliseconds): AbortSignal {
-  return AbortSignal.any([signal, AbortSignal.timeout(Math.ceil(timeout))])
+function within (timeout: Milliseconds, signal: AbortSignal): { signal: AbortSignal } {
+  return { signal: AbortSignal.any([signal, AbortSignal.timeout(Math.ceil(timeout))]) }
 }
--- a/src/entry/key-watch.ts
+++ b/src/entry/key-watch.ts
@@ -32,6 +32,8 @@
  */
 export async function followKeys (watch: KeyWatch): Promise<void> {
   let pause = FIRST_PAUSE
+  // A node that has just started knows no other and would take itself for a watcher.
+  await rest(watch, IDLE_CHECK * (1 + watch.random.fraction()))
   while (!watch.signal.aborted) {
     if (!watch.wanted()) {
       await rest(watch, IDLE_CHECK)
--- a/src/entry/node.ts
+++ b/src/entry/node.ts
@@ -42,6 +42,8 @@
 import { createRequestHandlers } from './request-handlers.js'
 import { createRouting } from './routing.js'
 import { startSchedulerFeed } from './scheduler-feed.js'
+import { stopBefore, stopGracefully } from './stopping.js'
+import type { StopOptions } from './stopping.js'
 import { createStreams } from './streams.js'
 import type { Streams } from './streams.js'
 import { createExecutions } from './submission.js'
@@ -55,6 +57,12 @@
   /** Where callers connect; the port is the bound one. */
   readonly address: Address
   readonly parts: EntryParts
+  /**
+   * Ends without cutting anything off: a planned stop, or with a deadline an announced reclaim.
+   *
+   * @param deadline time of the node's clock when the platform takes the instance back
+   */
+  stop (deadline?: Milliseconds): Promise<void>
   /** Ends at once, as the death of the process would. */
   kill (): Promise<void>
 }
@@ -114,6 +122,7 @@
 
   const directory = createUpstreamDirectory({ instanceList: createInstanceList(connections, settings.platform.instance_list), clock, log, signal })
   let ready = false
+  let leaving = false
   // The keeper asks at once, when there is no membership yet; it asks again a second later.
   const configuration = createConfigurationKeeper({ keyValue, clock, log, signal, random, watching: () => ready && membership.watching() })
   const current = () => configuration.current()?.configuration
@@ -127,11 +136,12 @@
     freshConnections,
     configuration: current,
     usable: () => configuration.usable(clock.now()),
+    mayDispatch: (id) => home.mayDispatch(id),
     clock,
     random,
     signal
   }
-  const home = createHomeTable({ own: incarnation, seed: random.integer(LARGEST_SEED) })
+  const home: HomeTable = createHomeTable({ own: incarnation, seed: random.integer(LARGEST_SEED) })
   const executions = createExecutions(context, home)
   const streams = createStreams(context, executions)
 
@@ -144,14 +154,15 @@
       deliver: (delivery) => membership.handlers.deliver(delivery),
       probe: (target) => membership.handlers.probe(target)
     },
-    request: createRequestHandlers({ executions, home, clock })
+    request: createRequestHandlers({ executions, home, clock, stopping: () => leaving })
   })
   const address = await listen(server, settings.listen)
   const peerAddress = await listen(peerServer, settings.peer_listen)
   const record = { instance: settings.instance, incarnation, failureDomain: settings.failure_domain, address, peerAddress, leaving: false }
-  const membership: MembershipKeeper = createMembershipKeeper({ record, keyValue, peers: createAgreementPeers(peers, settings.peer_key), configuration, clock, random, log, signal })
+  const membership: MembershipKeeper = createMembershipKeeper({ record, keyValue, peers: createAgreementPeers(connections, settings.peer_key), configuration, clock, random, log, signal })
 
-  const relay = createRelay({ own: incarnation, peers, freshPeers: createPeers(freshConnections, settings.peer_key), membership: () => membership, clock })
+  const freshPeers = createPeers(freshConnections, settings.peer_key)
+  const relay = createRelay({ own: incarnation, peers, freshPeers, membership: () => membership, clock })
   const claims = createClaimKeeper({ keyValue, clock, signal, pause: () => writePause(membership.count()) })
   const routing = createRouting({ context, executions, relay, claims })
   registerCallerApi(service, {
@@ -169,15 +180,33 @@
   ready = true
   log.info('started', { address, incarnation })
 
-  return {
-    incarnation,
-    address,
-    parts,
-    kill: async () => {
-      owner.abort()
-      await Promise.all([closeServer(server), closeServer(peerServer), connections.destroy(), freshConnections.destroy(), tracing.close()])
+  async function kill (): Promise<void> {
+    owner.abort()
+    await Promise.all([closeServer(server), closeServer(peerServer), connections.destroy(), freshConnections.destroy(), tracing.close()])
+  }
+
+  async function stop (deadline?: Milliseconds): Promise<void> {
+    const stopOptions: StopOptions = {
+      own: incarnation,
+      home,
+      executions,
+      peers,
+      freshPeers,
+      successors: () => membership.successors(),
+      membership,
+      server,
+      addressLifetime: settings.addresses.lifetime_ms,
+      onLeaving: () => { leaving = true },
+      clock,
+      log,
+      signal
     }
+    await (deadline === undefined ? stopGracefully(stopOptions) : stopBefore(stopOptions, deadline))
+    log.info('stopped', { open: executions.open().length })
+    await kill()
   }
+
+  return { incarnation, address, parts, stop, kill }
 }
 
 function unknownRoute (): ServingError {
--- /dev/null
+++ b/src/peer/agreement-client.ts
@@ -0,0 +1,38 @@
+/**
+ * Calls about agreement, by tRPC over plain HTTP requests. They are many and small, so what rides
+ * with each counts: the headers that a browser's `fetch` adds, and the framing of batches and
+ * streams, are left out. The figures are in the measurements of agreement.
+ */
+import { createTRPCClient, httpLink } from '@trpc/client'
+import { request } from 'undici'
+import type { Address } from '../identifiers.js'
+import type { Connections } from '../platform/http.js'
+import type { PeerClient } from './client.js'
+import type { PeerRouter } from './router.js'
+
+/**
+ * @param address where the peer listens for peers
+ * @example
+ * const reply = await createAgreementClient(connections, settings.peer_key, address).agreement.exchange.mutate(message)
+ */
+export function createAgreementClient (connections: Connections, peerKey: string, address: Address): PeerClient {
+  return createTRPCClient<PeerRouter>({
+    links: [httpLink({
+      url: `http://${address}`,
+      headers: { authorization: `Bearer ${peerKey}` },
+      fetch: (url, options) => plainFetch(connections, String(url), options ?? {})
+    })]
+  })
+}
+
+/** The part of `fetch` that tRPC's link uses. */
+async function plainFetch (connections: Connections, url: string, options: object): Promise<any> {
+  const { method, headers, body, signal } = options as { method?: 'GET' | 'POST', headers?: Record<string, string>, body?: string, signal?: AbortSignal }
+  const response = await request(url, { dispatcher: connections, method: method ?? 'GET', headers: headers ?? {}, body: body ?? null, signal: signal ?? null })
+  return {
+    ok: response.statusCode >= 200 && response.statusCode < 300,
+    status: response.statusCode,
+    headers: response.headers,
+    json: () => response.body.json()
+  }
+}
