Scheduler: places kept free for urgent classes, by outcome; shares by recent use; steadier slots

Change: places per engine fall slowly and rise at once; work with time to wait stops short of a number of free places that follows from the short classes' outcomes; fair shares by recently admitted work with forgetting, organisations first, then classes.

--- a/bench/scheduling/engine.ts
+++ b/bench/scheduling/engine.ts
@@ -1,6 +1,7 @@
 /**
  * A queueing fake of a model engine in virtual time: steps of continuous batching, prefill in chunks,
  * decoding that slows with the batch, a prefix cache in limited memory, and load that it reports late.
+ * Priorities order what waits and the prompts being computed; a running answer is never stopped.
  */
 import type { Milliseconds } from '../../src/clock.js'
 import type { EventQueue } from './event-queue.js'
@@ -61,6 +62,12 @@
   cancelled: boolean
 }
 
+/** Answers whose prompts are still to be computed, the most urgent first. */
+function byPriority (running: readonly Active[]): Active[] {
+  const computing = running.filter((active) => active.toCompute > 0)
+  return computing.sort((left, right) => left.job.priority - right.job.priority || left.sequence - right.sequence)
+}
+
 /**
  * @example
  * const engine = createFakeEngine(events, shape)
@@ -115,13 +122,12 @@
     let chunk = shape.chunk
     let decoding = 0
     const computing: { active: Active, tokens: number }[] = []
-    for (const active of running) {
-      if (active.toCompute === 0) decoding += 1
-      else if (chunk > 0) {
-        const tokens = Math.min(chunk, active.toCompute)
-        chunk -= tokens
-        computing.push({ active, tokens })
-      }
+    for (const active of running) if (active.toCompute === 0) decoding += 1
+    for (const active of byPriority(running)) {
+      if (chunk === 0) break
+      const tokens = Math.min(chunk, active.toCompute)
+      chunk -= tokens
+      computing.push({ active, tokens })
     }
     const time = shape.stepTime + decoding * shape.answerTime + (shape.chunk - chunk) / shape.prefillRate
     events.after(time * factor, () => endStep(computing))
--- a/src/admission/fair-share.ts
+++ b/src/admission/fair-share.ts
@@ -1,81 +1,95 @@
 /**
- * Fair shares of a service at one node: by organisation first, then by class within it, in expected
- * work rather than requests. A flow that has been admitted more than its share is ahead by the time
- * its work would take at that share.
+ * What each organisation and class had of a service lately at one node, in expected work rather than
+ * requests, with slow forgetting. Whoever had least comes first when not all can be served; what was
+ * used long ago, or while nobody else wanted it, is not held against anybody.
  */
 import type { Milliseconds } from '../clock.js'
 import { SECOND } from '../clock.js'
 import type { ClassName, OrganisationName } from '../identifiers.js'
 
-/** Shares of one service. */
+/** Use of one service. */
 export interface FairShare {
-  /** How far a flow is ahead of its share. */
-  lead (organisation: OrganisationName, requestClass: ClassName, now: Milliseconds): Milliseconds
-  /** @param rate work that the node can have done per millisecond */
-  admitted (organisation: OrganisationName, requestClass: ClassName, work: number, rate: number, now: Milliseconds): void
+  /** @param work expected, in milliseconds of one upstream */
+  admitted (organisation: OrganisationName, requestClass: ClassName, work: number, now: Milliseconds): void
   /** Takes back what was admitted but never dispatched. */
-  returned (organisation: OrganisationName, requestClass: ClassName, work: number, rate: number, now: Milliseconds): void
-  /** Whether more than one organisation has work. */
-  contended (now: Milliseconds): boolean
+  returned (organisation: OrganisationName, requestClass: ClassName, work: number, now: Milliseconds): void
+  /** Work of an organisation lately. */
+  ofOrganisation (organisation: OrganisationName, now: Milliseconds): number
+  /** Work of one class of an organisation lately. */
+  ofClass (organisation: OrganisationName, requestClass: ClassName, now: Milliseconds): number
+  /** An organisation's use over that of the mean, 1 for an equal share. */
+  relative (organisation: OrganisationName, now: Milliseconds): number
 }
 
-/** Work used while nobody else wanted the capacity is not held against a flow for longer. */
-const LONGEST_LEAD: Milliseconds = 15 * SECOND
+/** Use is forgotten with this time constant. */
+const MEMORY: Milliseconds = 10 * SECOND
 
-interface Flow {
-  /** When the flow's admitted work would end at its share. */
-  finish: Milliseconds
+/** Less work than this is forgotten altogether. */
+const NOTHING = 0.5
+
+interface Use {
+  work: number
+  at: Milliseconds
 }
 
-type Flows = Map<ClassName, Flow>
+interface OrganisationUse extends Use {
+  readonly classes: Map<ClassName, Use>
+}
 
 /**
  * @example
  * const shares = createFairShare()
- * shares.admitted(organisation, requestClass, work, rate, now)
- * shares.lead(organisation, requestClass, now)
+ * shares.admitted(organisation, requestClass, work, now)
+ * shares.relative(organisation, now)
  */
 export function createFairShare (): FairShare {
-  const organisations = new Map<OrganisationName, Flows>()
+  const organisations = new Map<OrganisationName, OrganisationUse>()
+  const total: Use = { work: 0, at: 0 }
 
-  function flowOf (organisation: OrganisationName, requestClass: ClassName): Flow {
-    const flows = organisations.get(organisation) ?? new Map<ClassName, Flow>()
-    organisations.set(organisation, flows)
-    const flow = flows.get(requestClass) ?? { finish: 0 }
-    flows.set(requestClass, flow)
-    return flow
+  function useOf (organisation: OrganisationName, now: Milliseconds): OrganisationUse {
+    const known = organisations.get(organisation)
+    if (known !== undefined) return known
+    forgetIdle(now)
+    const created = { work: 0, at: now, classes: new Map<ClassName, Use>() }
+    organisations.set(organisation, created)
+    return created
   }
 
+  function classUseOf (use: OrganisationUse, requestClass: ClassName, now: Milliseconds): Use {
+    const known = use.classes.get(requestClass) ?? { work: 0, at: now }
+    use.classes.set(requestClass, known)
+    return known
+  }
+
+  /** Runs when an organisation appears, so that those that went do not pile up. */
   function forgetIdle (now: Milliseconds): void {
-    for (const [organisation, flows] of organisations) {
-      for (const [requestClass, flow] of flows) if (flow.finish <= now) flows.delete(requestClass)
-      if (flows.size === 0) organisations.delete(organisation)
-    }
+    for (const [name, use] of organisations) if (workOf(use, now) < NOTHING) organisations.delete(name)
   }
 
-  /** Part of the node's capacity that is a flow's while all others use theirs. */
-  function partOf (organisation: OrganisationName): number {
-    return 1 / (organisations.size * (organisations.get(organisation)?.size ?? 1))
+  function add (organisation: OrganisationName, requestClass: ClassName, work: number, now: Milliseconds): void {
+    const use = useOf(organisation, now)
+    change(total, work, now)
+    change(use, work, now)
+    change(classUseOf(use, requestClass, now), work, now)
   }
 
   return {
-    lead: (organisation, requestClass, now) => {
-      const flow = organisations.get(organisation)?.get(requestClass)
-      return flow === undefined ? 0 : Math.max(0, flow.finish - now)
-    },
-    admitted: (organisation, requestClass, work, rate, now) => {
-      forgetIdle(now)
-      const flow = flowOf(organisation, requestClass)
-      const finish = Math.max(now, flow.finish) + work / (rate * partOf(organisation))
-      flow.finish = Math.min(finish, now + LONGEST_LEAD)
-    },
-    returned: (organisation, requestClass, work, rate, now) => {
-      const flow = organisations.get(organisation)?.get(requestClass)
-      if (flow !== undefined) flow.finish = Math.max(now, flow.finish - work / (rate * partOf(organisation)))
-    },
-    contended: (now) => {
-      forgetIdle(now)
-      return organisations.size > 1
+    admitted: add,
+    returned: (organisation, requestClass, work, now) => add(organisation, requestClass, -work, now),
+    ofOrganisation: (organisation, now) => workOf(organisations.get(organisation), now),
+    ofClass: (organisation, requestClass, now) => workOf(organisations.get(organisation)?.classes.get(requestClass), now),
+    relative: (organisation, now) => {
+      const mean = workOf(total, now) / Math.max(1, organisations.size)
+      return mean === 0 ? 1 : workOf(organisations.get(organisation), now) / mean
     }
   }
 }
+
+function workOf (use: Use | undefined, now: Milliseconds): number {
+  return use === undefined ? 0 : use.work * Math.exp((use.at - now) / MEMORY)
+}
+
+function change (use: Use, work: number, now: Milliseconds): void {
+  use.work = Math.max(0, workOf(use, now) + work)
+  use.at = now
+}
--- a/src/admission/retry-after.ts
+++ b/src/admission/retry-after.ts
@@ -13,11 +13,11 @@
  * Failure guarded against: callers refused together and told the same time come back together and
  * are refused together again. The spread breaks them up.
  *
- * @param lead time that the flow's admitted work takes at its fair share
+ * @param backlog time that what waits will take
  * @example
  * retryAfter(4 * SECOND, random) // 4 to 6 s
  */
-export function retryAfter (lead: Milliseconds, random: Random): Milliseconds {
-  const earliest = Math.min(LONGEST, Math.max(SHORTEST, lead))
+export function retryAfter (backlog: Milliseconds, random: Random): Milliseconds {
+  const earliest = Math.min(LONGEST, Math.max(SHORTEST, backlog))
   return Math.round(earliest * (1 + SPREAD * random.fraction()))
 }
--- a/src/admission/service-scheduler.ts
+++ b/src/admission/service-scheduler.ts
@@ -43,6 +43,13 @@
 const STALL_FACTOR = 4
 const SHORTEST_STALL: Milliseconds = 2 * SECOND
 
+/** An organisation with this many times the mean use is told that it is above its share. */
+const ABOVE_SHARE = 1.25
+
+/** Part of its patience by which an attempt is moved back when its organisation had twice the mean. */
+const SHARE_DELAY = 0.25
+const MOST_ABOVE = 4
+
 /**
  * Tokens of an answer that has begun are lost when it waits too long: it goes before all new work.
  */
@@ -71,8 +78,8 @@
     const demand = classState.demandOf(attempt)
     const patience = classState.patience(fleet.expect(demand))
     const latestStart = attempt.arrivedAt + patience
-    const lead = shares.lead(attempt.organisation, attempt.class, now)
-    const order = attempt.accepted ? latestStart - ACCEPTED_ADVANCE : latestStart + lead
+    const above = Math.min(MOST_ABOVE, Math.max(0, shares.relative(attempt.organisation, now) - 1))
+    const order = attempt.accepted ? latestStart - ACCEPTED_ADVANCE : latestStart + above * patience * SHARE_DELAY
     return { attempt, classState, demand, work: fleet.work(demand), latestStart, order }
   }
 
@@ -95,10 +102,11 @@
     const { attempt } = entry
     waiting.remove(attempt.id)
     if (attempt.apart) fleet.stopEmptying()
-    shares.returned(attempt.organisation, attempt.class, entry.work, currentRate(), now)
+    shares.returned(attempt.organisation, attempt.class, entry.work, now)
     entry.classState.refused()
-    const lead = shares.lead(attempt.organisation, attempt.class, now)
-    return { kind: 'refuse', id: attempt.id, code, retryAfter: code === 'no-upstream' ? NO_UPSTREAM_RETRY : retryAfter(lead, random) }
+    if (entry.demand.urgent) places.answered(false, entry.classState.requestClass.target.quantile)
+    const backlog = waiting.work() / currentRate()
+    return { kind: 'refuse', id: attempt.id, code, retryAfter: code === 'no-upstream' ? NO_UPSTREAM_RETRY : retryAfter(backlog, random) }
   }
 
   function serve (now: Milliseconds): SchedulerEffect[] {
@@ -125,8 +133,7 @@
     if (fleet.size() === 0) return refuseAll(now)
     for (let index = waiting.firstLate(currentRate(), now); index >= 0; index = waiting.firstLate(currentRate(), now)) {
       const victim = chooseVictim(waiting.entries(), index, shares, now)
-      const ahead = shares.lead(victim.attempt.organisation, victim.attempt.class, now) > 0
-      const code = ahead && shares.contended(now) ? 'organisation-limit' : 'overloaded'
+      const code = shares.relative(victim.attempt.organisation, now) > ABOVE_SHARE ? 'organisation-limit' : 'overloaded'
       effects.push(refuse(victim, code, now))
     }
     return effects
@@ -157,7 +164,7 @@
       rate.passed(waiting.size() > 0, now)
       const entry = entryOf(attempt, classState, now)
       waiting.add(entry)
-      shares.admitted(attempt.organisation, attempt.class, entry.work, currentRate(), now)
+      shares.admitted(attempt.organisation, attempt.class, entry.work, now)
       return advance(now)
     },
     firstToken: (id, now) => {
@@ -176,7 +183,6 @@
     advance,
     tick: (now) => {
       strikeStalled(now)
-      places.observe()
       return advance(now)
     }
   }
@@ -192,6 +198,7 @@
         const whole = now - started.sentAt
         const firstToken = (started.firstTokenAt ?? now) - started.sentAt
         fleet.observed(placement, demand, result.usage, firstToken, whole, now)
+        if (demand.urgent) places.answered(started.classState.inTarget(attempt, started.firstTokenAt, result.usage.completion_tokens, now), started.classState.requestClass.target.quantile)
         if (attempt.tokensSoFar === 0) started.classState.answered(attempt.maxTokens, result.usage.completion_tokens)
         break
       }
--- a/src/admission/victim.ts
+++ b/src/admission/victim.ts
@@ -3,13 +3,11 @@
 import type { FairShare } from './fair-share.js'
 import type { WaitingAttempt } from './waiting.js'
 
-/** A lead this small is noise: the flow is within its share. */
-const WITHIN_SHARE: Milliseconds = 500
-
 /**
- * An attempt that is too late whatever is refused goes itself. Otherwise the one, of those that start
- * no later than the first late attempt, whose flow is furthest above its fair share; of the flows
- * above it, those first whose class may still be refused by its reliability; of one flow, the newest.
+ * An attempt that is too late whatever is refused goes itself. Otherwise one of those that start no
+ * later than the first late attempt: of the organisation that had most lately; of its classes, those
+ * first whose reliability still allows a refusal, then the one with the largest use and the longest
+ * work, so that small classes keep their targets while a large one floods; of one class, the newest.
  *
  * @param late index of the first attempt that would start too late
  * @example
@@ -32,20 +30,26 @@
 }
 
 interface Rank {
-  readonly above: boolean
+  readonly organisation: number
   readonly exhausted: boolean
-  readonly lead: Milliseconds
+  readonly class: number
   readonly arrivedAt: Milliseconds
 }
 
+/** Weighted by the work of one request, classes of long answers give way to those of short ones. */
 function rankOf (entry: WaitingAttempt, shares: FairShare, now: Milliseconds): Rank {
-  const lead = shares.lead(entry.attempt.organisation, entry.attempt.class, now)
-  return { above: lead > WITHIN_SHARE, exhausted: entry.classState.exhausted(), lead, arrivedAt: entry.attempt.arrivedAt }
+  const { organisation, class: requestClass, arrivedAt } = entry.attempt
+  return {
+    organisation: shares.ofOrganisation(organisation, now),
+    exhausted: entry.classState.exhausted(),
+    class: shares.ofClass(organisation, requestClass, now) * entry.work,
+    arrivedAt
+  }
 }
 
 function isWorse (left: Rank, right: Rank): boolean {
-  if (left.above !== right.above) return left.above
+  if (left.organisation !== right.organisation) return left.organisation > right.organisation
   if (left.exhausted !== right.exhausted) return right.exhausted
-  if (left.lead !== right.lead) return left.lead > right.lead
+  if (left.class !== right.class) return left.class > right.class
   return left.arrivedAt >= right.arrivedAt
 }
--- a/src/admission/waiting.ts
+++ b/src/admission/waiting.ts
@@ -23,6 +23,8 @@
   add (entry: WaitingAttempt): void
   remove (id: RequestId): WaitingAttempt | undefined
   size (): number
+  /** Expected work of all of them. */
+  work (): number
   /** In order of dispatch; not to be changed. */
   entries (): readonly WaitingAttempt[]
   /**
@@ -42,6 +44,7 @@
 export function createWaitingList (): WaitingList {
   const entries: WaitingAttempt[] = []
   const byId = new Map<RequestId, WaitingAttempt>()
+  let totalWork = 0
 
   /** First index whose order is not smaller. */
   function position (order: Milliseconds): number {
@@ -61,15 +64,18 @@
       while (index < entries.length && (entries[index] as WaitingAttempt).order === entry.order) index += 1
       entries.splice(index, 0, entry)
       byId.set(entry.attempt.id, entry)
+      totalWork += entry.work
     },
     remove: (id) => {
       const entry = byId.get(id)
       if (entry === undefined) return undefined
       byId.delete(id)
+      totalWork = entries.length === 1 ? 0 : totalWork - entry.work
       entries.splice(entries.indexOf(entry, position(entry.order)), 1)
       return entry
     },
     size: () => entries.length,
+    work: () => totalWork,
     entries: () => entries,
     firstLate: (rate, now) => {
       let work = 0
--- a/src/upstream/cost.ts
+++ b/src/upstream/cost.ts
@@ -16,6 +16,8 @@
   readonly tokenTime: Milliseconds
   /** Requests of all nodes at the upstream. */
   readonly requests: number
+  /** Mean time that a place is taken by one answer. */
+  readonly holdTime: Milliseconds
   /** Time per token relative to the other upstreams. */
   readonly slowness: number
   readonly health: UpstreamHealth
@@ -59,7 +61,7 @@
   const slots = state.load.slots()
   const prefill = input.prefillTime * (role === 'decode' ? WRONG_ROLE : 1)
   const token = tokenTime * (role === 'prefill' ? WRONG_ROLE : 1)
-  const waiting = Math.max(0, input.requests + 1 - slots) * demand.generatedTokens * token / slots
+  const waiting = Math.max(0, input.requests + 1 - slots) * input.holdTime / slots
   const pending = state.load.pendingTokens() * prefill
   const computing = input.computedTokens * prefill * (1 + PREFILL_INTERFERENCE * input.requests)
   const decoding = 2 * BATCH_SHARE * token / slots * input.requests * demand.generatedTokens
--- a/src/upstream/fleet.ts
+++ b/src/upstream/fleet.ts
@@ -78,6 +78,8 @@
   expect (demand: Demand): ExpectedAnswer
   /** Expected work in milliseconds of one whole upstream. */
   work (demand: Demand): number
+  /** Places of one upstream. */
+  slots (): number
   /** Live upstreams. */
   size (): number
   /** Share of the service's requests that are this node's. */
@@ -94,6 +96,13 @@
 /** Tokens that are added to every prompt by templates do not count as a mistaken expectation. */
 const HIT_STEP = 0.05
 
+/** Time that a place is taken by one answer, before any was seen. */
+const PRIOR_HOLD: Milliseconds = 5_000
+const HOLD_STEP = 0.02
+
+/** Longer than this many times the mean counts as an outlier. */
+const LONGEST_HOLD = 5
+
 /** After a failed upstream its failure domain is chosen last for a while. */
 const DOMAIN_MEMORY: Milliseconds = 10_000
 
@@ -116,6 +125,7 @@
   let ownTotal = 0
   let reportedTotal = 0
   let hitShare = 0
+  let holdTime: Milliseconds = PRIOR_HOLD
 
   function estimateOf (view: UpstreamView | undefined): EngineEstimate {
     const key = view?.machineClass ?? ''
@@ -139,7 +149,7 @@
     if (demand.excluded.includes(state.view.name)) return false
     if (demand.apart) return state.load.own() === 0
     if (isPlain()) return state.load.own() < state.window.size()
-    return state.load.hasRoom(1 / nodes, demand.urgent ? 0 : spare, now)
+    return state.load.hasRoom(1 / nodes, spare, demand.urgent, now)
   }
 
   function healthAllows (state: UpstreamState, demand: Demand, now: Milliseconds): UpstreamHealth | undefined {
@@ -178,6 +188,7 @@
         prefillTime: estimate.prefillTime(),
         tokenTime: isPlain() ? plain.median() : estimate.tokenTime(),
         requests: state.load.sampledTotal(now, random),
+        holdTime,
         slowness: outliers.slowness(state.view.name),
         health,
         domainFailed: domainFailures.size > 0 && domainFailed(state.view.failureDomain, now)
@@ -220,7 +231,7 @@
       if (state === undefined) return
       const before = state.load.reportedTotal()
       state.report = report
-      state.load.reported(report, share(), now)
+      state.load.reported(report, share(), now, random)
       if (!state.view.leaving) reportedTotal += state.load.reportedTotal() - before
     },
     cacheChanged: (upstream, stored, evicted, gap) => states.get(upstream)?.prefixes.changed(stored, evicted, gap),
@@ -281,6 +292,7 @@
       const estimate = estimateOf(state.view)
       return demand.promptTokens * (1 - hitShare) * estimate.prefillTime() + demand.generatedTokens * estimate.tokenTime() / state.load.slots()
     },
+    slots: () => live[0]?.load.slots() ?? 1,
     size: () => live.length,
     share,
     health: (upstream, now) => outliers.health(upstream, now)
@@ -296,6 +308,7 @@
     if (usage.completion_tokens < 2) return
     const perToken = (whole - firstToken) / (usage.completion_tokens - 1)
     outliers.measured(state.view.name, perToken / estimate.tokenTime(), now)
+    holdTime += HOLD_STEP * (Math.min(whole, LONGEST_HOLD * holdTime) - holdTime)
   }
 }
 
--- a/src/upstream/load.ts
+++ b/src/upstream/load.ts
@@ -13,7 +13,7 @@
   firstToken (promptTokens: number): void
   ended (promptTokens: number, firstTokenCame: boolean, now: Milliseconds): void
   /** @param share this node's share of the service's requests, 1 over the number of nodes at least */
-  reported (report: LoadReport, share: number, now: Milliseconds): void
+  reported (report: LoadReport, share: number, now: Milliseconds, random: Random): void
   /** Requests of this node there. */
   own (): number
   /** Prompt tokens sent whose first token has not come. */
@@ -26,8 +26,8 @@
   sampledTotal (now: Milliseconds, random: Random): number
   /** Requests that it decodes at a time, learnt. */
   slots (): number
-  /** Whether this node may send one more, keeping `spare` places free for urgent requests. */
-  hasRoom (share: number, spare: number, now: Milliseconds): boolean
+  /** Whether this node may send one more, leaving `spare` places free unless it is urgent. */
+  hasRoom (share: number, spare: number, urgent: boolean, now: Milliseconds): boolean
 }
 
 interface Change {
@@ -41,8 +41,14 @@
 /** How many slots may be tried beyond those seen in use. */
 const SLOT_GROWTH = 1.25
 
+/** Requests that wait at an engine whose places are all taken. */
+const FULL_QUEUE = 2
+
+/** Weight of a report that shows fewer places than believed. */
+const SLOT_STEP = 0.1
+
 /** Requests kept waiting at the engine, so that it never idles between two reports. */
-const STANDING_QUEUE = 2
+const STANDING_QUEUE = 0
 
 /** A report older than this says nothing about the others any more. */
 const REPORT_LIFETIME: Milliseconds = 5 * SECOND
@@ -69,6 +75,8 @@
   let reportedTotal = 0
   let reportedAt = now
   let slots = PRIOR_SLOTS
+  /** All places were seen taken once. */
+  let full = false
   let window = FIRST_WINDOW
 
   /** Requests of this node that were there when the report was made. */
@@ -88,20 +96,29 @@
     own += by
   }
 
+  /**
+   * A queue shows that all places are taken; until one was seen, more are tried.
+   *
+   * Failure guarded against: a request that has just come waits for the next step of the engine even
+   * when places are free, and a report of that moment would shrink the estimate, again and again. So
+   * only a queue of several counts, and the estimate falls slowly and rises at once.
+   */
   function learnSlots (report: LoadReport): void {
     if (report.running === 0) return
-    if (report.waiting > 0) slots = report.running
-    else if (report.running >= slots - 1) slots = report.running * SLOT_GROWTH + 1
+    if (report.running >= slots) slots = report.running
+    else if (report.waiting >= FULL_QUEUE) slots += SLOT_STEP * (report.running - slots)
+    if (report.waiting >= FULL_QUEUE) full = true
+    else if (!full && report.running >= slots - 1) slots = report.running * SLOT_GROWTH + 1
   }
 
   /**
    * Failure guarded against: all nodes see the same free places in one report and all fill them. Each
    * takes only its share of what is free, or gives up its share of what is too much.
    */
-  function renewLimit (ownThen: number, share: number): void {
+  function renewLimit (ownThen: number, share: number, random: Random): void {
     const free = slots + STANDING_QUEUE - reportedTotal
     const part = free >= 0 ? share : ownThen / Math.max(1, reportedTotal)
-    limit = ownThen + free * part
+    limit = ownThen + free * part + random.fraction() - 0.5
   }
 
   return {
@@ -117,7 +134,7 @@
       record(at, -1)
       if (!firstTokenCame) pendingTokens = Math.max(0, pendingTokens - promptTokens)
     },
-    reported: (report, share, at) => {
+    reported: (report, share, at, random) => {
       const seenAt = at - report.ageMs
       const ownThen = ownAt(seenAt)
       reportedTotal = report.running + report.waiting
@@ -127,7 +144,7 @@
       others = othersNow
       reportedAt = at
       learnSlots(report)
-      renewLimit(ownThen, share)
+      renewLimit(ownThen, share, random)
     },
     own: () => own,
     pendingTokens: () => pendingTokens,
@@ -139,11 +156,13 @@
       return Math.max(own, own + others + (random.fraction() - 0.5) * 2 * spread)
     },
     slots: () => slots,
-    hasRoom: (share, spare, at) => {
+    hasRoom: (share, spare, urgent, at) => {
       if (own >= window) return false
-      const guaranteed = Math.max(1, (slots + STANDING_QUEUE) * share)
-      if (at - reportedAt > REPORT_LIFETIME) return own + 1 <= guaranteed - spare * share
-      return own + 1 <= Math.max(guaranteed - spare * share, limit - spare * share)
+      const guaranteed = Math.max(1, slots * share)
+      if (at - reportedAt > REPORT_LIFETIME) return own + 1 <= guaranteed
+      if (urgent) return own + 1 <= Math.max(guaranteed, limit) || own + others + 1 <= slots
+      const crowded = own + others + 1 > slots + STANDING_QUEUE - spare
+      return own + 1 <= (crowded ? guaranteed / 2 : limit)
     }
   }
 }
