--- a/bench/agreement/fleet.ts
+++ b/bench/agreement/fleet.ts
@@ -143,7 +143,8 @@
       random: nodeRandom,
       signal: owner.signal,
       peers: peersOf(() => node),
-      keyValue: guardKeyValue(keyValue, () => allowed(node, undefined), clock)
+      keyValue: guardKeyValue(keyValue, () => allowed(node, undefined), clock),
+      otherPeers: async () => [...byAddress.keys()]
     })
     const node: FleetNode = {
       ...parts,
@@ -177,10 +178,10 @@
   }
 }
 
-function createParts (options: { record: NodeRecord, clock: Clock, random: Random, signal: AbortSignal, peers: AgreementPeers, keyValue: KeyValue }): Pick<FleetNode, 'configuration' | 'membership'> {
+function createParts (options: { record: NodeRecord, clock: Clock, random: Random, signal: AbortSignal, peers: AgreementPeers, keyValue: KeyValue, otherPeers: () => Promise<readonly Address[]> }): Pick<FleetNode, 'configuration' | 'membership'> {
   const common = { keyValue: options.keyValue, clock: options.clock, random: options.random, log: SILENT_LOG, signal: options.signal }
   const configuration = createConfigurationKeeper({ ...common, watching: () => membership.watching() })
-  const membership = createMembershipKeeper({ ...common, record: options.record, peers: options.peers, configuration })
+  const membership = createMembershipKeeper({ ...common, record: options.record, peers: options.peers, configuration, otherPeers: options.otherPeers })
   return { configuration, membership }
 }
 
--- a/src/entry/membership-keeper.ts
+++ b/src/entry/membership-keeper.ts
@@ -7,7 +7,7 @@
 import { every, MINUTE, SECOND } from '../clock.js'
 import { timeBelow } from '../configuration/index.js'
 import type { ConfigurationRevision } from '../configuration/index.js'
-import type { Incarnation, OrganisationName } from '../identifiers.js'
+import type { Address, Incarnation, OrganisationName } from '../identifiers.js'
 import type { Log } from '../log.js'
 import { answerNodes, createMembershipView, createSuspicions, nodeRecordSchema, successorsOf, watchers } from '../membership/index.js'
 import type { AddressAnswer, NodeRecord, PeerState, Stamped, ViewChange } from '../membership/index.js'
@@ -61,8 +61,6 @@
   deliver (configuration: ConfigurationRevision, within: Milliseconds): Promise<DeliveryReport>
   /** What this node does when peers ask. */
   readonly handlers: AgreementHandlers
-  /** Exchanges with nodes that the view may lack, such as those of the instance list. */
-  contact (targets: readonly DeliveryTarget[]): Promise<void>
   /** Reads the service once. */
   refresh (): Promise<void>
   /** Marks this node as leaving, so that callers are not given its address any more. */
@@ -82,6 +80,8 @@
   readonly random: Random
   readonly peers: AgreementPeers
   readonly configuration: ConfigurationKeeper
+  /** Peer addresses from a source other than the key-value service: the instance list. */
+  readonly otherPeers?: () => Promise<readonly Address[]>
 }
 
 const SETTLE_PERIOD: Milliseconds = SECOND
@@ -94,7 +94,7 @@
 
 const VARIATION = 0.5
 
-/** Peers asked when a node starts. */
+/** Peers of the instance list that are asked at a time when no other is heard. */
 const FIRST_CONTACTS = 3
 
 /** Share of the time that the first delivery has; nodes that were missed get the rest. */
@@ -189,7 +189,24 @@
     tellChanges()
     const last = exchange.lastHeard() ?? -Infinity
     const heardPeer = clock.now() - last < PEER_SILENCE
-    if (!heardPeer && random.fraction() < VARIATION) await configuration.refresh().catch(() => {})
+    if (!heardPeer && random.fraction() < VARIATION) await seekOthers()
+  }
+
+  /**
+   * Failure guarded against: a node that starts while the key-value service is down knows nobody and
+   * would have neither configuration nor view. The instance list names its peers, and any of them
+   * passes both on.
+   */
+  async function seekOthers (): Promise<void> {
+    await Promise.allSettled([configuration.refresh(), contactOthers()])
+    tellChanges()
+  }
+
+  async function contactOthers (): Promise<void> {
+    const addresses = (await options.otherPeers?.() ?? []).filter((address) => address !== own.peerAddress)
+    const first = random.integer(Math.max(1, addresses.length))
+    const chosen = [...addresses.slice(first), ...addresses.slice(0, first)].slice(0, FIRST_CONTACTS)
+    await Promise.allSettled(chosen.map(exchange.contact))
   }
 
   async function relist (): Promise<void> {
@@ -250,10 +267,6 @@
         return { revision: configuration.revision(), missing }
       }
     },
-    contact: async (targets) => {
-      await Promise.allSettled(targets.slice(0, FIRST_CONTACTS).map(exchange.contact))
-      tellChanges()
-    },
     refresh: async () => {
       await load()
       await registration.renew()
--- a/src/entry/node.ts
+++ b/src/entry/node.ts
@@ -16,7 +16,7 @@
 import type { Peers } from '../peer/client.js'
 import { createPeerServer } from '../peer/server.js'
 import { createConnections, createFreshConnections } from '../platform/http.js'
-import { createInstanceList } from '../platform/instance-list.js'
+import { createInstanceList, peerAddresses } from '../platform/instance-list.js'
 import { createKeyValue } from '../platform/key-value.js'
 import type { KeyValue } from '../platform/key-value.js'
 import type { Random } from '../random.js'
@@ -120,7 +120,8 @@
   const ledger = createLedger({ wall: clock.wall })
   const facts = createFactStore({ bytes: FACT_BYTES })
 
-  const directory = createUpstreamDirectory({ instanceList: createInstanceList(connections, settings.platform.instance_list), clock, log, signal })
+  const instanceList = createInstanceList(connections, settings.platform.instance_list)
+  const directory = createUpstreamDirectory({ instanceList, clock, log, signal })
   let ready = false
   let leaving = false
   // The keeper asks at once, when there is no membership yet; it asks again a second later.
@@ -159,7 +160,17 @@
   const address = await listen(server, settings.listen)
   const peerAddress = await listen(peerServer, settings.peer_listen)
   const record = { instance: settings.instance, incarnation, failureDomain: settings.failure_domain, address, peerAddress, leaving: false }
-  const membership: MembershipKeeper = createMembershipKeeper({ record, keyValue, peers: createAgreementPeers(connections, settings.peer_key), configuration, clock, random, log, signal })
+  const membership: MembershipKeeper = createMembershipKeeper({
+    record,
+    keyValue,
+    peers: createAgreementPeers(connections, settings.peer_key),
+    configuration,
+    otherPeers: async () => peerAddresses(await instanceList.read(signal)),
+    clock,
+    random,
+    log,
+    signal
+  })
 
   const freshPeers = createPeers(freshConnections, settings.peer_key)
   const relay = createRelay({ own: incarnation, peers, freshPeers, membership: () => membership, clock })
--- a/src/entry/peer-exchange.ts
+++ b/src/entry/peer-exchange.ts
@@ -4,7 +4,7 @@
  */
 import type { Clock, Milliseconds } from '../clock.js'
 import { SECOND } from '../clock.js'
-import type { Incarnation } from '../identifiers.js'
+import type { Address, Incarnation } from '../identifiers.js'
 import type { MembershipView, NodeRecord, Suspicions } from '../membership/index.js'
 import type { AgreementHandlers, AgreementMessage, DeliveryTarget } from '../peer/agreement.js'
 import type { Random } from '../random.js'
@@ -31,8 +31,8 @@
   run (): Promise<void>
   /** Exchanges with some peers at once, to spread news. */
   spread (): void
-  /** Exchanges with a peer that may not be in the view yet. */
-  contact (target: DeliveryTarget): Promise<void>
+  /** Exchanges with a peer that may not be in the view; rejects when it does not answer. */
+  contact (address: Address): Promise<void>
   readonly handlers: Pick<AgreementHandlers, 'exchange' | 'probe'>
   /** Time of the last exchange that succeeded. */
   lastHeard (): Milliseconds | undefined
@@ -175,7 +175,7 @@
 
   return {
     lastHeard: () => lastHeard,
-    contact: exchangeWith,
+    contact: async (address) => take(await peers.exchange(address, messageFor(options.own().incarnation), signal)),
     spread: () => pick(candidates(), NEWS_FAN_OUT).forEach(begin),
     run: async () => {
       while (!signal.aborted) {
--- a/src/platform/instance-list.ts
+++ b/src/platform/instance-list.ts
@@ -30,3 +30,13 @@
     }
   }
 }
+
+/**
+ * Where the entry nodes of a list listen for peers.
+ *
+ * @example
+ * const addresses = peerAddresses(await instanceList.read())
+ */
+export function peerAddresses (instances: readonly Instance[]): Address[] {
+  return instances.flatMap((instance) => instance.role.kind === 'entry' ? [instance.role.peerAddress] : [])
+}
