--- a/src/request/attempts.ts
+++ b/src/request/attempts.ts
@@ -65,7 +65,7 @@
   function choose (attempt: number): AttemptEffect[] {
     if (winner === attempt) return []
     winner = attempt
-    return []
+    return cancelOthers(attempt)
   }
 
   function mayContinue (attempt: number, state: OpenAttempt): boolean {
