Planned stop and announced reclaim of a node: open requests are handed over, each id once

SIGTERM is a planned stop: not given to callers any more, serving on until no address answer with the node is valid, then the table goes to a successor. With a deadline streams move at once and callers are told to go on elsewhere. Seen failing first: without the moving of streams, two of twelve answers are computed again; without the wait for address answers a caller with a cached address gets 503.

--- a/src/bin/hornbeamgap-entry.ts
+++ b/src/bin/hornbeamgap-entry.ts
@@ -27,5 +27,5 @@
   if (options.check) return
   const clock = createSystemClock()
   const node = await startEntryNode({ settings, clock, random: createRandom(clock.wall()) })
-  onStopSignal(() => node.kill())
+  onStopSignal(() => node.stop())
 }
--- a/src/entry/attempts.ts
+++ b/src/entry/attempts.ts
@@ -21,17 +21,18 @@
   | { kind: 'whole', end: Extract<AnswerEnd, { kind: 'finished' | 'plain' }>, result: AttemptResult }
   /** `upstreamDied`: new connections are refused or the upstream lost its streams. */
   | { kind: 'failed', failure: ServingError, upstreamDied: boolean }
-  /** The upstream is being left; the request goes on elsewhere from its tokens so far. */
+  /** The upstream or this node is being left; the request goes on elsewhere from its tokens so far. */
   | { kind: 'recompute' }
 
 /**
  * Runs an execution to the end of its answer, and books what happens.
  *
- * @returns the final mark, already set on the answer
+ * @returns the final mark, already set on the answer; undefined when the run was stopped for a hand-over
+ *   and the answer stays open
  * @example
  * const end = await runAttempts(context, execution)
  */
-export async function runAttempts (context: ExecutionContext, execution: Execution): Promise<AnswerEnd> {
+export async function runAttempts (context: ExecutionContext, execution: Execution): Promise<AnswerEnd | undefined> {
   const span = context.tracing.start('request', execution.traceparent, { 'hornbeamgap.request': execution.request.id, 'hornbeamgap.class': execution.request.class })
   try {
     return finish(context, execution, await attemptUntilEnd(context, execution, span.traceparent))
@@ -88,6 +89,7 @@
 
 async function attemptOnce (context: ExecutionContext, execution: Execution, service: Service, attempt: number, excluded: Set<UpstreamName>, traceparent: string): Promise<Attempted> {
   let placement: Placement
+  if (!context.mayDispatch(execution.request.id)) return { kind: 'refused', failure: handedAwayFailure() }
   try {
     placement = await context.dispatcher.place(pendingAttempt(execution, attempt, excluded), execution.owner.signal)
   } catch (error) {
@@ -125,8 +127,8 @@
   context.bookkeeping.accepted(execution)
 }
 
-/** What was handed over is counted by the node that goes on. */
-function finish (context: ExecutionContext, execution: Execution, end: AnswerEnd): AnswerEnd {
+function finish (context: ExecutionContext, execution: Execution, end: AnswerEnd): AnswerEnd | undefined {
+  if (execution.owner.signal.reason === 'handed-over' && end.kind === 'failed') return undefined
   execution.endedAt = context.clock.now()
   execution.answer.close(end)
   const first = execution.answer.end() ?? end
@@ -213,6 +215,11 @@
   return new ServingError(failure.message, { code: failure.code, verdict, cause: failure, ...(retryAfter === undefined ? {} : { retryAfter }) })
 }
 
+/** Another node may be running it: this one never dispatches it again. */
+function handedAwayFailure (): ServingError {
+  return new ServingError('the request was handed to a node that cannot be asked', { code: 'outcome-unknown', verdict: 'may-have-run' })
+}
+
 function wrongKind (execution: Execution, service: Service): ServingError {
   return new ServingError(`class ${execution.request.class} is served by a ${service.kind} service`, { code: 'invalid-request', verdict: 'not-run' })
 }
--- a/src/entry/context.ts
+++ b/src/entry/context.ts
@@ -1,6 +1,7 @@
 /** What the modules that run requests share. */
 import type { Clock } from '../clock.js'
 import type { Configuration } from '../configuration/index.js'
+import type { RequestId } from '../identifiers.js'
 import type { Connections } from '../platform/http.js'
 import type { Random } from '../random.js'
 import type { RetryPolicy } from '../request/index.js'
@@ -23,6 +24,8 @@
   readonly configuration: () => Configuration | undefined
   /** Whether the configuration is known well enough to take new work. */
   readonly usable: () => boolean
+  /** Whether this node may dispatch the request now; see the home table. */
+  readonly mayDispatch: (id: RequestId) => boolean
   readonly clock: Clock
   readonly random: Random
   /** The node's life. */
--- a/src/entry/execution.ts
+++ b/src/entry/execution.ts
@@ -38,13 +38,15 @@
   /** W3C trace context that the caller sent or this node began. */
   readonly traceparent: string | undefined
   /** Aborts when the run ends here before its answer does, with a {@link StopReason}, or with the node. */
-  readonly owner: AbortController
-  /** Where the first attempt goes on, for a request that was taken over. */
-  readonly position: StreamPosition | undefined
+  owner: AbortController
+  /** Where the next run attaches first, for a request that was taken over. */
+  position: StreamPosition | undefined
   /** Resolves when the request is accepted; never when it is refused. */
   readonly acceptance: Promise<void>
   /** Marks the request as accepted: from now on its caller holds the id of an answer that has begun. */
   accept (): void
+  /** Resolves when the present run has ended, for whatever reason. */
+  running: Promise<void>
   /** The attempt that runs now. */
   attempt: OpenAttempt | undefined
   accepted: boolean
@@ -74,6 +76,9 @@
   readonly position?: StreamPosition | undefined
   /** Its caller had the id at the node before. */
   readonly accepted?: boolean
+  readonly recomputedTokens?: number
+  /** How long ago its first token came, in milliseconds. */
+  readonly firstTokenAge?: Milliseconds | undefined
   /** How long ago it arrived at the node before, in milliseconds. */
   readonly age?: Milliseconds
 }
@@ -83,7 +88,6 @@
  * const execution = createExecution({ request }, clock)
  */
 export function createExecution (start: ExecutionStart, clock: Clock): Execution {
-  const owner = new AbortController()
   let markAccepted = (): void => {}
   const acceptance = new Promise<void>((resolve) => { markAccepted = resolve })
   const execution: Execution = {
@@ -92,20 +96,21 @@
     arrivedAt: clock.now() - (start.age ?? 0),
     arrivedAtWall: clock.wall() - (start.age ?? 0),
     traceparent: start.traceparent,
-    owner,
+    owner: new AbortController(),
     position: start.position,
     acceptance,
     accept: () => {
       execution.accepted = true
       markAccepted()
     },
+    running: Promise.resolve(),
     attempt: undefined,
     accepted: false,
     apart: false,
-    firstTokenAt: undefined,
+    firstTokenAt: start.firstTokenAge === undefined ? undefined : clock.now() - start.firstTokenAge,
     endedAt: undefined,
     outcome: undefined,
-    recomputedTokens: 0,
+    recomputedTokens: start.recomputedTokens ?? 0,
     computedBefore: (start.tokens?.length ?? 0) > 0,
     readers: 0,
     unreadSince: undefined
--- /dev/null
+++ b/src/entry/forwarded.ts
@@ -0,0 +1,36 @@
+/** Parts of answers as they cross nodes. */
+import { fromWire, toWire } from '../peer/request.js'
+import type { ForwardedPart } from '../peer/request.js'
+import type { AnswerPart } from '../request/index.js'
+
+/**
+ * An answer's part as it crosses nodes.
+ *
+ * @example
+ * toPart({ kind: 'moved', retryAfter: 0 })
+ */
+export function toPart (part: AnswerPart): ForwardedPart {
+  switch (part.kind) {
+    case 'token': return { kind: 'token', offset: part.token.offset, text: part.token.text }
+    case 'finished': return part
+    case 'plain': return { kind: 'plain', response: { ...part.response, headers: part.response.headers.map(([name, value]) => [name, value]) } }
+    case 'failed': return { kind: 'failed', failure: toWire(part.failure) }
+    case 'moved': return part
+  }
+}
+
+/**
+ * A part of an answer as the other node sent it.
+ *
+ * @example
+ * toAnswerPart({ kind: 'token', offset: 0, text: 'Rinse ' })
+ */
+export function toAnswerPart (part: Exclude<ForwardedPart, { kind: 'accepted' | 'waiting' | 'elsewhere' }>): AnswerPart {
+  switch (part.kind) {
+    case 'token': return { kind: 'token', token: { offset: part.offset, text: part.text } }
+    case 'failed': return { kind: 'failed', failure: fromWire(part.failure) }
+    case 'finished': return part
+    case 'plain': return part
+    case 'moved': return part
+  }
+}
--- a/src/entry/generation.ts
+++ b/src/entry/generation.ts
@@ -63,6 +63,7 @@
           countRecomputed(execution, body, place, 0)
           return { kind: 'recompute' }
         }
+        if (owner.signal.reason === 'handed-over') return { kind: 'recompute' }
         if (owner.signal.reason === 'abandoned') cancelStream(context, place)
         const failure = toServingError(error, 'may-have-run')
         reconnections = answer.offset() > before ? 1 : reconnections + 1
--- a/src/entry/relay.ts
+++ b/src/entry/relay.ts
@@ -5,12 +5,12 @@
 import type { NodeRecord, PeerState } from '../membership/index.js'
 import { PEER_TIMEOUT, peerFailure } from '../peer/client.js'
 import type { Peers } from '../peer/client.js'
-import { fromWire } from '../peer/request.js'
 import type { ForwardedPart } from '../peer/request.js'
 import { homeGoneFailure, rankNodes } from '../request/index.js'
 import type { AnswerPart, Request } from '../request/index.js'
 import { ServingError } from '../verdict.js'
 import type { AnswerSource } from './answer-source.js'
+import { toAnswerPart } from './forwarded.js'
 import { FORWARD_KEEP_ALIVE } from './request-handlers.js'
 
 /** What a caller wants from another node. */
@@ -101,7 +101,7 @@
    */
   async function findHeir (wanted: Wanted, gone: Incarnation, signal: AbortSignal): Promise<Address | undefined> {
     const lookup = lookupOf(wanted)
-    const candidates = rankNodes(`heirs/${gone}`, membership().nodes()).filter((node) => node.incarnation !== options.own).slice(0, MOST_HEIRS)
+    const candidates = rankNodes(gone, membership().nodes()).filter((node) => node.incarnation !== options.own).slice(0, MOST_HEIRS)
     const answers = await Promise.allSettled(candidates.map(async (node) => {
       const { holds } = await peers.at(node.peerAddress).request.locate.mutate(lookup, { signal: AbortSignal.any([signal, AbortSignal.timeout(PEER_TIMEOUT)]) })
       return holds ? node.peerAddress : undefined
@@ -173,13 +173,3 @@
     }
   }
 }
-
-function toAnswerPart (part: Exclude<ForwardedPart, { kind: 'accepted' | 'waiting' | 'elsewhere' }>): AnswerPart {
-  switch (part.kind) {
-    case 'token': return { kind: 'token', token: { offset: part.offset, text: part.text } }
-    case 'failed': return { kind: 'failed', failure: fromWire(part.failure) }
-    case 'finished': return part
-    case 'plain': return part
-    case 'moved': return part
-  }
-}
--- a/src/entry/request-handlers.ts
+++ b/src/entry/request-handlers.ts
@@ -8,6 +8,8 @@
 import { toServingError } from '../verdict.js'
 import { localSource } from './answer-source.js'
 import type { AnswerSource } from './answer-source.js'
+import { toPart } from './forwarded.js'
+import { continueHanded } from './hand-over.js'
 import type { Executions, Located } from './submission.js'
 
 /** A forwarded answer without news shows this often that its home lives. */
@@ -15,9 +17,9 @@
 
 /**
  * @example
- * createPeerServer(settings.peer_key, { agreement, request: createRequestHandlers({ executions, home, clock }) })
+ * createPeerServer(settings.peer_key, { agreement, request: createRequestHandlers({ executions, home, clock, stopping }) })
  */
-export function createRequestHandlers (options: { executions: Executions, home: HomeTable, clock: Clock }): RequestHandlers {
+export function createRequestHandlers (options: { executions: Executions, home: HomeTable, clock: Clock, stopping: () => boolean }): RequestHandlers {
   const { executions, home, clock } = options
 
   /** A refusal is a part, too: as a tRPC error it would lose its verdict. */
@@ -34,6 +36,14 @@
   return {
     submit: (send, signal) => forward(() => executions.submit(send.request, send.traceparent), send.offset, signal),
     attach: (lookup, signal) => forward(() => executions.find(lookup.organisation, lookup.id), lookup.offset, signal),
+    handOver: (handOver) => {
+      if (options.stopping()) return { taken: false }
+      const fresh = new Set(home.inherit(handOver.from, handOver.records, clock.now()))
+      for (const handed of handOver.executions) {
+        if (fresh.has(handed.request.id)) continueHanded(executions, handed, handOver.from)
+      }
+      return { taken: true }
+    },
     locate: (lookup) => {
       const decision = home.find(lookup.organisation, lookup.id)
       return { holds: decision.kind !== 'ask-home' && decision.kind !== 'forgotten' }
@@ -80,13 +90,3 @@
     accepted?.then(settle, () => {})
   })
 }
-
-function toPart (part: AnswerPart): ForwardedPart {
-  switch (part.kind) {
-    case 'token': return { kind: 'token', offset: part.token.offset, text: part.token.text }
-    case 'finished': return part
-    case 'plain': return { kind: 'plain', response: { ...part.response, headers: part.response.headers.map(([name, value]) => [name, value]) } }
-    case 'failed': return { kind: 'failed', failure: toWire(part.failure) }
-    case 'moved': return part
-  }
-}
--- a/src/entry/submission.ts
+++ b/src/entry/submission.ts
@@ -3,7 +3,7 @@
 import { every, SECOND } from '../clock.js'
 import type { Incarnation, OrganisationName, RequestId } from '../identifiers.js'
 import { submissionFailure, verdictOf } from '../request/index.js'
-import type { AnswerEnd, HomeTable, Outcome, Request, SubmissionDecision } from '../request/index.js'
+import type { AnswerEnd, HomeTable, Outcome, Request, StreamPosition, SubmissionDecision } from '../request/index.js'
 import { ServingError } from '../verdict.js'
 import { runAttempts } from './attempts.js'
 import type { ExecutionContext } from './context.js'
@@ -34,10 +34,18 @@
   /** Executions whose answers have not ended. */
   open (): readonly Execution[]
   openOf (id: RequestId): Execution | undefined
+  /** Ended executions whose answers can still be read, the latest of them within a bound on their number. */
+  readable (): readonly Execution[]
   /** Ended executions that some caller is still reading. */
-  beingRead (): readonly Execution[]
-  /** Stops an execution here because another node goes on with it. */
-  handOver (execution: Execution, to: string, retryAfter: Milliseconds): void
+  beingRead (): number
+  /** Keeps an answer that ended at another node and can still be read. */
+  keepEnded (start: ExecutionStart, end: AnswerEnd): void
+  /** Stops the run without ending the answer. Resolves when nothing of it goes on here. */
+  freeze (execution: Execution): Promise<void>
+  /** Goes on with a frozen execution. */
+  thaw (execution: Execution, position: StreamPosition | undefined): void
+  /** Ends a frozen execution here: another node goes on with it. */
+  handedOver (execution: Execution, to: string): void
   usage (): { open: number, answers: number, bytes: number }
 }
 
@@ -58,6 +66,9 @@
 /** Memory for ended answers. */
 const ANSWER_BYTES = 67_108_864
 
+/** Ended answers that a successor is given. */
+const MOST_READABLE = 256
+
 const SWEEP_PERIOD: Milliseconds = 5 * SECOND
 const STOPPING_RETRY: Milliseconds = SECOND
 
@@ -79,7 +90,9 @@
   }
 
   function started (execution: Execution): void {
-    runAttempts(context, execution).then((end) => settle(execution, end), () => {})
+    execution.running = runAttempts(context, execution).then((end) => {
+      if (end !== undefined) settle(execution, end)
+    }, () => {})
   }
 
   function abandon (execution: Execution, failure: ServingError | undefined): void {
@@ -107,7 +120,11 @@
         throw goneFailure()
       }
       case 'ask-home': return { kind: 'elsewhere', incarnation: decision.incarnation }
-      case 'ended': throw decision.ended.outcome.kind === 'served' ? goneFailure() : submissionFailure(decision, STOPPING_RETRY)
+      case 'ended': {
+        const kept = retention.find(id)
+        if (kept !== undefined) return { kind: 'here', execution: kept }
+        throw decision.ended.outcome.kind === 'served' ? goneFailure() : submissionFailure(decision, STOPPING_RETRY)
+      }
       default: throw submissionFailure(decision, STOPPING_RETRY)
     }
   }
@@ -161,11 +178,26 @@
     },
     open: () => [...open.values()],
     openOf: (id) => open.get(id),
-    beingRead: () => [...retention.all()].filter((execution) => execution.readers > 0),
-    handOver: (execution, to, retryAfter) => {
-      if (execution.accepted && execution.answer.end() === undefined) context.bookkeeping.handedOver(execution, to)
-      execution.answer.close({ kind: 'moved', retryAfter })
+    readable: () => [...retention.all()].slice(-MOST_READABLE),
+    beingRead: () => [...retention.all()].filter((execution) => execution.readers > 0).length,
+    keepEnded: (start, end) => {
+      const execution = createExecution(start, clock)
+      execution.answer.close(end)
+      retention.keep(execution)
+    },
+    freeze: (execution) => {
       execution.owner.abort('handed-over')
+      return execution.running
+    },
+    thaw: (execution, position) => {
+      execution.owner = new AbortController()
+      execution.position = position
+      started(execution)
+    },
+    handedOver: (execution, to) => {
+      open.delete(execution.request.id)
+      if (execution.accepted) context.bookkeeping.handedOver(execution, to)
+      execution.answer.close({ kind: 'moved', retryAfter: 0 })
     },
     usage: () => ({ open: open.size, ...retention.usage() })
   }
--- a/src/peer/request.ts
+++ b/src/peer/request.ts
@@ -1,7 +1,7 @@
 /** Procedures about requests: what arrives at one node and runs at another. */
 import { z } from 'zod'
 import { incarnationSchema, organisationNameSchema, requestIdSchema } from '../identifiers.js'
-import { requestSchema } from '../request/index.js'
+import { homeRecordSchema, requestSchema, streamPositionSchema } from '../request/index.js'
 import { usageSchema } from '../upstream/index.js'
 import { ServingError } from '../verdict.js'
 import type { FailureCode } from '../verdict.js'
@@ -51,6 +51,31 @@
 ])
 export type ForwardedPart = z.infer<typeof forwardedPartSchema>
 
+/** A request with all that its successor needs to go on with it. Durations in milliseconds before the hand-over. */
+export const handedExecutionSchema = z.object({
+  request: requestSchema,
+  accepted: z.boolean(),
+  /** Tokens of the answer so far. */
+  tokens: z.array(z.string()),
+  /** The upstream's stream to attach to. */
+  position: streamPositionSchema.optional(),
+  age: z.number().nonnegative(),
+  firstTokenAge: z.number().nonnegative().optional(),
+  recomputedTokens: z.number().nonnegative(),
+  traceparent: z.string().optional(),
+  /** The final mark, for an answer that has ended and can still be read. */
+  end: forwardedPartSchema.optional()
+})
+export type HandedExecution = z.infer<typeof handedExecutionSchema>
+
+/** Part of a home's table on its way to a successor. */
+export const handOverSchema = z.object({
+  from: incarnationSchema,
+  records: z.array(homeRecordSchema),
+  executions: z.array(handedExecutionSchema)
+})
+export type HandOver = z.infer<typeof handOverSchema>
+
 /** Whether a node holds an id. */
 export const locateAnswerSchema = z.object({ holds: z.boolean() })
 
@@ -61,6 +86,8 @@
   attach (lookup: ForwardedLookup, signal: AbortSignal): AsyncIterable<ForwardedPart>
   /** Whether this node decides about the id: as its home, or because it inherited it. */
   locate (lookup: ForwardedLookup): { holds: boolean }
+  /** Takes part of a home's table, or none of it. Taking the same part twice changes nothing. */
+  handOver (handOver: HandOver): { taken: boolean }
 }
 
 const neverAborts = new AbortController().signal
@@ -74,7 +101,8 @@
     attach: peerProcedure.input(forwardedLookupSchema).mutation(async function * ({ input, signal }) {
       yield * handlers.attach(input, signal ?? neverAborts)
     }),
-    locate: peerProcedure.input(forwardedLookupSchema).mutation(({ input }) => handlers.locate(input))
+    locate: peerProcedure.input(forwardedLookupSchema).mutation(({ input }) => handlers.locate(input)),
+    handOver: peerProcedure.input(handOverSchema).mutation(({ input }) => handlers.handOver(input))
   })
 }
 
