--- a/src/capacity/mix.ts
+++ b/src/capacity/mix.ts
@@ -139,6 +139,16 @@
   return worst
 }
 
+/**
+ * Work a second that a mix carries whatever is lost.
+ *
+ * @example
+ * const carried = carriedAfterLosses(problem, counts)
+ */
+export function carriedAfterLosses (problem: MixProblem, counts: Counts): number {
+  return Math.min(remaining(problem, counts, undefined), ...problem.losses.map((loss) => remaining(problem, counts, loss)))
+}
+
 /**
  * The problem without what no mix can do: where even every instance that can be had would not carry
  * the need after a loss, as much as can be carried is asked for.
--- a/src/capacity/replacement.ts
+++ b/src/capacity/replacement.ts
@@ -7,11 +7,9 @@
  * has passed the offer counts again, and a mix that saves enough brings the service home: the cheaper
  * instance is started first, and the dearer one drained only when the rest carries the need.
  */
-import { z } from 'zod'
 import { MINUTE, SECOND } from '../clock.js'
 import type { Milliseconds } from '../clock.js'
 import type { InstanceName, ServiceName } from '../identifiers.js'
-import type { Random } from '../random.js'
 import { mintName, mintedBy } from './desired-state.js'
 import type { DesiredState, Slot } from './desired-state.js'
 import { shortfallOf, withoutImpossible } from './mix.js'
@@ -19,15 +17,6 @@
 import type { CloudInstance, OfferKey } from './types.js'
 import { offerKey } from './types.js'
 
-/** Offers that refused of late. */
-export const refusalSchema = z.object({
-  offer: z.string().transform((key) => key as OfferKey),
-  failures: z.number().int().positive(),
-  /** Wall time before which the offer is not asked again. */
-  until: z.number()
-})
-export type Refusal = z.infer<typeof refusalSchema>
-
 /** What is seen of the instances. */
 export interface FleetObservation {
   /** The cloud's list of the group, complete. */
@@ -38,6 +27,12 @@
   readonly idle: ReadonlySet<InstanceName>
   /** Names whose release the cloud has confirmed. */
   readonly released: ReadonlySet<InstanceName>
+  /** Names that the cloud says have ended. */
+  readonly ended?: ReadonlySet<InstanceName>
+  /** Instances that do not answer although the cloud lists them, long enough to be given up. */
+  readonly silent?: ReadonlySet<InstanceName>
+  /** Services for which nothing can be decided now; their slots stay as they are. */
+  readonly held?: readonly ServiceName[]
 }
 
 /** The mix wanted for a service. */
@@ -56,9 +51,6 @@
   minted: number
 }
 
-const FIRST_BACK_OFF: Milliseconds = 30 * SECOND
-const LONGEST_BACK_OFF: Milliseconds = 30 * MINUTE
-
 /** A leaving instance is kept at least this long: every node must have heard that it leaves. */
 export const SHORTEST_DRAIN: Milliseconds = 10 * SECOND
 
@@ -68,40 +60,6 @@
 /** Shortfall below this is noise of floating point. */
 const NOISE = 1e-6
 
-/**
- * Notes that an offer refused a start.
- *
- * @example
- * const refusals = noteRefusal(known, offerKey(slot.offer), clock.wall(), random)
- */
-export function noteRefusal (refusals: readonly Refusal[], offer: OfferKey, now: Milliseconds, random: Random): Refusal[] {
-  const failures = (refusals.find((refusal) => refusal.offer === offer)?.failures ?? 0) + 1
-  const pause = Math.min(LONGEST_BACK_OFF, FIRST_BACK_OFF * 2 ** (failures - 1))
-  const until = now + pause * (0.5 + random.fraction() / 2)
-  return [...refusals.filter((refusal) => refusal.offer !== offer), { offer, failures, until }]
-}
-
-/**
- * Notes that an offer was had again.
- *
- * @example
- * const refusals = noteStart(known, offerKey(slot.offer))
- */
-export function noteStart (refusals: readonly Refusal[], offer: OfferKey): Refusal[] {
-  return refusals.filter((refusal) => refusal.offer !== offer)
-}
-
-/**
- * Whether an offer is held at what runs there. A back-off further ahead than any can be comes from
- * another instance's wall clock, or from before a jump, and counts for nothing.
- *
- * @example
- * const most = isRefusing(refusals, key, clock.wall()) ? running : Infinity
- */
-export function isRefusing (refusals: readonly Refusal[], offer: OfferKey, now: Milliseconds): boolean {
-  return refusals.some((refusal) => refusal.offer === offer && now < refusal.until && refusal.until - now <= LONGEST_BACK_OFF)
-}
-
 /**
  * Instances of each of a problem's offers that are wanted and not leaving.
  *
@@ -135,7 +93,7 @@
  */
 export function matchMixes (slots: readonly Slot[], mixes: readonly ServiceMix[], fleet: FleetObservation, generation: number, now: Milliseconds): Slot[] {
   const draft = { slots: [...slots], generation, minted: 0, now }
-  const services = new Set(mixes.map((mix) => mix.service))
+  const services = new Set([...mixes.map((mix) => mix.service), ...fleet.held ?? []])
   draft.slots.forEach((slot, position) => {
     if (slot.state === 'wanted' && !services.has(slot.service)) draft.slots[position] = withdrawn(slot, now)
   })
@@ -162,9 +120,10 @@
 
 function observeSlot (slot: Slot, instance: CloudInstance | undefined, fleet: FleetObservation, now: Milliseconds): Slot {
   if (slot.state === 'released') return slot
-  if (instance === undefined) return slot.started ? { ...slot, state: 'released', since: now, reason: 'ended' } : slot
+  if (instance === undefined) return slot.started || fleet.ended?.has(slot.name) ? { ...slot, state: 'released', since: now, reason: 'ended' } : slot
   const seen = { ...slot, started: true, offer: identityOf(instance) }
-  if (slot.state === 'wanted') return instance.state === 'reclaiming' ? { ...seen, state: 'leaving', since: now, reason: 'reclaim' } : seen
+  if (slot.state === 'wanted' && instance.state === 'reclaiming') return { ...seen, state: 'leaving', since: now, reason: 'reclaim' }
+  if (slot.state === 'wanted') return fleet.silent?.has(slot.name) ? { ...seen, state: 'leaving', since: now, reason: 'ended' } : seen
   if (slot.reason === 'reclaim') return seen
   const waited = now - slot.since
   const drained = waited >= SHORTEST_DRAIN && fleet.idle.has(slot.name)
--- a/src/capacity/weight-loads.ts
+++ b/src/capacity/weight-loads.ts
@@ -8,6 +8,7 @@
  * link fairly all finish at the end, those that are sent whole one after another finish earlier on
  * average, and which goes first is a matter of policy. docs/measurements/capacity.md has the figures.
  */
+import type { Milliseconds } from '../clock.js'
 import type { ServiceName, UpstreamName } from '../identifiers.js'
 
 /** An engine that must load weights. */
@@ -30,8 +31,8 @@
 
 /** How busy the store is. */
 export interface StoreUse {
-  /** Loads under way. */
-  readonly active: number
+  /** Bytes that loads under way still lack. */
+  readonly outstanding: number
   /** Bytes a millisecond that they were seen to take together; undefined before it was measured. */
   readonly throughput: number | undefined
   /** Bytes a millisecond that the store sends at most. */
@@ -62,16 +63,23 @@
 }
 
 /**
- * How many loads may be started now: one when none is under way, another when those under way leave
- * some of the store's rate unused, else none.
+ * The first of the ordered loads that may start now: enough to keep the store busy until the next
+ * look, and one more where those under way are seen to leave some of its rate unused.
  *
+ * @param untilNextLook milliseconds
  * @example
- * const startable = orderLoads(pending, supplies).slice(0, loadsToStart(use))
+ * const startable = startableLoads(orderLoads(pending, supplies), use, SECOND)
  */
-export function loadsToStart (use: StoreUse): number {
-  if (use.active === 0) return 1
-  if (use.throughput === undefined) return 0
-  return use.throughput < use.rate * FULL_USE ? 1 : 0
+export function startableLoads (ordered: readonly PendingLoad[], use: StoreUse, untilNextLook: Milliseconds): PendingLoad[] {
+  const isIdle = use.outstanding > 0 && use.throughput !== undefined && use.throughput < use.rate * FULL_USE
+  const startable: PendingLoad[] = []
+  let outstanding = use.outstanding
+  for (const load of ordered) {
+    if (outstanding >= use.rate * untilNextLook && !(isIdle && startable.length === 0)) break
+    startable.push(load)
+    outstanding += load.bytes
+  }
+  return startable
 }
 
 /** Per service, most work for each byte first; equal ones by name, so that the order is stable. */
