--- /dev/null
+++ b/src/report/statements.ts
@@ -0,0 +1,143 @@
+/** What a report says in sentences, so that nobody has to infer it from figures. */
+import type { LatencySummary, ReportDocument, ReportGap, ReportLine, RequestSums } from './document.js'
+import { agrees } from './sums.js'
+import { countText, durationText, moneyText, percentText, refusalText, requestsText, timeText } from './wording.js'
+
+const THOUSAND = 1_000
+
+/** Ways to tell which node a sentence is about. */
+export interface StatementOptions {
+  /** Organisations are told of gaps, and not of instances. */
+  readonly namesNodes: boolean
+}
+
+/**
+ * @param document all but its statements
+ * @example
+ * const sentences = statementsOf(document)
+ */
+export function statementsOf (document: ReportDocument, options: StatementOptions = { namesNodes: true }): string[] {
+  return [
+    totalStatement(document),
+    agreementStatement(document),
+    ...document.classes.flatMap(classStatements),
+    ...deploymentStatements(document),
+    ...completenessStatements(document, options)
+  ]
+}
+
+/**
+ * Whether a target was met; undefined when nothing was measured or no target is set.
+ *
+ * @example
+ * meets(line.firstToken) // true
+ */
+export function meets (latency: LatencySummary | undefined): boolean | undefined {
+  if (latency?.target === undefined) return undefined
+  return latency.achieved <= latency.target
+}
+
+function totalStatement ({ total, from, to }: ReportDocument): string {
+  const range = `From ${timeText(from)} to ${timeText(to)}`
+  if (total.sums.asked === 0) return `${range}, no request was counted.`
+  return `${range}, ${requestsText(total.sums.asked)} came in: ${sumsText(total.sums)}.`
+}
+
+function sumsText (sums: RequestSums): string {
+  const parts = [
+    `${countText(sums.served)} served within target`,
+    `${countText(sums.late)} served late`,
+    `${countText(sums.refused)} refused (not run)`,
+    `${countText(sums.lost)} lost`,
+    `${countText(sums.unknown)} with unknown outcome`,
+    `${countText(sums.open)} still open`
+  ]
+  return parts.join(', ')
+}
+
+function agreementStatement ({ total, classes, lines, organisations }: ReportDocument): string {
+  const wrong = [total, ...classes, ...lines, ...organisations].filter((line) => !agrees(line.sums))
+  if (wrong.length === 0) return 'The sums agree for every class and organisation: accepted + refused = served + late + refused + lost + unknown + open.'
+  return `THE SUMS DO NOT AGREE in ${wrong.length} lines; this report must not be relied on.`
+}
+
+function classStatements (line: ReportLine): string[] {
+  return [answerStatement(line), ...reliabilityStatements(line), ...refusalStatements(line), ...lossStatements(line)]
+}
+
+function answerStatement (line: ReportLine): string {
+  const measured = [
+    latencyText('the first token', line.firstToken),
+    latencyText('the time between tokens', line.betweenTokens),
+    latencyText('the whole answer', line.wholeAnswer)
+  ].filter((text) => text !== undefined)
+  if (measured.length === 0) return `${line.class}: no answer was completed.`
+  return `${line.class}: ${measured.join('; ')}.`
+}
+
+function latencyText (what: string, latency: LatencySummary | undefined): string | undefined {
+  if (latency === undefined) return undefined
+  const achieved = `${what} took at most ${durationText(latency.achieved)} for ${percentText(latency.quantile)} of ${countText(latency.count)} answers`
+  if (latency.target === undefined) return `${achieved}, no target`
+  return `${achieved}, target ${durationText(latency.target)} ${latency.achieved <= latency.target ? 'met' : 'MISSED'}`
+}
+
+function reliabilityStatements ({ class: name, reliability, sums }: ReportLine): string[] {
+  const { achieved, target } = reliability
+  if (achieved === undefined || target === undefined) return []
+  const verdict = achieved >= target ? 'met' : 'MISSED'
+  return [`${name}: ${percentText(achieved)} of the ${requestsText(sums.asked - sums.open)} that ended were answered, target ${percentText(target)} ${verdict}.`]
+}
+
+function refusalStatements ({ class: name, refusals }: ReportLine): string[] {
+  const reasons = Object.entries(refusals).sort(([, left], [, right]) => right - left)
+  if (reasons.length === 0) return []
+  return [`${name}: refused because ${reasons.map(([code, count]) => `${refusalText(code)} (${countText(count)})`).join(', ')}. None of these was run.`]
+}
+
+function lossStatements ({ class: name, sums }: ReportLine): string[] {
+  const statements: string[] = []
+  if (sums.lost > 0) statements.push(`${name}: ${requestsText(sums.lost)} accepted and not answered; the callers were told so.`)
+  if (sums.unknown > 0) statements.push(`${name}: for ${requestsText(sums.unknown)} nobody can tell whether the work was done; check these by hand before doing it again.`)
+  if (sums.unreported > 0) statements.push(`${name}: ${requestsText(sums.unreported)} accepted at nodes that died before reporting it; known from the nodes that took over.`)
+  return statements
+}
+
+function deploymentStatements (document: ReportDocument): string[] {
+  const { targets, total, spend } = document
+  const statements: string[] = []
+  if (spend !== undefined) statements.push(costStatement(document, spend))
+  if (total.generatedTokens > 0) {
+    const achieved = total.recomputedTokens / total.generatedTokens * THOUSAND
+    const target = targets === undefined ? '' : `, target ${targets.recomputedPerThousandTokens} ${achieved <= targets.recomputedPerThousandTokens ? 'met' : 'MISSED'}`
+    statements.push(`${countText(total.recomputedTokens)} tokens were computed again for ${countText(total.generatedTokens)} generated: ${achieved.toFixed(1)} for each 1,000${target}.`)
+  }
+  return statements
+}
+
+function costStatement ({ total, targets, spendUnallocated }: ReportDocument, spend: number): string {
+  const each = total.costPerThousandInTime
+  const target = targets === undefined || each === undefined ? '' : `, target ${moneyText(targets.costPerThousandAnswers)} ${each <= targets.costPerThousandAnswers ? 'met' : 'MISSED'}`
+  const unit = each === undefined ? '' : `: ${moneyText(each)} for each 1,000 answers within target${target}`
+  const idle = spendUnallocated === undefined || spendUnallocated === 0 ? '' : `; ${moneyText(spendUnallocated)} of it for services that answered nothing`
+  return `Instances cost ${moneyText(spend)}${unit}${idle}.`
+}
+
+function completenessStatements (document: ReportDocument, options: StatementOptions): string[] {
+  const { from, madeAt, keptFrom, countedUntil, nodesCounting, gaps, overdue, latencyOmitted } = document
+  const statements = gaps.map((gap) => gapStatement(gap, options))
+  for (const one of overdue) statements.push(`${nodeText(one, options)} is overdue: it last reported at ${timeText(one.from)}. What it counted since then is not in these figures.`)
+  if (nodesCounting > 0 && countedUntil < madeAt) statements.push(`Running nodes report now and then; everything up to ${timeText(countedUntil)} is counted, later requests in part.`)
+  if (from < keptFrom) statements.push(`Totals are kept from ${timeText(keptFrom)} on; what was counted before that is deleted and missing here.`)
+  if (latencyOmitted.length > 0) statements.push(`Latencies of ${latencyOmitted.length} nodes are missing in part, since their reports were too large; the counts are whole.`)
+  if (gaps.length === 0 && overdue.length === 0) statements.push('No node went missing without a last report in this time.')
+  return statements
+}
+
+function gapStatement (gap: ReportGap, options: StatementOptions): string {
+  return `GAP: ${nodeText(gap, options)} went missing without a last report. What it counted between ${timeText(gap.from)} and ${timeText(gap.to)} is unknown and in none of these figures, unless another node took it over.`
+}
+
+function nodeText (gap: ReportGap, options: StatementOptions): string {
+  return options.namesNodes ? `node ${gap.instance} (${gap.incarnation})` : 'one node'
+}
