Scheduler: no herding on late reports, early refusal of work that urgent work will overtake

Cause 1: at three times the load engines stood at 24 running and 8 waiting beside others with free places: each node sent to the upstream that was least loaded in the same late report. Change 1: belief fades to the mean with 1,200 ms, and each node draws what may have changed since. Cause 2: plans were refused after waiting 2.6 s at the median and 7.1 s at the 95th percentile, since the estimate left out urgent work that will come and go before them. Change 2: the rate left for patient work excludes the urgent demand of late, in work.

--- a/src/admission/service-scheduler.ts
+++ b/src/admission/service-scheduler.ts
@@ -6,6 +6,7 @@
 import { createServiceFleet } from '../upstream/index.js'
 import type { Demand, Placement, ServiceFleet } from '../upstream/index.js'
 import type { ClassState } from './class-state.js'
+import { createDecayedRate } from './decayed-rate.js'
 import { createFairShare } from './fair-share.js'
 import { createFreePlaces } from './free-places.js'
 import { retryAfter } from './retry-after.js'
@@ -46,6 +47,9 @@
 /** An organisation with this many times the mean use is told that it is above its share. */
 const ABOVE_SHARE = 1.25
 
+/** Whatever urgent work is expected, this part of the rate counts as left for the rest. */
+const LEAST_PATIENT_SHARE = 0.1
+
 /** Part of its patience by which an attempt is moved back when its organisation had twice the mean. */
 const SHARE_DELAY = 0.25
 const MOST_ABOVE = 4
@@ -66,6 +70,7 @@
   const shares = createFairShare()
   const rate = createServiceRate()
   const places = createFreePlaces()
+  const urgentDemand = createDecayedRate()
   const running = new Map<RequestId, RunningAttempt>()
   /** Running attempts without a first token. */
   const unstarted = new Map<RequestId, RunningAttempt>()
@@ -128,10 +133,15 @@
     return effects
   }
 
+  function firstLate (now: Milliseconds): number {
+    const all = currentRate()
+    return waiting.firstLate(all, Math.max(all * LEAST_PATIENT_SHARE, all - urgentDemand.perMillisecond(now)), now)
+  }
+
   function shed (now: Milliseconds): SchedulerEffect[] {
     const effects: SchedulerEffect[] = []
     if (fleet.size() === 0) return refuseAll(now)
-    for (let index = waiting.firstLate(currentRate(), now); index >= 0; index = waiting.firstLate(currentRate(), now)) {
+    for (let index = firstLate(now); index >= 0; index = firstLate(now)) {
       const victim = chooseVictim(waiting.entries(), index, shares, now)
       const code = shares.relative(victim.attempt.organisation, now) > ABOVE_SHARE ? 'organisation-limit' : 'overloaded'
       effects.push(refuse(victim, code, now))
@@ -163,6 +173,7 @@
     arrived: (attempt, classState, now) => {
       rate.passed(waiting.size() > 0, now)
       const entry = entryOf(attempt, classState, now)
+      if (entry.demand.urgent) urgentDemand.add(entry.work, now)
       waiting.add(entry)
       shares.admitted(attempt.organisation, attempt.class, entry.work, now)
       return advance(now)
--- a/src/admission/victim.ts
+++ b/src/admission/victim.ts
@@ -11,7 +11,7 @@
  *
  * @param late index of the first attempt that would start too late
  * @example
- * const victim = chooseVictim(waiting.entries(), waiting.firstLate(rate, now), shares, now)
+ * const victim = chooseVictim(waiting.entries(), late, shares, now)
  */
 export function chooseVictim (entries: readonly WaitingAttempt[], late: number, shares: FairShare, now: Milliseconds): WaitingAttempt {
   const first = entries[late] as WaitingAttempt
--- a/src/admission/waiting.ts
+++ b/src/admission/waiting.ts
@@ -28,18 +28,20 @@
   /** In order of dispatch; not to be changed. */
   entries (): readonly WaitingAttempt[]
   /**
-   * First entry that would start too late if all before it are served at `rate`, or -1.
+   * First entry that would start too late if those before it are served at these rates, or -1.
    *
    * @param rate work done per millisecond
+   * @param patientRate what is left of it for attempts that are not urgent, since urgent ones that are
+   * still to come will go before them
    */
-  firstLate (rate: number, now: Milliseconds): number
+  firstLate (rate: number, patientRate: number, now: Milliseconds): number
 }
 
 /**
  * @example
  * const waiting = createWaitingList()
  * waiting.add(entry)
- * waiting.firstLate(rate, now)
+ * waiting.firstLate(rate, patientRate, now)
  */
 export function createWaitingList (): WaitingList {
   const entries: WaitingAttempt[] = []
@@ -77,12 +79,15 @@
     size: () => entries.length,
     work: () => totalWork,
     entries: () => entries,
-    firstLate: (rate, now) => {
-      let work = 0
+    firstLate: (rate, patientRate, now) => {
+      let urgent = 0
+      let patient = 0
       for (let index = 0; index < entries.length; index += 1) {
         const entry = entries[index] as WaitingAttempt
-        if (!entry.attempt.accepted && now + work / rate > entry.latestStart) return index
-        work += entry.work
+        const start = now + urgent / rate + patient / (entry.demand.urgent ? rate : patientRate)
+        if (!entry.attempt.accepted && start > entry.latestStart) return index
+        if (entry.demand.urgent) urgent += entry.work
+        else patient += entry.work
       }
       return -1
     }
--- a/src/upstream/cost.ts
+++ b/src/upstream/cost.ts
@@ -31,6 +31,12 @@
 /** Share of a prefill by which it holds up each answer that is being decoded. */
 const PREFILL_INTERFERENCE = 0.5
 
+/** Reports are late: an urgent request keeps this many places away from a full upstream. */
+const URGENT_MARGIN = 2
+
+/** Waiting counts this much more for a request that cannot wait. */
+const URGENT_FACTOR = 4
+
 /** An upstream with a sign of failure is chosen only when the others are this much worse. */
 const SUSPECT_COST: Milliseconds = 20_000
 
@@ -61,7 +67,8 @@
   const slots = state.load.slots()
   const prefill = input.prefillTime * (role === 'decode' ? WRONG_ROLE : 1)
   const token = tokenTime * (role === 'prefill' ? WRONG_ROLE : 1)
-  const waiting = Math.max(0, input.requests + 1 - slots) * input.holdTime / slots
+  const crowd = Math.max(0, input.requests + 1 + (demand.urgent ? URGENT_MARGIN : 0) - slots)
+  const waiting = crowd * input.holdTime / slots * (demand.urgent ? URGENT_FACTOR : 1)
   const pending = state.load.pendingTokens() * prefill
   const computing = input.computedTokens * prefill * (1 + PREFILL_INTERFERENCE * input.requests)
   const decoding = 2 * BATCH_SHARE * token / slots * input.requests * demand.generatedTokens
--- a/src/upstream/fleet.ts
+++ b/src/upstream/fleet.ts
@@ -172,6 +172,7 @@
 
   function choose (demand: Demand, spare: number, now: Milliseconds): Placement | undefined {
     const loaded = demand.adapter !== undefined && live.some((state) => hasAdapter(state, demand.adapter))
+    const mean = Math.max(0, reportedTotal - ownTotal) / Math.max(1, live.length)
     let best: Placement | undefined
     let least = Number.POSITIVE_INFINITY
     for (const state of live) {
@@ -187,7 +188,7 @@
         computedTokens: placement.computedTokens,
         prefillTime: estimate.prefillTime(),
         tokenTime: isPlain() ? plain.median() : estimate.tokenTime(),
-        requests: state.load.sampledTotal(now, random),
+        requests: state.load.sampledTotal(now, random, mean, holdTime),
         holdTime,
         slowness: outliers.slowness(state.view.name),
         health,
--- a/src/upstream/load.ts
+++ b/src/upstream/load.ts
@@ -22,8 +22,17 @@
   reportedTotal (): number
   /** Requests of all nodes there now, as far as is known. */
   total (): number
-  /** A guess at {@link total}, drawn anew each time from what may have happened since the report. */
-  sampledTotal (now: Milliseconds, random: Random): number
+  /**
+   * A guess at {@link total}, drawn anew each time.
+   *
+   * Failure guarded against: every node holds the same late report, all send to the upstream that was
+   * least loaded in it, and its queue shows only in the next report. So a report is believed less the
+   * older it is, and each node draws what may have come and gone since.
+   *
+   * @param mean requests of other nodes per upstream of the service
+   * @param hold mean time that a request stays
+   */
+  sampledTotal (now: Milliseconds, random: Random, mean: number, hold: Milliseconds): number
   /** Requests that it decodes at a time, learnt. */
   slots (): number
   /** Whether this node may send one more, leaving `spare` places free unless it is urgent. */
@@ -53,12 +62,15 @@
 /** A report older than this says nothing about the others any more. */
 const REPORT_LIFETIME: Milliseconds = 5 * SECOND
 
+/** What a report says about one upstream is believed with this time constant, then the mean of all. */
+const REPORT_MEMORY: Milliseconds = 1_200
+
+/** Width of the draw, in standard deviations of what may have come and gone. */
+const SPREAD = 2
+
 /** Requests allowed at an upstream that has not answered yet; doubles with each first token. */
 const FIRST_WINDOW = 4
 
-/** Reports closer together than this show no arrivals of others. */
-const SHORTEST_INTERVAL: Milliseconds = 50
-
 /**
  * @param now time at which the upstream was first seen
  * @example
@@ -70,10 +82,10 @@
   let own = 0
   let pendingTokens = 0
   let others = 0
-  let othersRate = 0
   let limit = Number.POSITIVE_INFINITY
   let reportedTotal = 0
   let reportedAt = now
+  let seenAt = now
   let slots = PRIOR_SLOTS
   /** All places were seen taken once. */
   let full = false
@@ -135,13 +147,10 @@
       if (!firstTokenCame) pendingTokens = Math.max(0, pendingTokens - promptTokens)
     },
     reported: (report, share, at, random) => {
-      const seenAt = at - report.ageMs
+      seenAt = at - report.ageMs
       const ownThen = ownAt(seenAt)
       reportedTotal = report.running + report.waiting
-      const othersNow = Math.max(0, reportedTotal - ownThen)
-      const interval = Math.max(SHORTEST_INTERVAL, at - reportedAt)
-      othersRate += 0.3 * (Math.abs(othersNow - others) / interval - othersRate)
-      others = othersNow
+      others = Math.max(0, reportedTotal - ownThen)
       reportedAt = at
       learnSlots(report)
       renewLimit(ownThen, share, random)
@@ -150,10 +159,11 @@
     pendingTokens: () => pendingTokens,
     reportedTotal: () => reportedTotal,
     total: () => own + others,
-    sampledTotal: (at, random) => {
-      const age = Math.min(REPORT_LIFETIME, at - reportedAt)
-      const spread = Math.sqrt(1 + othersRate * age)
-      return Math.max(own, own + others + (random.fraction() - 0.5) * 2 * spread)
+    sampledTotal: (at, random, mean, hold) => {
+      const age = Math.min(REPORT_LIFETIME, at - seenAt)
+      const believed = mean + (others - mean) * Math.exp(-age / REPORT_MEMORY)
+      const spread = SPREAD * Math.sqrt(1 + 2 * others * age / hold)
+      return Math.max(own, own + believed + (2 * random.fraction() - 1) * spread)
     },
     slots: () => slots,
     hasRoom: (share, spare, urgent, at) => {
