--- a/stand-ins/key-value-direct.ts
+++ b/stand-ins/key-value-direct.ts
@@ -16,8 +16,10 @@
 
 /** Faults that only the in-process face has. */
 export interface DirectFaults {
-  /** Writes that take effect only this long after their caller has given up; none when 0. */
-  lateWrites: Milliseconds
+  /** Some writes take effect only this long after their caller has given up; none when 0. */
+  lateBy: Milliseconds
+  /** One write in so many is late. */
+  lateEvery: number
 }
 
 /** The stand-in as a {@link KeyValue}. */
@@ -37,7 +39,7 @@
  */
 export function createDirectKeyValue (store: KeyValueStore, faultSwitch: FaultSwitch, clock: Clock): DirectKeyValue {
   const calls: KeyValueCalls = { reads: 0, writes: 0, watches: 0 }
-  const direct: DirectFaults = { lateWrites: 0 }
+  const direct: DirectFaults = { lateBy: 0, lateEvery: 1 }
 
   async function answer<T> (operation: () => T, signal: AbortSignal | undefined): Promise<T> {
     const fate = faultSwitch.next()
@@ -63,8 +65,8 @@
 
   function write<T> (operation: () => T, signal?: AbortSignal): Promise<T> {
     calls.writes += 1
-    if (direct.lateWrites === 0) return answer(operation, signal)
-    clock.sleep(direct.lateWrites).then(operation).catch(() => {})
+    if (direct.lateBy === 0 || calls.writes % direct.lateEvery !== 0) return answer(operation, signal)
+    clock.sleep(direct.lateBy).then(operation).catch(() => {})
     return Promise.reject(failure('no answer in time'))
   }
 
