--- a/stand-ins/deployment.ts
+++ b/stand-ins/deployment.ts
@@ -4,7 +4,6 @@
 import type { Configuration } from '../src/configuration/index.js'
 import { sha256 } from '../src/credentials.js'
 import { CONFIGURATION_KEY } from '../src/entry/configuration-keeper.js'
-import { startEntryNode } from '../src/entry/node.js'
 import type { EntryNode } from '../src/entry/node.js'
 import type { Address } from '../src/identifiers.js'
 import { createRandom } from '../src/random.js'
@@ -12,6 +11,7 @@
 import type { EntrySettings } from '../src/settings.js'
 import type { CloudStandIn } from './cloud.js'
 import type { EngineStandIn } from './engine.js'
+import { createEntryFleet } from './entry-fleet.js'
 import type { Fleet } from './fleet.js'
 import type { InstanceListStandIn } from './instance-list.js'
 import type { KeyValueStandIn } from './key-value.js'
@@ -79,15 +79,9 @@
   const { clock, seed } = options
   const platform = await startPlatform({ clock, random: createRandom(seed), sample: samplePlatform(options) })
   storeConfiguration(platform.keyValue, sampleConfiguration())
-  const entries: EntryNode[] = []
-
-  async function addEntry (): Promise<EntryNode> {
-    const index = entries.length
-    const entry = await startEntryNode({ settings: entrySettings(platform, options, index), clock, random: createRandom(seed + index + 1) })
-    entries.push(entry)
-    return entry
-  }
-
+  const entryFleet = createEntryFleet({ platform, clock, seed, group: 'sample-entries', machineClass: 'general' })
+  const { entries } = entryFleet
+  const addEntry = (): Promise<EntryNode> => entryFleet.add(entrySettings(platform, options, entries.length))
   for (let index = 0; index < options.entries; index += 1) await addEntry()
   return {
     platform,
@@ -105,7 +99,7 @@
     operatorKey: OPERATOR_KEY,
     addEntry,
     kill: async () => {
-      await Promise.all(entries.map((entry) => entry.kill()))
+      await entryFleet.kill()
       await platform.kill()
     }
   }
--- a/stand-ins/sample-deployment.ts
+++ b/stand-ins/sample-deployment.ts
@@ -1,11 +1,13 @@
 /** A sample deployment in one process: its platform's stand-ins and entry nodes, on free ports. */
 import type { Clock } from '../src/clock.js'
-import { startEntryNode } from '../src/entry/node.js'
 import type { EntryNode } from '../src/entry/node.js'
 import type { Address } from '../src/identifiers.js'
+import { startPlanner } from '../src/planner/planner.js'
+import type { Planner } from '../src/planner/planner.js'
 import { createRandom } from '../src/random.js'
 import type { EntrySettings } from '../src/settings.js'
 import { platformSettings } from './deployment.js'
+import { createEntryFleet } from './entry-fleet.js'
 import { startPlatform } from './platform.js'
 import type { Platform } from './platform.js'
 import type { PlatformSample } from './platform-sample.js'
@@ -15,6 +17,7 @@
 export interface SampleDeployment {
   readonly platform: Platform
   readonly entries: readonly EntryNode[]
+  readonly planners: readonly Planner[]
   readonly addresses: readonly Address[]
   kill (): Promise<void>
 }
@@ -29,6 +32,11 @@
 
 const ANY_PORT = '127.0.0.1:0' as Address
 
+/** Machine class of entry nodes in every sample. */
+const ENTRY_MACHINE_CLASS = 'general'
+
+const PLANNER_SEEDS = 100
+
 /**
  * Starts a sample without a configuration; operators apply it as they would anywhere.
  *
@@ -38,16 +46,21 @@
 export async function startSampleDeployment (options: SampleDeploymentOptions): Promise<SampleDeployment> {
   const { sample, clock, seed } = options
   const platform = await startPlatform({ clock, random: createRandom(seed), sample: onFreePorts(sample.platform) })
-  const entries: EntryNode[] = []
-  for (const [index, settings] of sample.entries.entries()) {
-    entries.push(await startEntryNode({ settings: localSettings(settings, platform, options), clock, random: createRandom(seed + index + 1) }))
-  }
+  const entryFleet = createEntryFleet({ platform, clock, seed, group: `${sample.platform.group}-entries`, machineClass: ENTRY_MACHINE_CLASS })
+  for (const settings of sample.entries) await entryFleet.add(localSettings(settings, platform, options))
+  const planners = sample.planners.map((settings, index) => startPlanner({
+    settings: { ...settings, log_level: options.logLevel, platform: platformSettings(platform) },
+    clock,
+    random: createRandom(seed + PLANNER_SEEDS + index)
+  }))
   return {
     platform,
-    entries,
-    addresses: entries.map((entry) => entry.address),
+    entries: entryFleet.entries,
+    planners,
+    addresses: entryFleet.entries.map((entry) => entry.address),
     kill: async () => {
-      await Promise.all(entries.map((entry) => entry.kill()))
+      await Promise.all(planners.map((planner) => planner.kill()))
+      await entryFleet.kill()
       await platform.kill()
     }
   }
--- a/stand-ins/sample.ts
+++ b/stand-ins/sample.ts
@@ -4,6 +4,8 @@
 import { z } from 'zod'
 import { classNameSchema, organisationNameSchema } from '../src/identifiers.js'
 import type { OrganisationName } from '../src/identifiers.js'
+import { plannerSettingsSchema } from '../src/planner/settings.js'
+import type { PlannerSettings } from '../src/planner/settings.js'
 import { chatMessageSchema, plainCallSchema } from '../src/request/index.js'
 import { describeIssue, entrySettingsSchema, loadSettings, readText } from '../src/settings.js'
 import type { EntrySettings } from '../src/settings.js'
@@ -40,12 +42,14 @@
   readonly configuration: string
   readonly platform: PlatformSample
   readonly entries: readonly EntrySettings[]
+  readonly planners: readonly PlannerSettings[]
   readonly operatorKey: string
   readonly organisations: readonly { readonly name: OrganisationName, readonly key: string }[]
   readonly requests: readonly SampleRequest[]
 }
 
 const ENTRY_FILE = /^entry-\d+\.toml$/
+const PLANNER_FILE = /^planner-\d+\.toml$/
 const REQUEST_FILE = /\.jsonl$/
 
 /**
@@ -62,6 +66,7 @@
     configuration: readText(join(folder, 'configuration.toml')),
     platform: loadSettings(platformSampleSchema, join(folder, 'platform.toml')),
     entries: files(folder, ENTRY_FILE).map((path) => loadSettings(entrySettingsSchema, path)),
+    planners: files(folder, PLANNER_FILE).map((path) => loadSettings(plannerSettingsSchema, path)),
     operatorKey: keys.operator,
     organisations: keys.organisations,
     requests: files(join(folder, 'requests'), REQUEST_FILE).flatMap(loadRequests)
