Every dispatch needs a permit of its fingerprint's owner; suspects run apart

Carries out the decisions on requests that crash upstreams: permits and isolation by tRPC, evidence to all nodes, a broken connection is not a crash unless a new one is refused.

--- a/src/entry/attempts.ts
+++ b/src/entry/attempts.ts
@@ -1,28 +1,17 @@
 /** Runs a request: attempt after attempt, as far as the verdicts allow, until its answer ends. */
-import type { AttemptResult, PendingAttempt } from '../admission/index.js'
 import { SECOND } from '../clock.js'
 import type { Milliseconds } from '../clock.js'
 import { findClass, findService } from '../configuration/index.js'
 import type { Service } from '../configuration/index.js'
 import type { UpstreamName } from '../identifiers.js'
-import { prefixBlocks, promptTokens } from '../platform/prompt.js'
 import type { AnswerEnd, RetryDecision } from '../request/index.js'
 import type { UpstreamView } from '../upstream/index.js'
 import { mayRepeat, ServingError, toServingError } from '../verdict.js'
 import type { Verdict } from '../verdict.js'
+import { attemptAt, attemptOnce } from './attempt.js'
+import type { AttemptEnd } from './attempt.js'
 import type { ExecutionContext } from './context.js'
-import type { Placement } from './dispatcher.js'
 import type { Execution } from './execution.js'
-import { generate } from './generation.js'
-import { callPlain } from './plain-call.js'
-
-/** How one attempt ended. */
-export type AttemptEnd =
-  | { kind: 'whole', end: Extract<AnswerEnd, { kind: 'finished' | 'plain' }>, result: AttemptResult }
-  /** `upstreamDied`: new connections are refused or the upstream lost its streams. */
-  | { kind: 'failed', failure: ServingError, upstreamDied: boolean }
-  /** The upstream or this node is being left; the request goes on elsewhere from its tokens so far. */
-  | { kind: 'recompute' }
 
 /**
  * Runs an execution to the end of its answer, and books what happens.
@@ -46,17 +35,20 @@
 async function attemptUntilEnd (context: ExecutionContext, execution: Execution, traceparent: string): Promise<AnswerEnd> {
   const service = serviceOf(context, execution)
   const excluded = new Set<UpstreamName>()
-  let verdict: Verdict = execution.answer.offset() > 0 ? 'ran' : 'not-run'
+  let verdict: Verdict = provenSoFar(execution)
   let failures = 0
   let decision: RetryDecision
   const attached = await attachFirst(context, execution, service, traceparent)
   if (attached?.kind === 'whole') return attached.end
   for (let attempt = 1; ; attempt += 1) {
     forgetWhenAllExcluded(context, service, excluded)
-    const end = await attemptOnce(context, execution, service, attempt, excluded, traceparent)
+    const end = await attemptOnce(context, execution, { service, attempt, excluded, traceparent })
     switch (end.kind) {
       case 'whole': return end.end
-      case 'recompute': break
+      case 'recompute':
+        if (execution.owner.signal.aborted) return { kind: 'failed', failure: withVerdict(stoppedFailure(), verdict) }
+        break
+      case 'occupied': break
       case 'refused': return { kind: 'failed', failure: withVerdict(end.failure, stronger(verdict, end.failure.verdict)) }
       case 'failed':
         failures += 1
@@ -85,48 +77,6 @@
   return end
 }
 
-type Attempted = AttemptEnd | { kind: 'refused', failure: ServingError }
-
-async function attemptOnce (context: ExecutionContext, execution: Execution, service: Service, attempt: number, excluded: Set<UpstreamName>, traceparent: string): Promise<Attempted> {
-  let placement: Placement
-  if (!context.mayDispatch(execution.request.id)) return { kind: 'refused', failure: handedAwayFailure() }
-  try {
-    placement = await context.dispatcher.place(pendingAttempt(execution, attempt, excluded), execution.owner.signal)
-  } catch (error) {
-    return { kind: 'refused', failure: toServingError(error, 'not-run') }
-  }
-  const { upstream } = placement
-  accept(context, execution)
-  context.bookkeeping.dispatched(execution, upstream.name, attempt, `priority ${placement.priority}`)
-  const end = await attemptAt(context, execution, placement, service, traceparent)
-  context.dispatcher.ended(execution.request.id, resultOf(end))
-  if (end.kind !== 'whole') excluded.add(upstream.name)
-  if (end.kind === 'failed') context.bookkeeping.attemptFailed(execution, upstream.name, end.failure)
-  return end
-}
-
-async function attemptAt (context: ExecutionContext, execution: Execution, placement: Placement, service: Service, traceparent: string): Promise<AttemptEnd> {
-  const leave = context.directory.enter(placement.upstream.name)
-  const span = context.tracing.start('attempt', traceparent, { 'hornbeamgap.upstream': placement.upstream.name })
-  try {
-    const { work } = execution.request
-    if (work.kind === 'model' && service.kind === 'model') return await generate(context, execution, placement, work.body, service.model, span.traceparent)
-    if (work.kind === 'plain' && service.kind === 'plain') return await callPlain(context, execution, placement, work.call, span.traceparent)
-    return { kind: 'failed', failure: wrongKind(execution, service), upstreamDied: false }
-  } finally {
-    leave()
-    execution.attempt = undefined
-    span.end()
-  }
-}
-
-function accept (context: ExecutionContext, execution: Execution): void {
-  if (execution.accepted) return
-  execution.accept()
-  context.retries.firstAttempt(execution.request.class)
-  context.bookkeeping.accepted(execution)
-}
-
 function finish (context: ExecutionContext, execution: Execution, end: AnswerEnd): AnswerEnd | undefined {
   if (execution.owner.signal.reason === 'handed-over' && end.kind === 'failed') return undefined
   execution.endedAt = context.clock.now()
@@ -151,26 +101,6 @@
   return service
 }
 
-function pendingAttempt (execution: Execution, attempt: number, excluded: ReadonlySet<UpstreamName>): PendingAttempt {
-  const { request, answer } = execution
-  const body = request.work.kind === 'model' ? request.work.body : undefined
-  return {
-    id: request.id,
-    organisation: request.organisation,
-    class: request.class,
-    attempt,
-    arrivedAt: execution.arrivedAt,
-    promptTokens: body === undefined ? 0 : promptTokens(body.messages),
-    maxTokens: body?.max_tokens ?? 0,
-    tokensSoFar: answer.offset(),
-    prefixBlocks: body === undefined ? [] : prefixBlocks(body.messages, body.adapter),
-    adapter: body?.adapter,
-    excluded: [...excluded],
-    apart: execution.apart,
-    accepted: execution.accepted
-  }
-}
-
 /**
  * Failure guarded against: a lost path to every upstream of a service leaves a request with nowhere to
  * go, although the upstreams live. When all are excluded, none is.
@@ -194,12 +124,14 @@
   }, context.random)
 }
 
-function resultOf (end: AttemptEnd): AttemptResult {
-  switch (end.kind) {
-    case 'whole': return end.result
-    case 'failed': return { kind: 'failed', verdict: end.failure.verdict, upstreamDied: end.upstreamDied }
-    case 'recompute': return { kind: 'withdrawn' }
-  }
+function stoppedFailure (): ServingError {
+  return new ServingError('the request was stopped', { code: 'cancelled', verdict: 'may-have-run' })
+}
+
+/** What an attempt at the node before proves. */
+function provenSoFar (execution: Execution): Verdict {
+  if (execution.answer.offset() > 0) return 'ran'
+  return execution.position === undefined ? 'not-run' : 'may-have-run'
 }
 
 const STRENGTH: Record<Verdict, number> = { 'not-run': 0, 'may-have-run': 1, ran: 2 }
@@ -214,12 +146,3 @@
   if (failure.verdict === verdict && failure.retryAfter === retryAfter) return failure
   return new ServingError(failure.message, { code: failure.code, verdict, cause: failure, ...(retryAfter === undefined ? {} : { retryAfter }) })
 }
-
-/** Another node may be running it: this one never dispatches it again. */
-function handedAwayFailure (): ServingError {
-  return new ServingError('the request was handed to a node that cannot be asked', { code: 'outcome-unknown', verdict: 'may-have-run' })
-}
-
-function wrongKind (execution: Execution, service: Service): ServingError {
-  return new ServingError(`class ${execution.request.class} is served by a ${service.kind} service`, { code: 'invalid-request', verdict: 'not-run' })
-}
--- a/src/entry/context.ts
+++ b/src/entry/context.ts
@@ -8,6 +8,7 @@
 import type { Tracing } from '../tracing.js'
 import type { Bookkeeping } from './bookkeeping.js'
 import type { Dispatcher } from './dispatcher.js'
+import type { Permits } from './permits.js'
 import type { UpstreamDirectory } from './upstream-directory.js'
 
 /** What executions need from their node. */
@@ -15,6 +16,7 @@
   readonly directory: UpstreamDirectory
   readonly dispatcher: Dispatcher
   readonly bookkeeping: Bookkeeping
+  readonly permits: Permits
   readonly tracing: Tracing
   readonly retries: RetryPolicy
   /** Connections that are kept and used again. */
--- a/src/entry/execution.ts
+++ b/src/entry/execution.ts
@@ -50,8 +50,6 @@
   /** The attempt that runs now. */
   attempt: OpenAttempt | undefined
   accepted: boolean
-  /** Suspected of crashing upstreams: it runs where no other request of this node runs. */
-  apart: boolean
   firstTokenAt: Milliseconds | undefined
   endedAt: Milliseconds | undefined
   /** How it ended. */
@@ -106,7 +104,6 @@
     running: Promise.resolve(),
     attempt: undefined,
     accepted: false,
-    apart: false,
     firstTokenAt: start.firstTokenAge === undefined ? undefined : clock.now() - start.firstTokenAge,
     endedAt: undefined,
     outcome: undefined,
--- a/src/entry/node.ts
+++ b/src/entry/node.ts
@@ -12,6 +12,8 @@
 import type { Log } from '../log.js'
 import { createEntryMetrics } from '../metrics.js'
 import type { EntryMetrics } from '../metrics.js'
+import { registerOperatorApi } from '../operator/api.js'
+import { createInquiryHandlers } from '../operator/inquiry.js'
 import { createPeers } from '../peer/client.js'
 import type { Peers } from '../peer/client.js'
 import { createPeerServer } from '../peer/server.js'
@@ -38,7 +40,9 @@
 import { createMembershipKeeper } from './membership-keeper.js'
 import type { MembershipKeeper } from './membership-keeper.js'
 import { registerObservationApi } from './observation.js'
+import { createPermits } from './permits.js'
 import { createRelay } from './relay.js'
+import { createReportKeeper } from './report-keeper.js'
 import { createRequestHandlers } from './request-handlers.js'
 import { createRouting } from './routing.js'
 import { startSchedulerFeed } from './scheduler-feed.js'
@@ -94,6 +98,9 @@
 /** Memory for facts about recent requests. */
 const FACT_BYTES = 8_388_608
 
+/** Bound on writing the last report at the end of a stop. */
+const LAST_REPORT_BOUND: Milliseconds = 3_000
+
 const STARTING_RETRY: Milliseconds = 500
 const LARGEST_SEED = 2 ** 30
 
@@ -114,6 +121,7 @@
   const connections = createConnections(CONNECTIONS_PER_ADDRESS)
   const freshConnections = createFreshConnections(CONNECTIONS_PER_ADDRESS)
   const peers = createPeers(connections, settings.peer_key)
+  const freshPeers = createPeers(freshConnections, settings.peer_key)
   const keyValue = createKeyValue(connections, settings.platform.key_value)
   const metrics = createEntryMetrics()
   const tracing = createTracing(settings.instance, settings.trace_collector)
@@ -127,7 +135,9 @@
   // The keeper asks at once, when there is no membership yet; it asks again a second later.
   const configuration = createConfigurationKeeper({ keyValue, clock, log, signal, random, watching: () => ready && membership.watching() })
   const current = () => configuration.current()?.configuration
+  const permits = createPermits({ own: incarnation, nodes: () => membership.nodes(), peers, freshPeers, clock, signal })
   const context: ExecutionContext = {
+    permits,
     directory,
     dispatcher: createDispatcher({ scheduler: createScheduler({ random }), directory, clock }),
     bookkeeping: createBookkeeping({ ledger, facts, metrics, clock, configuration: current }),
@@ -155,7 +165,13 @@
       deliver: (delivery) => membership.handlers.deliver(delivery),
       probe: (target) => membership.handlers.probe(target)
     },
-    request: createRequestHandlers({ executions, home, clock, stopping: () => leaving })
+    inquiry: {
+      explain: (id) => inquiry.explain(id),
+      state: () => inquiry.state(),
+      writeReport: () => inquiry.writeReport()
+    },
+    request: createRequestHandlers({ executions, home, clock, stopping: () => leaving }),
+    suspicion: permits.handlers
   })
   const address = await listen(server, settings.listen)
   const peerAddress = await listen(peerServer, settings.peer_listen)
@@ -172,7 +188,7 @@
     signal
   })
 
-  const freshPeers = createPeers(freshConnections, settings.peer_key)
+  membership.events.on('gone', ({ incarnation: gone }) => permits.holderGone(gone))
   const relay = createRelay({ own: incarnation, peers, freshPeers, membership: () => membership, clock })
   const claims = createClaimKeeper({ keyValue, clock, signal, pause: () => writePause(membership.count()) })
   const routing = createRouting({ context, executions, relay, claims })
@@ -186,6 +202,9 @@
   })
   const parts: EntryParts = { settings, clock, random, log, signal, keyValue, peers, directory, configuration, membership, context, home, executions, streams, ledger, facts, metrics }
   registerObservationApi(service, parts)
+  const reports = createReportKeeper({ incarnation, instance: settings.instance, ledger, keyValue, clock, random, log, signal })
+  const inquiry = createInquiryHandlers({ ...parts, reports })
+  registerOperatorApi(service, { ...parts, reports })
   await Promise.allSettled([directory.refresh(), configuration.refresh(), membership.refresh()])
   startSchedulerFeed({ dispatcher: context.dispatcher, directory, connections, configuration: current, nodeCount: () => membership.count(), clock, signal })
   ready = true
@@ -207,12 +226,14 @@
       membership,
       server,
       addressLifetime: settings.addresses.lifetime_ms,
+      permits,
       onLeaving: () => { leaving = true },
       clock,
       log,
       signal
     }
     await (deadline === undefined ? stopGracefully(stopOptions) : stopBefore(stopOptions, deadline))
+    await reports.finish(AbortSignal.any([signal, AbortSignal.timeout(LAST_REPORT_BOUND)]))
     log.info('stopped', { open: executions.open().length })
     await kill()
   }
--- a/src/peer/router.ts
+++ b/src/peer/router.ts
@@ -4,14 +4,20 @@
  */
 import { agreementProcedures } from './agreement.js'
 import type { AgreementHandlers } from './agreement.js'
+import { inquiryProcedures } from './inquiry.js'
+import type { InquiryHandlers } from './inquiry.js'
 import { peerRouter } from './procedure.js'
 import { requestProcedures } from './request.js'
 import type { RequestHandlers } from './request.js'
+import { suspicionProcedures } from './suspicion.js'
+import type { SuspicionHandlers } from './suspicion.js'
 
 /** What a node does when a peer asks. */
 export interface PeerHandlers {
   readonly agreement: AgreementHandlers
+  readonly inquiry: InquiryHandlers
   readonly request: RequestHandlers
+  readonly suspicion: SuspicionHandlers
 }
 
 /**
@@ -21,7 +27,9 @@
 export function createPeerRouter (handlers: PeerHandlers) {
   return peerRouter({
     agreement: agreementProcedures(handlers.agreement),
-    request: requestProcedures(handlers.request)
+    inquiry: inquiryProcedures(handlers.inquiry),
+    request: requestProcedures(handlers.request),
+    suspicion: suspicionProcedures(handlers.suspicion)
   })
 }
 
