--- a/bench/main.ts
+++ b/bench/main.ts
@@ -6,7 +6,13 @@
 import type { Bench } from './table.js'
 
 /** Each topic's module; loaded only when it is asked for. */
-const TOPICS: Readonly<Record<string, () => Promise<{ bench: Bench }>>> = {}
+const TOPICS: Readonly<Record<string, () => Promise<{ bench: Bench }>>> = {
+  overload: () => import('./overload.js'),
+  fairness: () => import('./fairness.js'),
+  routing: () => import('./routing.js'),
+  outliers: () => import('./outliers.js'),
+  recovery: () => import('./recovery.js')
+}
 
 const DEFAULT_SEED = 1
 
