--- a/src/upstream/reclaim/spread.ts
+++ b/src/upstream/reclaim/spread.ts
@@ -3,7 +3,7 @@
  * goes to the rest in one or two steps. No node talks to all others.
  */
 import type { FailureDomain, Incarnation } from '../../identifiers.js'
-import { hashText } from './hash.js'
+import { rank } from '../../membership/index.js'
 
 /** A node, as far as the spreading of notices depends on it. */
 export interface SpreadNode {
@@ -25,9 +25,7 @@
 export function pollersOf<Node extends SpreadNode> (nodes: readonly Node[], domain: FailureDomain, count = POLLERS_PER_DOMAIN): readonly Node[] {
   const members = nodes.filter((node) => node.failureDomain === domain)
   const staying = members.filter((node) => !node.leaving)
-  const ranked = (staying.length > 0 ? staying : members).map((node) => ({ node, rank: hashText(`poll ${node.incarnation}`) }))
-  ranked.sort((left, right) => left.rank - right.rank || (left.node.incarnation < right.node.incarnation ? -1 : 1))
-  return ranked.slice(0, count).map(({ node }) => node)
+  return rank('poll', staying.length > 0 ? staying : members).slice(0, count)
 }
 
 /**
--- a/src/upstream/reclaim/targets.ts
+++ b/src/upstream/reclaim/targets.ts
@@ -1,7 +1,7 @@
 /** What the targets of a reclaim can still take while a plan is being made. */
 import type { Milliseconds } from '../../clock.js'
 import type { FailureDomain, UpstreamName } from '../../identifiers.js'
-import { hashText } from './hash.js'
+import { score } from '../../membership/index.js'
 import type { OpenStream, ReclaimSituation, ReclaimTarget } from './types.js'
 
 /** A place for a stream's cache. */
@@ -84,14 +84,14 @@
   const weight = recomputationWeight(situation.recomputedPerThousandTokens)
 
   function importSlot (stream: OpenStream, tokens: number, from: Milliseconds, until: Milliseconds): ImportSlot | undefined {
-    let best: { slot: ImportSlot, score: readonly number[] } | undefined
+    let best: { slot: ImportSlot, costs: readonly number[] } | undefined
     for (const room of rooms) {
       if (!room.allotted || room.places < 1 || room.cache < tokens + stream.remainingTokens) continue
       const slot = slotAt(room, tokens, from, situation)
       if (slot.endAfter > until) continue
       const late = slot.endAfter + stream.remainingTokens * room.target.tokenTime > stream.slack
-      const score = [Number(late), slot.endAfter, 1 - room.cache / room.freeCache, room.rank]
-      if (best === undefined || isLess(score, best.score)) best = { slot, score }
+      const costs = [Number(late), slot.endAfter, 1 - room.cache / room.freeCache, room.rank]
+      if (best === undefined || isLess(costs, best.costs)) best = { slot, costs }
     }
     return best?.slot
   }
@@ -104,7 +104,7 @@
   }
 
   function takeResume (stream: OpenStream): { target: UpstreamName, backlog: Milliseconds, prefill: Milliseconds } | undefined {
-    let best: { room: Room, prefill: Milliseconds, score: readonly number[] } | undefined
+    let best: { room: Room, prefill: Milliseconds, costs: readonly number[] } | undefined
     const length = stream.promptTokens + stream.generatedTokens
     for (const room of rooms) {
       if (room.cache < length + stream.remainingTokens) continue
@@ -112,8 +112,8 @@
       const prefill = missing / room.target.prefillRate
       const ready = room.prefillBacklog + prefill
       const late = ready + stream.remainingTokens * room.target.tokenTime > stream.slack
-      const score = [Number(late), Number(room.places < 1), ready + weight * prefill, room.rank]
-      if (best === undefined || isLess(score, best.score)) best = { room, prefill, score }
+      const costs = [Number(late), Number(room.places < 1), ready + weight * prefill, room.rank]
+      if (best === undefined || isLess(costs, best.costs)) best = { room, prefill, costs }
     }
     if (best === undefined) return undefined
     const { room, prefill } = best
@@ -171,7 +171,7 @@
   const freeCache = target.freeCacheTokens * part
   return {
     target,
-    rank: hashText(`${situation.upstream} ${target.upstream}`),
+    rank: score(situation.upstream, target.upstream),
     allotted: share > 0,
     importRate: target.importRate * part,
     freeCache,
