Operators' API and command: configuration, status, reports, explanations, planner history

Any entry node answers; a change carries its id and the revision it was made from, so that the command may repeat it at another node after a lost reply. A process that has counted nothing writes no report, and a report says when the next one is due.

--- a/src/bin/command-line.ts
+++ b/src/bin/command-line.ts
@@ -1,5 +1,6 @@
 /** What the binaries share: exit codes, errors for people, and the end by signal. */
 import { toServingError } from '../verdict.js'
+import type { FailureCode } from '../verdict.js'
 
 /** Exit codes of all binaries. */
 export const EXIT = {
@@ -22,11 +23,17 @@
   command().catch((error) => {
     const failure = toServingError(error, 'not-run')
     process.stderr.write(`${failure.message}\n`)
-    process.exitCode = failure.code === 'invalid-request' ? EXIT.usage : EXIT.failure
+    process.exitCode = isUsage(error, failure.code) ? EXIT.usage : EXIT.failure
+    if (isUsage(error, failure.code)) return
     if (failure.code === 'internal') process.stderr.write(`${(error as Error).stack ?? ''}\n`)
   })
 }
 
+/** The command line's parser has its own errors for options and arguments that it does not know. */
+function isUsage (error: unknown, code: FailureCode): boolean {
+  return code === 'invalid-request' || (error instanceof Error && error.name === 'CACError')
+}
+
 /**
  * Calls `stop` on the first SIGTERM or SIGINT.
  *
--- /dev/null
+++ b/src/bin/hornbeamgap.ts
@@ -0,0 +1,88 @@
+#!/usr/bin/env node
+/** `hornbeamgap`: the operators' command. */
+import { userInfo } from 'node:os'
+import { cac } from 'cac'
+import type { Command } from 'cac'
+import { createSystemClock } from '../clock.js'
+import { applyCommand, historyCommand, rollbackCommand, showCommand } from '../operator/command/change.js'
+import type { ChangeCommandOptions } from '../operator/command/change.js'
+import { createOperatorClient, resolveSettings } from '../operator/command/connection.js'
+import type { ConnectionOptions, OperatorClient } from '../operator/command/connection.js'
+import { explainCommand, plannerCommand, statusCommand } from '../operator/command/look.js'
+import { createProcessOutput } from '../operator/command/output.js'
+import { reportCommand } from '../operator/command/report.js'
+import type { ReportCommandOptions } from '../operator/command/report.js'
+import { ServingError } from '../verdict.js'
+import { VERSION } from '../version.js'
+import { runCommand } from './command-line.js'
+
+type Options = ConnectionOptions & { json?: boolean }
+
+const output = createProcessOutput()
+
+runCommand(async () => {
+  const program = cac('hornbeamgap')
+  withChange(program.command('apply <file>', 'Put a configuration in force, from a TOML file'))
+    .action((file: string, options: Options & ChangeCommandOptions) => connected(options, (client) => applyCommand(client, output, file, authored(options))))
+  withChange(program.command('rollback <revision>', 'Put an earlier revision in force again, as a new revision'))
+    .action((revision: string, options: Options & ChangeCommandOptions) => connected(options, (client) => rollbackCommand(client, output, Number(revision), authored(options))))
+  withConnection(program.command('show', 'Show the configuration in force, as TOML'))
+    .action((options: Options) => connected(options, (client) => showCommand(client, output, options)))
+  withConnection(program.command('history', 'List revisions: who changed what, when and why'))
+    .option('--limit <count>', 'Most revisions', { default: 20 })
+    .action((options: Options & { limit: number }) => connected(options, (client) => historyCommand(client, output, options)))
+  withConnection(program.command('status', 'Show what is in force at each node'))
+    .action((options: Options) => connected(options, (client) => statusCommand(client, output, options)))
+  withConnection(program.command('report', 'Tell who got what, by class and organisation'))
+    .option('--since <duration>', 'Begin so long ago: 90m, 2h, 3d (default: 1d)')
+    .option('--from <time>', 'Begin at an ISO 8601 time')
+    .option('--to <time>', 'End at an ISO 8601 time (default: now)')
+    .option('--fresh', 'Have every node report first')
+    .option('--csv', 'Write comma-separated values')
+    .option('--html <file>', 'Write a page with plots')
+    .action((options: Options & ReportCommandOptions) => connected(options, (client) => reportCommand(client, output, options, createSystemClock().wall())))
+  withConnection(program.command('explain <id>', 'Tell what happened to one request, and why'))
+    .action((id: string, options: Options) => connected(options, (client) => explainCommand(client, output, id, options)))
+  withConnection(program.command('planner', 'Tell what the planner did, and why'))
+    .action((options: Options) => connected(options, (client) => plannerCommand(client, output, options)))
+  program.help()
+  program.version(VERSION)
+  program.parse(process.argv, { run: false })
+  if (program.matchedCommand === undefined) return withoutCommand(program.args, program.options, () => program.outputHelp())
+  await program.runMatchedCommand()
+})
+
+function withConnection (command: Command): Command {
+  return command
+    .option('--address <addresses>', 'Entry nodes as IP:PORT, separated by commas; or HORNBEAMGAP_ADDRESSES')
+    .option('--settings <file>', 'TOML file with addresses and operator_key; or HORNBEAMGAP_SETTINGS')
+    .option('--json', 'Write JSON')
+}
+
+function withChange (command: Command): Command {
+  return withConnection(command)
+    .option('--dry-run', 'Show the difference and change nothing')
+    .option('--reason <text>', 'Why; kept in the history')
+    .option('--author <name>', 'Who; your login name when left out')
+    .option('--base <revision>', 'Revision that the change was made from; refused when another came first')
+    .option('--change-id <id>', 'Settle an earlier attempt whose outcome was unknown')
+}
+
+async function connected (options: Options, task: (client: OperatorClient) => Promise<void>): Promise<void> {
+  const client = createOperatorClient(resolveSettings(options, process.env))
+  try {
+    await task(client)
+  } finally {
+    await client.close()
+  }
+}
+
+function authored (options: ChangeCommandOptions): ChangeCommandOptions {
+  return { ...options, author: options.author ?? userInfo().username }
+}
+
+function withoutCommand (args: readonly string[], options: Readonly<Record<string, unknown>>, help: () => void): void {
+  if (options.help === true || options.version === true) return
+  if (args.length === 0) return help()
+  throw new ServingError(`no command "${args[0]}"; see hornbeamgap --help`, { code: 'invalid-request', verdict: 'not-run' })
+}
--- a/src/entry/report-keeper.ts
+++ b/src/entry/report-keeper.ts
@@ -49,12 +49,15 @@
 /** The service's JSON form carries values in base64. */
 const WIRE_FACTOR = 4 / 3
 
-const FASTEST_PACE: Milliseconds = 20 * SECOND
+const FASTEST_PACE: Milliseconds = 30 * SECOND
 const SLOWEST_PACE: Milliseconds = 5 * MINUTE
 
 /** The pace varies by this share either way, so that nodes started together drift apart. */
 const JITTER = 0.25
 
+/** Room for growth between two snapshots in what one says about the time of the next. */
+const GROWTH = 1.5
+
 /** Pause between two tries of the last report. */
 const FINISH_RETRY: Milliseconds = 250
 
@@ -86,7 +89,7 @@
   function prepare (kind: 'counting' | 'closed' | 'final'): Sent {
     const counts = kind === 'counting' ? ledger.snapshot() : ledger.closeEpoch()
     sequence += 1
-    const text = encodeSnapshot({ incarnation, instance, sequence, writtenAt: clock.wall(), nextWithin: SLOWEST_PACE * (1 + JITTER), state: { kind }, returned }, counts)
+    const text = encodeSnapshot({ incarnation, instance, sequence, writtenAt: clock.wall(), nextWithin: paceOf(usage.lastBytes * GROWTH) * (1 + JITTER), state: { kind }, returned }, counts)
     return { snapshot: decodeSnapshot(text) as Snapshot, counts, text }
   }
 
@@ -96,6 +99,13 @@
     return periodOf(clock.wall()) > periodOf(since) ? 'closed' : 'counting'
   }
 
+  /** Most planners never hold the lease: a process that has never counted anything writes nothing. */
+  function nothingToTell (): boolean {
+    if (sequence > 0) return false
+    const { cells, open, spend } = ledger.snapshot()
+    return cells.length + open.length + spend.length === 0
+  }
+
   async function settle (owner: AbortSignal): Promise<void> {
     for (let step = 0; pending !== undefined && step < MOST_STEPS; step += 1) {
       const sent = pending
@@ -173,6 +183,10 @@
   async function writeOnce (kind: 'counting' | 'final', owner: AbortSignal): Promise<void> {
     await settle(owner)
     if (progress.finished) return
+    if (nothingToTell()) {
+      progress.finished = kind === 'final'
+      return
+    }
     pending ??= prepare(kind === 'final' ? 'final' : nextKind())
     await settle(owner)
   }
--- /dev/null
+++ b/src/operator/command/change.ts
@@ -0,0 +1,146 @@
+/** `apply`, `rollback`, `show` and `history`: the configuration from the command line. */
+import { stringify } from 'smol-toml'
+import { EXIT } from '../../bin/command-line.js'
+import { timeText } from '../../report/index.js'
+import { parseToml, readText } from '../../settings.js'
+import { ServingError } from '../../verdict.js'
+import { changeAnswerSchema, currentAnswerSchema, historyAnswerSchema } from '../messages.js'
+import type { ChangeAnswer } from '../messages.js'
+import { createChangeId } from './connection.js'
+import type { OperatorClient } from './connection.js'
+import { jsonText } from './output.js'
+import type { CommandOutput } from './output.js'
+
+/** Options of commands that change something. */
+export interface ChangeCommandOptions {
+  readonly dryRun?: boolean | undefined
+  readonly reason?: string | undefined
+  readonly author?: string | undefined
+  /** Change id of an earlier attempt whose outcome was unknown. */
+  readonly changeId?: string | undefined
+  /** Revision that the change was made from; the one in force when left out. */
+  readonly base?: number | undefined
+  readonly json?: boolean | undefined
+}
+
+/**
+ * `hornbeamgap apply FILE`.
+ *
+ * @throws ServingError when the change is certainly not accepted, or `outcome-unknown`
+ * @example
+ * await applyCommand(client, output, 'configuration.toml', { reason: 'slower bookings at noon' })
+ */
+export async function applyCommand (client: OperatorClient, output: CommandOutput, path: string, options: ChangeCommandOptions): Promise<void> {
+  const document = parseToml(readText(path), path)
+  await change(client, output, '/operator/configuration', { document }, options)
+}
+
+/**
+ * `hornbeamgap rollback REVISION`.
+ *
+ * @throws ServingError as {@link applyCommand}
+ * @example
+ * await rollbackCommand(client, output, 6, { reason: 'too strict' })
+ */
+export async function rollbackCommand (client: OperatorClient, output: CommandOutput, to: number, options: ChangeCommandOptions): Promise<void> {
+  if (!Number.isSafeInteger(to) || to < 1) throw invalid('the revision must be a whole number from 1 on')
+  await change(client, output, '/operator/configuration/rollback', { to }, options)
+}
+
+/**
+ * `hornbeamgap show`: the document in force, as TOML that can be applied again.
+ *
+ * @example
+ * await showCommand(client, output, { json: false })
+ */
+export async function showCommand (client: OperatorClient, output: CommandOutput, options: { json?: boolean | undefined }): Promise<void> {
+  const { current } = await client.get('/operator/configuration', currentAnswerSchema)
+  if (options.json === true) return output.out(jsonText(current ?? null))
+  if (current === undefined) return output.note('no configuration has been applied yet')
+  output.out(`# revision ${current.revision}, ${timeText(current.changedAt)}, by ${current.author}: ${singleLine(current.reason)}\n`)
+  output.out(stringify(current.configuration) + '\n')
+}
+
+/**
+ * `hornbeamgap history`.
+ *
+ * @example
+ * await historyCommand(client, output, { limit: 20 })
+ */
+export async function historyCommand (client: OperatorClient, output: CommandOutput, options: { limit?: number | undefined, json?: boolean | undefined }): Promise<void> {
+  const { revisions } = await client.get(`/operator/configuration/history?limit=${options.limit ?? 20}`, historyAnswerSchema)
+  if (options.json === true) return output.out(jsonText(revisions))
+  for (const revision of revisions) {
+    output.out(`${revision.revision}  ${timeText(revision.changed_at)}  ${revision.author}: ${singleLine(revision.reason)}\n`)
+    for (const line of revision.difference) output.out(`    ${line}\n`)
+  }
+}
+
+async function change (client: OperatorClient, output: CommandOutput, path: string, what: object, options: ChangeCommandOptions): Promise<void> {
+  const reason = options.reason ?? (options.dryRun === true ? 'dry run' : undefined)
+  if (reason === undefined) throw invalid('--reason TEXT is required: it is kept in the history')
+  // The base is fixed before the first attempt: only so does a repetition after a lost reply change nothing.
+  const base = options.base ?? (await client.get('/operator/configuration/history?limit=1', historyAnswerSchema)).revisions[0]?.revision ?? 0
+  const changeId = String(options.changeId ?? createChangeId())
+  const body = { ...what, change_id: changeId, author: String(options.author ?? 'unnamed'), reason: String(reason), base, dry_run: options.dryRun === true }
+  const answer = await client.post(path, body, changeAnswerSchema).catch((error: unknown) => unknownOr(error, changeId))
+  output.exit(exitCodeOf(answer))
+  if (options.json === true) output.out(jsonText(answer))
+  else describe(output, answer, base)
+}
+
+/** A failure after which the change may have been accepted is an answer of its own. */
+function unknownOr (error: unknown, changeId: string): ChangeAnswer {
+  if (error instanceof ServingError && error.verdict === 'may-have-run') return { kind: 'unknown', change_id: changeId }
+  throw error
+}
+
+function exitCodeOf (answer: ChangeAnswer): number {
+  switch (answer.kind) {
+    case 'accepted': return EXIT.success
+    case 'dry-run': return EXIT.success
+    case 'unchanged': return EXIT.success
+    case 'conflict': return EXIT.failure
+    case 'unknown': return EXIT.unknown
+  }
+}
+
+function describe (output: CommandOutput, answer: ChangeAnswer, base: number): void {
+  switch (answer.kind) {
+    case 'dry-run':
+      describeDifferences(output, answer.difference, `Against revision ${answer.base} this would change:`)
+      return output.out('Nothing was changed.\n')
+    case 'unchanged':
+      return output.out(`Nothing to change: revision ${answer.revision} says the same.\n`)
+    case 'accepted':
+      return describeAccepted(output, answer)
+    case 'conflict':
+      output.note(`CONFLICT: not accepted. Revision ${answer.revision} by ${answer.author} came first: ${singleLine(answer.reason)}`)
+      describeDifferences(output, answer.difference, 'Your document differs from it in:')
+      return output.note('Look at it with "show", change your document, and apply again.')
+    case 'unknown':
+      output.note(`UNKNOWN: the change may or may not be accepted. Run the same command again with --change-id ${answer.change_id} --base ${base} to settle it;`)
+      output.note('that never applies it twice. "history" shows whether it was accepted.')
+  }
+}
+
+function describeAccepted (output: CommandOutput, answer: Extract<ChangeAnswer, { kind: 'accepted' }>): void {
+  describeDifferences(output, answer.difference, `Accepted as revision ${answer.revision}:`)
+  if (answer.superseded) output.note('A later revision has already replaced it.')
+  if (answer.missing.length === 0) return output.out(`In force at all ${answer.confirmed} nodes.\n`)
+  output.out(`In force at ${answer.confirmed} nodes. Not confirmed yet by ${answer.missing.join(', ')}.\n`)
+  output.note('These nodes take it over when they are heard again, and take no new work while they hear nobody; "status" shows where they stand.')
+}
+
+function describeDifferences (output: CommandOutput, lines: readonly string[], title: string): void {
+  output.out(`${title}\n`)
+  output.out(lines.length === 0 ? '  (no difference)\n' : lines.map((line) => `  ${line}\n`).join(''))
+}
+
+function singleLine (text: string): string {
+  return text.replace(/\s+/g, ' ')
+}
+
+function invalid (message: string): ServingError {
+  return new ServingError(message, { code: 'invalid-request', verdict: 'not-run' })
+}
--- /dev/null
+++ b/src/operator/context.ts
@@ -0,0 +1,8 @@
+/** What the operators' API needs from its node. */
+import type { EntryParts } from '../entry/node.js'
+import type { ReportKeeper } from '../entry/report-keeper.js'
+
+/** Parts of the node, and the keeper of its report. */
+export interface OperatorContext extends Pick<EntryParts, 'settings' | 'keyValue' | 'configuration' | 'membership' | 'peers' | 'facts' | 'executions' | 'clock' | 'signal'> {
+  readonly reports: ReportKeeper
+}
--- a/src/planner/report-folder.ts
+++ b/src/planner/report-folder.ts
@@ -10,6 +10,7 @@
  */
 import type { Clock, Milliseconds } from '../clock.js'
 import { HOUR } from '../clock.js'
+import { NODE_PREFIX } from '../entry/registration.js'
 import type { Incarnation } from '../identifiers.js'
 import type { Log } from '../log.js'
 import { nodeRecordSchema } from '../membership/index.js'
@@ -49,12 +50,10 @@
 /** Totals are kept for so long; older ones are deleted and reports say from when on they can tell. */
 export const RETENTION: Milliseconds = 14 * 24 * HOUR
 
-const NODE_PREFIX = 'hornbeamgap/nodes/'
-
 /** A pass stops after the shard in which it has read so many bytes. */
 const BYTES_PER_PASS = 262_144
 
-/** A silent node that holds no lease either is gone after so many times its slowest pace. */
+/** A silent process without a lease is gone after so many times the pause that it announced. */
 const SILENT_PACES = 2
 
 /** Epochs added to a total in one write. */
--- a/src/report/index.ts
+++ b/src/report/index.ts
@@ -19,3 +19,4 @@
 export { agrees } from './sums.js'
 export { meets, statementsOf } from './statements.js'
 export * from './wording.js'
+export { describeFact } from './explanation.js'
