--- a/src/planner/planner.ts
+++ b/src/planner/planner.ts
@@ -1,5 +1,6 @@
 /** A planner: runs beside an entry node on every instance, and acts only while it holds the lease. */
 import { randomBytes } from 'node:crypto'
+import { setMaxListeners } from 'node:events'
 import type { Clock, Milliseconds } from '../clock.js'
 import { every, SECOND } from '../clock.js'
 import { configurationRevisionSchema } from '../configuration/index.js'
@@ -54,6 +55,7 @@
   const { settings, clock, random } = options
   const owner = new AbortController()
   const { signal } = owner
+  setMaxListeners(0, signal)
   const log = createLog(`planner/${settings.instance}`, settings.log_level, clock.wall)
   const incarnation = incarnationSchema.parse(`planner-${settings.instance}-${randomBytes(6).toString('hex')}`)
   const connections = createConnections(CONNECTIONS_PER_ADDRESS)
