--- a/test/entry/claim-keeper.test.ts
+++ b/test/entry/claim-keeper.test.ts
@@ -8,21 +8,21 @@
 import { mergeClaims } from '../../src/request/index.js'
 import type { ClaimResult, WantedClaim } from '../../src/request/index.js'
 import { createFaultSwitch } from '../../stand-ins/faults.js'
-import { createInProcessKeyValue } from '../../stand-ins/in-process-key-value.js'
+import { createDirectKeyValue } from '../../stand-ins/key-value-direct.js'
 import { createKeyValueStore } from '../../stand-ins/key-value-store.js'
 import { createManualClock } from '../../stand-ins/manual-clock.js'
 
 const NODES = 3
 const RETENTION = 60_000
-const LATENCY = { none: 3, lost: 3, down: 3, slow: 300, late: 4_200 }
 
 function createFleet (seed: number, shards: number) {
   const clock = createManualClock()
   const store = createKeyValueStore(clock)
   const switches = Array.from({ length: NODES }, (_, node) => createFaultSwitch(clock, createRandom(seed + node)))
   const { signal } = new AbortController()
-  const keepers = switches.map((faultSwitch) => createClaimKeeper({ keyValue: createInProcessKeyValue(store, faultSwitch, clock), clock, signal, shards, retention: RETENTION }))
-  return { clock, store, switches, keepers }
+  const keyValues = switches.map((faultSwitch) => createDirectKeyValue(store, faultSwitch, clock))
+  const keepers = keyValues.map((keyValue) => createClaimKeeper({ keyValue, clock, signal, shards, retention: RETENTION }))
+  return { clock, switches, keyValues, keepers }
 }
 
 /** Lets what was just begun reach its first wait, and then time pass. */
@@ -51,11 +51,13 @@
     const sent: ReturnType<typeof send>[] = []
     for (const { node, key, wait, fault } of steps) {
       const { faults } = fleet.switches[node]!
-      Object.assign(faults, { lostReplies: fault === 'lost' ? 0.6 : 0, down: fault === 'down', latency: LATENCY[fault] })
+      Object.assign(faults, { lostReplies: fault === 'lost' ? 0.6 : 0, down: fault === 'down', latency: fault === 'slow' ? 300 : 3 })
+      fleet.keyValues[node]!.direct.lateBy = fault === 'late' ? 100 : 0
       sent.push(send(fleet.keepers[node]!, node, key))
       await pass(fleet, wait)
     }
     for (const { faults } of fleet.switches) Object.assign(faults, { lostReplies: 0, down: false, latency: 3 })
+    for (const { direct } of fleet.keyValues) direct.lateBy = 0
     await pass(fleet, 60_000)
     for (const key of ['a', 'b', 'c']) assertOneOwner(sent.filter((one) => one.key === key))
   }), { seed: 1, numRuns: 150 })
