Buddies' notes and hand-over decisions carried out

A home tells its buddy in batches what is open; when it dies unannounced the buddy follows the named idempotent streams from their beginning, never runs them again, and tells what became of the rest. What moves, waits or is given up at a hand-over follows the pure decisions; messages are bounded in bytes.

--- a/src/client/address-cache.ts
+++ b/src/client/address-cache.ts
@@ -63,7 +63,7 @@
         if (toServingError(error, 'not-run').code === 'upstream-refused' && String(error).includes('unauthenticated')) break
       }
     }
-    throw new ServingError(`no entry node answers: ${failure instanceof Error ? failure.message : 'no address is known'}`, { code: 'no-upstream', verdict: 'not-run', cause: failure })
+    throw new ServingError(`no entry node answers: ${failure instanceof Error ? failure.message : 'no address is known'}`, { code: 'no-upstream', verdict: 'not-run' })
   }
 
   /** Nodes that were avoided come last, so that one of them is still asked when no other is left. */
--- a/src/client/sending.ts
+++ b/src/client/sending.ts
@@ -111,7 +111,7 @@
   const unproven = maybeRan || (maybeReceived && !isAboutTheId(failure, toldBySystem))
   const verdict: Verdict = failure.verdict === 'not-run' && unproven ? 'may-have-run' : failure.verdict
   if (verdict === failure.verdict) return failure
-  return new ServingError(failure.message, { code: failure.code, verdict, cause: failure, ...(failure.retryAfter === undefined ? {} : { retryAfter: failure.retryAfter }) })
+  return new ServingError(failure.message, { code: failure.code, verdict, ...(failure.retryAfter === undefined ? {} : { retryAfter: failure.retryAfter }) })
 }
 
 /** A refusal by the home holds for every send of the id; an address that no node gives says nothing about it. */
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -92,11 +92,14 @@
 export async function attemptAt (context: ExecutionContext, execution: Execution, placement: Placement, service: Service, traceparent: string): Promise<AttemptEnd> {
   const { upstream } = placement
   const leave = context.directory.enter(upstream.name)
+  const dispatchedBefore = execution.dispatched
+  execution.dispatched = true
   const span = context.tracing.start('attempt', traceparent, { 'hornbeamgap.upstream': upstream.name })
   try {
     const end = await run(context, execution, placement, service, span.traceparent)
     if (end.kind !== 'failed') return end
     span.fail(end.failure.message)
+    if (end.failure.verdict === 'not-run') execution.dispatched = dispatchedBefore
     return { ...end, upstreamDied: end.upstreamDied || (mayHaveCrashed(end.failure) && await isDead(context, upstream)) }
   } finally {
     leave()
@@ -133,6 +136,7 @@
   execution.accept()
   context.retries.firstAttempt(execution.request.class)
   context.bookkeeping.accepted(execution)
+  context.notes.open(execution)
 }
 
 function pendingAttempt (execution: Execution, order: AttemptOrder, apart: boolean): PendingAttempt {
--- a/src/entry/attempts.ts
+++ b/src/entry/attempts.ts
@@ -72,7 +72,7 @@
     : await attemptAt(context, execution, { upstream, priority: 0, handle: execution.position.handle }, service, traceparent)
   if (end.kind === 'failed') {
     context.bookkeeping.attemptFailed(execution, execution.position.upstream, end.failure)
-    if (!mayRepeat(end.failure.verdict, execution.request.idempotent)) throw end.failure
+    if (execution.attachOnly || !mayRepeat(end.failure.verdict, execution.request.idempotent)) throw end.failure
   }
   return end
 }
@@ -83,6 +83,7 @@
   execution.answer.close(end)
   const first = execution.answer.end() ?? end
   if (first.kind === 'moved') return first
+  context.notes.closed(execution)
   if (execution.accepted) {
     context.bookkeeping.ended(execution, first)
   } else if (first.kind === 'failed') {
@@ -144,5 +145,5 @@
 function withVerdict (failure: ServingError, verdict: Verdict, after?: Milliseconds): ServingError {
   const retryAfter = failure.retryAfter ?? after
   if (failure.verdict === verdict && failure.retryAfter === retryAfter) return failure
-  return new ServingError(failure.message, { code: failure.code, verdict, cause: failure, ...(retryAfter === undefined ? {} : { retryAfter }) })
+  return new ServingError(failure.message, { code: failure.code, verdict, ...(retryAfter === undefined ? {} : { retryAfter }) })
 }
--- a/src/entry/bookkeeping.ts
+++ b/src/entry/bookkeeping.ts
@@ -76,18 +76,18 @@
     movedCache: (execution, from, to) => record(execution.request, { kind: 'moved-cache', from, to, tokens: execution.answer.offset() }),
     attached: (execution, offset) => record(execution.request, { kind: 'attached', offset }),
     handedOver: (execution, to) => {
-      ledger.handedOver(execution.request)
+      if (!execution.countedElsewhere) ledger.handedOver(execution.request)
       record(execution.request, { kind: 'handed-over', to })
     },
     takenOver: (execution, from) => {
-      ledger.takenOver(execution.request, execution.arrivedAtWall)
+      if (!execution.countedElsewhere) ledger.takenOver(execution.request, execution.arrivedAtWall)
       record(execution.request, { kind: 'taken-over', from })
     },
     ended: (execution, end) => {
       const outcome = outcomeOf(execution, end)
       execution.outcome = outcome
       const work = { generatedTokens: execution.answer.offset(), recomputedTokens: execution.recomputedTokens }
-      ledger.ended(execution.request, outcome, timesOf(execution), work)
+      if (!execution.countedElsewhere) ledger.ended(execution.request, outcome, timesOf(execution), work)
       metrics.ended(execution.request, outcome, (execution.endedAt ?? clock.now()) - execution.arrivedAt, work)
       record(execution.request, { kind: 'ended', outcome })
     }
--- a/src/entry/context.ts
+++ b/src/entry/context.ts
@@ -8,6 +8,7 @@
 import type { Tracing } from '../tracing.js'
 import type { Bookkeeping } from './bookkeeping.js'
 import type { Dispatcher } from './dispatcher.js'
+import type { NoteJournal } from './note-keeper.js'
 import type { Permits } from './permits.js'
 import type { UpstreamDirectory } from './upstream-directory.js'
 
@@ -17,6 +18,8 @@
   readonly dispatcher: Dispatcher
   readonly bookkeeping: Bookkeeping
   readonly permits: Permits
+  /** Notes for the buddy. */
+  readonly notes: NoteJournal
   readonly tracing: Tracing
   readonly retries: RetryPolicy
   /** Connections that are kept and used again. */
--- a/src/entry/execution.ts
+++ b/src/entry/execution.ts
@@ -50,10 +50,16 @@
   /** The attempt that runs now. */
   attempt: OpenAttempt | undefined
   accepted: boolean
+  /** Something was sent to an upstream and may have run. */
+  dispatched: boolean
   firstTokenAt: Milliseconds | undefined
   endedAt: Milliseconds | undefined
   /** How it ended. */
   outcome: Outcome | undefined
+  /** The prompt is not known here: the stream can be followed and never run again. */
+  readonly attachOnly: boolean
+  /** Another node's report counts it. */
+  readonly countedElsewhere: boolean
   /** Tokens computed again because of reclaims, crashes or retries. */
   recomputedTokens: number
   /** An earlier attempt has computed the prompt. */
@@ -74,6 +80,11 @@
   readonly position?: StreamPosition | undefined
   /** Its caller had the id at the node before. */
   readonly accepted?: boolean
+  readonly dispatched?: boolean
+  /** The prompt is not known here: the stream can be followed and never run again. Default false. */
+  readonly attachOnly?: boolean
+  /** Another node's report counts it. Default false. */
+  readonly countedElsewhere?: boolean
   readonly recomputedTokens?: number
   /** How long ago its first token came, in milliseconds. */
   readonly firstTokenAge?: Milliseconds | undefined
@@ -104,9 +115,12 @@
     running: Promise.resolve(),
     attempt: undefined,
     accepted: false,
+    dispatched: start.dispatched ?? false,
     firstTokenAt: start.firstTokenAge === undefined ? undefined : clock.now() - start.firstTokenAge,
     endedAt: undefined,
     outcome: undefined,
+    attachOnly: start.attachOnly ?? false,
+    countedElsewhere: start.countedElsewhere ?? false,
     recomputedTokens: start.recomputedTokens ?? 0,
     computedBefore: (start.tokens?.length ?? 0) > 0,
     readers: 0,
--- a/src/entry/generation.ts
+++ b/src/entry/generation.ts
@@ -46,6 +46,7 @@
         const stream = await openStream(context, execution, place, { body, model, priority: placement.priority, traceparent, signal: connection.signal }, reconnections > 0)
         place.handle = stream.handle === '' ? place.handle : stream.handle
         connection.attempt.handle = place.handle ?? ''
+        context.notes.open(execution)
         const finished = await follow(context, execution, place.upstream.name, stream, connection.signal)
         countRecomputed(execution, body, place, finished.usage.cached_tokens)
         return { kind: 'whole', end: finished, result: { kind: 'whole', usage: finished.usage } }
@@ -166,7 +167,7 @@
   countRecomputed(execution, body, place, 0)
   const upstreamDied = failure.verdict === 'not-run' && failure.code !== 'cancelled'
   const verdict = execution.answer.offset() > 0 ? 'ran' : 'may-have-run'
-  return { kind: 'failed', failure: new ServingError(failure.message, { code: 'upstream-failed', verdict, cause: failure }), upstreamDied }
+  return { kind: 'failed', failure: new ServingError(failure.message, { code: 'upstream-failed', verdict }), upstreamDied }
 }
 
 /** Tokens that this attempt computed although an earlier attempt had computed them before. */
--- a/src/entry/hand-over.ts
+++ b/src/entry/hand-over.ts
@@ -8,7 +8,7 @@
 import type { Peers } from '../peer/client.js'
 import type { ForwardedPart, HandedExecution, HandOver } from '../peer/request.js'
 import type { HomeRecord, HomeTable, StreamPosition } from '../request/index.js'
-import { verdictOf } from '../request/index.js'
+import { decideContinuation, decideLeaving, divide, verdictOf } from '../request/index.js'
 import type { Execution } from './execution.js'
 import { toAnswerPart, toPart } from './forwarded.js'
 import type { Executions } from './submission.js'
@@ -28,8 +28,13 @@
   readonly signal: AbortSignal
 }
 
-/** Requests in one message; a plan with its prompt and tokens takes some ten kilobytes. */
-const BATCH = 64
+/** Bounds of one message; a peer accepts four times as much. */
+const BOUNDS = { bytes: 4_194_304, items: 64 }
+
+/** Bytes of a request besides its texts. */
+const OVERHEAD_BYTES = 512
+
+const BYTES_PER_CHARACTER = 2
 
 /** Ended ids in one message. */
 const ENDED_BATCH = 2_000
@@ -76,32 +81,37 @@
     tokens: handed.tokens,
     position: handed.position,
     accepted: handed.accepted,
+    dispatched: handed.dispatched,
     age: handed.age,
     firstTokenAge: handed.firstTokenAge,
     recomputedTokens: handed.recomputedTokens
   }
   const end = handed.end && endOf(handed.end)
-  if (end === undefined) executions.takeOver(start, from)
-  else executions.keepEnded(start, end)
+  if (end !== undefined) return executions.keepEnded(start, end)
+  const continuation = decideContinuation({ request: handed.request, dispatched: handed.dispatched, tokens: handed.tokens, position: handed.position })
+  switch (continuation.kind) {
+    case 'run':
+    case 'restart':
+      executions.takeOver({ ...start, position: undefined }, from)
+      return
+    case 'attach':
+      executions.takeOver(start, from)
+      return
+    case 'give-up':
+      executions.giveUp(start, from)
+  }
 }
 
 /** Streams, and requests that have not been dispatched, can go on elsewhere at any moment. */
 async function moveStreams (options: HandOverOptions, records: Map<RequestId, HomeRecord>): Promise<void> {
   const movable = options.executions.open().filter((execution) => records.has(execution.request.id) && isMovable(execution))
-  for (let start = 0; start < movable.length; start += BATCH) {
-    await moveBatch(options, records, movable.slice(start, start + BATCH))
-  }
+  for (const batch of divide(movable, sizeOf, BOUNDS)) await moveBatch(options, records, batch)
 }
 
-/**
- * Failure guarded against: an attempt whose stream has no name yet, or a plain call, may be running, and
- * a successor could only run it again. If that must not happen, it is left where it is.
- */
 function isMovable (execution: Execution): boolean {
-  const { request, attempt } = execution
-  if (attempt === undefined) return true
-  if (request.work.kind === 'plain') return false
-  return request.idempotent || attempt.handle !== ''
+  const { request, attempt, dispatched } = execution
+  const handle = attempt?.handle === '' ? undefined : attempt?.handle
+  return decideLeaving({ request, dispatched: dispatched && attempt !== undefined, handle }) === 'move'
 }
 
 async function moveBatch (options: HandOverOptions, records: Map<RequestId, HomeRecord>, batch: readonly Execution[]): Promise<void> {
@@ -185,13 +195,14 @@
 }
 
 async function toHanded (options: HandOverOptions, execution: Execution, position: StreamPosition | undefined): Promise<HandedExecution> {
-  const { request, answer, accepted, recomputedTokens, traceparent, firstTokenAt } = execution
+  const { request, answer, accepted, dispatched, recomputedTokens, traceparent, firstTokenAt } = execution
   const now = options.clock.now()
   const end = answer.end()
   const tokens = await tokensOf(execution, options.signal)
   return {
     request,
     accepted,
+    dispatched,
     recomputedTokens,
     tokens,
     age: now - execution.arrivedAt,
@@ -213,6 +224,12 @@
   return tokens
 }
 
+function sizeOf (execution: Execution): number {
+  const { work } = execution.request
+  const asked = work.kind === 'plain' ? work.call.body.length : work.body.messages.reduce((sum, message) => sum + message.content.length, 0)
+  return OVERHEAD_BYTES + BYTES_PER_CHARACTER * (asked + execution.answer.text().length)
+}
+
 function positionOf (execution: Execution): StreamPosition | undefined {
   const { attempt, answer } = execution
   if (attempt === undefined) return execution.position
--- a/src/entry/node.ts
+++ b/src/entry/node.ts
@@ -39,6 +39,7 @@
 import { closeServer, createCallerServer, listen } from './listener.js'
 import { createMembershipKeeper } from './membership-keeper.js'
 import type { MembershipKeeper } from './membership-keeper.js'
+import { createNotes } from './note-keeper.js'
 import { registerObservationApi } from './observation.js'
 import { createPermits } from './permits.js'
 import { createRelay } from './relay.js'
@@ -136,8 +137,10 @@
   const configuration = createConfigurationKeeper({ keyValue, clock, log, signal, random, watching: () => ready && membership.watching() })
   const current = () => configuration.current()?.configuration
   const permits = createPermits({ own: incarnation, nodes: () => membership.nodes(), peers, freshPeers, clock, signal })
+  const notes = createNotes(incarnation, clock)
   const context: ExecutionContext = {
     permits,
+    notes: notes.journal,
     directory,
     dispatcher: createDispatcher({ scheduler: createScheduler({ random }), directory, clock }),
     bookkeeping: createBookkeeping({ ledger, facts, metrics, clock, configuration: current }),
@@ -170,7 +173,8 @@
       state: () => inquiry.state(),
       writeReport: () => inquiry.writeReport()
     },
-    request: createRequestHandlers({ executions, home, clock, stopping: () => leaving }),
+    request: createRequestHandlers({ executions, home, clock, stopping: () => leaving, onHandOver: notes.handedOver }),
+    notes: notes.handlers,
     suspicion: permits.handlers
   })
   const address = await listen(server, settings.listen)
@@ -188,6 +192,7 @@
     signal
   })
 
+  notes.start({ buddy: membership.buddy, peers, home, executions, onGone: (listener) => membership.events.on('gone', ({ incarnation: gone }) => listener(gone)), log, signal })
   membership.events.on('gone', ({ incarnation: gone }) => permits.holderGone(gone))
   const relay = createRelay({ own: incarnation, peers, freshPeers, membership: () => membership, clock })
   const claims = createClaimKeeper({ keyValue, clock, signal, pause: () => writePause(membership.count()) })
@@ -227,6 +232,7 @@
       server,
       addressLifetime: settings.addresses.lifetime_ms,
       permits,
+      notes,
       onLeaving: () => { leaving = true },
       clock,
       log,
--- a/src/entry/request-handlers.ts
+++ b/src/entry/request-handlers.ts
@@ -1,6 +1,7 @@
 /** What this node does when peers ask about requests: the home's side of a forwarded send. */
 import type { Clock, Milliseconds } from '../clock.js'
 import { SECOND } from '../clock.js'
+import type { Incarnation } from '../identifiers.js'
 import type { HomeTable } from '../request/index.js'
 import type { ForwardedPart, RequestHandlers } from '../peer/request.js'
 import { toWire } from '../peer/request.js'
@@ -17,9 +18,9 @@
 
 /**
  * @example
- * createPeerServer(settings.peer_key, { agreement, request: createRequestHandlers({ executions, home, clock, stopping }) })
+ * createPeerServer(settings.peer_key, { agreement, request: createRequestHandlers({ executions, home, clock, stopping, onHandOver }) })
  */
-export function createRequestHandlers (options: { executions: Executions, home: HomeTable, clock: Clock, stopping: () => boolean }): RequestHandlers {
+export function createRequestHandlers (options: { executions: Executions, home: HomeTable, clock: Clock, stopping: () => boolean, onHandOver: (from: Incarnation) => void }): RequestHandlers {
   const { executions, home, clock } = options
 
   /** A refusal is a part, too: as a tRPC error it would lose its verdict. */
@@ -38,6 +39,7 @@
     attach: (lookup, signal) => forward(() => executions.find(lookup.organisation, lookup.id), lookup.offset, signal),
     handOver: (handOver) => {
       if (options.stopping()) return { taken: false }
+      options.onHandOver(handOver.from)
       const fresh = new Set(home.inherit(handOver.from, handOver.records, clock.now()))
       for (const handed of handOver.executions) {
         if (fresh.has(handed.request.id)) continueHanded(executions, handed, handOver.from)
--- a/src/entry/stopping.ts
+++ b/src/entry/stopping.ts
@@ -5,12 +5,14 @@
 import { handOverAll } from './hand-over.js'
 import type { HandOverOptions } from './hand-over.js'
 import type { MembershipKeeper } from './membership-keeper.js'
+import type { Notes } from './note-keeper.js'
 import type { Permits } from './permits.js'
 
 /** What a stop needs besides the hand-over. */
 export interface StopOptions extends HandOverOptions {
   readonly membership: MembershipKeeper
   readonly permits: Permits
+  readonly notes: Notes
   readonly server: Server
   /** Longest time for which a caller may keep an address answer, in milliseconds. */
   readonly addressLifetime: Milliseconds
@@ -45,7 +47,7 @@
   const patience = clock.now() + PATIENCE
   while (!signal.aborted && executions.open().length > 0 && clock.now() < patience) await clock.sleep(POLL, signal).catch(() => {})
   await handOverAll(options, undefined)
-  await options.permits.giveAway()
+  await Promise.all([options.permits.giveAway(), options.notes.flush()])
   await flush(options, Infinity)
   await membership.withdraw().catch(() => {})
 }
@@ -62,7 +64,7 @@
   options.onLeaving()
   leave(options).catch(() => {})
   await handOverAll(options, deadline)
-  await options.permits.giveAway()
+  await Promise.all([options.permits.giveAway(), options.notes.flush()])
   await flush(options, deadline)
   await options.membership.withdraw().catch(() => {})
 }
--- a/src/entry/submission.ts
+++ b/src/entry/submission.ts
@@ -38,6 +38,8 @@
   readable (): readonly Execution[]
   /** Ended executions that some caller is still reading. */
   beingRead (): number
+  /** Ends a request of another node whose outcome nobody can tell. */
+  giveUp (start: ExecutionStart, from: string): void
   /** Keeps an answer that ended at another node and can still be read. */
   keepEnded (start: ExecutionStart, end: AnswerEnd): void
   /** Stops the run without ending the answer. Resolves when nothing of it goes on here. */
@@ -180,6 +182,16 @@
     openOf: (id) => open.get(id),
     readable: () => [...retention.all()].slice(-MOST_READABLE),
     beingRead: () => [...retention.all()].filter((execution) => execution.readers > 0).length,
+    giveUp: (start, from) => {
+      const execution = createExecution(start, clock)
+      execution.accept()
+      context.bookkeeping.takenOver(execution, from)
+      const end = { kind: 'failed', failure: new ServingError(`the node ${from} ended before its outcome was known`, { code: 'outcome-unknown', verdict: 'may-have-run' }) } as const
+      execution.answer.close(end)
+      execution.endedAt = clock.now()
+      context.bookkeeping.ended(execution, end)
+      settle(execution, end)
+    },
     keepEnded: (start, end) => {
       const execution = createExecution(start, clock)
       execution.answer.close(end)
@@ -197,6 +209,7 @@
     handedOver: (execution, to) => {
       open.delete(execution.request.id)
       if (execution.accepted) context.bookkeeping.handedOver(execution, to)
+      context.notes.closed(execution)
       execution.answer.close({ kind: 'moved', retryAfter: 0 })
     },
     usage: () => ({ open: open.size, ...retention.usage() })
--- a/src/peer/request.ts
+++ b/src/peer/request.ts
@@ -55,6 +55,8 @@
 export const handedExecutionSchema = z.object({
   request: requestSchema,
   accepted: z.boolean(),
+  /** Something was sent to an upstream and may have run. */
+  dispatched: z.boolean(),
   /** Tokens of the answer so far. */
   tokens: z.array(z.string()),
   /** The upstream's stream to attach to. */
--- a/src/peer/router.ts
+++ b/src/peer/router.ts
@@ -6,6 +6,8 @@
 import type { AgreementHandlers } from './agreement.js'
 import { inquiryProcedures } from './inquiry.js'
 import type { InquiryHandlers } from './inquiry.js'
+import { noteProcedures } from './notes.js'
+import type { NoteHandlers } from './notes.js'
 import { peerRouter } from './procedure.js'
 import { requestProcedures } from './request.js'
 import type { RequestHandlers } from './request.js'
@@ -16,6 +18,7 @@
 export interface PeerHandlers {
   readonly agreement: AgreementHandlers
   readonly inquiry: InquiryHandlers
+  readonly notes: NoteHandlers
   readonly request: RequestHandlers
   readonly suspicion: SuspicionHandlers
 }
@@ -28,6 +31,7 @@
   return peerRouter({
     agreement: agreementProcedures(handlers.agreement),
     inquiry: inquiryProcedures(handlers.inquiry),
+    notes: noteProcedures(handlers.notes),
     request: requestProcedures(handlers.request),
     suspicion: suspicionProcedures(handlers.suspicion)
   })
