Operators' command against a running deployment: reports, changes, explanations

All nodes means the node's view and the key-value service's records together: a node that had just started was not counted, and 'in force at all 1 nodes' was told of three.

--- a/src/operator/configuration.ts
+++ b/src/operator/configuration.ts
@@ -8,6 +8,7 @@
 import type { ChangeOutcome, DocumentChange } from '../entry/configuration-change.js'
 import { ServingError } from '../verdict.js'
 import type { OperatorContext } from './context.js'
+import { knownNodes } from './known-nodes.js'
 import type { ApplyRequest, ChangeAnswer, HistoryAnswer, RollbackRequest } from './messages.js'
 
 type ChangeContext = Pick<OperatorContext, 'keyValue' | 'configuration' | 'membership' | 'clock' | 'signal'>
@@ -123,6 +124,8 @@
   const { revision, superseded } = outcome
   configuration.offer(revision, 'delivery')
   const report = await membership.deliver(configuration.current() ?? revision, IN_FORCE_BOUND)
+  const delivered = new Set(membership.nodes().map((node) => node.incarnation))
+  const unheard = (await knownNodes(context)).filter((node) => !delivered.has(node.incarnation))
   return {
     kind: 'accepted',
     revision: revision.revision,
@@ -130,6 +133,6 @@
     superseded,
     difference: changes.map(describeDifference),
     confirmed: report.confirmed,
-    missing: report.missing.map((node) => node.instance)
+    missing: [...report.missing, ...unheard].map((node) => node.instance)
   }
 }
--- a/src/operator/inquiry.ts
+++ b/src/operator/inquiry.ts
@@ -10,9 +10,13 @@
 import type { RequestFacts } from '../report/index.js'
 import { ServingError } from '../verdict.js'
 import type { OperatorContext } from './context.js'
+import { knownNodes } from './known-nodes.js'
 import type { ExplainAnswer, NodeStatus, StatusAnswer } from './messages.js'
 
-type InquiryContext = Omit<OperatorContext, 'settings' | 'keyValue'>
+type InquiryContext = Omit<OperatorContext, 'settings'>
+
+/** What a node needs to answer about itself. */
+type OwnContext = Omit<InquiryContext, 'peers' | 'signal' | 'keyValue'>
 
 /** Bound on one peer's answer. */
 const ANSWER_BOUND: Milliseconds = 2 * SECOND
@@ -29,7 +33,7 @@
  * @example
  * const handlers = createInquiryHandlers(context)
  */
-export function createInquiryHandlers (context: Omit<InquiryContext, 'peers' | 'signal'>): InquiryHandlers {
+export function createInquiryHandlers (context: OwnContext): InquiryHandlers {
   const own = (): Incarnation => context.membership.own().incarnation
   return {
     explain: (id) => {
@@ -48,7 +52,7 @@
  * const { nodes } = await fleetStatus(context)
  */
 export async function fleetStatus (context: InquiryContext): Promise<StatusAnswer> {
-  const nodes = await askAll(context, context.membership.nodes(), (peer, signal) => peer.inquiry.state.query(undefined, { signal }), () => stateOf(context))
+  const nodes = await askAll(context, await knownNodes(context), (peer, signal) => peer.inquiry.state.query(undefined, { signal }), () => stateOf(context))
   return {
     revision: context.configuration.revision(),
     nodes: nodes.map(({ record, answer }) => statusOf(record, answer))
@@ -71,7 +75,7 @@
     await context.reports.write()
     return true
   }
-  const answers = await askAll(context, context.membership.nodes(), written, own)
+  const answers = await askAll(context, await knownNodes(context), written, own)
   return answers.filter(({ answer }) => answer === undefined).map(({ record }) => record)
 }
 
@@ -84,7 +88,7 @@
  * const { facts } = await explainRequest(context, id)
  */
 export async function explainRequest (context: InquiryContext, id: RequestId): Promise<ExplainAnswer> {
-  const records = context.membership.nodes()
+  const records = await knownNodes(context)
   const home = records.find((record) => record.incarnation === homeOf(id))
   const first = await askForFacts(context, home === undefined ? [] : [home], id)
   const rest = isWhole(first) ? [] : records.filter((record) => record !== home).slice(0, MOST_ASKED)
@@ -148,7 +152,7 @@
   return `none of ${asked} nodes remembers this request: it never came, or it is too long ago${missing}${home}`
 }
 
-function stateOf ({ membership, configuration, reports, executions, clock }: Omit<InquiryContext, 'peers' | 'signal' | 'facts'>): NodeState {
+function stateOf ({ membership, configuration, reports, executions, clock }: OwnContext): NodeState {
   const { confirmedAt } = reports.usage()
   return {
     incarnation: membership.own().incarnation,
