Engine test: both rejections are awaited from the start

Ruled out: a fault of the stand-in, both streams ended may-have-run as they should. The same three assertions stand.

--- a/test/stand-ins/engine.test.ts
+++ b/test/stand-ins/engine.test.ts
@@ -97,10 +97,10 @@
 test('a marked prompt kills its engine and every answer beside it', async () => {
   const engine = await serve()
   const client = createEngine(connections, engine.address)
-  const innocent = text(await client.start(call(5_000)))
-  const culprit = client.start(call(5, {}, CRASH_MARK)).then((stream) => text(stream))
-  await assert.rejects(culprit, { verdict: 'may-have-run' })
-  await assert.rejects(innocent, { verdict: 'may-have-run' })
+  const stream = await client.start(call(5_000))
+  const innocent = assert.rejects(text(stream), { verdict: 'may-have-run' })
+  const culprit = client.start(call(5, {}, CRASH_MARK)).then((crashing) => text(crashing))
+  await Promise.all([innocent, assert.rejects(culprit, { verdict: 'may-have-run' })])
   await assert.rejects(client.load(), { verdict: 'not-run' })
 })
 
