Main job: both samples applied, called, reclaimed, reported and compared

Before entry nodes had seen each other the report counted 73 refusals of re-sent requests; the demonstration now waits until every node knows every other.

--- a/stand-ins/bin/demonstration.ts
+++ b/stand-ins/bin/demonstration.ts
@@ -1,16 +1,37 @@
 #!/usr/bin/env node
-/** `npm start`: entry nodes and stand-ins in one process, a caller's request answered, a report printed. */
-import { createClient } from '../../src/client/index.js'
+/**
+ * `npm start`: both sample deployments in one process, one after the other. Ends with exit code 0 when
+ * each report agrees with what its callers saw, 1 otherwise.
+ */
+import { join } from 'node:path'
+import { cac } from 'cac'
+import { EXIT, runCommand } from '../../src/bin/command-line.js'
 import { createSystemClock } from '../../src/clock.js'
-import { runCommand } from '../../src/bin/command-line.js'
-import { startDeployment } from '../deployment.js'
+import { createProcessOutput } from '../../src/operator/command/output.js'
+import { VERSION } from '../../src/version.js'
+import { demonstrate } from '../demonstration.js'
+
+const SAMPLES = ['calcaria-lisbon', 'tsubame-kyushu']
+const DEFAULT_SEED = 1
 
 runCommand(async () => {
-  const clock = createSystemClock()
-  const deployment = await startDeployment({ clock, seed: 1, entries: 3, engines: 3, logLevel: 'info' })
-  const client = createClient({ addresses: deployment.addresses, key: deployment.key, clock })
-  const answer = await client.chat({ class: 'short-question', messages: [{ role: 'user', content: 'Which resin for 28 degrees of hardness?' }], maxTokens: 12 })
-  process.stdout.write(`${answer.id}: ${answer.tokens} tokens: ${answer.text}\n`)
-  await client.close()
-  await deployment.kill()
+  const program = cac('demonstration')
+  program.command('', 'Run both sample deployments and compare their reports with what callers saw')
+    .option('--samples <folder>', 'Folder of the samples', { default: 'samples' })
+    .option('--seed <seed>', 'Seed of the random numbers', { default: DEFAULT_SEED })
+    .action(run)
+  program.help()
+  program.version(VERSION)
+  program.parse(process.argv, { run: false })
+  await program.runMatchedCommand()
 })
+
+async function run (options: { samples: string, seed: number }): Promise<void> {
+  const clock = createSystemClock()
+  const output = createProcessOutput()
+  const problems: string[] = []
+  for (const name of SAMPLES) {
+    problems.push(...await demonstrate({ folder: join(options.samples, name), clock, seed: Number(options.seed), output }))
+  }
+  process.exitCode = problems.length === 0 ? EXIT.success : EXIT.failure
+}
--- /dev/null
+++ b/stand-ins/demonstration.ts
@@ -0,0 +1,105 @@
+/**
+ * One sample deployment from start to report: operators apply its configuration, callers send its
+ * requests, an engine's instance is taken back in the middle, and the report is compared with what
+ * callers and plain services saw.
+ */
+import { join } from 'node:path'
+import type { Clock } from '../src/clock.js'
+import { SECOND } from '../src/clock.js'
+import { applyCommand } from '../src/operator/command/change.js'
+import { createOperatorClient } from '../src/operator/command/connection.js'
+import type { OperatorClient } from '../src/operator/command/connection.js'
+import { alignColumns } from '../src/operator/command/output.js'
+import type { CommandOutput } from '../src/operator/command/output.js'
+import { reportTable } from '../src/operator/command/report-table.js'
+import { createRandom } from '../src/random.js'
+import { reportDocumentSchema } from '../src/report/index.js'
+import { groupRecords, sendRequests } from './callers.js'
+import type { CallerRecord } from './callers.js'
+import { disagreements, seenSums } from './comparison.js'
+import type { Platform } from './platform.js'
+import { loadSample } from './sample.js'
+import { startSampleDeployment } from './sample-deployment.js'
+
+/** How a demonstration runs. */
+export interface DemonstrationOptions {
+  /** Sample folder. */
+  readonly folder: string
+  readonly clock: Clock
+  readonly seed: number
+  readonly output: CommandOutput
+  /** Requests begun a second. */
+  readonly rate?: number
+}
+
+const DEFAULT_RATE = 40
+
+/** Time between the reclaim notice and the end of the machine. */
+const NOTICE = 4 * SECOND
+
+/**
+ * Runs one sample.
+ *
+ * @returns every disagreement between report, callers and plain services; none is good
+ * @example
+ * const problems = await demonstrate({ folder: 'samples/calcaria-lisbon', clock, seed: 1, output })
+ */
+export async function demonstrate (options: DemonstrationOptions): Promise<string[]> {
+  const { folder, clock, seed, output } = options
+  const sample = loadSample(folder)
+  const deployment = await startSampleDeployment({ sample, clock, seed, logLevel: 'error' })
+  const operator = createOperatorClient({ addresses: [...deployment.addresses], operator_key: sample.operatorKey })
+  try {
+    const domains = new Set(sample.entries.map((entry) => entry.failure_domain)).size
+    output.out(`\n== ${folder}: ${deployment.entries.length} entry nodes in ${domains} failure domains, ${serverCounts(deployment.platform)}\n\n`)
+    await deployment.settled()
+    await applyCommand(operator, output, join(folder, 'configuration.toml'), { author: 'demonstration', reason: 'first configuration' })
+    const from = clock.wall()
+    const half = Math.floor(sample.requests.length / 2)
+    const records = await sendRequests({
+      sample,
+      addresses: deployment.addresses,
+      clock,
+      random: createRandom(seed),
+      rate: options.rate ?? DEFAULT_RATE,
+      onSend: (sent) => { if (sent === half) reclaimBusiest(deployment.platform, output) }
+    })
+    output.out(`\nWhat callers saw\n\n${seenTable(records)}`)
+    await deployment.stopPlanners()
+    return await report(operator, from, clock, deployment.platform, records, output)
+  } finally {
+    await operator.close()
+    await deployment.kill()
+  }
+}
+
+async function report (operator: OperatorClient, from: number, clock: Clock, platform: Platform, records: readonly CallerRecord[], output: CommandOutput): Promise<string[]> {
+  const document = await operator.get(`/operator/report?from=${Math.floor(from)}&to=${Math.ceil(clock.wall())}&fresh=true`, reportDocumentSchema)
+  output.out(`\n${reportTable(document)}`)
+  const problems = disagreements(document, records, platform.ledger)
+  const orders = platform.ledger.entries().length
+  const verdict = problems.length === 0 ? 'they agree' : `${problems.length} disagreements`
+  output.out(`\nReport against ${records.length} requests of callers and ${orders} orders in the plain services' ledger: ${verdict}.\n`)
+  for (const problem of problems) output.note(`DISAGREEMENT: ${problem}`)
+  return problems
+}
+
+/** Takes back the machine whose engine has the most open answers. */
+function reclaimBusiest (platform: Platform, output: CommandOutput): void {
+  const [busiest] = [...platform.fleet.engines()].sort((left, right) => right.open() - left.open())
+  if (busiest === undefined) return
+  output.out(`The cloud takes ${busiest.upstream} back in ${NOTICE / SECOND} s; it has ${busiest.open()} open answers.\n`)
+  platform.cloud.state.reclaim([platform.fleet.instanceOf(busiest.upstream)], NOTICE)
+}
+
+function serverCounts (platform: Platform): string {
+  return `${platform.fleet.engines().length} engines, ${platform.fleet.plainServices().length} plain services`
+}
+
+function seenTable (records: readonly CallerRecord[]): string {
+  const rows = groupRecords(records).map((group) => {
+    const seen = seenSums(group.records)
+    return [group.class, group.organisation, ...[seen.sent, seen.answered, seen.refused, seen.uncertain, seen.wrong].map(String)]
+  })
+  return alignColumns(['class', 'organisation', 'sent', 'answered', 'refused', 'uncertain', 'wrong'], rows)
+}
--- a/stand-ins/sample-deployment.ts
+++ b/stand-ins/sample-deployment.ts
@@ -1,5 +1,5 @@
 /** A sample deployment in one process: its platform's stand-ins and entry nodes, on free ports. */
-import type { Clock } from '../src/clock.js'
+import type { Clock, Milliseconds } from '../src/clock.js'
 import type { EntryNode } from '../src/entry/node.js'
 import type { Address } from '../src/identifiers.js'
 import { startPlanner } from '../src/planner/planner.js'
@@ -19,6 +19,10 @@
   readonly entries: readonly EntryNode[]
   readonly planners: readonly Planner[]
   readonly addresses: readonly Address[]
+  /** Resolves when every entry node knows every other and every upstream. */
+  settled (): Promise<void>
+  /** A planned stop of the planners; they write their last report. */
+  stopPlanners (): Promise<void>
   kill (): Promise<void>
 }
 
@@ -37,6 +41,8 @@
 
 const PLANNER_SEEDS = 100
 
+const SETTLE_PERIOD: Milliseconds = 50
+
 /**
  * Starts a sample without a configuration; operators apply it as they would anywhere.
  *
@@ -48,6 +54,7 @@
   const platform = await startPlatform({ clock, random: createRandom(seed), sample: onFreePorts(sample.platform) })
   const entryFleet = createEntryFleet({ platform, clock, seed, group: `${sample.platform.group}-entries`, machineClass: ENTRY_MACHINE_CLASS })
   for (const settings of sample.entries) await entryFleet.add(localSettings(settings, platform, options))
+  const upstreams = sample.platform.upstreams.reduce((sum, group) => sum + group.count, 0)
   const planners = sample.planners.map((settings, index) => startPlanner({
     settings: { ...settings, log_level: options.logLevel, platform: platformSettings(platform) },
     clock,
@@ -58,6 +65,10 @@
     entries: entryFleet.entries,
     planners,
     addresses: entryFleet.entries.map((entry) => entry.address),
+    settled: async () => {
+      while (!entryFleet.entries.every((entry) => knowsAll(entry, entryFleet.entries.length, upstreams))) await clock.sleep(SETTLE_PERIOD)
+    },
+    stopPlanners: async () => { await Promise.all(planners.map((planner) => planner.stop())) },
     kill: async () => {
       await Promise.all(planners.map((planner) => planner.kill()))
       await entryFleet.kill()
@@ -66,6 +77,11 @@
   }
 }
 
+function knowsAll (entry: EntryNode, entries: number, upstreams: number): boolean {
+  const { membership, directory } = entry.parts
+  return membership.count() >= entries && directory.views().length >= upstreams
+}
+
 function onFreePorts (platform: PlatformSample): PlatformSample {
   return {
     ...platform,
