hornbeamgap-stand-ins: the platform and its upstreams for the real binaries, with a control port

A person can start the stand-ins, three entry nodes and planners by hand from the samples, take instances back and switch faults.

Servers that start later take any port; with rising fixed ones the eighth replacement would have met the plain services' ports. All binaries are tested in process: help, version, unknown options, unknown keys by path, broken TOML by line, missing files, exit codes.

--- a/stand-ins/fleet.ts
+++ b/stand-ins/fleet.ts
@@ -127,7 +127,8 @@
 async function serve (options: FleetOptions, group: UpstreamGroup, machine: CloudInstance, index: number): Promise<Server> {
   const { clock, random } = options
   const upstream = upstreamNameSchema.parse(machine.name.startsWith(INSTANCE_PREFIX) ? machine.name.slice(INSTANCE_PREFIX.length) : machine.name)
-  const port = group.first_port === 0 ? 0 : group.first_port + index
+  // Servers that are started later take any port: fixed ones are for those of the start.
+  const port = group.first_port === 0 || index >= group.count ? 0 : group.first_port + index
   if (group.protocol === 'plain') {
     const plain = await servePlainService({ port, upstream, clock, random, ledger: options.ledger, duration: group.call_ms })
     return { kind: 'plain', service: group.service, plain }
--- a/stand-ins/platform-sample.ts
+++ b/stand-ins/platform-sample.ts
@@ -55,7 +55,9 @@
     key_value: portSchema.default(0),
     instance_list: portSchema.default(0),
     cloud: portSchema.default(0),
-    weight_store: portSchema.default(0)
+    weight_store: portSchema.default(0),
+    /** Where a person switches faults and takes instances back. */
+    control: portSchema.default(0)
   }).prefault({}),
   instance_list_lag_ms: z.number().nonnegative().default(0),
   /** Time from a start order until the machine is live. */
--- a/stand-ins/sample-deployment.ts
+++ b/stand-ins/sample-deployment.ts
@@ -85,7 +85,7 @@
 function onFreePorts (platform: PlatformSample): PlatformSample {
   return {
     ...platform,
-    ports: { key_value: 0, instance_list: 0, cloud: 0, weight_store: 0 },
+    ports: { key_value: 0, instance_list: 0, cloud: 0, weight_store: 0, control: 0 },
     upstreams: platform.upstreams.map((group) => ({ ...group, first_port: 0 }))
   }
 }
--- /dev/null
+++ b/test/binaries.test.ts
@@ -0,0 +1,89 @@
+/** What all binaries have in common: help, version, settings checks, exit codes. Called in this process. */
+import assert from 'node:assert/strict'
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { after, test } from 'node:test'
+import { EXIT } from '../src/bin/command-line.js'
+import { VERSION } from '../src/version.js'
+
+const PROCESSES = [
+  { module: '../src/bin/hornbeamgap-entry.js', name: 'hornbeamgap-entry', settings: 'samples/calcaria-lisbon/entry-1.toml' },
+  { module: '../src/bin/hornbeamgap-planner.js', name: 'hornbeamgap-planner', settings: 'samples/tsubame-kyushu/planner-1.toml' },
+  { module: '../stand-ins/bin/hornbeamgap-stand-ins.js', name: 'hornbeamgap-stand-ins', settings: 'samples/tsubame-kyushu/platform.toml' }
+]
+
+const BINARIES = [...PROCESSES, { module: '../src/bin/hornbeamgap.js', name: 'hornbeamgap' }, { module: '../stand-ins/bin/demonstration.js', name: 'demonstration' }]
+
+const folder = mkdtempSync(join(tmpdir(), 'hornbeamgap-'))
+let runs = 0
+
+after(() => rmSync(folder, { recursive: true }))
+
+/** Runs a binary's module with arguments, as its process would, and collects what it says. */
+async function run (module: string, ...args: string[]): Promise<{ text: string, code: string | number }> {
+  const texts: string[] = []
+  const kept = { argv: process.argv, out: process.stdout.write, err: process.stderr.write, log: console.log, info: console.info }
+  const collect = (write: typeof process.stdout.write, stream: NodeJS.WriteStream) => ((text: string | Uint8Array, ...rest: any[]) => {
+    // The test runner writes bytes, the binaries text.
+    if (typeof text !== 'string') return write.call(stream, text, ...rest)
+    texts.push(text)
+    return true
+  }) as typeof process.stdout.write
+  process.argv = ['node', module, ...args]
+  process.stdout.write = collect(kept.out, process.stdout)
+  process.stderr.write = collect(kept.err, process.stderr)
+  console.log = console.info = (...parts: unknown[]) => { texts.push(parts.join(' ')) }
+  process.exitCode = EXIT.success
+  try {
+    await import(`${module}?run=${runs++}`)
+    for (let turn = 0; turn < 10; turn += 1) await new Promise((resolve) => setImmediate(resolve))
+    return { text: texts.join('\n'), code: process.exitCode }
+  } finally {
+    process.exitCode = EXIT.success
+    process.argv = kept.argv
+    process.stdout.write = kept.out
+    process.stderr.write = kept.err
+    Object.assign(console, { log: kept.log, info: kept.info })
+  }
+}
+
+for (const { module, name } of BINARIES) {
+  test(`${name} --help and --version say what they must and start nothing`, async () => {
+    const help = await run(module, '--help')
+    assert.match(help.text, new RegExp(`Usage:[^]*${name}`))
+    assert.equal(help.code, EXIT.success)
+    const version = await run(module, '--version')
+    assert.match(version.text, new RegExp(`${name}/${VERSION}`))
+    assert.equal(version.code, EXIT.success)
+  })
+
+  test(`${name} refuses an unknown option as wrong usage`, async () => {
+    const { text, code } = await run(module, ...(name === 'hornbeamgap' ? ['status'] : []), '--unheard-of', 'x')
+    assert.match(text, /unheardOf/)
+    assert.equal(code, EXIT.usage)
+  })
+}
+
+for (const { module, name, settings } of PROCESSES) {
+  test(`${name} names the path of an unknown key, the line of broken TOML and the missing file`, async () => {
+    // What a user would see without it: a misspelt limit is ignored and the process runs unprotected.
+    const text = readFileSync(settings, 'utf8')
+    assert.deepEqual(await run(module, '--settings', settings, '--check'), { text: '', code: EXIT.success })
+    const wrong = [
+      { content: `no_such_key = 1\n${text}`, says: /settings\.toml: .*unknown key "no_such_key"/ },
+      { content: `${text}\n[[`, says: new RegExp(`settings\\.toml:${text.split('\n').length + 1}:`) }
+    ]
+    for (const { content, says } of wrong) {
+      const path = join(folder, 'settings.toml')
+      writeFileSync(path, content)
+      const result = await run(module, '--settings', path)
+      assert.match(result.text, says)
+      assert.equal(result.code, EXIT.usage)
+    }
+    const missing = await run(module, '--settings', join(folder, 'missing.toml'))
+    assert.match(missing.text, /missing\.toml: cannot be read/)
+    assert.equal(missing.code, EXIT.usage)
+    assert.equal((await run(module)).code, EXIT.usage)
+  })
+}
