A permit that nobody ends holds others up for ten minutes at most

Cause: when an owner becomes unreachable between a grant and its end, the end is recorded elsewhere and the owner keeps the permit; later requests with that body would wait for ever. Counted as a crash until an answer is reported, so the bound of two stays.

--- a/src/request/suspicion.ts
+++ b/src/request/suspicion.ts
@@ -8,7 +8,7 @@
  */
 import { z } from 'zod'
 import type { Milliseconds } from '../clock.js'
-import { HOUR } from '../clock.js'
+import { HOUR, MINUTE } from '../clock.js'
 import { incarnationSchema } from '../identifiers.js'
 import type { Incarnation } from '../identifiers.js'
 import type { RankedNode } from './hash.js'
@@ -92,6 +92,8 @@
 export interface CrashGuardOptions {
   /** How long a culprit stays refused after its second crash. */
   readonly quarantine?: Milliseconds
+  /** How long a permit may keep others waiting before it is taken for lost; longer than any answer takes. */
+  readonly permitTime?: Milliseconds
   /** Most fingerprints without permits in force; beyond it the ones longest untouched are forgotten, culprits last. */
   readonly mostRecords?: number
 }
@@ -100,6 +102,8 @@
   readonly holder: Incarnation
   /** Granted beside others, since an earlier dispatch had been answered. */
   readonly proven: boolean
+  /** When another dispatch first had to wait for it. */
+  blockedSince: Milliseconds | undefined
 }
 
 interface FingerprintRecord {
@@ -117,6 +121,7 @@
 export const MOST_CRASHES = 2
 
 const QUARANTINE: Milliseconds = 24 * HOUR
+const PERMIT_TIME: Milliseconds = 10 * MINUTE
 const MOST_RECORDS = 10_000
 
 /**
@@ -125,7 +130,7 @@
  * const decision = guard.acquire({ permit: permitName(id, 1), holder, evidence: guard.evidence(fingerprint) }, clock.now())
  */
 export function createCrashGuard (options: CrashGuardOptions = {}): CrashGuard {
-  const { quarantine = QUARANTINE, mostRecords = MOST_RECORDS } = options
+  const { quarantine = QUARANTINE, permitTime = PERMIT_TIME, mostRecords = MOST_RECORDS } = options
   const records = new Map<string, FingerprintRecord>()
 
   /** The record, made the most recently touched one. */
@@ -170,6 +175,21 @@
     else record.crashes.add(permit)
   }
 
+  /**
+   * Failure guarded against: the message that ends a permit never reaches its owner, and requests with that
+   * body wait for ever. Such a permit ends after its time; as nobody knows how, it counts as a crash until
+   * its holder, or the next dispatch, reports an answer.
+   */
+  function dropLost (record: FingerprintRecord, now: Milliseconds): void {
+    if (record.proven) return
+    for (const [name, permit] of record.permits) {
+      permit.blockedSince ??= now
+      if (now - permit.blockedSince < permitTime) continue
+      crash(record, name)
+      record.permits.delete(name)
+    }
+  }
+
   function judge (record: FingerprintRecord, now: Milliseconds): void {
     if (record.crashes.size >= MOST_CRASHES) record.quarantinedAt ??= now
   }
@@ -186,6 +206,7 @@
     acquire: (request, now) => {
       merge(request.evidence, now)
       const record = touch(request.evidence.fingerprint)
+      if (!record.permits.has(request.permit)) dropLost(record, now)
       judge(record, now)
       if (quarantined(record, now)) return { kind: 'quarantined' }
       const granted = { kind: 'granted' as const, apart: record.crashes.size > 0, suspectedFor: [...record.crashes] }
@@ -197,14 +218,14 @@
        */
       if (!record.proven && record.permits.size > 0) return { kind: 'wait' }
       if (record.ended.has(request.permit)) return { kind: 'wait' }
-      record.permits.set(request.permit, { holder: request.holder, proven: record.proven })
+      record.permits.set(request.permit, { holder: request.holder, proven: record.proven, blockedSince: undefined })
       return granted
     },
     release: (end, now) => {
       const record = touch(end.fingerprint)
       const held = record.permits.has(end.permit)
       if (end.how === 'crashed') crash(record, end.permit)
-      const news = end.how === 'answered' && clear(record, end.suspectedFor ?? [])
+      const news = end.how === 'answered' && clear(record, [...end.suspectedFor ?? [], end.permit])
       if (end.how === 'answered' && held && record.crashes.size === 0) record.proven = true
       record.permits.delete(end.permit)
       record.ended.add(end.permit)
@@ -238,7 +259,7 @@
     },
     permits: () => [...records].flatMap(([fingerprint, record]) => [...record.permits].map(([permit, { holder, proven }]) => ({ permit, fingerprint, holder, proven }))),
     adopt: (permits) => {
-      for (const { permit, fingerprint, holder, proven } of permits) touch(fingerprint).permits.set(permit, { holder, proven })
+      for (const { permit, fingerprint, holder, proven } of permits) touch(fingerprint).permits.set(permit, { holder, proven, blockedSince: undefined })
     },
     size: () => records.size
   }
--- a/test/request/suspicion.test.ts
+++ b/test/request/suspicion.test.ts
@@ -271,3 +271,19 @@
   assert.equal(guard.isQuarantined('culprit', 999), true)
   assert.equal(guard.isQuarantined('culprit', 1_000), false)
 })
+
+// The path between two nodes is lost just when a permit ends, so its owner never hears of it. The same
+// question asked again must not wait for ever, and its answer must clear it.
+test('a permit that nobody ends holds others up for a limited time', () => {
+  const guard = createCrashGuard({ permitTime: 1_000 })
+  const holder = incarnationSchema.parse('entry-1-x')
+  const ask = (permit: string, now: number) => guard.acquire({ permit, holder, evidence: guard.evidence('body') }, now)
+  assert.equal(ask('a#1', 0).kind, 'granted')
+  assert.equal(ask('b#1', 5_000).kind, 'wait')
+  const decision = ask('b#1', 6_000)
+  assert.deepEqual(decision, { kind: 'granted', apart: true, suspectedFor: ['a#1'] })
+  guard.release({ permit: 'b#1', fingerprint: 'body', how: 'answered', suspectedFor: ['a#1'] }, 6_100)
+  assert.deepEqual(ask('c#1', 7_000), { kind: 'granted', apart: false, suspectedFor: [] })
+  guard.release({ permit: 'a#1', fingerprint: 'body', how: 'answered' }, 8_000)
+  assert.equal(ask('d#1', 8_000).kind, 'granted')
+})
