--- a/src/admission/scheduler.ts
+++ b/src/admission/scheduler.ts
@@ -7,6 +7,7 @@
 import type { Configuration } from '../configuration/index.js'
 import type { ClassName, RequestId, ServiceName, UpstreamName } from '../identifiers.js'
 import type { Random } from '../random.js'
+import { LARGEST_VIEW, partialView, sharingNodes } from '../upstream/index.js'
 import type { UpstreamView } from '../upstream/index.js'
 import { createClassState } from './class-state.js'
 import type { ClassState } from './class-state.js'
@@ -17,13 +18,20 @@
 /** Earliest sensible next attempt for a class that is not configured. */
 const UNKNOWN_CLASS_RETRY: Milliseconds = 2 * SECOND
 
+/** What a scheduler is made of. */
+export interface SchedulerOptions {
+  /** Seeded: equal seeds and equal events give equal effects. */
+  readonly random: Random
+  /** Name of this node. With it, the node uses a part of a large service's upstreams. */
+  readonly node?: string
+}
+
 /**
- * @param random seeded; equal seeds and equal events give equal effects
  * @example
  * const scheduler = createScheduler({ random: createRandom(1) })
  * for (const effect of scheduler.handle({ kind: 'arrived', attempt }, clock.now())) carryOut(effect)
  */
-export function createScheduler (options: { random: Random }): Scheduler {
+export function createScheduler (options: SchedulerOptions): Scheduler {
   const services = new Map<ServiceName, ServiceScheduler>()
   const classes = new Map<ClassName, ClassState>()
   const serviceOfUpstream = new Map<UpstreamName, ServiceName>()
@@ -38,24 +46,26 @@
       const known = classes.get(requestClass.name)?.requestClass
       if (JSON.stringify(known) !== JSON.stringify(requestClass)) classes.set(requestClass.name, createClassState(requestClass))
     }
-    for (const service of configuration.services) if (!services.has(service.name)) services.set(service.name, createService())
+    for (const service of configuration.services) {
+      if (!services.has(service.name)) services.set(service.name, createServiceScheduler(options.random))
+    }
     return updateUpstreams(upstreams, now)
   }
 
-  function createService (): ServiceScheduler {
-    const service = createServiceScheduler(options.random)
-    service.fleet.shared(nodes)
-    return service
-  }
-
   function updateUpstreams (views: readonly UpstreamView[], now: Milliseconds): SchedulerEffect[] {
     upstreams = views
     serviceOfUpstream.clear()
     for (const view of views) serviceOfUpstream.set(view.name, view.service)
-    for (const [name, service] of services) service.fleet.update(views.filter((view) => view.service === name), now)
+    for (const [name, service] of services) updateService(service, views.filter((view) => view.service === name), now)
     return forEachService((service) => service.advance(now))
   }
 
+  function updateService (service: ServiceScheduler, views: readonly UpstreamView[], now: Milliseconds): void {
+    const used = options.node === undefined ? views : partialView(options.node, views, LARGEST_VIEW)
+    service.fleet.update(used, now)
+    service.fleet.shared(sharingNodes(nodes, used.length, views.length))
+  }
+
   function arrived (attempt: PendingAttempt, now: Milliseconds): SchedulerEffect[] {
     const classState = classes.get(attempt.class)
     const service = classState && services.get(classState.requestClass.service)
@@ -96,8 +106,7 @@
         return []
       case 'nodes':
         nodes = event.count
-        for (const service of services.values()) service.fleet.shared(nodes)
-        return []
+        return updateUpstreams(upstreams, now)
       case 'arrived':
         return arrived(event.attempt, now)
       case 'first-token':
--- a/src/upstream/fleet.ts
+++ b/src/upstream/fleet.ts
@@ -16,8 +16,7 @@
 import type { UpstreamHealth } from './outliers.js'
 import { createPrefixIndex } from './prefix-index.js'
 import type { PrefixIndex } from './prefix-index.js'
-import type { UpstreamView } from './choice.js'
-import type { LoadReport, Usage } from './types.js'
+import type { LoadReport, UpstreamView, Usage } from './types.js'
 
 /** What an attempt asks of an upstream. */
 export interface Demand {
--- a/src/upstream/types.ts
+++ b/src/upstream/types.ts
@@ -1,6 +1,7 @@
 /** What the system knows about an upstream. */
 import { z } from 'zod'
 import { addressSchema, failureDomainSchema, instanceNameSchema, serviceNameSchema, upstreamNameSchema } from '../identifiers.js'
+import type { Address, FailureDomain, ServiceName, UpstreamName } from '../identifiers.js'
 
 /** One entry of the platform's instance list. */
 export const instanceSchema = z.object({
@@ -45,3 +46,17 @@
   cached_tokens: z.number().int().nonnegative().default(0)
 })
 export type Usage = z.infer<typeof usageSchema>
+
+/** An upstream as one node sees it. */
+export interface UpstreamView {
+  readonly name: UpstreamName
+  readonly service: ServiceName
+  readonly failureDomain: FailureDomain
+  /** Upstreams of one machine class are about equally fast. */
+  readonly machineClass?: string | undefined
+  readonly address: Address
+  readonly protocol: 'model' | 'plain'
+  readonly leaving: boolean
+  /** Requests of this node being run there. */
+  readonly inFlight: number
+}
