--- a/bench/main.ts
+++ b/bench/main.ts
@@ -7,11 +7,14 @@
 
 /** Each topic's module; loaded only when it is asked for. */
 const TOPICS: Readonly<Record<string, () => Promise<{ bench: Bench }>>> = {
+  claims: () => import('./claims.js'),
+  'entry-overhead': () => import('./entry-overhead.js'),
   overload: () => import('./overload.js'),
   fairness: () => import('./fairness.js'),
   routing: () => import('./routing.js'),
   outliers: () => import('./outliers.js'),
-  recovery: () => import('./recovery.js')
+  recovery: () => import('./recovery.js'),
+  'decision-time': () => import('./decision-time.js')
 }
 
 const DEFAULT_SEED = 1
