--- a/src/planner/demand-reader.ts
+++ b/src/planner/demand-reader.ts
@@ -68,8 +68,9 @@
     read: async (configuration, signal) => {
       const next = new Map<string, KnownEpoch>()
       const fresh = new Set<string>()
-      for (let shard = 0; shard < SHARDS; shard += 1) {
-        for (const entry of (await keyValue.list(shardPrefix(shard), signal)).entries) {
+      const shards = await Promise.all(Array.from({ length: SHARDS }, (_, shard) => keyValue.list(shardPrefix(shard), signal)))
+      for (const { entries } of shards) {
+        for (const entry of entries) {
           const snapshot = decodeSnapshot(entry.value)
           if (snapshot === undefined) continue
           const name = snapshotName(snapshot)
