--- a/test/planner/harness.ts
+++ b/test/planner/harness.ts
@@ -69,6 +69,10 @@
   readonly wantedEver: Set<InstanceName>
   /** Names that were released while the written state wanted them. */
   readonly releasedThoughWanted: InstanceName[]
+  /** Start orders that reached the cloud. */
+  readonly starts: InstanceName[]
+  /** Whether an engine reports a running request. */
+  setBusy (name: InstanceName, isBusy: boolean): void
   desired (): DesiredState
   setModel (model: string): void
   /** Lets both planners run without trouble until everything is quiet. */
@@ -98,6 +102,8 @@
   const addresses = new Map<Address, InstanceName>()
   const wantedEver = new Set<InstanceName>()
   const releasedThoughWanted: InstanceName[] = []
+  const starts: InstanceName[] = []
+  const busy = new Set<InstanceName>()
   const owner = new AbortController()
   let model = 'model-1'
   let lease = { holder: -1, fencing: 0, until: 0 }
@@ -197,7 +203,10 @@
         offers: () => send(near.offers),
         list: (group) => send(() => near.list(group)),
         notices: (after) => send(() => near.notices(after)),
-        start: (order) => send(() => near.start(order)),
+        start: (order) => send(() => {
+          starts.push(order.name)
+          return near.start(order)
+        }),
         release: (name) => send(() => release(name))
       },
       instanceList: { read: () => send(listed) },
@@ -248,7 +257,7 @@
       load: () => send(() => {
         const { state } = probe()
         return loadReportSchema.parse({
-          upstream: upstreamNameSchema.parse(addresses.get(address)), running: 0, waiting: 0, cacheUsed: 0, ageMs: 0, models: state.models(), adapters: state.adapters(), role: state.role(), generation: state.generation()
+          upstream: upstreamNameSchema.parse(addresses.get(address)), running: busy.has(addresses.get(address) as InstanceName) ? 1 : 0, waiting: 0, cacheUsed: 0, ageMs: 0, models: state.models(), adapters: state.adapters(), role: state.role(), generation: state.generation()
         })
       })
     }
@@ -270,6 +279,8 @@
     wantedEver,
     engines: () => engines,
     releasedThoughWanted,
+    starts,
+    setBusy: (name, isBusy) => { isBusy ? busy.add(name) : busy.delete(name) },
     desired,
     setModel: (name) => { model = name },
     heal: async () => {
--- a/test/planner/interleavings.test.ts
+++ b/test/planner/interleavings.test.ts
@@ -4,6 +4,7 @@
 import fc from 'fast-check'
 import { SECOND } from '../../src/clock.js'
 import { failureDomainSchema, instanceNameSchema } from '../../src/identifiers.js'
+import { DESIRED_STATE_KEY, HISTORY_KEY, LEARNED_KEY } from '../../src/planner/keys.js'
 import { createPlannerWorld } from './harness.js'
 import type { PlannerWorld } from './harness.js'
 
@@ -83,19 +84,28 @@
   }), { seed: 3, numRuns: 30 })
 })
 
-// A month's bill doubles after the key-value service lost its contents: the planner found nothing
-// wanted, and bought a fleet beside the one that ran.
-test('a planner that finds no state takes over what runs', async () => {
-  const world = createPlannerWorld({ seed: 1, checksFencing: () => true })
-  await run(world, 5)
-  world.cloud.reclaimDomain(ZONES[0]!, 0)
-  await run(world, 12)
-  const before = names(world)
-  for (const key of ['desired', 'learned', 'history']) world.store.compareAndDelete(`hornbeamgap/planner/${key}`, world.store.get(`hornbeamgap/planner/${key}`)?.revision ?? 0)
-  await run(world, 12)
-  assert.deepEqual(names(world), before)
-  assertWhole(world)
-})
+// A month's bill doubles after the key-value service lost its contents, or came back from an old
+// copy: the planner found too little wanted, and bought a fleet beside the one that ran. Engines
+// refused its orders, whose numbers they had seen long before.
+for (const loss of ['lost', 'restored from an old copy'] as const) {
+  test(`a planner whose state was ${loss} takes over what runs`, async () => {
+    const world = createPlannerWorld({ seed: 1, checksFencing: () => true })
+    await run(world, 5)
+    const oldCopy = world.store.get(DESIRED_STATE_KEY)!.value
+    world.cloud.reclaimDomain(ZONES[0]!, 0)
+    await run(world, 12)
+    for (const model of ['model-2', 'model-1']) {
+      world.setModel(model)
+      await run(world, 12)
+    }
+    const before = names(world)
+    if (loss === 'lost') for (const key of [DESIRED_STATE_KEY, LEARNED_KEY, HISTORY_KEY]) world.store.compareAndDelete(key, world.store.get(key)?.revision ?? 0)
+    else world.store.put(DESIRED_STATE_KEY, oldCopy)
+    await run(world, 12)
+    assert.deepEqual(names(world), before)
+    assertWhole(world)
+  })
+}
 
 // A machine runs for weeks and nobody knows of it: the cloud started it for an order that arrived
 // after the planner had given its name up, and had forgotten that the name was used.
