--- a/test/report/fleet.ts
+++ b/test/report/fleet.ts
@@ -29,6 +29,8 @@
   readonly keeper: ReportKeeper
   accept (name: number): RequestKey
   end (request: RequestKey, outcome: Outcome): void
+  /** Whether the test lets it write. */
+  live: boolean
   /** Ends the keeper as the death of the process would. */
   crash (): void
 }
@@ -51,6 +53,7 @@
     incarnation,
     ledger,
     keeper,
+    live: true,
     accept: (number) => {
       const request = requestOf(incarnation, number)
       ledger.accepted(request)
