Views that missed a change are found by a hash and read again; suspicions carry their age

A node that had listed the service passed its revision on without the deletions it could not know; a deletion of an unknown record was not kept for others. Deletions are now always kept, and each exchange carries a hash of the view: two views of one revision that differ are read again, by a tenth of the nodes a second. Lives of an instance are ordered by revision in listings too. Rumours count from the first suspicion anywhere instead of from their arrival.

--- a/bench/agreement/message-cost.ts
+++ b/bench/agreement/message-cost.ts
@@ -40,6 +40,7 @@
   from: incarnationSchema.parse('entry-123-0123456789ab'),
   revision: 1_234,
   seen: 1_234_567,
+  digest: 2_345_678_901,
   rumours: []
 }
 
--- a/src/entry/membership-keeper.ts
+++ b/src/entry/membership-keeper.ts
@@ -86,6 +86,15 @@
 
 const SETTLE_PERIOD: Milliseconds = SECOND
 
+/**
+ * Failure guarded against: a change went missing on its way through peers, and a node would be known
+ * here and not there for good. Views of one revision that differ are read again from the service, not
+ * sooner after the last reading than this, and by a share of the nodes each second.
+ */
+const SETTLING: Milliseconds = 15 * SECOND
+
+const RELIST_SHARE = 0.1
+
 /** Every node reads the whole list this often, in case a peer's account of it was wrong. */
 const RELIST_PERIOD: Milliseconds = 10 * MINUTE
 
@@ -112,12 +121,15 @@
   let own = options.record
   let toldVersion = view.version()
   let toldNodes = view.nodes()
+  let doubtful = false
+  let listedAt = -Infinity
 
   const registration = createRegistration({ record: () => own, fleet: () => view.nodes().length, keyValue, clock, random, log, signal })
   const exchange = createPeerExchange({
     own: () => own,
     unregistered: () => own.leaving || !registration.registered(),
     view,
+    disagreed: () => { doubtful = true },
     suspicions,
     configuration,
     peers,
@@ -129,6 +141,8 @@
   async function load (): Promise<number> {
     const listing = await keyValue.list(NODE_PREFIX, signal)
     view.replace(listing.entries.flatMap(toStamped), listing.revision, clock.now())
+    listedAt = clock.now()
+    doubtful = false
     tellChanges()
     return listing.revision
   }
@@ -190,6 +204,7 @@
     const last = exchange.lastHeard() ?? -Infinity
     const heardPeer = clock.now() - last < PEER_SILENCE
     if (!heardPeer && random.fraction() < VARIATION) await seekOthers()
+    if (doubtful && clock.now() - listedAt > SETTLING && random.fraction() < RELIST_SHARE) await load().catch(() => {})
   }
 
   /**
--- a/src/entry/peer-exchange.ts
+++ b/src/entry/peer-exchange.ts
@@ -17,6 +17,8 @@
   /** Whether peers must be given this node's own record, since the service may not hold it. */
   readonly unregistered: () => boolean
   readonly view: MembershipView
+  /** A peer that has seen the same changes has another view. */
+  readonly disagreed: () => void
   readonly suspicions: Suspicions
   readonly configuration: Pick<ConfigurationKeeper, 'current' | 'revision' | 'offer' | 'heard'>
   readonly peers: AgreementPeers
@@ -75,7 +77,8 @@
       from: options.own().incarnation,
       revision: configuration.revision(),
       seen: view.seen(),
-      rumours: suspicions.rumoursFor(receiver, view.nodes().length),
+      digest: view.digest(),
+      rumours: suspicions.rumoursFor(receiver, view.nodes().length, clock.now()),
       ...(options.unregistered() ? { record: options.own() } : {})
     }
   }
@@ -96,7 +99,8 @@
     configuration.heard()
     suspicions.heard(message.from)
     suspicions.merge(message.rumours, now)
-    if (message.record !== undefined) view.introduce(message.record)
+    if (message.seen === view.seen() && message.digest !== view.digest()) options.disagreed()
+    if (message.record !== undefined) view.introduce(message.record, now)
     if (message.changes !== undefined) view.merge(message.changes, now)
     if (message.configuration !== undefined) configuration.offer(message.configuration, 'peer')
   }
--- a/src/membership/suspicion.ts
+++ b/src/membership/suspicion.ts
@@ -18,7 +18,7 @@
   /** Takes a peer's rumours. */
   merge (rumours: readonly Rumour[], now: Milliseconds): void
   /** Rumours for the next message; each is sent a bounded number of times. */
-  rumoursFor (receiver: Incarnation, fleet: number): Rumour[]
+  rumoursFor (receiver: Incarnation, fleet: number, now: Milliseconds): Rumour[]
   /** Whether the node has been suspected for longer than it takes to refute. */
   isDown (about: Incarnation, now: Milliseconds): boolean
   isSuspected (about: Incarnation): boolean
@@ -26,22 +26,28 @@
   retain (present: (about: Incarnation) => boolean): void
 }
 
-/** A suspected node has this time to refute before callers are not given its address any more. */
+/**
+ * A suspected node has this time, counted from the first suspicion anywhere, to refute before callers
+ * are not given its address any more. The price of too short a time is a node left out for seconds.
+ */
 export const REFUTE_TIME: Milliseconds = 6 * SECOND
 
-/** Most rumours in one message: with 60 bytes each, a wave of 74 stays under 1 KB a message. */
+/** Most rumours in one message: with 75 bytes each, a wave of 74 stays near 1 KB a message. */
 export const RUMOURS_A_MESSAGE = 16
 
 /** Each rumour is sent this often times the logarithm of the fleet. */
 const SENDINGS = 3
 
-interface Suspicion {
-  readonly rumour: Rumour
+/** A rumour without its age, which goes on rising. */
+type Claim = Omit<Rumour, 'age_ms'>
+
+interface Belief {
+  readonly claim: Claim
   readonly since: Milliseconds
 }
 
 interface Pending {
-  readonly rumour: Rumour
+  readonly belief: Belief
   sent: number
 }
 
@@ -51,25 +57,24 @@
  * suspicions.suspect(peer, clock.now())
  */
 export function createSuspicions (own: Incarnation): Suspicions {
-  const beliefs = new Map<Incarnation, Suspicion>()
+  const beliefs = new Map<Incarnation, Belief>()
   const pending = new Map<Incarnation, Pending>()
   let ownNumber = 0
 
-  function believe (rumour: Rumour, now: Milliseconds): void {
-    const before = beliefs.get(rumour.about)
-    const since = before?.rumour.state === rumour.state ? before.since : now
-    beliefs.set(rumour.about, { rumour, since })
-    pending.set(rumour.about, { rumour, sent: 0 })
+  function believe (claim: Claim, since: Milliseconds): void {
+    const belief = { claim, since }
+    beliefs.set(claim.about, belief)
+    pending.set(claim.about, { belief, sent: 0 })
   }
 
-  function refute (rumour: Rumour): void {
+  function refute (rumour: Rumour, now: Milliseconds): void {
     if (rumour.state !== 'suspect' || rumour.number < ownNumber) return
     ownNumber = rumour.number + 1
-    pending.set(own, { rumour: { about: own, state: 'live', number: ownNumber }, sent: 0 })
+    pending.set(own, { belief: { claim: { about: own, state: 'live', number: ownNumber }, since: now }, sent: 0 })
   }
 
   function isSuspected (about: Incarnation): boolean {
-    return beliefs.get(about)?.rumour.state === 'suspect'
+    return beliefs.get(about)?.claim.state === 'suspect'
   }
 
   return {
@@ -77,30 +82,30 @@
     heard: (about) => {
       // Only this node's own belief ends; the rumour ends when the suspected node itself refutes it.
       const belief = beliefs.get(about)
-      if (belief?.rumour.state === 'suspect') beliefs.set(about, { ...belief, rumour: { ...belief.rumour, state: 'live' } })
+      if (belief?.claim.state === 'suspect') beliefs.set(about, { ...belief, claim: { ...belief.claim, state: 'live' } })
     },
     suspect: (about, now) => {
       if (isSuspected(about)) return
-      believe({ about, state: 'suspect', number: beliefs.get(about)?.rumour.number ?? 0 }, now)
+      believe({ about, state: 'suspect', number: beliefs.get(about)?.claim.number ?? 0 }, now)
     },
     merge: (rumours, now) => {
-      for (const rumour of rumours) {
-        if (rumour.about === own) refute(rumour)
-        else if (overrides(rumour, beliefs.get(rumour.about)?.rumour)) believe(rumour, now)
+      for (const { age_ms: age, ...claim } of rumours) {
+        if (claim.about === own) refute({ ...claim, age_ms: age }, now)
+        else if (overrides(claim, beliefs.get(claim.about)?.claim)) believe(claim, now - age)
       }
     },
-    rumoursFor: (receiver, fleet) => {
+    rumoursFor: (receiver, fleet, now) => {
       const chosen = choose(pending, RUMOURS_A_MESSAGE)
       const limit = SENDINGS * Math.ceil(Math.log2(fleet + 1))
       for (const item of chosen) {
         item.sent += 1
-        if (item.sent >= limit) pending.delete(item.rumour.about)
+        if (item.sent >= limit) pending.delete(item.belief.claim.about)
       }
-      return withSuspicionOf(receiver, chosen.map((item) => item.rumour), beliefs)
+      return withSuspicionOf(receiver, chosen.map((item) => item.belief), beliefs).map((belief) => toRumour(belief, now))
     },
     isDown: (about, now) => {
       const belief = beliefs.get(about)
-      return belief?.rumour.state === 'suspect' && now - belief.since >= REFUTE_TIME
+      return belief?.claim.state === 'suspect' && now - belief.since >= REFUTE_TIME
     },
     retain: (present) => {
       for (const about of beliefs.keys()) if (!present(about)) beliefs.delete(about)
@@ -109,7 +114,11 @@
   }
 }
 
-function overrides (rumour: Rumour, known: Rumour | undefined): boolean {
+function toRumour (belief: Belief, now: Milliseconds): Rumour {
+  return { ...belief.claim, age_ms: Math.round(now - belief.since) }
+}
+
+function overrides (rumour: Claim, known: Claim | undefined): boolean {
   if (known === undefined) return rumour.state === 'suspect' || rumour.number > 0
   if (rumour.number !== known.number) return rumour.number > known.number
   return rumour.state === 'suspect' && known.state === 'live'
@@ -121,8 +130,8 @@
 }
 
 /** The receiver hears of its own suspicion first of all: only it can refute. */
-function withSuspicionOf (receiver: Incarnation, rumours: readonly Rumour[], beliefs: ReadonlyMap<Incarnation, Suspicion>): Rumour[] {
-  const others = rumours.filter((rumour) => rumour.about !== receiver)
-  const belief = beliefs.get(receiver)
-  return belief?.rumour.state === 'suspect' ? [belief.rumour, ...others] : others
+function withSuspicionOf (receiver: Incarnation, chosen: readonly Belief[], beliefs: ReadonlyMap<Incarnation, Belief>): Belief[] {
+  const others = chosen.filter((belief) => belief.claim.about !== receiver)
+  const own = beliefs.get(receiver)
+  return own?.claim.state === 'suspect' ? [own, ...others] : others
 }
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -50,7 +50,9 @@
 export const rumourSchema = z.object({
   about: incarnationSchema,
   state: z.enum(['live', 'suspect']),
-  number: z.number().int().nonnegative()
+  number: z.number().int().nonnegative(),
+  /** How long the sender has believed it or heard that others have, in milliseconds. */
+  age_ms: z.number().int().nonnegative()
 })
 export type Rumour = z.infer<typeof rumourSchema>
 
--- a/src/membership/view.ts
+++ b/src/membership/view.ts
@@ -4,8 +4,9 @@
  * so a wave of changes is read from the service by its few watchers alone.
  */
 import type { Milliseconds } from '../clock.js'
-import { SECOND } from '../clock.js'
-import type { Incarnation } from '../identifiers.js'
+import { MINUTE, SECOND } from '../clock.js'
+import type { Incarnation, InstanceName } from '../identifiers.js'
+import { score } from './rendezvous.js'
 import type { NodeRecord, PeerState, ViewChange, ViewChanges } from './types.js'
 
 /** The view and what changes it. */
@@ -16,6 +17,11 @@
   stateOf (incarnation: Incarnation): PeerState
   /** Revision up to which the view is complete. */
   seen (): number
+  /**
+   * Hash of the records that the service holds, as far as this node knows. Two complete views of one
+   * revision that differ in it are not equal: one of them has missed a change.
+   */
+  digest (): number
   /** Rises whenever {@link MembershipView.nodes} changes. */
   version (): number
   /** Takes a complete listing of the service at a revision. */
@@ -23,7 +29,7 @@
   /** Takes consecutive changes, from a watch or a peer; a list with a gap before it is left alone. */
   merge (changes: ViewChanges, now: Milliseconds): void
   /** Takes a record that its own node sent, while the service may not hold it. */
-  introduce (record: NodeRecord): void
+  introduce (record: NodeRecord, now: Milliseconds): void
   /** Changes after a revision, at most `limit`; undefined when they are not kept any more. */
   changesAfter (revision: number, limit: number): ViewChanges | undefined
   /** Lets lapsed records go once their grace is over. */
@@ -45,6 +51,9 @@
  */
 export const LAPSE_GRACE: Milliseconds = 20 * SECOND
 
+/** A record that only its own node has told of, and that the service never held, stays this long. */
+const INTRODUCTION_TIME: Milliseconds = 10 * MINUTE
+
 /** Deletions kept for peers that are behind: eleven days' worth of an ordinary fleet of 370. */
 const DELETIONS_KEPT = 2_048
 
@@ -55,6 +64,8 @@
   readonly record: NodeRecord
   /** 0 while only the node itself has told of it. */
   readonly revision: number
+  /** When the node itself last told of it. */
+  introducedAt: Milliseconds
   /** When its key vanished. */
   lapsedAt: Milliseconds | undefined
 }
@@ -74,29 +85,34 @@
   let forgottenUpTo = 0
   let seen = 0
   let version = 1
+  let digested: number | undefined
   let listed: { version: number, nodes: readonly NodeRecord[] } | undefined
 
-  function put (record: NodeRecord, revision: number): void {
+  function put (record: NodeRecord, revision: number, introducedAt = -Infinity): void {
     const before = known.get(record.incarnation)
     if (before !== undefined && before.revision > revision) return
-    known.set(record.incarnation, { record, revision, lapsedAt: undefined })
+    known.set(record.incarnation, { record, revision, introducedAt, lapsedAt: undefined })
     gone.delete(record.incarnation)
-    dropReplaced(record, revision)
+    dropReplaced(record.instance)
     version += 1
+    digested = undefined
   }
 
-  /** An instance runs one process: a newer incarnation on it proves the older one gone. */
-  function dropReplaced (record: NodeRecord, revision: number): void {
-    for (const [incarnation, other] of known) {
-      const replaced = other.record.instance === record.instance && incarnation !== record.incarnation
-      if (replaced && other.revision < revision) forget(incarnation)
-    }
+  /** An instance runs one process: a newer incarnation on it proves the older ones gone. */
+  function dropReplaced (instance: InstanceName): void {
+    const lives = [...known.values()].filter((entry) => entry.record.instance === instance)
+    const latest = Math.max(...lives.map((entry) => entry.revision))
+    // A life that only told of itself has no place in the order yet.
+    for (const life of lives) if (life.revision > 0 && life.revision < latest) forget(life.record.incarnation)
   }
 
   function lapse (incarnation: Incarnation, revision: number, now: Milliseconds): void {
     const entry = known.get(incarnation)
-    if (entry === undefined || entry.revision > revision) return
+    if (entry !== undefined && entry.revision > revision) return
+    // Kept although this node may never have known the record: a peer that asks may.
     keepDeletion(incarnation, revision)
+    digested = undefined
+    if (entry === undefined) return
     if (entry.record.leaving) return forget(incarnation)
     entry.lapsedAt ??= now
   }
@@ -111,6 +127,7 @@
 
   function forget (incarnation: Incarnation): void {
     if (!known.delete(incarnation)) return
+    digested = undefined
     gone.add(incarnation)
     if (gone.size > GONE_KEPT) gone.delete(gone.values().next().value as Incarnation)
     version += 1
@@ -132,6 +149,10 @@
     find,
     seen: () => seen,
     version: () => version,
+    digest: () => {
+      digested ??= digestOf(known)
+      return digested
+    },
     stateOf: (incarnation) => {
       const record = find(incarnation)
       if (record !== undefined) return record.leaving ? 'leaving' : 'live'
@@ -154,9 +175,11 @@
       }
       seen = list.upTo
     },
-    introduce: (record) => {
-      if (known.get(record.incarnation) === undefined) put(record, 0)
-      else if (record.leaving) put(record, known.get(record.incarnation)?.revision ?? 0)
+    introduce: (record, now) => {
+      const before = known.get(record.incarnation)
+      if (before === undefined) put(record, 0, now)
+      else if (record.leaving && !before.record.leaving) put(record, before.revision, now)
+      else before.introducedAt = now
     },
     changesAfter: (revision, limit) => {
       if (revision > 0 && revision < forgottenUpTo) return undefined
@@ -164,7 +187,9 @@
     },
     settle: (now) => {
       for (const [incarnation, entry] of known) {
-        if (entry.lapsedAt !== undefined && now - entry.lapsedAt >= LAPSE_GRACE) forget(incarnation)
+        const lapsed = entry.lapsedAt !== undefined && now - entry.lapsedAt >= LAPSE_GRACE
+        const forgotten = entry.revision === 0 && now - entry.introducedAt >= INTRODUCTION_TIME
+        if (lapsed || forgotten) forget(incarnation)
       }
     },
     setOwn: (record) => {
@@ -174,6 +199,14 @@
   }
 }
 
+function digestOf (known: ReadonlyMap<Incarnation, Known>): number {
+  let digest = 0
+  for (const [incarnation, entry] of known) {
+    if (entry.revision > 0 && entry.lapsedAt === undefined) digest ^= score('view', incarnation)
+  }
+  return digest >>> 0
+}
+
 function changesAfter (known: ReadonlyMap<Incarnation, Known>, deletions: ReadonlyArray<{ incarnation: Incarnation, revision: number }>, after: number, seen: number, limit: number): ViewChanges {
   const puts: ViewChange[] = [...known.values()]
     .filter((entry) => entry.revision > after)
--- a/src/peer/agreement.ts
+++ b/src/peer/agreement.ts
@@ -15,6 +15,8 @@
   revision: z.number().int().nonnegative(),
   /** Revision of the key-value service up to which the sender's view of the nodes is complete. */
   seen: z.number().int().nonnegative(),
+  /** Hash of that view; two nodes that have seen the same must have the same. */
+  digest: z.number().int().nonnegative(),
   rumours: z.array(rumourSchema).max(64),
   /** The sender's own record, while the key-value service may not hold it. */
   record: nodeRecordSchema.optional(),
