Readers that wait for one answer no longer wake each other for ever

Cause: readers and writers of an answer waited in one list. A reader that had caught up woke the others, they woke it, and the node's one thread did nothing else any more: found when one booking was sent several times at once. Each side now wakes the other only.

--- a/src/request/answer.ts
+++ b/src/request/answer.ts
@@ -60,24 +60,10 @@
   const texts = [...tokens]
   const readers = new Set<Reader>()
   let end: AnswerEnd | undefined
-  let waiters: (() => void)[] = []
-
-  function wake (): void {
-    const woken = waiters
-    waiters = []
-    for (const waiter of woken) waiter()
-  }
-
-  function changed (signal: AbortSignal): Promise<void> {
-    return new Promise((resolve) => {
-      const finish = (): void => {
-        signal.removeEventListener('abort', finish)
-        resolve()
-      }
-      signal.addEventListener('abort', finish, { once: true })
-      waiters.push(finish)
-    })
-  }
+  /** Readers that wait for tokens or the end. */
+  const content = createWaiters()
+  /** Writers that wait for readers to go on. */
+  const progress = createWaiters()
 
   function unread (): number {
     if (readers.size === 0) return 0
@@ -96,11 +82,12 @@
       if (end !== undefined || token.offset < texts.length) return
       if (token.offset > texts.length) throw new RangeError(`answer has ${texts.length} tokens and cannot continue at ${token.offset}`)
       texts.push(token.text)
-      wake()
+      content.wake()
     },
     close: (mark) => {
       end ??= mark
-      wake()
+      content.wake()
+      progress.wake()
     },
     read: async function * (offset, signal) {
       const reader = { next: offset }
@@ -115,16 +102,38 @@
             yield end
             return
           }
-          wake()
-          if (!signal.aborted && reader.next >= texts.length && end === undefined) await changed(signal)
+          progress.wake()
+          if (!signal.aborted && reader.next >= texts.length && end === undefined) await content.wait(signal)
         }
       } finally {
         readers.delete(reader)
-        wake()
+        progress.wake()
       }
     },
     room: async (ahead, signal) => {
-      while (mustWait(ahead) && !signal.aborted) await changed(signal)
+      while (mustWait(ahead) && !signal.aborted) await progress.wait(signal)
     }
   }
 }
+
+/**
+ * Failure guarded against: with one list for both sides, a reader that has caught up wakes the other
+ * waiting readers, they wake it, and the process does nothing else any more. Each side wakes the other only.
+ */
+function createWaiters () {
+  const waiting = new Set<() => void>()
+  return {
+    wake: (): void => {
+      for (const finish of [...waiting]) finish()
+    },
+    wait: (signal: AbortSignal): Promise<void> => new Promise((resolve) => {
+      const finish = (): void => {
+        waiting.delete(finish)
+        signal.removeEventListener('abort', finish)
+        resolve()
+      }
+      signal.addEventListener('abort', finish, { once: true })
+      waiting.add(finish)
+    })
+  }
+}
