Engine stand-in: a socket that is being shut down is closed, not reset

Cause: a stream that had moved was cancelled while its client closed the connection; the reset of a socket under shutdown fails, its handle stays open and the event loop spins for good: a run of the upstream reclaim story did not end within 300 s.

--- a/stand-ins/engine/follower.ts
+++ b/stand-ins/engine/follower.ts
@@ -42,9 +42,15 @@
   return bound !== undefined && written >= bound
 }
 
-/** Ends the connection without a final mark, as the death of a process or of a path does. */
+/**
+ * Ends the connection without a final mark, as the death of a process or of a path does. A socket that
+ * is being shut down cannot be reset: its handle would stay open and keep the event loop busy for good.
+ */
 function reset (response: ServerResponse): void {
-  response.socket?.resetAndDestroy()
+  const { socket } = response
+  if (socket === null) return
+  if (socket.writableEnded) socket.destroy()
+  else socket.resetAndDestroy()
 }
 
 /** Resolves when the stream has changed or the connection has closed. */
