--- a/stand-ins/sample-deployment.ts
+++ b/stand-ins/sample-deployment.ts
@@ -82,7 +82,13 @@
   return membership.count() >= entries && directory.views().length >= upstreams
 }
 
-function onFreePorts (platform: PlatformSample): PlatformSample {
+/**
+ * A description whose ports are all free ones.
+ *
+ * @example
+ * startPlatform({ clock, random, sample: onFreePorts(sample.platform) })
+ */
+export function onFreePorts (platform: PlatformSample): PlatformSample {
   return {
     ...platform,
     ports: { key_value: 0, instance_list: 0, cloud: 0, weight_store: 0, control: 0 },
