--- a/bench/main.ts
+++ b/bench/main.ts
@@ -7,6 +7,7 @@
 
 /** Each topic's module; loaded only when it is asked for. */
 const TOPICS: Readonly<Record<string, () => Promise<{ bench: Bench }>>> = {
+  'capacity-mix': () => import('./capacity-mix.js'),
   claims: () => import('./claims.js'),
   'entry-overhead': () => import('./entry-overhead.js'),
   overload: () => import('./overload.js'),
@@ -14,7 +15,8 @@
   routing: () => import('./routing.js'),
   outliers: () => import('./outliers.js'),
   recovery: () => import('./recovery.js'),
-  'decision-time': () => import('./decision-time.js')
+  'decision-time': () => import('./decision-time.js'),
+  report: () => import('./report.js')
 }
 
 const DEFAULT_SEED = 1
--- a/src/capacity/service-problem.ts
+++ b/src/capacity/service-problem.ts
@@ -53,6 +53,9 @@
 /** Tokens of a prompt, before recomputed tokens were seen. */
 const PRIOR_PROMPT = 1_000
 
+/** Time between tokens where no class has a target for it, in milliseconds. */
+const PRIOR_BETWEEN_TOKENS: Milliseconds = 34
+
 /** Share of an instance's work that is always needed, so that no service ever goes to nothing. */
 const LEAST_NEED = 0.01
 
@@ -157,7 +160,7 @@
   const { betweenTokens } = targetsOf(configuration, service)
   const answer = demand.workPerSecond / demand.requestsPerSecond
   const capacity = Math.max(0, ...offers.map((offer) => offer.capacity))
-  const streams = capacity * (betweenTokens ?? SECOND) / SECOND
+  const streams = capacity * (betweenTokens ?? PRIOR_BETWEEN_TOKENS) / SECOND
   return {
     recomputedPerReclaim: recomputedPerReclaim(learned, service.name) ?? streams * (PRIOR_PROMPT + answer / 2),
     generatedPerHour: demand.workPerSecond * HOUR / SECOND
