--- a/src/operator/command/report-page.ts
+++ b/src/operator/command/report-page.ts
@@ -79,7 +79,7 @@
 }
 
 function legend (): Markup {
-  return html`<p class="legend">${OUTCOMES.map((name) => html`<span><i class="${name}"></i>${OUTCOME_TEXT[name]}</span>`)}<span><i class="mark"></i>target</span></p>`
+  return html`<p class="legend">${OUTCOMES.map((name) => html`<span><i class="${name}"></i>${OUTCOME_TEXT[name]}</span>`)}<span><i class="mark"></i>target</span><span>The pale stripe in a latency bar ends at the median.</span></p>`
 }
 
 function classSection (document: ReportDocument, line: ReportLine): Markup {
@@ -122,7 +122,13 @@
 }
 
 function organisationTable (document: ReportDocument): Markup {
-  return html`<table class="bars"><tbody>${document.organisations.map((line) => html`<tr><th scope="row">${line.organisation ?? ''}</th><td>${outcomeBar(line.sums)}</td><td>${countText(line.sums.asked)} asked</td><td>${line.cost === undefined ? '' : `cost ${moneyText(line.cost)}`}</td></tr>`)}</tbody></table>`
+  return html`<table class="bars"><tbody>${document.organisations.map((line) => html`<tr><th scope="row">${line.organisation ?? ''}</th><td>${outcomeBar(line.sums)}</td><td>${countText(line.sums.asked)} asked</td><td>${organisationText(line)}</td></tr>`)}</tbody></table>`
+}
+
+function organisationText (line: ReportLine): string {
+  const answered = line.reliability.achieved === undefined ? '' : `${percentText(line.reliability.achieved)} answered, `
+  const cost = line.cost === undefined ? '' : `, cost ${moneyText(line.cost)}`
+  return `${answered}${countText(line.generatedTokens)} tokens${cost}`
 }
 
 function figureTable (document: ReportDocument): Markup {
--- a/src/report/statements.ts
+++ b/src/report/statements.ts
@@ -62,7 +62,7 @@
 }
 
 function classStatements (line: ReportLine): string[] {
-  return [answerStatement(line), ...reliabilityStatements(line), ...refusalStatements(line), ...lossStatements(line)]
+  return [answerStatement(line), ...inTimeStatements(line), ...reliabilityStatements(line), ...refusalStatements(line), ...lossStatements(line)]
 }
 
 function answerStatement (line: ReportLine): string {
@@ -82,6 +82,13 @@
   return `${achieved}, target ${durationText(latency.target)} ${latency.achieved <= latency.target ? 'met' : 'MISSED'}`
 }
 
+function inTimeStatements ({ class: name, inTime, sums }: ReportLine): string[] {
+  const { achieved, target } = inTime
+  if (achieved === undefined || target === undefined) return []
+  const answers = sums.served + sums.late
+  return [`${name}: ${percentText(achieved)} of ${countText(answers)} ${answers === 1 ? 'answer' : 'answers'} came within all targeted times, target ${percentText(target)} ${achieved >= target ? 'met' : 'MISSED'}.`]
+}
+
 function reliabilityStatements ({ class: name, reliability, sums }: ReportLine): string[] {
   const { achieved, target } = reliability
   if (achieved === undefined || target === undefined) return []
