--- a/src/entry/membership-keeper.ts
+++ b/src/entry/membership-keeper.ts
@@ -34,8 +34,13 @@
   readonly revision: number
   /** Nodes at which it is in force, this one included. */
   readonly confirmed: number
-  /** Nodes that have not confirmed it. Empty: it is in force everywhere. */
+  /** Nodes that have not confirmed it, the unheard ones included. Empty: it is in force everywhere. */
   readonly missing: readonly NodeRecord[]
+  /**
+   * Nodes that went without a word in the last two hours: dead, or cut off with others and serving on
+   * with an earlier revision. Nobody can tell which before they are heard again.
+   */
+  readonly unheard: readonly NodeRecord[]
 }
 
 /** The nodes that are known. */
@@ -195,7 +200,8 @@
     const missed = await deliverTo(deliveryOptions, revision, rest, within * (1 - FIRST_ROUND))
     // A node that went meanwhile has nothing to confirm.
     const missing = missed.flatMap((incarnation) => view.find(incarnation) ?? [])
-    return { revision: revision.revision, confirmed: targets.length + 1 - missed.length, missing }
+    const unheard = view.unheard(clock.now())
+    return { revision: revision.revision, confirmed: targets.length + 1 - missed.length, missing: [...missing, ...unheard], unheard }
   }
 
   async function tick (): Promise<void> {
--- a/src/membership/view.ts
+++ b/src/membership/view.ts
@@ -4,7 +4,7 @@
  * so a wave of changes is read from the service by its few watchers alone.
  */
 import type { Milliseconds } from '../clock.js'
-import { MINUTE, SECOND } from '../clock.js'
+import { HOUR, MINUTE, SECOND } from '../clock.js'
 import type { Incarnation, InstanceName } from '../identifiers.js'
 import { score } from './rendezvous.js'
 import type { NodeRecord, PeerState, ViewChange, ViewChanges } from './types.js'
@@ -15,6 +15,11 @@
   nodes (): readonly NodeRecord[]
   find (incarnation: Incarnation): NodeRecord | undefined
   stateOf (incarnation: Incarnation): PeerState
+  /**
+   * Nodes that went without a word: their lease lapsed, they had not been leaving, and no new life of
+   * their instance has been seen. They are dead, or cut off and still serving.
+   */
+  unheard (now: Milliseconds): readonly NodeRecord[]
   /** Revision up to which the view is complete. */
   seen (): number
   /**
@@ -54,6 +59,9 @@
 /** A record that only its own node has told of, and that the service never held, stays this long. */
 const INTRODUCTION_TIME: Milliseconds = 10 * MINUTE
 
+/** Nodes that went without a word are told of for this long; regions lose each other for an hour. */
+const UNHEARD_TIME: Milliseconds = 2 * HOUR
+
 /** Deletions kept for peers that are behind: eleven days' worth of an ordinary fleet of 370. */
 const DELETIONS_KEPT = 2_048
 
@@ -79,6 +87,7 @@
 export function createMembershipView (own: NodeRecord): MembershipView {
   const known = new Map<Incarnation, Known>()
   const gone = new Set<Incarnation>()
+  const unheard = new Map<Incarnation, { record: NodeRecord, at: Milliseconds }>()
   let ownRecord = own
   const deletions: Array<{ incarnation: Incarnation, revision: number }> = []
   /** Deletions up to this revision have been dropped from the list. */
@@ -93,6 +102,7 @@
     if (before !== undefined && before.revision > revision) return
     known.set(record.incarnation, { record, revision, introducedAt, lapsedAt: undefined })
     gone.delete(record.incarnation)
+    for (const [incarnation, other] of unheard) if (other.record.instance === record.instance) unheard.delete(incarnation)
     dropReplaced(record.instance)
     version += 1
     digested = undefined
@@ -185,9 +195,12 @@
       if (revision > 0 && revision < forgottenUpTo) return undefined
       return changesAfter(known, deletions, revision, seen, limit)
     },
+    unheard: (now) => [...unheard.values()].filter((item) => now - item.at < UNHEARD_TIME).map((item) => item.record),
     settle: (now) => {
+      for (const [incarnation, item] of unheard) if (now - item.at >= UNHEARD_TIME) unheard.delete(incarnation)
       for (const [incarnation, entry] of known) {
         const lapsed = entry.lapsedAt !== undefined && now - entry.lapsedAt >= LAPSE_GRACE
+        if (lapsed) unheard.set(incarnation, { record: entry.record, at: now })
         const forgotten = entry.revision === 0 && now - entry.introducedAt >= INTRODUCTION_TIME
         if (lapsed || forgotten) forget(incarnation)
       }
