Outages are logged as changes of state by one shared piece

Cause: with the platform down, an entry wrote one instance-list line a second; the planner had its own guard against the same. Before: 60 lines a minute and task; after: two lines an outage (test/repeat.test.ts, which fails when the guard is dropped: 60 lines). Conclusion: repeat() serves planner, directory and notices.

--- a/src/entry/notice-keeper.ts
+++ b/src/entry/notice-keeper.ts
@@ -4,7 +4,7 @@
  */
 import Emittery from 'emittery'
 import type { Clock, Milliseconds } from '../clock.js'
-import { every, SECOND } from '../clock.js'
+import { SECOND } from '../clock.js'
 import type { Incarnation, InstanceName } from '../identifiers.js'
 import type { Log } from '../log.js'
 import type { NodeRecord } from '../membership/index.js'
@@ -12,6 +12,7 @@
 import type { Peers } from '../peer/client.js'
 import type { NoticesMessage, ReclaimHandlers } from '../peer/reclaim.js'
 import type { Cloud } from '../platform/cloud.js'
+import { repeat } from '../repeat.js'
 import type { Instance, UpstreamView } from '../upstream/index.js'
 import { createLeavingView, fromMessage, pollersOf, recipientsOf } from '../upstream/reclaim/index.js'
 import type { Leaving, LeavingView, Notice, NoticeMessage, NoticeSource } from '../upstream/reclaim/index.js'
@@ -160,8 +161,8 @@
     take([{ instance: instance.name, address: instance.address, source: SOURCES[source], noticedAt: clock.now(), deadline: undefined }], undefined)
   })
   directory.notices.on('changed', readList)
-  every(clock, CLOUD_PERIOD, signal, askCloud, (error) => log.warn('cloud-notices-unavailable', { error: String(error) })).catch(() => {})
-  every(clock, SECOND, signal, readList, (error) => log.warn('notices-failed', { error: String(error) })).catch(() => {})
+  repeat({ clock, log, signal }, 'cloud-notices', CLOUD_PERIOD, askCloud)
+  repeat({ clock, log, signal }, 'notices', SECOND, readList)
 
   return {
     events,
--- a/src/entry/upstream-directory.ts
+++ b/src/entry/upstream-directory.ts
@@ -1,10 +1,11 @@
 /** The upstreams that one node knows, kept fresh from the instance list and from other sources' notices. */
 import Emittery from 'emittery'
 import type { Clock, Milliseconds } from '../clock.js'
-import { every, SECOND } from '../clock.js'
+import { SECOND } from '../clock.js'
 import type { UpstreamName } from '../identifiers.js'
 import type { Log } from '../log.js'
 import type { InstanceList } from '../platform/instance-list.js'
+import { repeat } from '../repeat.js'
 import type { Instance, UpstreamView } from '../upstream/index.js'
 
 /** Who said that an upstream is leaving. */
@@ -97,7 +98,7 @@
     }
   }
 
-  every(clock, REFRESH_PERIOD, signal, refresh, (error) => log.warn('instance-list-unavailable', { error: String(error) })).catch(() => {})
+  repeat({ clock, log, signal }, 'instance-list', REFRESH_PERIOD, refresh)
 
   return {
     notices,
--- a/src/planner/planner.ts
+++ b/src/planner/planner.ts
@@ -2,7 +2,7 @@
 import { randomBytes } from 'node:crypto'
 import { setMaxListeners } from 'node:events'
 import type { Clock, Milliseconds } from '../clock.js'
-import { every, SECOND } from '../clock.js'
+import { SECOND } from '../clock.js'
 import { configurationRevisionSchema } from '../configuration/index.js'
 import type { ConfigurationRevision } from '../configuration/index.js'
 import { CONFIGURATION_KEY } from '../entry/configuration-change.js'
@@ -19,6 +19,7 @@
 import type { KeyValue } from '../platform/key-value.js'
 import { createWeightStore } from '../platform/weight-store.js'
 import type { Random } from '../random.js'
+import { repeat } from '../repeat.js'
 import { createLedger } from '../report/index.js'
 import type { PlannerContext } from './context.js'
 import { createPlannerCycle, FOLLOW_UP_PERIOD } from './cycle.js'
@@ -82,19 +83,7 @@
   const cycle = createPlannerCycle(context)
   const memory = createFoldMemory()
 
-  function run (task: string, period: Milliseconds, work: () => Promise<unknown>): void {
-    let failing = false
-    const attempt = async (): Promise<void> => {
-      await work()
-      if (failing) log.info(`planner-${task}-works-again`)
-      failing = false
-    }
-    const fail = (error: unknown): void => {
-      if (!failing) log.warn(`planner-${task}-failing`, { error: String(error) })
-      failing = true
-    }
-    every(clock, period, signal, attempt, fail).catch(() => {})
-  }
+  const run = (task: string, period: Milliseconds, work: () => Promise<unknown>): void => repeat({ clock, log, signal }, `planner-${task}`, period, work)
 
   run('look', settings.period_ms, cycle.run)
   run('engine-orders', FOLLOW_UP_PERIOD, cycle.followUp)
