Permits go by small shared exchanges; a planned stop may become urgent and ends with the last report

Two tRPC calls for each dispatch cost several milliseconds of processor time (a profile of three nodes at 200 requests/s showed web streams and framing on top). What is due to one peer at a moment now shares one JSON exchange, and ends of permits wait for company. A deadline that arrives during a planned stop turns it into a hand-over at once.

--- a/src/entry/hand-over.ts
+++ b/src/entry/hand-over.ts
@@ -23,6 +23,8 @@
   readonly freshPeers: Peers
   /** Nodes that may take requests, best first. */
   readonly successors: () => readonly NodeRecord[]
+  /** Time of the clock when this node ends; undefined: when all calls have ended. It may come closer. */
+  readonly deadline: () => Milliseconds | undefined
   readonly clock: Clock
   readonly log: Log
   readonly signal: AbortSignal
@@ -51,18 +53,16 @@
  * Hands over everything, each id once. Streams move at once; a call in flight that cannot be moved is
  * waited for, and told as unknown at the deadline. What no successor takes goes on here.
  *
- * @param deadline time of the clock when this node ends; undefined: when all calls have ended
  * @example
- * await handOverAll(options, clock.now() + 20 * SECOND)
+ * await handOverAll({ ...options, deadline: () => undefined })
  */
-export async function handOverAll (options: HandOverOptions, deadline: Milliseconds | undefined): Promise<void> {
+export async function handOverAll (options: HandOverOptions): Promise<void> {
   const { home, executions, clock, signal } = options
   const records = new Map(home.giveAway()?.map((record) => [record.id, record]))
-  const until = deadline === undefined ? Infinity : deadline - MARGIN
   while (!signal.aborted) {
     await moveStreams(options, records)
     const open = executions.open().filter((execution) => records.has(execution.request.id))
-    if (open.length === 0 || options.successors().length === 0 || clock.now() >= until) break
+    if (open.length === 0 || options.successors().length === 0 || clock.now() >= (options.deadline() ?? Infinity) - MARGIN) break
     await clock.sleep(POLL, signal).catch(() => {})
   }
   await giveRest(options, records)
--- a/src/entry/node.ts
+++ b/src/entry/node.ts
@@ -17,6 +17,7 @@
 import { createPeers } from '../peer/client.js'
 import type { Peers } from '../peer/client.js'
 import { createPeerServer } from '../peer/server.js'
+import { createSuspicionClient } from '../peer/suspicion-client.js'
 import { createConnections, createFreshConnections } from '../platform/http.js'
 import { createInstanceList, peerAddresses } from '../platform/instance-list.js'
 import { createKeyValue } from '../platform/key-value.js'
@@ -49,8 +50,7 @@
 import { createRequestHandlers } from './request-handlers.js'
 import { createRouting } from './routing.js'
 import { startSchedulerFeed } from './scheduler-feed.js'
-import { stopBefore, stopGracefully } from './stopping.js'
-import type { StopOptions } from './stopping.js'
+import { createStop } from './stopping.js'
 import { createStreams } from './streams.js'
 import type { Streams } from './streams.js'
 import { createExecutions } from './submission.js'
@@ -102,9 +102,6 @@
 /** Memory for facts about recent requests. */
 const FACT_BYTES = 8_388_608
 
-/** Bound on writing the last report at the end of a stop. */
-const LAST_REPORT_BOUND: Milliseconds = 3_000
-
 const STARTING_RETRY: Milliseconds = 500
 const LARGEST_SEED = 2 ** 30
 
@@ -139,7 +136,12 @@
   // The keeper asks at once, when there is no membership yet; it asks again a second later.
   const configuration = createConfigurationKeeper({ keyValue, clock, log, signal, random, watching: () => ready && membership.watching() })
   const current = () => configuration.current()?.configuration
-  const permits = createPermits({ own: incarnation, nodes: () => membership.nodes(), peers, freshPeers, clock, signal })
+  const permits = createPermits({
+    own: incarnation,
+    nodes: () => membership.nodes(),
+    client: createSuspicionClient({ connections, freshConnections, peerKey: settings.peer_key, clock, signal }),
+    clock
+  })
   const notes = createNotes(incarnation, clock)
   const context: ExecutionContext = {
     permits,
@@ -183,9 +185,8 @@
       plan: (request) => reclaims.handlers.plan(request),
       turn: (request) => reclaims.handlers.turn(request),
       turnEnded: (end) => reclaims.handlers.turnEnded(end)
-    },
-    suspicion: permits.handlers
-  })
+    }
+  }, permits.handlers)
   const address = await listen(server, settings.listen)
   const peerAddress = await listen(peerServer, settings.peer_listen)
   const record = { instance: settings.instance, incarnation, failureDomain: settings.failure_domain, address, peerAddress, leaving: false }
@@ -239,31 +240,32 @@
   ready = true
   log.info('started', { address, incarnation })
 
+  const ending = createStop({
+    own: incarnation,
+    home,
+    executions,
+    peers,
+    freshPeers,
+    successors: () => membership.successors(),
+    membership,
+    permits,
+    notes,
+    reports,
+    server,
+    addressLifetime: settings.addresses.lifetime_ms,
+    onLeaving: () => { leaving = true },
+    clock,
+    log,
+    signal
+  })
+
   async function kill (): Promise<void> {
     owner.abort()
     await Promise.all([closeServer(server), closeServer(peerServer), connections.destroy(), freshConnections.destroy(), tracing.close()])
   }
 
   async function stop (deadline?: Milliseconds): Promise<void> {
-    const stopOptions: StopOptions = {
-      own: incarnation,
-      home,
-      executions,
-      peers,
-      freshPeers,
-      successors: () => membership.successors(),
-      membership,
-      server,
-      addressLifetime: settings.addresses.lifetime_ms,
-      permits,
-      notes,
-      onLeaving: () => { leaving = true },
-      clock,
-      log,
-      signal
-    }
-    await (deadline === undefined ? stopGracefully(stopOptions) : stopBefore(stopOptions, deadline))
-    await reports.finish(AbortSignal.any([signal, AbortSignal.timeout(LAST_REPORT_BOUND)]))
+    await ending.begin(deadline)
     log.info('stopped', { open: executions.open().length })
     await kill()
   }
--- a/src/entry/permits.ts
+++ b/src/entry/permits.ts
@@ -2,8 +2,9 @@
 import type { Clock, Milliseconds } from '../clock.js'
 import type { Incarnation, UpstreamName } from '../identifiers.js'
 import type { NodeRecord } from '../membership/index.js'
-import type { PeerClient, Peers } from '../peer/client.js'
-import type { SuspicionHandlers } from '../peer/suspicion.js'
+import { answerSuspicion } from '../peer/suspicion.js'
+import type { SuspicionAnswer, SuspicionHandlers, SuspicionMessage } from '../peer/suspicion.js'
+import type { SuspicionClient, Urgency } from '../peer/suspicion-client.js'
 import { createCrashGuard, createIsolation, fingerprintOwner, isolationSubject, permitName } from '../request/index.js'
 import type { Evidence, PermitDecision, PermitEnd, Request } from '../request/index.js'
 import { ServingError } from '../verdict.js'
@@ -39,15 +40,10 @@
 export interface PermitOptions {
   readonly own: Incarnation
   readonly nodes: () => readonly NodeRecord[]
-  readonly peers: Peers
-  readonly freshPeers: Peers
+  readonly client: SuspicionClient
   readonly clock: Clock
-  readonly signal: AbortSignal
 }
 
-/** Bound on one question to an owner; it is answered from memory. */
-const ANSWER_TIMEOUT: Milliseconds = 500
-
 const WAIT: Milliseconds = 25
 
 /** Letters of the incarnation that tell an attempt here from one at the node before a hand-over. */
@@ -60,33 +56,26 @@
  * const permit = await permits.acquire(request, 1, signal)
  */
 export function createPermits (options: PermitOptions): Permits {
-  const { own, peers, freshPeers, clock, signal } = options
+  const { own, client, clock } = options
   const guard = createCrashGuard()
   const isolation = createIsolation()
 
   /**
-   * Asks the owner of a subject; on silence once more on a new connection.
+   * Asks the owner of a subject.
    *
    * Failure guarded against: the owner has died and is not known to be gone yet, and every request with
    * its fingerprints waits. What this node knows itself then decides; evidence of crashes is everywhere.
    */
-  async function ask<T> (subject: string, here: () => T, there: (peer: PeerClient, signal: AbortSignal) => Promise<T>): Promise<T> {
+  async function ask (subject: string, message: SuspicionMessage, urgency: Urgency): Promise<SuspicionAnswer> {
     const owner = fingerprintOwner(subject, options.nodes())
-    if (owner === undefined || owner.incarnation === own) return here()
-    for (const through of [peers, freshPeers]) {
-      try {
-        return await there(through.at(owner.peerAddress), AbortSignal.any([signal, AbortSignal.timeout(ANSWER_TIMEOUT)]))
-      } catch {
-        if (signal.aborted) break
-      }
-    }
-    return here()
+    if (owner === undefined || owner.incarnation === own) return answerSuspicion(handlers, message)
+    return client.send(owner.peerAddress, message, urgency).catch(() => answerSuspicion(handlers, message))
   }
 
   function spread (evidence: Evidence | undefined): void {
     if (evidence === undefined) return
     for (const node of options.nodes()) {
-      if (node.incarnation !== own) peers.at(node.peerAddress).suspicion.observe.mutate([evidence], { signal }).catch(() => {})
+      if (node.incarnation !== own) client.send(node.peerAddress, { kind: 'observe', evidence: [evidence] }, 'now').catch(() => {})
     }
   }
 
@@ -98,7 +87,8 @@
     const { fingerprint } = request
     if (guard.isQuarantined(fingerprint, clock.now())) return { kind: 'quarantined' }
     const wanted = { permit: permitName(`${request.id}/${own.slice(-OWN_LENGTH)}`, attempt), holder: own, evidence: guard.evidence(fingerprint) }
-    return ask(fingerprint, () => guard.acquire(wanted, clock.now()), (peer, within) => peer.suspicion.acquire.mutate(wanted, { signal: within }))
+    const answer = await ask(fingerprint, { kind: 'acquire', request: wanted }, 'now')
+    return answer.kind === 'decided' ? answer.decision : guard.acquire(wanted, clock.now())
   }
 
   function toPermit (request: Request, attempt: number, granted: Extract<PermitDecision, { kind: 'granted' }>): Permit {
@@ -108,17 +98,16 @@
       apart: granted.apart,
       enter: async (upstream) => {
         if (!granted.apart) return true
-        const message = { upstream, permit, holder: own }
-        const { admitted } = await ask(isolationSubject(upstream), () => handlers.enter(message), (peer, within) => peer.suspicion.enter.mutate(message, { signal: within }))
+        const answer = await ask(isolationSubject(upstream), { kind: 'enter', isolation: { upstream, permit, holder: own } }, 'now')
+        const admitted = answer.kind === 'admitted' && answer.admitted
         if (admitted) entered = upstream
         return admitted
       },
       end: (how) => {
         const end = { permit, fingerprint: request.fingerprint, how, suspectedFor: granted.suspectedFor }
-        ask(request.fingerprint, () => release(end), (peer, within) => peer.suspicion.release.mutate(end, { signal: within })).catch(() => {})
+        ask(request.fingerprint, { kind: 'release', end }, how === 'crashed' ? 'now' : 'soon').catch(() => {})
         if (entered === undefined) return
-        const message = { upstream: entered, permit, holder: own }
-        ask(isolationSubject(entered), () => handlers.leave(message), (peer, within) => peer.suspicion.leave.mutate(message, { signal: within })).catch(() => {})
+        ask(isolationSubject(entered), { kind: 'leave', isolation: { upstream: entered, permit, holder: own } }, 'soon').catch(() => {})
       }
     }
   }
@@ -128,7 +117,7 @@
     release,
     observe: (evidence) => guard.observe(evidence, clock.now()),
     adopt: (permits) => guard.adopt(permits),
-    enter: ({ upstream, permit, holder }) => ({ admitted: isolation.enter(upstream, permit, holder) }),
+    enter: ({ upstream, permit, holder }) => isolation.enter(upstream, permit, holder),
     leave: ({ upstream, permit }) => isolation.leave(upstream, permit)
   }
 
@@ -157,7 +146,7 @@
         const next = fingerprintOwner(permit.fingerprint, others)
         if (next !== undefined) groups.set(next, [...(groups.get(next) ?? []), permit])
       }
-      await Promise.allSettled([...groups].map(([node, permits]) => peers.at(node.peerAddress).suspicion.adopt.mutate(permits, { signal })))
+      await Promise.allSettled([...groups].map(([node, permits]) => client.send(node.peerAddress, { kind: 'adopt', permits }, 'now')))
     }
   }
 }
--- a/src/peer/router.ts
+++ b/src/peer/router.ts
@@ -13,8 +13,6 @@
 import type { ReclaimHandlers } from './reclaim.js'
 import { requestProcedures } from './request.js'
 import type { RequestHandlers } from './request.js'
-import { suspicionProcedures } from './suspicion.js'
-import type { SuspicionHandlers } from './suspicion.js'
 
 /** What a node does when a peer asks. */
 export interface PeerHandlers {
@@ -23,7 +21,6 @@
   readonly notes: NoteHandlers
   readonly reclaim: ReclaimHandlers
   readonly request: RequestHandlers
-  readonly suspicion: SuspicionHandlers
 }
 
 /**
@@ -36,8 +33,7 @@
     inquiry: inquiryProcedures(handlers.inquiry),
     notes: noteProcedures(handlers.notes),
     reclaim: reclaimProcedures(handlers.reclaim),
-    request: requestProcedures(handlers.request),
-    suspicion: suspicionProcedures(handlers.suspicion)
+    request: requestProcedures(handlers.request)
   })
 }
 
--- a/src/peer/server.ts
+++ b/src/peer/server.ts
@@ -1,9 +1,14 @@
 /** The peers' listener of a node. */
-import type { Server } from 'node:http'
-import { createHTTPServer } from '@trpc/server/adapters/standalone'
+import { createServer } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { createHTTPHandler } from '@trpc/server/adapters/standalone'
+import { readBody, sendFailure, sendJson } from '../caller/http.js'
 import { bearerKey, equalHashes, sha256 } from '../credentials.js'
+import { ServingError, toServingError } from '../verdict.js'
 import { createPeerRouter } from './router.js'
 import type { PeerHandlers } from './router.js'
+import { answerSuspicion, SUSPICION_PATH, suspicionBatchSchema } from './suspicion.js'
+import type { SuspicionHandlers } from './suspicion.js'
 
 /** Largest peer message: a hand-over carries whole requests. */
 const LARGEST_BODY = 16_777_216
@@ -12,16 +17,39 @@
  * @param peerKey shared secret of the system's own processes
  * @returns a server that the owner listens with and closes
  * @example
- * const server = createPeerServer(settings.peer_key, handlers)
+ * const server = createPeerServer(settings.peer_key, handlers, permits.handlers)
  */
-export function createPeerServer (peerKey: string, handlers: PeerHandlers): Server {
+export function createPeerServer (peerKey: string, handlers: PeerHandlers, suspicion: SuspicionHandlers): Server {
   const expected = sha256(peerKey)
-  return createHTTPServer({
+
+  function isAuthorised (request: IncomingMessage): boolean {
+    const key = bearerKey(request.headers.authorization)
+    return key !== undefined && equalHashes(sha256(key), expected)
+  }
+
+  const handleProcedures = createHTTPHandler({
     router: createPeerRouter(handlers),
     maxBodySize: LARGEST_BODY,
-    createContext: ({ req }) => {
-      const key = bearerKey(req.headers.authorization)
-      return { authorised: key !== undefined && equalHashes(sha256(key), expected) }
-    }
+    createContext: ({ req }) => ({ authorised: isAuthorised(req) })
+  })
+
+  return createServer((request, response) => {
+    if (request.url !== SUSPICION_PATH) return handleProcedures(request, response)
+    handleSuspicion(request, response).catch((error) => sendFailure(response, toServingError(error, 'not-run')))
   })
+
+  async function handleSuspicion (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (!isAuthorised(request)) throw new ServingError('the peers\' key is required', { code: 'unauthenticated', verdict: 'not-run' })
+    const batch = suspicionBatchSchema.safeParse(parseJson(await readBody(request, LARGEST_BODY)))
+    if (!batch.success) throw new ServingError('malformed message', { code: 'invalid-request', verdict: 'not-run' })
+    sendJson(response, 200, { answers: batch.data.messages.map((message) => answerSuspicion(suspicion, message)) })
+  }
+}
+
+function parseJson (bytes: Buffer): unknown {
+  try {
+    return JSON.parse(bytes.toString('utf8'))
+  } catch {
+    return undefined
+  }
 }
