--- a/bench/main.ts
+++ b/bench/main.ts
@@ -8,6 +8,7 @@
 /** Each topic's module; loaded only when it is asked for. */
 const TOPICS: Readonly<Record<string, () => Promise<{ bench: Bench }>>> = {
   'capacity-mix': () => import('./capacity-mix.js'),
+  agreement: () => import('./agreement/bench.js'),
   claims: () => import('./claims.js'),
   'entry-overhead': () => import('./entry-overhead.js'),
   overload: () => import('./overload.js'),
--- a/src/entry/membership-keeper.ts
+++ b/src/entry/membership-keeper.ts
@@ -9,7 +9,7 @@
 import type { ConfigurationRevision } from '../configuration/index.js'
 import type { Address, Incarnation, OrganisationName } from '../identifiers.js'
 import type { Log } from '../log.js'
-import { answerNodes, createMembershipView, createSuspicions, nodeRecordSchema, successorsOf, watchers } from '../membership/index.js'
+import { answerNodes, createMembershipView, createSuspicions, isWatcher, nodeRecordSchema, successorsOf } from '../membership/index.js'
 import type { AddressAnswer, NodeRecord, PeerState, Stamped, ViewChange } from '../membership/index.js'
 import type { AgreementHandlers, DeliveryTarget } from '../peer/agreement.js'
 import type { KeyValue, KeyValueChange, KeyValueEntry } from '../platform/key-value.js'
@@ -237,7 +237,7 @@
     }
   }
 
-  const watching = (): boolean => watchers(reachable()).some((node) => node.incarnation === own.incarnation)
+  const watching = (): boolean => isWatcher(own, reachable())
 
   followKeys({
     keyValue,
--- a/src/membership/places.ts
+++ b/src/membership/places.ts
@@ -1,11 +1,14 @@
 /** Which nodes take which place: answering an organisation, watching, keeping notes, taking over. */
 import type { OrganisationName } from '../identifiers.js'
-import { pickPerDomain, pickSpread, rank } from './rendezvous.js'
+import { pickPerDomain, pickSpread, rank, score } from './rendezvous.js'
 import type { NodeRecord } from './types.js'
 
 /** Nodes of each failure domain that watch the key-value service for all. */
 export const WATCHERS_PER_DOMAIN = 2
 
+/** Key by which watchers are ranked. */
+const WATCH = 'watch'
+
 /** Smallest number of nodes in an address answer: today's three failure domains and a spare. */
 const SMALLEST_ANSWER = 4
 
@@ -42,7 +45,25 @@
  * watchers(nodes).includes(own)
  */
 export function watchers (nodes: readonly NodeRecord[]): NodeRecord[] {
-  return pickPerDomain('watch', nodes.filter((node) => !node.leaving), WATCHERS_PER_DOMAIN)
+  return pickPerDomain(WATCH, nodes.filter((node) => !node.leaving), WATCHERS_PER_DOMAIN)
+}
+
+/**
+ * Whether a node is one of the {@link watchers}. Each node asks this every second, so only its own
+ * failure domain is looked at and nothing is sorted.
+ *
+ * @example
+ * isWatcher(own, nodes)
+ */
+export function isWatcher (own: NodeRecord, nodes: readonly NodeRecord[]): boolean {
+  if (own.leaving) return false
+  const ownScore = score(WATCH, own.incarnation)
+  const before = nodes.filter((node) => {
+    if (node.failureDomain !== own.failureDomain || node.leaving || node.incarnation === own.incarnation) return false
+    const other = score(WATCH, node.incarnation)
+    return other > ownScore || (other === ownScore && node.incarnation < own.incarnation)
+  })
+  return before.length < WATCHERS_PER_DOMAIN
 }
 
 /**
--- a/test/membership/view.test.ts
+++ b/test/membership/view.test.ts
@@ -3,7 +3,7 @@
 import { test } from 'node:test'
 import fc from 'fast-check'
 import { organisationNameSchema } from '../../src/identifiers.js'
-import { answerNodes, createMembershipView, createSuspicions, LAPSE_GRACE, nodeRecordSchema, successorsOf, watchers, WATCHERS_PER_DOMAIN } from '../../src/membership/index.js'
+import { answerNodes, createMembershipView, createSuspicions, isWatcher, LAPSE_GRACE, nodeRecordSchema, successorsOf, watchers, WATCHERS_PER_DOMAIN } from '../../src/membership/index.js'
 import type { NodeRecord, ViewChange } from '../../src/membership/index.js'
 
 function node (number: number, domain = number % 3, life = 1): NodeRecord {
@@ -101,6 +101,7 @@
   const nodes = Array.from({ length: 30 }, (_, index) => node(index))
   assert.deepEqual(new Set(watchers(nodes)), new Set(watchers([...nodes].reverse())))
   assert.equal(watchers(nodes).length, 3 * WATCHERS_PER_DOMAIN)
+  assert.deepEqual(new Set(nodes.filter((item) => isWatcher(item, nodes))), new Set(watchers(nodes)))
   const [buddy, ...rest] = successorsOf(OWN, nodes)
   assert.notEqual(buddy?.failureDomain, OWN.failureDomain)
   assert.equal(rest.at(-1)?.failureDomain, OWN.failureDomain)
