--- a/stand-ins/bin/demonstration.ts
+++ b/stand-ins/bin/demonstration.ts
@@ -8,10 +8,13 @@
 import { EXIT, runCommand } from '../../src/bin/command-line.js'
 import { createSystemClock } from '../../src/clock.js'
 import { createProcessOutput } from '../../src/operator/command/output.js'
+import { ServingError } from '../../src/verdict.js'
 import { VERSION } from '../../src/version.js'
 import { demonstrate } from '../demonstration.js'
+import type { ReclaimKind } from '../demonstration.js'
 
 const SAMPLES = ['calcaria-lisbon', 'tsubame-kyushu']
+const RECLAIMS: readonly ReclaimKind[] = ['engine', 'entry', 'failure-domain']
 const DEFAULT_SEED = 1
 
 runCommand(async () => {
@@ -19,6 +22,7 @@
   program.command('', 'Run both sample deployments and compare their reports with what callers saw')
     .option('--samples <folder>', 'Folder of the samples', { default: 'samples' })
     .option('--seed <seed>', 'Seed of the random numbers', { default: DEFAULT_SEED })
+    .option('--reclaim <kind>', 'What the cloud takes back: engine, entry or failure-domain', { default: 'engine' })
     .action(run)
   program.help()
   program.version(VERSION)
@@ -26,12 +30,14 @@
   await program.runMatchedCommand()
 })
 
-async function run (options: { samples: string, seed: number }): Promise<void> {
+async function run (options: { samples: string, seed: number, reclaim: string }): Promise<void> {
+  const reclaim = RECLAIMS.find((kind) => kind === options.reclaim)
+  if (reclaim === undefined) throw new ServingError(`--reclaim must be one of ${RECLAIMS.join(', ')}`, { code: 'invalid-request', verdict: 'not-run' })
   const clock = createSystemClock()
   const output = createProcessOutput()
   const problems: string[] = []
   for (const name of SAMPLES) {
-    problems.push(...await demonstrate({ folder: join(options.samples, name), clock, seed: Number(options.seed), output }))
+    problems.push(...await demonstrate({ folder: join(options.samples, name), clock, seed: Number(options.seed), output, reclaim }))
   }
   process.exitCode = problems.length === 0 ? EXIT.success : EXIT.failure
 }
--- a/stand-ins/demonstration.ts
+++ b/stand-ins/demonstration.ts
@@ -20,6 +20,10 @@
 import type { Platform } from './platform.js'
 import { loadSample } from './sample.js'
 import { startSampleDeployment } from './sample-deployment.js'
+import type { SampleDeployment } from './sample-deployment.js'
+
+/** What the cloud takes back in the middle: the busiest engine's machine, an entry node's, or a failure domain's worth. */
+export type ReclaimKind = 'engine' | 'entry' | 'failure-domain'
 
 /** How a demonstration runs. */
 export interface DemonstrationOptions {
@@ -30,6 +34,8 @@
   readonly output: CommandOutput
   /** Requests begun a second. */
   readonly rate?: number
+  /** Default `engine`. */
+  readonly reclaim?: ReclaimKind
 }
 
 const DEFAULT_RATE = 40
@@ -62,10 +68,9 @@
       clock,
       random: createRandom(seed),
       rate: options.rate ?? DEFAULT_RATE,
-      onSend: (sent) => { if (sent === half) reclaimBusiest(deployment.platform, output) }
+      onSend: (sent) => { if (sent === half) takeBack(deployment, options.reclaim ?? 'engine', output) }
     })
     output.out(`\nWhat callers saw\n\n${seenTable(records)}`)
-    await deployment.stopPlanners()
     return await report(operator, from, clock, deployment.platform, records, output)
   } finally {
     await operator.close()
@@ -84,12 +89,28 @@
   return problems
 }
 
-/** Takes back the machine whose engine has the most open answers. */
-function reclaimBusiest (platform: Platform, output: CommandOutput): void {
-  const [busiest] = [...platform.fleet.engines()].sort((left, right) => right.open() - left.open())
-  if (busiest === undefined) return
-  output.out(`The cloud takes ${busiest.upstream} back in ${NOTICE / SECOND} s; it has ${busiest.open()} open answers.\n`)
-  platform.cloud.state.reclaim([platform.fleet.instanceOf(busiest.upstream)], NOTICE)
+function takeBack ({ platform, entries }: SampleDeployment, kind: ReclaimKind, output: CommandOutput): void {
+  const { state } = platform.cloud
+  switch (kind) {
+    case 'engine': {
+      const [busiest] = [...platform.fleet.engines()].sort((left, right) => right.open() - left.open())
+      if (busiest === undefined) return
+      output.out(`The cloud takes ${busiest.upstream} back in ${NOTICE / SECOND} s; it has ${busiest.open()} open answers.\n`)
+      return state.reclaim([platform.fleet.instanceOf(busiest.upstream)], NOTICE)
+    }
+    case 'entry': {
+      const own = entries[0]?.parts.membership.own()
+      if (own === undefined) return
+      output.out(`The cloud takes ${own.instance} back in ${NOTICE / SECOND} s.\n`)
+      return state.reclaim([own.instance], NOTICE)
+    }
+    case 'failure-domain': {
+      const domain = entries[0]?.parts.membership.own().failureDomain
+      if (domain === undefined) return
+      output.out(`The cloud takes all of ${domain} back in ${NOTICE / SECOND} s.\n`)
+      return state.reclaimDomain(domain, NOTICE)
+    }
+  }
 }
 
 function serverCounts (platform: Platform): string {
--- a/stand-ins/sample-deployment.ts
+++ b/stand-ins/sample-deployment.ts
@@ -21,8 +21,6 @@
   readonly addresses: readonly Address[]
   /** Resolves when every entry node knows every other and every upstream. */
   settled (): Promise<void>
-  /** A planned stop of the planners; they write their last report. */
-  stopPlanners (): Promise<void>
   kill (): Promise<void>
 }
 
@@ -68,7 +66,6 @@
     settled: async () => {
       while (!entryFleet.entries.every((entry) => knowsAll(entry, entryFleet.entries.length, upstreams))) await clock.sleep(SETTLE_PERIOD)
     },
-    stopPlanners: async () => { await Promise.all(planners.map((planner) => planner.stop())) },
     kill: async () => {
       await Promise.all(planners.map((planner) => planner.kill()))
       await entryFleet.kill()
