--- a/src/caller/delivery.ts
+++ b/src/caller/delivery.ts
@@ -11,6 +11,9 @@
 /** A stream without tokens shows this often that it is alive. */
 export const KEEP_ALIVE_PERIOD: Milliseconds = 5 * SECOND
 
+/** Reason of an abort; without one each would build an exception with its stack. */
+const CLOSED = 'closed'
+
 const KEEP_ALIVE = ': waiting\n\n'
 
 /**
@@ -114,7 +117,7 @@
 
 function closeSignal (response: ServerResponse): AbortSignal {
   const gone = new AbortController()
-  response.once('close', () => gone.abort())
+  response.once('close', () => gone.abort(CLOSED))
   if (response.destroyed) gone.abort()
   return gone.signal
 }
--- a/src/entry/generation.ts
+++ b/src/entry/generation.ts
@@ -17,6 +17,9 @@
 /** New connections to a stream without a token in between, before the upstream is judged stuck. */
 const MOST_RECONNECTIONS = 6
 
+/** Reason of an abort at the regular end; without one each abort would build an exception with its stack. */
+const CLOSED = 'closed'
+
 /** A stream's place, and how it was come by. */
 interface Place {
   readonly upstream: UpstreamView
@@ -99,7 +102,7 @@
     startedAt: context.clock.now(),
     redirect: (to) => {
       redirection ??= to
-      controller.abort()
+      controller.abort(CLOSED)
     }
   }
   execution.attempt = attempt
@@ -109,7 +112,7 @@
     get redirection () { return redirection },
     close: () => {
       execution.owner.signal.removeEventListener('abort', abort)
-      controller.abort()
+      controller.abort(CLOSED)
     }
   }
 }
--- a/src/entry/relay.ts
+++ b/src/entry/relay.ts
@@ -37,6 +37,9 @@
 /** Connections tried in a row without a part in between. */
 const MOST_CONNECTIONS = 4
 
+/** Reason of an abort; without one each would build an exception with its stack. */
+const CLOSED = 'closed'
+
 const PAUSE: Milliseconds = SECOND / 4
 
 /** Nodes asked whether they inherited the table of a home that is gone. */
@@ -157,7 +160,7 @@
 /** Aborts a connection that shows no progress, or when the caller has gone. */
 function createWatch (parent: AbortSignal): Watch {
   const controller = new AbortController()
-  const abort = (): void => controller.abort()
+  const abort = (): void => controller.abort(CLOSED)
   let timer = setTimeout(abort, SILENCE)
   parent.addEventListener('abort', abort, { once: true })
   return {
