A gap names what another node's notes tell of the requests that were open there

The sums count these already, as abandoned by the dead node; the notes say which class and organisation they belonged to and what became of them, and add nothing.

--- a/src/entry/note-keeper.ts
+++ b/src/entry/note-keeper.ts
@@ -11,7 +11,7 @@
 import type { Peers } from '../peer/client.js'
 import type { NoteHandlers } from '../peer/notes.js'
 import { createNoteKeeper, createNoteWriter } from '../request/index.js'
-import type { HomeRecord, HomeTable, OpenNote, Request, Salvage } from '../request/index.js'
+import type { DeathAccount, HomeRecord, HomeTable, OpenNote, Request, Salvage } from '../request/index.js'
 import type { Execution } from './execution.js'
 import type { Executions } from './submission.js'
 
@@ -42,6 +42,8 @@
   readonly executions: Executions
   /** Calls back for each incarnation that has gone for good. */
   readonly onGone: (listener: (incarnation: Incarnation) => void) => void
+  /** Told what was open at a node that died. */
+  readonly onAccount: (account: DeathAccount) => void
   readonly log: Log
   readonly signal: AbortSignal
 }
@@ -78,6 +80,7 @@
     if (options === undefined) return
     const { salvage, account } = keeper.died(home)
     if (salvage.length === 0) return
+    options.onAccount(account)
     const inherited = new Set(options.home.inherit(home, salvage.map(toRecord), clock.now()))
     for (const one of salvage) {
       if (one.kind === 'resume' && inherited.has(one.note.id)) resume(options.executions, one, home)
--- a/src/report/document.ts
+++ b/src/report/document.ts
@@ -67,7 +67,14 @@
 export type PeriodLine = z.infer<typeof periodLineSchema>
 
 /** Counts of a node between two wall times are unknown. */
-export const reportGapSchema = z.object({ instance: instanceNameSchema, incarnation: incarnationSchema, from: z.number(), to: z.number() })
+export const reportGapSchema = z.object({
+  instance: instanceNameSchema,
+  incarnation: incarnationSchema,
+  from: z.number(),
+  to: z.number(),
+  /** What another node's notes tell of requests that were open there. The sums count these as unknown or not at all. */
+  noted: z.array(z.object({ class: classNameSchema, organisation: organisationNameSchema, resumed: requests, lost: requests, unknown: requests }))
+})
 export type ReportGap = z.infer<typeof reportGapSchema>
 
 export const reportDocumentSchema = z.object({
--- a/src/report/ledger.ts
+++ b/src/report/ledger.ts
@@ -4,8 +4,10 @@
  */
 import type { Milliseconds } from '../clock.js'
 import type { RequestId, ServiceName } from '../identifiers.js'
-import type { Outcome, RequestKey, RequestTimes } from '../request/index.js'
+import type { DeathAccount, Outcome, RequestKey, RequestTimes } from '../request/index.js'
 import type { Counts } from './counts.js'
+import { deathNotesOf } from './death.js'
+import type { DeathNote } from './death.js'
 import { recordLatency } from './latency.js'
 import { addRefusals, addWritten, createTally, periodOf, subtractWritten, writeTally } from './tally.js'
 import type { Cell, CellKey, Tally, WrittenCell } from './tally.js'
@@ -32,12 +34,16 @@
   readonly cells: readonly WrittenCell[]
   readonly open: readonly OpenCount[]
   readonly spend: readonly Spend[]
+  /** What this node's notes tell of nodes that died. */
+  readonly deaths: readonly DeathNote[]
 }
 
 /** A ledger that can be read, and whose epochs can be closed. */
 export interface CountingLedger extends Ledger {
   /** Adds what a service's instances cost. */
   spent (service: ServiceName, amount: number): void
+  /** What was open at a node that died; a remark on what is counted elsewhere. */
+  died (account: DeathAccount): void
   /** Wall time of the running epoch's first moment. */
   since (): Milliseconds
   /** Counts of the running epoch. */
@@ -67,6 +73,7 @@
   let since = wall()
   let tally = createTally()
   let spend = new Map<string, Spend>()
+  let deaths: DeathNote[] = []
   let strays = 0
 
   function enter (request: RequestKey, period: Milliseconds): Cell | undefined {
@@ -96,7 +103,7 @@
   }
 
   function snapshot (): EpochCounts {
-    return { epoch, since, cells: writeTally(tally), open: countOpen(open.values()), spend: [...spend.values()] }
+    return { epoch, since, cells: writeTally(tally), open: countOpen(open.values()), spend: [...spend.values()], deaths: [...deaths] }
   }
 
   return {
@@ -125,6 +132,7 @@
       if (cell !== undefined) cell.counts.takenOver += 1
     },
     spent: (service, amount) => addSpend(periodOf(wall()), service, amount),
+    died: (account) => { deaths.push(...deathNotesOf(account, periodOf(wall()))) },
     since: () => since,
     snapshot,
     closeEpoch: () => {
@@ -133,6 +141,7 @@
       since = wall()
       tally = createTally()
       spend = new Map()
+      deaths = []
       return closed
     },
     carry: (closed, folded) => {
@@ -140,6 +149,8 @@
       subtractWritten(tally, folded.cells)
       // The folder counted these as abandoned, and they are not: this node lives and counts their ends.
       for (const one of folded.open) tally.cell(one).counts.abandoned -= one.open
+      // Notes are only appended, so those that were folded are the first ones.
+      deaths.push(...closed.deaths.slice(folded.deaths.length))
       for (const one of closed.spend) addSpend(one.period, one.service, one.amount)
       for (const one of folded.spend) addSpend(one.period, one.service, -one.amount)
     },
--- a/src/report/snapshot.ts
+++ b/src/report/snapshot.ts
@@ -7,6 +7,7 @@
 import type { Milliseconds } from '../clock.js'
 import { classNameSchema, incarnationSchema, instanceNameSchema, organisationNameSchema, serviceNameSchema } from '../identifiers.js'
 import type { Incarnation, InstanceName } from '../identifiers.js'
+import { deathNoteSchema } from './death.js'
 import type { EpochCounts } from './ledger.js'
 import { cellSchema } from './tally.js'
 
@@ -61,7 +62,8 @@
   latencyOmitted: z.boolean().default(false),
   cells: z.array(cellSchema),
   open: z.array(openCountSchema),
-  spend: z.array(spendSchema)
+  spend: z.array(spendSchema),
+  deaths: z.array(deathNoteSchema).default([])
 })
 export type Snapshot = z.infer<typeof snapshotSchema>
 
--- a/src/report/statements.ts
+++ b/src/report/statements.ts
@@ -142,7 +142,13 @@
 }
 
 function gapStatement (gap: ReportGap, options: StatementOptions): string {
-  return `GAP: ${nodeText(gap, options)} went missing without a last report. What it counted between ${timeText(gap.from)} and ${timeText(gap.to)} is unknown and in none of these figures, unless another node took it over.`
+  return `GAP: ${nodeText(gap, options)} went missing without a last report. What it counted between ${timeText(gap.from)} and ${timeText(gap.to)} is unknown and in none of these figures, unless another node took it over.${notedText(gap)}`
+}
+
+function notedText ({ noted }: ReportGap): string {
+  if (noted.length === 0) return ''
+  const parts = noted.map((one) => `${one.class} of ${one.organisation}: ${countText(one.resumed)} followed on by another node, ${countText(one.lost)} lost, ${countText(one.unknown)} unknown`)
+  return ` Notes at another node tell of requests open there at its end: ${parts.join('; ')}.`
 }
 
 function nodeText (gap: ReportGap, options: StatementOptions): string {
--- a/src/report/summary.ts
+++ b/src/report/summary.ts
@@ -6,9 +6,11 @@
 import type { Milliseconds } from '../clock.js'
 import type { Configuration, RequestClass } from '../configuration/index.js'
 import { findClass } from '../configuration/index.js'
-import type { ClassName, OrganisationName } from '../identifiers.js'
+import type { ClassName, Incarnation, OrganisationName } from '../identifiers.js'
 import type { PeriodLine, ReportDocument, ReportGap, ReportLine } from './document.js'
 import { allocateSpend } from './cost.js'
+import { sumDeathNotes } from './death.js'
+import type { DeathNote } from './death.js'
 import { createLine, finishLine } from './line.js'
 import type { OpenLine } from './line.js'
 import type { Spend } from './ledger.js'
@@ -56,6 +58,7 @@
   const folded = new Map<string, ReadonlySet<string>>()
   const gaps: Gap[] = []
   const returns: Return[] = []
+  const deaths: DeathNote[] = []
   const overdue: ReportGap[] = []
   const omitted: Snapshot['incarnation'][] = []
   const spend: Spend[] = []
@@ -67,6 +70,10 @@
     return scope.organisation === undefined || cell.organisation === scope.organisation
   }
 
+  function concernsScope (one: DeathNote): boolean {
+    return scope.organisation === undefined || one.organisation === scope.organisation
+  }
+
   function isFolded (period: Milliseconds, part: string, snapshot: Snapshot): boolean {
     return folded.get(`${period}/${part}`)?.has(snapshotName(snapshot)) ?? false
   }
@@ -75,11 +82,12 @@
     nodesCounting += 1
     countedUntil = Math.min(countedUntil, snapshot.writtenAt)
     const { incarnation, instance, writtenAt, nextWithin } = snapshot
-    if (writtenAt + nextWithin < scope.now) overdue.push({ incarnation, instance, from: writtenAt, to: scope.now })
+    if (writtenAt + nextWithin < scope.now) overdue.push({ incarnation, instance, from: writtenAt, to: scope.now, noted: [] })
   }
 
   function addCommon (snapshot: Snapshot): void {
     spend.push(...snapshot.spend.filter((one) => !isFolded(one.period, COMMON_PART, snapshot)))
+    deaths.push(...snapshot.deaths.filter((one) => !isFolded(one.period, COMMON_PART, snapshot)))
     if (snapshot.returned !== undefined) returns.push({ incarnation: snapshot.incarnation, epoch: snapshot.returned.epoch })
     const gap = gapOf(snapshot)
     if (gap !== undefined && !isFolded(periodOf(snapshot.writtenAt), COMMON_PART, snapshot)) gaps.push(gap)
@@ -92,6 +100,7 @@
       addWritten(tally, total.cells.filter(inScope))
       gaps.push(...total.gaps)
       returns.push(...total.returns)
+      deaths.push(...total.deaths)
       spend.push(...total.spend)
       omitted.push(...total.latencyOmitted)
     },
@@ -106,7 +115,7 @@
       countedUntil,
       nodesCounting,
       cells: [...tally.cells()],
-      gaps: realGaps(gaps, returns).filter((gap) => gap.to > from && gap.from < to),
+      gaps: realGaps(gaps, returns, deaths.filter(concernsScope)).filter((gap) => gap.to > from && gap.from < to),
       overdue,
       latencyOmitted: [...new Set(omitted)],
       spend: spend.filter((one) => one.period >= from && one.period < to)
@@ -173,14 +182,19 @@
 }
 
 /** A gap of a node that came back is none: it reported what it had counted meanwhile. */
-function realGaps (gaps: readonly Gap[], returns: readonly Return[]): ReportGap[] {
+function realGaps (gaps: readonly Gap[], returns: readonly Return[], deaths: readonly DeathNote[]): ReportGap[] {
   const returned = new Set(returns.map(snapshotName))
   return gaps
     .filter((gap) => !returned.has(snapshotName(gap)))
-    .map(({ incarnation, instance, from, to }) => ({ incarnation, instance, from, to }))
+    .map(({ incarnation, instance, from, to }) => ({ incarnation, instance, from, to, noted: notedOf(incarnation, deaths) }))
     .sort((left, right) => left.from - right.from)
 }
 
+function notedOf (incarnation: Incarnation, deaths: readonly DeathNote[]): ReportGap['noted'] {
+  const own = deaths.filter((one) => one.incarnation === incarnation).map((one) => ({ ...one, period: 0 }))
+  return sumDeathNotes(own).map(({ class: name, organisation, resumed, lost, unknown }) => ({ class: name, organisation, resumed, lost, unknown }))
+}
+
 function classOf (configuration: Configuration | undefined, cell: Cell): RequestClass | undefined {
   return configuration && findClass(configuration, cell.key.class as ClassName)
 }
--- a/src/report/total.ts
+++ b/src/report/total.ts
@@ -6,6 +6,7 @@
 import { z } from 'zod'
 import type { Milliseconds } from '../clock.js'
 import { classNameSchema, incarnationSchema, instanceNameSchema } from '../identifiers.js'
+import { deathNoteSchema, sumDeathNotes } from './death.js'
 import type { Spend } from './ledger.js'
 import { endsIncarnation, snapshotName, spendSchema } from './snapshot.js'
 import type { Snapshot } from './snapshot.js'
@@ -44,6 +45,7 @@
   spend: z.array(spendSchema),
   gaps: z.array(gapSchema),
   returns: z.array(returnSchema),
+  deaths: z.array(deathNoteSchema).default([]),
   /** Incarnations that left histograms out. */
   latencyOmitted: z.array(incarnationSchema)
 })
@@ -69,6 +71,7 @@
   for (const snapshot of snapshots) {
     for (const cell of cellsOf(snapshot)) add(cell.period, cell.class)
     for (const spend of snapshot.spend) add(spend.period, COMMON_PART)
+    for (const death of snapshot.deaths) add(death.period, COMMON_PART)
     if (snapshot.state.kind === 'given-up' || snapshot.latencyOmitted) add(periodOf(snapshot.writtenAt), COMMON_PART)
     if (snapshot.returned !== undefined) add(snapshot.returned.period, COMMON_PART)
   }
@@ -140,7 +143,7 @@
 }
 
 function emptyTotal (key: TotalKey): Total {
-  return { format: 1, period: key.period, part: key.part, folded: [], cells: [], spend: [], gaps: [], returns: [], latencyOmitted: [] }
+  return { format: 1, period: key.period, part: key.part, folded: [], cells: [], spend: [], gaps: [], returns: [], deaths: [], latencyOmitted: [] }
 }
 
 function concerns (snapshot: Snapshot, key: TotalKey): boolean {
@@ -151,16 +154,18 @@
   return cellsOf(snapshot).filter((cell) => cell.period === key.period && cell.class === key.part)
 }
 
-function commonOf (base: Total, key: TotalKey, added: readonly Snapshot[]): Pick<Total, 'spend' | 'gaps' | 'returns' | 'latencyOmitted'> {
+function commonOf (base: Total, key: TotalKey, added: readonly Snapshot[]): Pick<Total, 'spend' | 'gaps' | 'returns' | 'deaths' | 'latencyOmitted'> {
   const here = (snapshot: Snapshot): boolean => periodOf(snapshot.writtenAt) === key.period
   const spend = added.flatMap((snapshot) => snapshot.spend.filter((one) => one.period === key.period))
   const gaps = added.filter(here).flatMap((snapshot) => gapOf(snapshot) ?? [])
   const returns = added.flatMap((snapshot) => returnsIn(snapshot, key))
+  const deaths = added.flatMap((snapshot) => snapshot.deaths.filter((one) => one.period === key.period))
   const omitted = added.filter((snapshot) => here(snapshot) && snapshot.latencyOmitted).map((snapshot) => snapshot.incarnation)
   return {
     spend: sumSpend([...base.spend, ...spend]),
     gaps: [...base.gaps, ...gaps],
     returns: [...base.returns, ...returns],
+    deaths: sumDeathNotes([...base.deaths, ...deaths]),
     latencyOmitted: [...new Set([...base.latencyOmitted, ...omitted])]
   }
 }
--- a/test/operator/report-page.test.ts
+++ b/test/operator/report-page.test.ts
@@ -57,6 +57,7 @@
     ledger.refused(organisationNameSchema.parse('sado'), classNameSchema.parse('short-question'), 'organisation-limit')
     book(ledger, 'tejo', SERVED)
     ledger.accepted(request('booking', 'sado'))
+    ledger.died({ incarnation: incarnationSchema.parse('entry-2-7c'), rows: [{ class: classNameSchema.parse('booking'), organisation: organisationNameSchema.parse('sado'), resumed: 0, lost: 0, unknown: 1 }] })
     ledger.spent(serviceNameSchema.parse('servicing-assistant'), 0.3)
     ledger.spent(serviceNameSchema.parse('dispatch'), 0.05)
   }, START + 50 * MINUTE, { kind: 'counting' })
@@ -86,7 +87,7 @@
   'short-question: refused because over the organisation\'s limit (1). None of these was run.',
   'Instances cost 0.35: 3.54 for each 1,000 answers within target, target 2.00 MISSED.',
   '297 tokens were computed again for 9,999 generated: 29.7 for each 1,000, target 20 MISSED.',
-  'GAP: node entry-2 (entry-2-7c) went missing without a last report. What it counted between 2026-12-02 09:20:00 UTC and 2026-12-02 09:23:00 UTC is unknown and in none of these figures, unless another node took it over.',
+  'GAP: node entry-2 (entry-2-7c) went missing without a last report. What it counted between 2026-12-02 09:20:00 UTC and 2026-12-02 09:23:00 UTC is unknown and in none of these figures, unless another node took it over. Notes at another node tell of requests open there at its end: booking of sado: 0 followed on by another node, 0 lost, 1 unknown.',
   'Running nodes report now and then; everything up to 2026-12-02 09:50:00 UTC is counted, later requests in part.'
 ]
 
