Recomputed tokens follow the work that a reclaim takes, not the number of instances

Cause: with a fixed number per reclaim the mix preferred large reclaimable machines, which lose more streams each.

--- a/src/capacity/learned.ts
+++ b/src/capacity/learned.ts
@@ -12,8 +12,8 @@
 export const learnedSchema = z.object({
   demands: z.array(z.object({ service: serviceNameSchema, demand: demandSchema })),
   capacities: z.array(z.object({ service: serviceNameSchema, machineClass: z.string(), capacity: instanceCapacitySchema })),
-  /** Tokens computed again for each reclaim of an instance, smoothed. */
-  recomputed: z.array(z.object({ service: serviceNameSchema, perReclaim: z.number().nonnegative() })),
+  /** Tokens computed again for each unit of work a second that reclaims took, smoothed. */
+  recomputed: z.array(z.object({ service: serviceNameSchema, perLostWork: z.number().nonnegative() })),
   reclaims: reclaimHistorySchema,
   refusals: z.array(refusalSchema),
   /** Wall time up to which the cost of instances was counted for the reports. */
@@ -65,13 +65,13 @@
 }
 
 /**
- * Tokens computed again for each reclaim, or undefined before one was seen.
+ * Tokens computed again for each unit of work a second that a reclaim takes, or undefined before one was seen.
  *
  * @example
- * const perReclaim = recomputedPerReclaim(learned, service) ?? estimate
+ * const perLostWork = recomputedPerLostWork(learned, service) ?? estimate
  */
-export function recomputedPerReclaim (learned: Learned, service: ServiceName): number | undefined {
-  return learned.recomputed.find((entry) => entry.service === service)?.perReclaim
+export function recomputedPerLostWork (learned: Learned, service: ServiceName): number | undefined {
+  return learned.recomputed.find((entry) => entry.service === service)?.perLostWork
 }
 
 /** Weight of one reclaim among those seen before. */
@@ -81,15 +81,16 @@
  * Learns what reclaims made engines compute again.
  *
  * @param tokens recomputed tokens since the last call
- * @param reclaims reclaims since the last call
+ * @param lost capacity of each instance that was taken back since the last call, work a second
  * @example
- * const next = withRecomputed(learned, service, 24_000, 2)
+ * const next = withRecomputed(learned, service, 24_000, [600, 600])
  */
-export function withRecomputed (learned: Learned, service: ServiceName, tokens: number, reclaims: number): Learned {
-  if (reclaims <= 0) return learned
-  const seen = tokens / reclaims
-  const known = recomputedPerReclaim(learned, service) ?? seen
-  const weight = 1 - (1 - RECLAIM_WEIGHT) ** reclaims
-  const perReclaim = known + weight * (seen - known)
-  return { ...learned, recomputed: [...learned.recomputed.filter((entry) => entry.service !== service), { service, perReclaim }] }
+export function withRecomputed (learned: Learned, service: ServiceName, tokens: number, lost: readonly number[]): Learned {
+  const lostWork = lost.reduce((sum, work) => sum + work, 0)
+  if (lostWork <= 0) return learned
+  const seen = tokens / lostWork
+  const known = recomputedPerLostWork(learned, service) ?? seen
+  const weight = 1 - (1 - RECLAIM_WEIGHT) ** lost.length
+  const perLostWork = known + weight * (seen - known)
+  return { ...learned, recomputed: [...learned.recomputed.filter((entry) => entry.service !== service), { service, perLostWork }] }
 }
--- a/src/capacity/mix-search.ts
+++ b/src/capacity/mix-search.ts
@@ -229,13 +229,13 @@
 
 function layOut (problem: MixProblem): Layout {
   const { offers, losses } = problem
-  const tokens = problem.generatedPerHour > 0 ? THOUSAND * problem.recomputedPerReclaim / problem.generatedPerHour : 0
+  const tokens = problem.generatedPerHour > 0 ? THOUSAND * problem.recomputedPerLostWork / problem.generatedPerHour : 0
   return {
     problem,
     size: offers.length,
     price: offers.map((offer) => offer.pricePerHour),
     capacity: offers.map((offer) => offer.capacity),
-    recomputed: offers.map((offer) => offer.reclaimsPerHour * tokens),
+    recomputed: offers.map((offer) => offer.reclaimsPerHour * offer.capacity * tokens),
     most: offers.map((offer) => offer.most),
     needs: [
       problem.need - fixedAfter(problem, undefined),
--- a/src/capacity/mix.ts
+++ b/src/capacity/mix.ts
@@ -42,8 +42,8 @@
   readonly losses: readonly Loss[]
   /** Work a second that instances carry which are not the planner's to change. */
   readonly fixed?: readonly FixedWork[]
-  /** Tokens computed again for each reclaim of an instance. */
-  readonly recomputedPerReclaim: number
+  /** Tokens computed again for each unit of work a second that a reclaim takes: an instance that serves more loses more streams. */
+  readonly recomputedPerLostWork: number
   /** Tokens generated an hour, by which recomputed ones are counted. */
   readonly generatedPerHour: number
   /** Recomputed tokens per 1,000 generated that must not be exceeded; Infinity for no bound. */
@@ -123,8 +123,8 @@
  */
 export function recomputedOf (problem: MixProblem, counts: Counts): number {
   if (problem.generatedPerHour <= 0) return 0
-  const reclaims = problem.offers.reduce((sum, offer, index) => sum + offer.reclaimsPerHour * (counts[index] ?? 0), 0)
-  return THOUSAND * reclaims * problem.recomputedPerReclaim / problem.generatedPerHour
+  const lostWork = problem.offers.reduce((sum, offer, index) => sum + offer.reclaimsPerHour * offer.capacity * (counts[index] ?? 0), 0)
+  return THOUSAND * lostWork * problem.recomputedPerLostWork / problem.generatedPerHour
 }
 
 /**
--- a/src/capacity/service-problem.ts
+++ b/src/capacity/service-problem.ts
@@ -6,7 +6,7 @@
 import { neededWork } from './demand.js'
 import type { Demand } from './demand.js'
 import { capacityOf } from './instance-capacity.js'
-import { capacityKnown, demandOf, recomputedPerReclaim } from './learned.js'
+import { capacityKnown, demandOf, recomputedPerLostWork } from './learned.js'
 import type { Learned } from './learned.js'
 import { carriedAfterLosses, lossesToSurvive } from './mix.js'
 import type { MixOffer, MixProblem } from './mix.js'
@@ -70,7 +70,7 @@
   const demand = demandOf(learned, service.name)
   const offers = mixOffers(input, targets)
   const losses = lossesToSurvive(wavesOf(input), { replacement: REPLACEMENT_TIME, tolerance: 1 - targets.reliability })
-  const common = { offers, losses, ...recomputedOf(input, demand, offers) }
+  const common = { offers, losses, ...recomputedOf(input, demand) }
   return { ...common, need: needOf(input, demand, targets, { ...common, need: 0, recomputedBound: Infinity }) }
 }
 
@@ -153,16 +153,15 @@
   return [...new Set(offers.map((offer) => offer.failureDomain))].sort()
 }
 
-/** Recomputed tokens for each reclaim: what was seen, before that the streams that an instance holds. */
-function recomputedOf (input: ProblemInput, demand: Demand | undefined, offers: readonly MixOffer[]): { recomputedPerReclaim: number, generatedPerHour: number } {
+/** Recomputed tokens for lost work: what was seen, before that the streams that make one token a second. */
+function recomputedOf (input: ProblemInput, demand: Demand | undefined): { recomputedPerLostWork: number, generatedPerHour: number } {
   const { service, learned, configuration } = input
-  if (service.kind === 'plain' || demand === undefined || demand.requestsPerSecond <= 0) return { recomputedPerReclaim: 0, generatedPerHour: 0 }
+  if (service.kind === 'plain' || demand === undefined || demand.requestsPerSecond <= 0) return { recomputedPerLostWork: 0, generatedPerHour: 0 }
   const { betweenTokens } = targetsOf(configuration, service)
   const answer = demand.workPerSecond / demand.requestsPerSecond
-  const capacity = Math.max(0, ...offers.map((offer) => offer.capacity))
-  const streams = capacity * (betweenTokens ?? PRIOR_BETWEEN_TOKENS) / SECOND
+  const streams = (betweenTokens ?? PRIOR_BETWEEN_TOKENS) / SECOND
   return {
-    recomputedPerReclaim: recomputedPerReclaim(learned, service.name) ?? streams * (PRIOR_PROMPT + answer / 2),
+    recomputedPerLostWork: recomputedPerLostWork(learned, service.name) ?? streams * (PRIOR_PROMPT + answer / 2),
     generatedPerHour: demand.workPerSecond * HOUR / SECOND
   }
 }
--- a/src/planner/learning.ts
+++ b/src/planner/learning.ts
@@ -32,7 +32,8 @@
     if (rates === undefined) continue
     const sample = { at: experience.now, requestsPerSecond: rates.requestsPerSecond, workPerSecond: rates.workPerSecond }
     next = withDemand(next, service.name, observeDemand(demandOf(next, service.name), sample))
-    next = withRecomputed(next, service.name, rates.recomputedTokens, reclaimed.filter((slot) => slot.service === service.name).length)
+    const lost = reclaimed.filter((slot) => slot.service === service.name)
+    next = withRecomputed(next, service.name, rates.recomputedTokens, lost.map((slot) => capacityKnown(learned, service.name, slot.offer.machineClass)?.highest ?? 0))
     next = learnCapacities(next, service, rates, experience)
   }
   return next
