--- a/bench/agreement/measure.ts
+++ b/bench/agreement/measure.ts
@@ -123,9 +123,11 @@
     const gone = obstacle === 'a failure domain has just gone' ? fleet.nodes().filter((node) => node.record.failureDomain === domainName(index % DOMAINS)) : []
     for (const node of gone) node.kill()
     await clock.advance(100)
-    times.push(...await changeThrough(run, obstacle))
+    const accepting = fleet.nodes()[0] as FleetNode
+    times.push(...await changeThrough(run, accepting, obstacle))
+    if (!accepting.alive()) gone.push(accepting)
     for (const node of gone) fleet.start(DOMAINS_BY_NAME.get(node.record.failureDomain))
-    await clock.advance(gone.length > 0 ? 2 * MINUTE : 20 * SECOND)
+    await clock.advance(gone.length > 1 ? 2 * MINUTE : 20 * SECOND)
   }
   fleet.stop()
   times.sort((left, right) => left - right)
@@ -144,8 +146,7 @@
 
 const LONGEST_WAIT: Milliseconds = 60 * SECOND
 
-async function changeThrough ({ clock, fleet }: Run, obstacle: Obstacle): Promise<Milliseconds[]> {
-  const accepting = fleet.nodes()[0] as FleetNode
+async function changeThrough ({ clock, fleet }: Run, accepting: FleetNode, obstacle: Obstacle): Promise<Milliseconds[]> {
   const accepted = await change(fleet, clock, accepting.configuration.revision(), (revision) => {
     if (obstacle === 'the accepting node dies after acceptance') accepting.kill()
     else accepting.membership.deliver(revision, 9 * SECOND).catch(() => {})
