--- a/bench/report.ts
+++ b/bench/report.ts
@@ -1,15 +1,17 @@
 /** What reports cost: size of a node's report, writes and bytes by fleet, time of folding and reading. */
 import { setMaxListeners } from 'node:events'
+import { NODE_PREFIX } from '../src/entry/registration.js'
 import { createReportKeeper } from '../src/entry/report-keeper.js'
 import { HOUR, MINUTE, SECOND } from '../src/clock.js'
 import { classNameSchema, incarnationSchema, instanceNameSchema, organisationNameSchema, requestIdFor } from '../src/identifiers.js'
 import { createLog } from '../src/log.js'
+import { prefixEnd } from '../src/platform/key-value.js'
 import type { KeyValue } from '../src/platform/key-value.js'
 import { readReport } from '../src/operator/report-reader.js'
 import { createFoldMemory, foldGone } from '../src/planner/report-folder.js'
 import { createRandom } from '../src/random.js'
 import type { Random } from '../src/random.js'
-import { createLedger, decodeSnapshot, encodeSnapshot, periodOf } from '../src/report/index.js'
+import { createLedger, decodeSnapshot, decodeTotal, encodeSnapshot, periodOf } from '../src/report/index.js'
 import type { CountingLedger } from '../src/report/index.js'
 import { createFaultSwitch } from '../stand-ins/faults.js'
 import { createDirectKeyValue } from '../stand-ins/key-value-direct.js'
@@ -39,13 +41,19 @@
 const TOKENS = 120
 const TOKEN_TIME = 25
 
+const DEATHS = 40
+const FOLD_PERIOD = 30 * SECOND
+const RECORD_LAPSES = 15 * SECOND
+const TOTALS = 'hornbeamgap/reports/totals/'
+const TOTALS_END = prefixEnd(TOTALS)
+
 const silent = createLog('bench', 'silent', () => 0)
 
 /** Reports at size. */
 export const bench: Bench = {
   name: 'report',
   description: 'Size of reports, writes and bytes a second by fleet, time of folding and reading',
-  run: async (options) => [sizes(options), await fleets(options)]
+  run: async (options) => [sizes(options), await gaps(options), await fleets(options)]
 }
 
 interface Mix {
@@ -64,20 +72,61 @@
   const rows = shapes.flatMap(({ name, mix }) => [MINUTE, HOUR].map((time) => {
     const ledger = createLedger({ wall: () => START })
     const requests = REQUESTS_PER_SECOND * time / SECOND
+    const memory = process.memoryUsage().arrayBuffers
     const recording = duration(() => count(ledger, createRandom(seed), mix, requests, 0))
+    const histograms = (process.memoryUsage().arrayBuffers - memory) / 1_024
     const text = encode(ledger)
     const encoding = duration(() => encode(ledger))
     const decoding = duration(() => decodeSnapshot(text))
-    return [name, requests, ledger.snapshot().cells.length, text.length, (recording / requests * 1_000).toFixed(1), encoding.toFixed(1), decoding.toFixed(1)]
+    return [name, requests, ledger.snapshot().cells.length, text.length, Math.round(histograms), (recording / requests * 1_000).toFixed(1), encoding.toFixed(1), decoding.toFixed(1)]
   }))
   return {
     title: 'One node\'s report',
-    columns: ['node', 'requests', 'cells', 'bytes', 'count us', 'encode ms', 'parse ms'],
+    columns: ['node', 'requests', 'cells', 'bytes', 'histograms KB', 'count us', 'encode ms', 'parse ms'],
     rows,
     note: 'Bytes of the JSON text with compressed histograms; the limit of a value is 1,048,576.'
   }
 }
 
+/** Deaths of a node of today's size at random moments: how long the report says that it does not know. */
+async function gaps ({ seed }: BenchOptions): Promise<Table> {
+  const random = createRandom(seed)
+  const lengths: number[] = []
+  for (let death = 0; death < DEATHS; death += 1) lengths.push(await gapOfDeath(random, death))
+  lengths.sort((left, right) => left - right)
+  const [shortest, median, longest] = [0, 0.5, 1].map((share) => Math.round(lengths[Math.round(share * (DEATHS - 1))]! / SECOND))
+  return {
+    title: 'Gap after the death of a node of today\'s size, in seconds',
+    columns: ['deaths', 'shortest', 'median', 'longest'],
+    rows: [[DEATHS, shortest!, median!, longest!]],
+    note: 'From its last report to the moment it is given up; the planner folds every 30 s, and the node\'s record lapses 15 s after the death.'
+  }
+}
+
+async function gapOfDeath (random: Random, index: number): Promise<number> {
+  const clock = createManualClock(START)
+  const store = createKeyValueStore(clock)
+  const keyValue = createDirectKeyValue(store, createFaultSwitch(clock, createRandom(index)), clock)
+  const owner = new AbortController()
+  setMaxListeners(0, owner.signal)
+  const { ledger, keeper } = member(index, keyValue, clock, owner.signal)
+  const record = `${NODE_PREFIX}entry`
+  store.put(record, JSON.stringify({ incarnation: `entry-${index + 1}-${(index * 7_919).toString(16)}` }))
+  const options = { keyValue, clock, log: silent, memory: createFoldMemory() }
+  const diesAt = 5 * MINUTE + random.integer(MINUTE / SECOND) * SECOND
+  const offset = random.integer(FOLD_PERIOD)
+  for (let time = 0; store.list(TOTALS, TOTALS_END).entries.length === 0; time += SECOND) {
+    if (time < diesAt) count(ledger, random, { ...TODAY, offset: 0 }, REQUESTS_PER_SECOND, time)
+    else owner.abort()
+    if (time === diesAt + RECORD_LAPSES) store.compareAndDelete(record, store.get(record)!.revision)
+    if (time % FOLD_PERIOD === offset - offset % SECOND) await foldGone(options, new AbortController().signal)
+    await clock.advance(SECOND)
+  }
+  if (keeper.usage().writes === 0) throw new RangeError('the node never reported')
+  const gap = store.list(TOTALS, TOTALS_END).entries.flatMap((entry) => decodeTotal(entry.value)?.gaps ?? [])[0]
+  return gap!.to - gap!.from
+}
+
 async function fleets (options: BenchOptions): Promise<Table> {
   const rows: (string | number)[][] = []
   for (const nodes of FLEETS) rows.push(await fleet(options, nodes))
