--- a/test/admission/scheduler-properties.test.ts
+++ b/test/admission/scheduler-properties.test.ts
@@ -38,7 +38,7 @@
   { weight: 2, arbitrary: fc.record({ kind: fc.constant('load' as const), upstream: upstreamIndex, running: fc.nat(30), waiting: fc.nat(9) }) },
   { weight: 3, arbitrary: fc.record({ kind: fc.constant('pass' as const), time: fc.integer({ min: 1, max: 3_000 }) }) }
 )
-const history = fc.array(step, { minLength: 20, maxLength: 150 })
+const history = fc.array(step, { minLength: 20, maxLength: 150, size: 'max' })
 
 interface Played {
   readonly log: string[]
--- a/test/upstream/outliers.test.ts
+++ b/test/upstream/outliers.test.ts
@@ -58,7 +58,7 @@
   // Overload makes every upstream fail and stall. Ejecting them one by one would leave the last few
   // with all the work, and then none.
   const event = fc.record({ upstream: fc.nat(names.length - 1), kind: fc.constantFrom('struck', 'slow', 'progressed', 'sent'), pause: fc.nat(2_000) })
-  fc.assert(fc.property(fc.array(event, { maxLength: 200 }), (history) => {
+  fc.assert(fc.property(fc.array(event, { maxLength: 200, size: 'max' }), (history) => {
     const outliers = start()
     let now = 0
     for (const { upstream, kind, pause } of history) {
