Report: a stream that a successor found running was not computed again

Cause: the successor counted prompt and answer at the end of each stream it had found running and followed. Now only streams that an attempt began count. The new whole-path test fails with the old line.

--- a/src/entry/generation.ts
+++ b/src/entry/generation.ts
@@ -27,6 +27,8 @@
   handle: string | undefined
   /** Tokens that the engine had to be given when it began. */
   readonly givenTokens: number
+  /** Whether this attempt found the stream running; what it has computed was not computed again. */
+  readonly found: boolean
 }
 
 /**
@@ -38,7 +40,7 @@
  */
 export async function generate (context: ExecutionContext, execution: Execution, placement: Placement, body: ChatBody, model: string, traceparent: string): Promise<AttemptEnd> {
   const { answer, owner } = execution
-  let place: Place = { upstream: placement.upstream, handle: placement.handle, givenTokens: answer.offset() }
+  let place: Place = { upstream: placement.upstream, handle: placement.handle, givenTokens: answer.offset(), found: placement.handle !== undefined }
   let reconnections = 0
   let leave: (() => void) | undefined
   try {
@@ -152,7 +154,7 @@
   if (upstream === undefined) throw new ServingError(`${redirection.upstream} is gone`, { code: 'no-upstream', verdict: 'may-have-run' })
   cancelStream(context, place)
   context.bookkeeping.movedCache(execution, place.upstream.name, upstream.name)
-  return { upstream, handle: redirection.handle, givenTokens: place.givenTokens }
+  return { ...place, upstream, handle: redirection.handle }
 }
 
 /** Lost and silent connections are replaced as long as the stream has a name; refusals are final. */
@@ -175,10 +177,9 @@
 
 /** Tokens that this attempt computed although an earlier attempt had computed them before. */
 function countRecomputed (execution: Execution, body: ChatBody, place: Place, cachedTokens: number): void {
-  if (!execution.computedBefore) {
-    execution.computedBefore = true
-    return
-  }
+  const first = !execution.computedBefore
+  execution.computedBefore = true
+  if (first || place.found) return
   execution.recomputedTokens += Math.max(0, promptTokens(body.messages) + place.givenTokens - cachedTokens)
 }
 
--- a/test/whole-path.test.ts
+++ b/test/whole-path.test.ts
@@ -2,14 +2,19 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { createClient } from '../src/client/index.js'
+import type { ChatAnswer, Client } from '../src/client/index.js'
 import { createSystemClock, SECOND } from '../src/clock.js'
 import { configurationSchema } from '../src/configuration/index.js'
+import type { EntryNode } from '../src/entry/node.js'
 import { parseSettings } from '../src/settings.js'
 import { startDeployment, storeConfiguration } from '../stand-ins/deployment.js'
 import { answerWords } from '../stand-ins/engine.js'
 import { loadSample } from '../stand-ins/sample.js'
 import { startSampleDeployment } from '../stand-ins/sample-deployment.js'
 
+/** Long enough that no plan ends before its entry node has left. */
+const PLAN_TOKENS = 300
+
 test('a caller receives the whole answer to its own request', async () => {
   const deployment = await startDeployment({ clock: createSystemClock(), seed: 1, entries: 3, engines: 3, logLevel: 'silent' })
   const client = createClient({ addresses: deployment.addresses, key: deployment.key })
@@ -41,3 +46,36 @@
     await deployment.kill()
   }
 })
+
+test('plans that outlive their entry node are computed once, and the report does not say otherwise', async () => {
+  // A manager reads that a reclaim of an entry node had 390 of 1,000 tokens computed again. The engines
+  // had computed nothing twice: the successor found each stream running and followed it. The cause: it
+  // counted the whole prompt and answer as computed again at the end of each such stream.
+  const deployment = await startDeployment({ clock: createSystemClock(), seed: 1, entries: 3, engines: 2, logLevel: 'silent' })
+  const [leaving] = deployment.entries
+  const client = createClient({ addresses: deployment.addresses, key: deployment.key })
+  try {
+    const streaming = Array.from({ length: 12 }, (_, index) => plan(client, `Plan ${index}`))
+    await Promise.all(streaming.map((one) => one.begun))
+    await leaving!.stop()
+    const answers = await Promise.all(streaming.map((one) => one.answer))
+    answers.forEach((answer, index) => assert.equal(answer.text, answerWords([{ role: 'user', content: `Plan ${index}` }], PLAN_TOKENS).join('')))
+    assert.equal(deployment.engines.flatMap((engine) => engine.started).length, answers.length)
+    assert.deepEqual(deployment.entries.map(recomputedTokens), [0, 0, 0])
+  } finally {
+    await client.close()
+    await deployment.kill()
+  }
+})
+
+function plan (client: Client, content: string): { begun: Promise<void>, answer: Promise<ChatAnswer> } {
+  let begin: () => void = () => {}
+  const begun = new Promise<void>((resolve) => { begin = resolve })
+  const answer = client.chat({ class: 'service-plan', messages: [{ role: 'user', content }], maxTokens: PLAN_TOKENS, onToken: () => begin() })
+  return { begun, answer }
+}
+
+function recomputedTokens (entry: EntryNode): number {
+  const lines = [...entry.parts.metrics.text().matchAll(/^hornbeamgap_recomputed_tokens_total\{.*\} (\d+)$/gm)]
+  return lines.reduce((sum, line) => sum + Number(line[1]), 0)
+}
