Reclaim benchmark; doubtful answers are exported when the link has time to spare

Change: they are exported after everything else, the most doubtful first; when the link turns out too slow they are left to finish.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -17,6 +17,8 @@
   outliers: () => import('./outliers.js'),
   recovery: () => import('./recovery.js'),
   'decision-time': () => import('./decision-time.js'),
+  reclaim: () => import('./reclaim.js'),
+  'reclaim-notices': () => import('./reclaim-notices.js'),
   report: () => import('./report.js')
 }
 
--- a/src/entry/reclaim-keeper.ts
+++ b/src/entry/reclaim-keeper.ts
@@ -171,7 +171,7 @@
   const remainingMs = Math.max(0, reclaim.deadline - clock.now())
   const { go } = await coordinator.turn({ upstream, id: plan.id, tokens, rank: plan.startAfter, required: !stream.idempotent, remainingMs })
   if (reclaim.signal.aborted) return coordinator.turnEnded({ upstream, id: plan.id, moved: false })
-  if (!go) return giveUp(options, reclaim, stream)
+  if (!go) return plan.otherwise === 'finish' ? undefined : giveUp(options, reclaim, stream)
   const bound = AbortSignal.any([reclaim.signal, AbortSignal.timeout(Math.max(1, Math.ceil(reclaim.deadline - clock.now())))])
   let moved = false
   try {
