--- a/src/entry/report-keeper.ts
+++ b/src/entry/report-keeper.ts
@@ -64,9 +64,11 @@
 /** Conflicts in a row that one write settles before it leaves the rest to the next one. */
 const MOST_STEPS = 6
 
+type SentHead = Pick<Snapshot, 'incarnation' | 'epoch' | 'sequence' | 'writtenAt' | 'state'>
+
 /** A snapshot that was sent, as text and as what is counted in it. */
 interface Sent {
-  readonly snapshot: Snapshot
+  readonly snapshot: SentHead
   readonly counts: EpochCounts
   readonly text: string
 }
@@ -89,8 +91,9 @@
   function prepare (kind: 'counting' | 'closed' | 'final'): Sent {
     const counts = kind === 'counting' ? ledger.snapshot() : ledger.closeEpoch()
     sequence += 1
-    const text = encodeSnapshot({ incarnation, instance, sequence, writtenAt: clock.wall(), nextWithin: paceOf(usage.lastBytes * GROWTH) * (1 + JITTER), state: { kind }, returned }, counts)
-    return { snapshot: decodeSnapshot(text) as Snapshot, counts, text }
+    const nextWithin = paceOf(usage.lastBytes * GROWTH) * (1 + JITTER)
+    const head = { incarnation, instance, sequence, writtenAt: clock.wall(), nextWithin, state: { kind }, returned }
+    return { snapshot: { ...head, epoch: counts.epoch }, counts, text: encodeSnapshot(head, counts) }
   }
 
   /** An epoch is closed in the first write after its period, so totals of past periods grow complete. */
@@ -102,8 +105,8 @@
   /** Most planners never hold the lease: a process that has never counted anything writes nothing. */
   function nothingToTell (): boolean {
     if (sequence > 0) return false
-    const { cells, open, spend } = ledger.snapshot()
-    return cells.length + open.length + spend.length === 0
+    const { cells, open, spend, deaths } = ledger.snapshot()
+    return cells.length + open.length + spend.length + deaths.length === 0
   }
 
   async function settle (owner: AbortSignal): Promise<void> {
--- a/src/operator/report-reader.ts
+++ b/src/operator/report-reader.ts
@@ -1,6 +1,6 @@
 /** Reads reports of all nodes and the totals, and makes the report document of a range. */
 import type { Milliseconds } from '../clock.js'
-import { HOUR, SECOND } from '../clock.js'
+import { HOUR, MINUTE } from '../clock.js'
 import type { OrganisationName } from '../identifiers.js'
 import { RETENTION } from '../planner/report-folder.js'
 import { createReportSummary, decodeSnapshot, decodeTotal, PERIOD, periodOf, periodPrefix, shardPrefix, SHARDS } from '../report/index.js'
@@ -25,8 +25,8 @@
 /** Pause after each value, so that callers' requests are not held up by a large report. */
 const BREATH: Milliseconds = 0
 
-/** A gateway's answer stays valid for organisations this long; they may not make the node read on and on. */
-const ORGANISATION_CACHE: Milliseconds = 30 * SECOND
+/** Organisations are answered from one reading for this long: their programs may poll, and a reading costs the key-value service some fifty calls. */
+const ORGANISATION_CACHE: Milliseconds = 5 * MINUTE
 
 /** Range that an organisation sees. */
 const ORGANISATION_RANGE: Milliseconds = DAY
@@ -69,8 +69,8 @@
 }
 
 /**
- * Reader of organisations' own reports, which shares one reading among all that ask within half a
- * minute.
+ * Reader of organisations' own reports, which shares one reading of an organisation among all that ask
+ * within a few minutes.
  *
  * @example
  * const read = createOrganisationReader(context)
--- a/test/planner/report-folder.test.ts
+++ b/test/planner/report-folder.test.ts
@@ -263,6 +263,26 @@
   assert.equal(store.list('hornbeamgap/reports/nodes/', 'hornbeamgap/reports/nodes0').entries.length, 0)
 })
 
+test('what a node noted of a dead one outlives its own end, and adds nothing to the sums', async () => {
+  // A manager would read of a gap and not learn whose bookings were in it: the node that kept the notes
+  // stopped as planned soon after.
+  const { clock, store } = createLife()
+  const dead = createCountingNode('entry-1', connect(store).keyValue, clock)
+  const noting = createCountingNode('entry-2', connect(store).keyValue, clock)
+  const { class: requestClass, organisation } = dead.accept(3)
+  await dead.keeper.write()
+  dead.crash()
+  noting.ledger.died({ incarnation: dead.incarnation, rows: [{ class: requestClass, organisation, resumed: 0, lost: 0, unknown: 1 }] })
+  await noting.keeper.finish(new AbortController().signal)
+  const fold = createFolder(connect(store).keyValue, clock)
+  await fold()
+  await clock.advance(LONG_SILENCE)
+  await fold()
+  const { gaps, total } = reportOf(store, clock)
+  assert.deepEqual(gaps.map((gap) => gap.noted), [[{ class: requestClass, organisation, resumed: 0, lost: 0, unknown: 1 }]])
+  assert.deepEqual([total.sums.asked, total.sums.unknown], [1, 1])
+})
+
 test('a hand-over whose giver dies before it reports again counts once, at the taker', async () => {
   // A user would see a request both served and unknown: its node reported it as open, handed it to
   // another node on a reclaim and died before its next report. One more was accepted and handed over
