--- a/test/repeat.test.ts
+++ b/test/repeat.test.ts
@@ -20,6 +20,7 @@
     runs += 1
     if (down) throw new Error('refused')
   })
+  await clock.advance(0)
   await clock.advance(60_000)
   down = false
   await clock.advance(5_000)
