--- a/test/whole-path.test.ts
+++ b/test/whole-path.test.ts
@@ -13,7 +13,9 @@
 import { startSampleDeployment } from '../stand-ins/sample-deployment.js'
 
 /** Long enough that no plan ends before its entry node has left. */
-const PLAN_TOKENS = 300
+const PLAN_TOKENS = 600
+
+const NOTICE = 4 * SECOND
 
 test('a caller receives the whole answer to its own request', async () => {
   const deployment = await startDeployment({ clock: createSystemClock(), seed: 1, entries: 3, engines: 3, logLevel: 'silent' })
@@ -51,14 +53,17 @@
   // A manager reads that a reclaim of an entry node had 390 of 1,000 tokens computed again. The engines
   // had computed nothing twice: the successor found each stream running and followed it. The cause: it
   // counted the whole prompt and answer as computed again at the end of each such stream.
-  const deployment = await startDeployment({ clock: createSystemClock(), seed: 1, entries: 3, engines: 2, logLevel: 'silent' })
-  const [leaving] = deployment.entries
+  const clock = createSystemClock()
+  const deployment = await startDeployment({ clock, seed: 1, entries: 3, engines: 2, logLevel: 'silent', engineShape: { token_ms: 10 } })
   const client = createClient({ addresses: deployment.addresses, key: deployment.key })
   try {
     const streaming = Array.from({ length: 12 }, (_, index) => plan(client, `Plan ${index}`))
     await Promise.all(streaming.map((one) => one.begun))
-    await leaving!.stop()
+    const [leaving] = [...deployment.entries].sort((left, right) => openRequests(right) - openRequests(left))
+    assert.ok(openRequests(leaving!) > 0)
+    deployment.cloud.state.reclaim([leaving!.parts.settings.instance], NOTICE)
     const answers = await Promise.all(streaming.map((one) => one.answer))
+    assert.equal(leaving!.parts.membership.own().leaving, true)
     answers.forEach((answer, index) => assert.equal(answer.text, answerWords([{ role: 'user', content: `Plan ${index}` }], PLAN_TOKENS).join('')))
     assert.equal(deployment.engines.flatMap((engine) => engine.started).length, answers.length)
     assert.deepEqual(deployment.entries.map(recomputedTokens), [0, 0, 0])
@@ -75,6 +80,10 @@
   return { begun, answer }
 }
 
+function openRequests (entry: EntryNode): number {
+  return entry.parts.executions.usage().open
+}
+
 function recomputedTokens (entry: EntryNode): number {
   const lines = [...entry.parts.metrics.text().matchAll(/^hornbeamgap_recomputed_tokens_total\{.*\} (\d+)$/gm)]
   return lines.reduce((sum, line) => sum + Number(line[1]), 0)
