--- a/bench/main.ts
+++ b/bench/main.ts
@@ -8,6 +8,8 @@
 /** Each topic's module; loaded only when it is asked for. */
 const TOPICS: Readonly<Record<string, () => Promise<{ bench: Bench }>>> = {
   'capacity-mix': () => import('./capacity-mix.js'),
+  'weight-loads': () => import('./weight-loads.js'),
+  'planner-size': () => import('./planner-size.js'),
   agreement: () => import('./agreement/bench.js'),
   claims: () => import('./claims.js'),
   'entry-overhead': () => import('./entry-overhead.js'),
