Folder: nodes whose record vanishes are looked at first; reports under 64 prefixes

At 370 nodes a pass read a sixteenth of all reports, 1.2 MB, and a silent report had to be met twice before its node was given up. Now vanished nodes are asked for by name in every pass. Seen failing without it: no gap after eight passes.

--- a/bench/report.ts
+++ b/bench/report.ts
@@ -11,7 +11,7 @@
 import { createFoldMemory, foldGone } from '../src/planner/report-folder.js'
 import { createRandom } from '../src/random.js'
 import type { Random } from '../src/random.js'
-import { createLedger, decodeSnapshot, decodeTotal, encodeSnapshot, periodOf } from '../src/report/index.js'
+import { createLedger, decodeSnapshot, decodeTotal, encodeSnapshot, periodOf, SHARDS } from '../src/report/index.js'
 import type { CountingLedger } from '../src/report/index.js'
 import { createFaultSwitch } from '../stand-ins/faults.js'
 import { createDirectKeyValue } from '../stand-ins/key-value-direct.js'
@@ -132,7 +132,7 @@
   for (const nodes of FLEETS) rows.push(await fleet(options, nodes))
   return {
     title: 'A fleet over ten minutes, then the turn of the hour, folding and a report',
-    columns: ['nodes', 'writes/s', 'bytes/s a node', 'stored MB', 'fold ms', 'fold calls', 'fold passes', 'largest total', 'report before ms', 'after ms', 'report calls'],
+    columns: ['nodes', 'writes/s', 'bytes/s a node', 'stored MB', 'fold ms', 'fold calls', 'most KB a pass', 'largest total', 'report before ms', 'after ms', 'report calls'],
     rows,
     note: 'Every node counts 4 requests a second of 12 classes and 8 organisations out of 40; planners fold every 30 s. Bytes are those of values, before base64.'
   }
@@ -160,7 +160,7 @@
   const unfolded = await readOnce(keyValue, clock, () => faultSwitch.calls())
   const folding = await foldAll(store, keyValue, clock, () => faultSwitch.calls())
   const reading = await readOnce(keyValue, clock, () => faultSwitch.calls())
-  return [nodes, writes.toFixed(2), Math.round(bytes), (stored / 1e6).toFixed(2), Math.round(folding.time), folding.calls, folding.passes, folding.largest, Math.round(unfolded.time), Math.round(reading.time), reading.calls]
+  return [nodes, writes.toFixed(2), Math.round(bytes), (stored / 1e6).toFixed(2), Math.round(folding.time), folding.calls, Math.round(folding.bytes / 1_024), folding.largest, Math.round(unfolded.time), Math.round(reading.time), reading.calls]
 }
 
 function member (index: number, keyValue: KeyValue, clock: ManualClock, signal: AbortSignal) {
@@ -178,13 +178,16 @@
   const options = { keyValue, clock, log: silent, memory }
   let time = 0
   let passes = 0
-  for (let folded = 1; folded > 0 || passes < 16; passes += 1) {
+  let bytes = 0
+  for (let folded = 1; folded > 0 || passes < SHARDS; passes += 1) {
     const start = performance.now()
-    folded = (await foldGone(options, new AbortController().signal)).folded
+    const result = await foldGone(options, new AbortController().signal)
+    folded = result.folded
+    bytes = Math.max(bytes, result.bytes)
     time += performance.now() - start
   }
   const totals = store.list('hornbeamgap/reports/totals/', 'hornbeamgap/reports/totals0').entries
-  return { time, passes, calls: calls() - before, largest: Math.max(...totals.map((entry) => entry.value.length)) }
+  return { time, bytes, calls: calls() - before, largest: Math.max(...totals.map((entry) => entry.value.length)) }
 }
 
 async function readOnce (keyValue: KeyValue, clock: ManualClock, calls: () => number) {
--- a/src/planner/report-folder.ts
+++ b/src/planner/report-folder.ts
@@ -16,7 +16,7 @@
 import { nodeRecordSchema } from '../membership/index.js'
 import { ABSENT } from '../platform/key-value.js'
 import type { KeyValue, KeyValueEntry } from '../platform/key-value.js'
-import { decodeSnapshot, decodeTotal, foldInto, isClosed, PERIOD, periodOf, periodPrefix, shardPrefix, SHARDS, snapshotName, totalKey, totalsOf } from '../report/index.js'
+import { decodeSnapshot, decodeTotal, foldInto, incarnationPrefix, isClosed, PERIOD, periodOf, periodPrefix, shardPrefix, SHARDS, snapshotName, totalKey, totalsOf } from '../report/index.js'
 import type { Snapshot, TotalKey } from '../report/index.js'
 import { ServingError } from '../verdict.js'
 
@@ -24,6 +24,9 @@
 export interface FoldMemory {
   /** Reports of nodes that are not live, with the time since which they have not changed. */
   readonly silent: Map<string, { sequence: number, since: Milliseconds }>
+  /** Nodes that held a record at the last pass, and those whose record has vanished since the first. */
+  live: ReadonlySet<Incarnation>
+  readonly vanished: Set<Incarnation>
   nextShard: number
   /** Totals of periods before this one were deleted. */
   expiredBefore: Milliseconds | undefined
@@ -47,6 +50,8 @@
   readonly bytes: number
 }
 
+const NOTHING: FoldResult = { folded: 0, givenUp: 0, bytes: 0 }
+
 /** Totals are kept for so long; older ones are deleted and reports say from when on they can tell. */
 export const RETENTION: Milliseconds = 14 * 24 * HOUR
 
@@ -72,12 +77,14 @@
 
 /** @example const memory = createFoldMemory() */
 export function createFoldMemory (): FoldMemory {
-  return { silent: new Map(), nextShard: 0, expiredBefore: undefined }
+  return { silent: new Map(), live: new Set(), vanished: new Set(), nextShard: 0, expiredBefore: undefined }
 }
 
 /**
- * One pass: reads some shards of the nodes' reports, gives up those of nodes that are gone, and folds
- * what is closed. Call it every half minute or so; only one process needs to, and two do no harm.
+ * One pass: reads the reports of nodes whose record has vanished and some shards of all reports, gives
+ * up those of nodes that are gone, and folds what is closed. A large fleet's reports take many passes to
+ * read; nodes that vanish need not wait for that. Call it every half minute or so; only one process
+ * needs to, and two do no harm.
  *
  * @throws ServingError when the key-value service cannot be reached; the next pass makes up for it
  * @example
@@ -86,9 +93,9 @@
 export async function foldGone (options: FoldOptions, signal: AbortSignal): Promise<FoldResult> {
   const { keyValue, memory } = options
   const live = await liveIncarnations(keyValue, signal)
-  let result: FoldResult = { folded: 0, givenUp: 0, bytes: 0 }
+  let result = await foldVanished(options, live, signal)
   for (let shards = 0; shards < SHARDS && result.bytes < BYTES_PER_PASS; shards += 1) {
-    result = sumOf(result, await foldShard(options, memory.nextShard, live, signal))
+    result = sumOf(result, await foldUnder(options, shardPrefix(memory.nextShard), live, signal))
     memory.nextShard = (memory.nextShard + 1) % SHARDS
   }
   await expire(options, signal)
@@ -108,9 +115,23 @@
   }
 }
 
-async function foldShard (options: FoldOptions, shard: number, live: ReadonlySet<Incarnation>, signal: AbortSignal): Promise<FoldResult> {
+/** Nodes whose record vanished between two passes, until nothing of theirs is left or they are back. */
+async function foldVanished (options: FoldOptions, live: ReadonlySet<Incarnation>, signal: AbortSignal): Promise<FoldResult> {
+  const { memory } = options
+  for (const incarnation of memory.live) if (!live.has(incarnation)) memory.vanished.add(incarnation)
+  memory.live = live
+  let result = NOTHING
+  for (const incarnation of memory.vanished) {
+    const one = await foldUnder(options, incarnationPrefix(incarnation), live, signal)
+    if (one.bytes === 0 || live.has(incarnation)) memory.vanished.delete(incarnation)
+    result = sumOf(result, one)
+  }
+  return result
+}
+
+async function foldUnder (options: FoldOptions, prefix: string, live: ReadonlySet<Incarnation>, signal: AbortSignal): Promise<FoldResult> {
   const { keyValue, log } = options
-  const listing = await keyValue.list(shardPrefix(shard), signal)
+  const listing = await keyValue.list(prefix, signal)
   const closed: StoredSnapshot[] = []
   let givenUp = 0
   for (const entry of listing.entries) {
--- a/src/report/index.ts
+++ b/src/report/index.ts
@@ -12,7 +12,7 @@
 export type { Snapshot, SnapshotHead, SnapshotState } from './snapshot.js'
 export { cellsOf, COMMON_PART, decodeTotal, foldInto, gapOf, totalsOf } from './total.js'
 export type { Gap, Total, TotalKey } from './total.js'
-export { periodPrefix, shardPrefix, SHARDS, snapshotKey, totalKey } from './keys.js'
+export { incarnationPrefix, periodPrefix, shardPrefix, SHARDS, snapshotKey, totalKey } from './keys.js'
 export { createReportSummary } from './summary.js'
 export type { ReportScope, ReportSummary } from './summary.js'
 export { reportDocumentSchema } from './document.js'
--- a/src/report/keys.ts
+++ b/src/report/keys.ts
@@ -11,7 +11,9 @@
  * Nodes' reports are spread over so many prefixes, so that a reader of a large fleet never asks for
  * all of them in one answer. All epochs of an incarnation lie under one prefix.
  */
-export const SHARDS = 16
+export const SHARDS = 64
+
+const SHARD_DIGITS = 2
 
 const HASH_START = 0x811c9dc5
 const HASH_FACTOR = 0x01000193
@@ -24,7 +26,7 @@
  * const listing = await keyValue.list(shardPrefix(0), signal)
  */
 export function shardPrefix (shard: number): string {
-  return `${NODES}${shard.toString(SHARDS)}/`
+  return `${NODES}${String(shard).padStart(SHARD_DIGITS, '0')}/`
 }
 
 /**
@@ -34,7 +36,17 @@
  * snapshotKey({ incarnation, epoch: 1 })
  */
 export function snapshotKey (snapshot: { incarnation: Incarnation, epoch: number }): string {
-  return shardPrefix(hash(snapshot.incarnation) % SHARDS) + snapshotName(snapshot)
+  return shardOf(snapshot.incarnation) + snapshotName(snapshot)
+}
+
+/**
+ * Prefix of the reports of all epochs of one incarnation.
+ *
+ * @example
+ * const listing = await keyValue.list(incarnationPrefix(incarnation), signal)
+ */
+export function incarnationPrefix (incarnation: Incarnation): string {
+  return `${shardOf(incarnation)}${incarnation}.`
 }
 
 /**
@@ -57,6 +69,10 @@
   return periodPrefix(key.period) + key.part
 }
 
+function shardOf (incarnation: Incarnation): string {
+  return shardPrefix(hash(incarnation) % SHARDS)
+}
+
 /** FNV-1a: spreads names that differ in a few characters. */
 function hash (text: string): number {
   let value = HASH_START
--- a/test/planner/report-folder.test.ts
+++ b/test/planner/report-folder.test.ts
@@ -2,11 +2,12 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import fc from 'fast-check'
-import { HOUR, MINUTE } from '../../src/clock.js'
+import { HOUR, MINUTE, SECOND } from '../../src/clock.js'
+import { NODE_PREFIX } from '../../src/entry/registration.js'
 import { prefixEnd } from '../../src/platform/key-value.js'
 import type { KeyValue } from '../../src/platform/key-value.js'
 import type { RequestSums } from '../../src/report/index.js'
-import { decodeSnapshot } from '../../src/report/index.js'
+import { decodeSnapshot, decodeTotal, shardPrefix, SHARDS } from '../../src/report/index.js'
 import { ServingError } from '../../src/verdict.js'
 import { createKeyValueStore } from '../../stand-ins/key-value-store.js'
 import type { KeyValueStore } from '../../stand-ins/key-value-store.js'
@@ -263,6 +264,30 @@
   assert.equal(store.list('hornbeamgap/reports/nodes/', 'hornbeamgap/reports/nodes0').entries.length, 0)
 })
 
+test('in a large fleet a node that dies is given up before all reports have been read', async () => {
+  // An operator would read of a gap of more than an hour after a death: a pass reads only a part of a
+  // large fleet's reports, and a silent report had to be met twice.
+  const { clock, store, work } = createLife()
+  const node = createCountingNode('entry-1', connect(store).keyValue, clock)
+  const record = `${NODE_PREFIX}${node.incarnation}`
+  store.put(record, JSON.stringify({ incarnation: node.incarnation }))
+  work(node, undefined, 5)
+  await node.keeper.write()
+  node.crash()
+  const large = JSON.stringify({ note: 'not a report, and larger than what a pass reads'.padEnd(300_000) })
+  for (let shard = 0; shard < SHARDS; shard += 1) store.put(`${shardPrefix(shard)}zzz`, large)
+  const fold = createFolder(connect(store).keyValue, clock)
+  await fold()
+  store.compareAndDelete(record, store.get(record)!.revision)
+  const passes = 8
+  for (let pass = 0; pass < passes; pass += 1) {
+    await clock.advance(30 * SECOND)
+    await fold()
+  }
+  const totals = store.list('hornbeamgap/reports/totals/', 'hornbeamgap/reports/totals0').entries
+  assert.equal(totals.flatMap((entry) => decodeTotal(entry.value)!.gaps).length, 1)
+})
+
 test('what a node noted of a dead one outlives its own end, and adds nothing to the sums', async () => {
   // A manager would read of a gap and not learn whose bookings were in it: the node that kept the notes
   // stopped as planned soon after.
