The scheduler decides on the configuration in force, not on that of its last tick

Ruled out: the directory, it had been read. Before: the test's request is refused no-upstream; after: placed. Shown failing with the guard dropped.

--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -1,6 +1,7 @@
 /** Carries out what the scheduler decides: attempts wait here until they are placed or refused. */
 import type { AttemptResult, PendingAttempt, Scheduler, SchedulerEffect, SchedulerEvent } from '../admission/index.js'
 import type { Clock } from '../clock.js'
+import type { Configuration } from '../configuration/index.js'
 import type { RequestId } from '../identifiers.js'
 import type { UpstreamView } from '../upstream/index.js'
 import { ServingError } from '../verdict.js'
@@ -37,16 +38,40 @@
   readonly refuse: (failure: ServingError) => void
 }
 
+/** What a dispatcher works with. */
+export interface DispatcherOptions {
+  readonly scheduler: Scheduler
+  readonly directory: UpstreamDirectory
+  /** The configuration in force. */
+  readonly configuration: () => Configuration | undefined
+  readonly clock: Clock
+}
+
 /**
  * @example
- * const dispatcher = createDispatcher({ scheduler, directory, clock })
+ * const dispatcher = createDispatcher({ scheduler, directory, configuration, clock })
  * const { upstream, priority } = await dispatcher.place(attempt, signal)
  */
-export function createDispatcher (options: { scheduler: Scheduler, directory: UpstreamDirectory, clock: Clock }): Dispatcher {
+export function createDispatcher (options: DispatcherOptions): Dispatcher {
   const { scheduler, directory, clock } = options
   const waiters = new Map<RequestId, Waiter>()
+  let configured: Configuration | undefined
 
+  /**
+   * Failure guarded against: a caller that has just been told that a revision is in force sends a request
+   * of its new class, and is refused for want of upstreams, since the scheduler hears of the revision only
+   * with the next tick. Whatever the scheduler decides, it decides on the revision in force.
+   */
   function handle (event: SchedulerEvent): void {
+    const current = options.configuration()
+    if (current !== undefined && current !== configured) {
+      configured = current
+      carryOutAll({ kind: 'configured', configuration: current })
+    }
+    carryOutAll(event)
+  }
+
+  function carryOutAll (event: SchedulerEvent): void {
     for (const effect of scheduler.handle(event, clock.now())) carryOut(effect)
   }
 
--- a/src/entry/node.ts
+++ b/src/entry/node.ts
@@ -147,7 +147,7 @@
     permits,
     notes: notes.journal,
     directory,
-    dispatcher: createDispatcher({ scheduler: createScheduler({ random }), directory, clock }),
+    dispatcher: createDispatcher({ scheduler: createScheduler({ random }), directory, configuration: current, clock }),
     bookkeeping: createBookkeeping({ ledger, facts, metrics, clock, configuration: current }),
     tracing,
     retries: createRetryPolicy(),
@@ -236,7 +236,8 @@
   const inquiry = createInquiryHandlers({ ...parts, reports })
   registerOperatorApi(service, { ...parts, reports })
   await Promise.allSettled([directory.refresh(), configuration.refresh(), membership.refresh()])
-  startSchedulerFeed({ dispatcher: context.dispatcher, directory, connections, configuration: current, nodeCount: () => membership.count(), clock, signal })
+  const lookForConfiguration = startSchedulerFeed({ dispatcher: context.dispatcher, directory, connections, nodeCount: () => membership.count(), clock, signal })
+  configuration.events.on('in-force', lookForConfiguration)
   ready = true
   log.info('started', { address, incarnation })
 
--- a/src/entry/scheduler-feed.ts
+++ b/src/entry/scheduler-feed.ts
@@ -1,7 +1,6 @@
-/** Feeds the scheduler: configuration, upstreams, load, cache events, node count and time. */
+/** Feeds the scheduler: upstreams, load, cache events, node count and time. */
 import type { Clock, Milliseconds } from '../clock.js'
 import { every, SECOND } from '../clock.js'
-import type { Configuration } from '../configuration/index.js'
 import type { UpstreamName } from '../identifiers.js'
 import { createEngine } from '../platform/engine.js'
 import type { CacheEvent } from '../platform/engine.js'
@@ -15,7 +14,6 @@
   readonly dispatcher: Dispatcher
   readonly directory: UpstreamDirectory
   readonly connections: Connections
-  readonly configuration: () => Configuration | undefined
   /** Entry nodes that share the upstreams, this one included. */
   readonly nodeCount: () => number
   readonly clock: Clock
@@ -27,13 +25,16 @@
 const NODE_COUNT_PERIOD: Milliseconds = SECOND
 
 /**
+ * Failure guarded against: callers that come in the moment a configuration is in force were refused
+ * because the scheduler had not heard of it yet. The owner calls the returned function then.
+ *
+ * @returns looks for a new configuration at once
  * @example
- * startSchedulerFeed({ dispatcher, directory, connections, configuration, nodeCount, clock, signal })
+ * const look = startSchedulerFeed({ dispatcher, directory, connections, nodeCount, clock, signal })
  */
-export function startSchedulerFeed (options: SchedulerFeedOptions): void {
+export function startSchedulerFeed (options: SchedulerFeedOptions): () => void {
   const { dispatcher, directory, connections, clock, signal } = options
   const cacheSequences = new Map<UpstreamName, number>()
-  let configured: Configuration | undefined
   let nodes = 0
 
   async function pollAll (): Promise<void> {
@@ -64,11 +65,6 @@
   }
 
   function tick (): void {
-    const current = options.configuration()
-    if (current !== undefined && current !== configured) {
-      configured = current
-      dispatcher.feed({ kind: 'configured', configuration: current })
-    }
     dispatcher.feed({ kind: 'tick' })
   }
 
@@ -86,6 +82,7 @@
   every(clock, TICK_PERIOD, signal, tick, quiet).catch(quiet)
   every(clock, LOAD_PERIOD, signal, pollAll, quiet).catch(quiet)
   every(clock, NODE_COUNT_PERIOD, signal, countNodes, quiet).catch(quiet)
+  return tick
 }
 
 /** What a run of events adds up to; events that are missing from it are a gap. */
