Scheduler feed: drop a look that the dispatcher has made needless

The dispatcher now tells the scheduler of a configuration before the first arrival under it; a second way to do so had slipped in with the same commit.

--- a/src/entry/node.ts
+++ b/src/entry/node.ts
@@ -236,8 +236,7 @@
   const inquiry = createInquiryHandlers({ ...parts, reports })
   registerOperatorApi(service, { ...parts, reports })
   await Promise.allSettled([directory.refresh(), configuration.refresh(), membership.refresh()])
-  const lookForConfiguration = startSchedulerFeed({ dispatcher: context.dispatcher, directory, connections, nodeCount: () => membership.count(), clock, signal })
-  configuration.events.on('in-force', lookForConfiguration)
+  startSchedulerFeed({ dispatcher: context.dispatcher, directory, connections, nodeCount: () => membership.count(), clock, signal })
   ready = true
   log.info('started', { address, incarnation })
 
--- a/src/entry/scheduler-feed.ts
+++ b/src/entry/scheduler-feed.ts
@@ -25,14 +25,10 @@
 const NODE_COUNT_PERIOD: Milliseconds = SECOND
 
 /**
- * Failure guarded against: callers that come in the moment a configuration is in force were refused
- * because the scheduler had not heard of it yet. The owner calls the returned function then.
- *
- * @returns looks for a new configuration at once
  * @example
- * const look = startSchedulerFeed({ dispatcher, directory, connections, nodeCount, clock, signal })
+ * startSchedulerFeed({ dispatcher, directory, connections, nodeCount, clock, signal })
  */
-export function startSchedulerFeed (options: SchedulerFeedOptions): () => void {
+export function startSchedulerFeed (options: SchedulerFeedOptions): void {
   const { dispatcher, directory, connections, clock, signal } = options
   const cacheSequences = new Map<UpstreamName, number>()
   let nodes = 0
@@ -82,7 +78,6 @@
   every(clock, TICK_PERIOD, signal, tick, quiet).catch(quiet)
   every(clock, LOAD_PERIOD, signal, pollAll, quiet).catch(quiet)
   every(clock, NODE_COUNT_PERIOD, signal, countNodes, quiet).catch(quiet)
-  return tick
 }
 
 /** What a run of events adds up to; events that are missing from it are a gap. */
