--- a/src/upstream/reclaim/link-turns.ts
+++ b/src/upstream/reclaim/link-turns.ts
@@ -35,11 +35,11 @@
   until (deadline: Milliseconds): void
 }
 
-/**
- * An export that takes this much longer than expected has lost its node; its turn passes on. Large,
- * because the first export is expected at a rate that nobody has seen yet.
- */
-const PATIENCE_FACTOR = 4
+/** An export that takes this much longer than expected has lost its node; its turn passes on. */
+const PATIENCE_FACTOR = 3
+
+/** The same while nobody has seen the link's rate. */
+const FIRST_PATIENCE_FACTOR = 8
 const LEAST_PATIENCE: Milliseconds = 500
 
 interface Turn {
@@ -87,7 +87,8 @@
   }
 
   function start (request: TurnRequest, now: Milliseconds): Turn {
-    return { request, startedAt: now, overdueAt: now + LEAST_PATIENCE + PATIENCE_FACTOR * durationOf(request) }
+    const factor = estimate.rate() === undefined ? FIRST_PATIENCE_FACTOR : PATIENCE_FACTOR
+    return { request, startedAt: now, overdueAt: now + LEAST_PATIENCE + factor * durationOf(request) }
   }
 
   return {
