--- a/bench/capacity-mix/policies.ts
+++ b/bench/capacity-mix/policies.ts
@@ -36,7 +36,7 @@
   return (look) => {
     learned = { ...withDemand(learned, service.name, look.demand), reclaims: observeReclaims(learned.reclaims, look.now, look.reclaims.map(({ zone, reclaimable, reclaimed }) => ({ failureDomain: zone.failureDomain, reclaimable, reclaimed }))) }
     const lost = look.reclaims.flatMap((one) => one.lostWork)
-    learned = withRecomputed(learned, service.name, look.recomputed, lost.map((work) => work * (domains - 1) / domains))
+    learned = withRecomputed(learned, service.name, look.recomputed, lost)
     for (let round = 0; round < MOST_ROUNDS; round += 1) {
       const fleet = { instances: look.cloud.list('bench'), serving: look.serving, idle: new Set(state.slots.map((slot) => slot.name)), released, ended }
       state = plan({ configuration: deployment.configuration, state, learned, offersFor: () => look.offers, fleet, now: look.now, fencing: 1, reportedGeneration: 0 }).state
--- a/src/capacity/learned.ts
+++ b/src/capacity/learned.ts
@@ -12,8 +12,8 @@
 export const learnedSchema = z.object({
   demands: z.array(z.object({ service: serviceNameSchema, demand: demandSchema })),
   capacities: z.array(z.object({ service: serviceNameSchema, machineClass: z.string(), capacity: instanceCapacitySchema })),
-  /** Tokens computed again for each unit of work a second that reclaims took, smoothed. */
-  recomputed: z.array(z.object({ service: serviceNameSchema, perLostWork: z.number().nonnegative() })),
+  /** Tokens computed again, and the work a second that reclaims took, as decayed sums: the tokens are reported minutes later. */
+  recomputed: z.array(z.object({ service: serviceNameSchema, tokens: z.number().nonnegative(), lostWork: z.number().nonnegative() })),
   reclaims: reclaimHistorySchema,
   refusals: z.array(refusalSchema),
   /** Wall time up to which the cost of instances was counted for the reports. */
@@ -64,21 +64,27 @@
   return { ...learned, capacities: [...others, { service, machineClass, capacity }] }
 }
 
+/** Work a second that the estimate from before any reclaim counts for: about one instance's. */
+const PRIOR_WORK = 1_000
+
+/** Weight that earlier reclaims keep when one more is seen. */
+const DECAY = 0.9
+
 /**
- * Tokens computed again for each unit of work a second that a reclaim takes, or undefined before one was seen.
+ * Tokens computed again for each unit of work a second that a reclaim takes.
  *
+ * @param prior estimate from before any reclaim was seen
  * @example
- * const perLostWork = recomputedPerLostWork(learned, service) ?? estimate
+ * const perLostWork = recomputedPerLostWork(learned, service, 40)
  */
-export function recomputedPerLostWork (learned: Learned, service: ServiceName): number | undefined {
-  return learned.recomputed.find((entry) => entry.service === service)?.perLostWork
+export function recomputedPerLostWork (learned: Learned, service: ServiceName, prior: number): number {
+  const known = learned.recomputed.find((entry) => entry.service === service)
+  if (known === undefined) return prior
+  return (known.tokens + prior * PRIOR_WORK) / (known.lostWork + PRIOR_WORK)
 }
 
-/** Weight of one reclaim among those seen before. */
-const RECLAIM_WEIGHT = 0.1
-
 /**
- * Learns what reclaims made engines compute again.
+ * Learns what reclaims made engines compute again. Tokens and reclaims need not come together.
  *
  * @param tokens recomputed tokens since the last call
  * @param lost capacity of each instance that was taken back since the last call, work a second
@@ -86,11 +92,9 @@
  * const next = withRecomputed(learned, service, 24_000, [600, 600])
  */
 export function withRecomputed (learned: Learned, service: ServiceName, tokens: number, lost: readonly number[]): Learned {
-  const lostWork = lost.reduce((sum, work) => sum + work, 0)
-  if (lostWork <= 0) return learned
-  const seen = tokens / lostWork
-  const known = recomputedPerLostWork(learned, service) ?? seen
-  const weight = 1 - (1 - RECLAIM_WEIGHT) ** lost.length
-  const perLostWork = known + weight * (seen - known)
-  return { ...learned, recomputed: [...learned.recomputed.filter((entry) => entry.service !== service), { service, perLostWork }] }
+  if (tokens === 0 && lost.length === 0) return learned
+  const known = learned.recomputed.find((entry) => entry.service === service) ?? { tokens: 0, lostWork: 0 }
+  const kept = DECAY ** lost.length
+  const entry = { service, tokens: known.tokens * kept + tokens, lostWork: lost.reduce((sum, work) => sum + work, known.lostWork * kept) }
+  return { ...learned, recomputed: [...learned.recomputed.filter((one) => one.service !== service), entry] }
 }
--- a/src/capacity/service-problem.ts
+++ b/src/capacity/service-problem.ts
@@ -161,7 +161,7 @@
   const answer = demand.workPerSecond / demand.requestsPerSecond
   const streams = (betweenTokens ?? PRIOR_BETWEEN_TOKENS) / SECOND
   return {
-    recomputedPerLostWork: recomputedPerLostWork(learned, service.name) ?? streams * (PRIOR_PROMPT + answer / 2),
+    recomputedPerLostWork: recomputedPerLostWork(learned, service.name, streams * (PRIOR_PROMPT + answer / 2)),
     generatedPerHour: demand.workPerSecond * HOUR / SECOND
   }
 }
--- a/src/planner/cycle.ts
+++ b/src/planner/cycle.ts
@@ -4,8 +4,10 @@
 import type { Milliseconds } from '../clock.js'
 import { HOUR, MINUTE, SECOND } from '../clock.js'
 import type { Configuration } from '../configuration/index.js'
+import type { ServiceName } from '../identifiers.js'
 import type { PlannerContext, Tenure } from './context.js'
 import { createDemandReader } from './demand-reader.js'
+import type { ServiceRates } from './demand-reader.js'
 import { orderEngines } from './engine-orders.js'
 import type { ServiceNeed } from './engine-orders.js'
 import { mayAct, ORDER_MARGIN, releaseUnwanted, startWanted } from './instance-orders.js'
@@ -26,6 +28,9 @@
 /** What was learnt is written this often. */
 const LEARNED_PERIOD: Milliseconds = MINUTE
 
+/** Nodes write their reports no faster than this, so they are not read more often either. */
+const DEMAND_PERIOD: Milliseconds = 30 * SECOND
+
 /** Time until the engines are looked at again. */
 export const FOLLOW_UP_PERIOD: Milliseconds = SECOND
 
@@ -49,6 +54,7 @@
   let tenure: Tenure | undefined
   let needs: readonly ServiceNeed[] = []
   let leaving: string | undefined
+  let demandReadAt: Milliseconds | undefined
 
   /** The tenure of the lease as it is held now, with what the last holder left. */
   async function currentTenure (): Promise<Tenure | undefined> {
@@ -85,7 +91,7 @@
     if (state.fencing > tenure.fencing) return
     tenure.state = state
     const observation = await observe(context, tenure)
-    const rates = await demand.read(configuration, signal)
+    const rates = await readDemand(configuration)
     const events = await decide(tenure, configuration, observation, (after) => {
       if (tenure !== undefined) tenure.learned = learn(tenure.learned, { configuration, rates, engines: tenure.engines.values(), before: state, after, now: clock.wall() })
     })
@@ -96,6 +102,13 @@
     await tell(tenure, events)
   }
 
+  /** Rates since the last reading; none between two readings. */
+  async function readDemand (configuration: Configuration): Promise<ReadonlyMap<ServiceName, ServiceRates>> {
+    if (demandReadAt !== undefined && clock.now() - demandReadAt < DEMAND_PERIOD) return new Map()
+    demandReadAt = clock.now()
+    return demand.read(configuration, signal)
+  }
+
   /** Decides and starts, again as long as offers refuse. */
   async function decide (held: Tenure, configuration: Configuration, observation: Observation, learnFrom: (after: Plan['state']) => void): Promise<PlannerEvent[]> {
     const events: PlannerEvent[] = []
--- a/src/planner/learning.ts
+++ b/src/planner/learning.ts
@@ -1,5 +1,5 @@
 /** Takes what a planner saw into what is learnt: demand, capacities, reclaims, recomputed tokens. */
-import { capacityKnown, demandOf, learnCapacity, observeDemand, observeReclaims, targetsOf, withCapacity, withDemand, withRecomputed } from '../capacity/index.js'
+import { capacityKnown, capacityOf, demandOf, learnCapacity, observeDemand, observeReclaims, targetsOf, withCapacity, withDemand, withRecomputed } from '../capacity/index.js'
 import type { DesiredState, DomainObservation, Learned, Slot } from '../capacity/index.js'
 import type { Configuration, Service } from '../configuration/index.js'
 import type { Milliseconds } from '../clock.js'
@@ -28,17 +28,25 @@
   const reclaimed = newlyReclaimed(experience)
   let next: Learned = { ...learned, reclaims: observeReclaims(learned.reclaims, experience.now, byDomain(experience, reclaimed)) }
   for (const service of experience.configuration.services) {
+    const lost = reclaimed.filter((slot) => slot.service === service.name).map((slot) => capacityLost(learned, service, slot, experience))
     const rates = experience.rates.get(service.name)
+    next = withRecomputed(next, service.name, rates?.recomputedTokens ?? 0, lost)
     if (rates === undefined) continue
     const sample = { at: experience.now, requestsPerSecond: rates.requestsPerSecond, workPerSecond: rates.workPerSecond }
     next = withDemand(next, service.name, observeDemand(demandOf(next, service.name), sample))
-    const lost = reclaimed.filter((slot) => slot.service === service.name)
-    next = withRecomputed(next, service.name, rates.recomputedTokens, lost.map((slot) => capacityKnown(learned, service.name, slot.offer.machineClass)?.highest ?? 0))
     next = learnCapacities(next, service, rates, experience)
   }
   return next
 }
 
+/** Capacity of a lost instance, as the problem of the mix has it. */
+function capacityLost (learned: Learned, service: Service, slot: Slot, { configuration, before }: Experience): number {
+  const known = capacityKnown(learned, service.name, slot.offer.machineClass)
+  if (known === undefined) return 0
+  const domains = new Set(before.slots.filter((one) => one.service === service.name).map((one) => one.offer.failureDomain)).size
+  return capacityOf(known, targetsOf(configuration, service).betweenTokens, domains)
+}
+
 /**
  * The service's work is shared out over its instances by the answers they decode at a time; machine
  * classes of different speed in one service are therefore told apart only roughly.
--- a/test/capacity/demand.test.ts
+++ b/test/capacity/demand.test.ts
@@ -2,10 +2,10 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import fc from 'fast-check'
-import { capacityOf, emptyReclaimHistory, learnCapacity, neededWork, observeDemand, observeReclaims, reclaimRate } from '../../src/capacity/index.js'
+import { capacityOf, emptyLearned, emptyReclaimHistory, learnCapacity, neededWork, observeDemand, observeReclaims, reclaimRate, recomputedPerLostWork, withRecomputed } from '../../src/capacity/index.js'
 import type { Demand, InstanceCapacity } from '../../src/capacity/index.js'
 import { HOUR, MINUTE, SECOND } from '../../src/clock.js'
-import { failureDomainSchema } from '../../src/identifiers.js'
+import { failureDomainSchema, serviceNameSchema } from '../../src/identifiers.js'
 
 const BETWEEN_TOKENS = 34
 const ZONE = failureDomainSchema.parse('zone-a')
@@ -61,3 +61,16 @@
   const later = observeReclaims(history, 14 * 24 * HOUR, [])
   assert.ok(Math.abs(reclaimRate(later, ZONE).perInstanceHour - calm.perInstanceHour) < 0.01 * calm.perInstanceHour)
 })
+
+// The planner moves to the domain that takes machines back every hour: the reclaim was seen at once,
+// the tokens that it cost were reported minutes later, and the cost was learnt as nothing.
+test('recomputed tokens count for a reclaim also when they are reported later', () => {
+  const service = serviceNameSchema.parse('plans')
+  const prior = 40
+  let learned = emptyLearned(0)
+  for (let reclaim = 0; reclaim < 60; reclaim += 1) {
+    learned = withRecomputed(learned, service, 0, [600])
+    learned = withRecomputed(learned, service, 30_000, [])
+  }
+  assert.ok(Math.abs(recomputedPerLostWork(learned, service, prior) - 50) < 5)
+})
