Watches of the key-value service open on new connections only

A watch that went silent because something between the ends forgot the pooled connections would be opened again on another of them. Seen failing first: over the pooled connections, the first watch takes an old one.

--- a/src/entry/node.ts
+++ b/src/entry/node.ts
@@ -37,6 +37,7 @@
 import type { ConfigurationKeeper } from './configuration-keeper.js'
 import type { ExecutionContext } from './context.js'
 import { createDispatcher } from './dispatcher.js'
+import { followDrains } from './drain-keeper.js'
 import { closeServer, createCallerServer, listen } from './listener.js'
 import { createMembershipKeeper } from './membership-keeper.js'
 import type { MembershipKeeper } from './membership-keeper.js'
@@ -123,7 +124,7 @@
   const freshConnections = createFreshConnections(CONNECTIONS_PER_ADDRESS)
   const peers = createPeers(connections, settings.peer_key)
   const freshPeers = createPeers(freshConnections, settings.peer_key)
-  const keyValue = createKeyValue(connections, settings.platform.key_value)
+  const keyValue = createKeyValue(connections, settings.platform.key_value, freshConnections)
   const metrics = createEntryMetrics()
   const tracing = createTracing(settings.instance, settings.trace_collector)
   const ledger = createLedger({ wall: clock.wall })
@@ -131,6 +132,7 @@
 
   const instanceList = createInstanceList(connections, settings.platform.instance_list)
   const directory = createUpstreamDirectory({ instanceList, clock, log, signal })
+  followDrains({ keyValue, directory, clock, log, signal })
   let ready = false
   let leaving = false
   // The keeper asks at once, when there is no membership yet; it asks again a second later.
--- a/src/platform/key-value.ts
+++ b/src/platform/key-value.ts
@@ -107,10 +107,13 @@
 
 /**
  * @param addresses the service's addresses; a call goes to the first that accepts the connection
+ * @param watchConnections connections for watches. Failure guarded against: something between the ends
+ *   has forgotten the pooled connections; a watch that went silent would be opened again on another
+ *   of them and stay silent. Connections that serve one exchange each are always new.
  * @example
- * const keyValue = createKeyValue(connections, settings.platform.key_value)
+ * const keyValue = createKeyValue(connections, settings.platform.key_value, createFreshConnections(4))
  */
-export function createKeyValue (connections: Connections, addresses: readonly Address[]): KeyValue {
+export function createKeyValue (connections: Connections, addresses: readonly Address[], watchConnections: Connections = connections): KeyValue {
   let preferred = 0
 
   async function call<T> (path: string, body: unknown, schema: z.ZodType<T>, signal?: AbortSignal): Promise<T> {
@@ -166,7 +169,7 @@
     },
     watch: async function * (prefix, fromRevision, signal) {
       const create = { key: encode(prefix), range_end: encode(prefixEnd(prefix)), start_revision: String(fromRevision), progress_notify: true }
-      const response = await send(connections, exchangeOf('/v3/watch', { create_request: create }, WATCH_SILENCE, signal))
+      const response = await send(watchConnections, exchangeOf('/v3/watch', { create_request: create }, WATCH_SILENCE, signal))
       for await (const line of linesOf(response.body)) {
         yield watchSchema.parse(JSON.parse(line)).result.events.map(toChange)
       }
--- /dev/null
+++ b/test/platform/key-value.test.ts
@@ -0,0 +1,71 @@
+/** The client of the key-value service over HTTP. */
+import assert from 'node:assert/strict'
+import { subscribe, unsubscribe } from 'node:diagnostics_channel'
+import { test } from 'node:test'
+import { createSystemClock } from '../../src/clock.js'
+import { createConnections, createFreshConnections } from '../../src/platform/http.js'
+import { ABSENT, createKeyValue } from '../../src/platform/key-value.js'
+import type { KeyValueChange } from '../../src/platform/key-value.js'
+import { createRandom } from '../../src/random.js'
+import { serveKeyValue } from '../../stand-ins/key-value.js'
+
+/** Channel on which undici tells of each new connection. */
+const CONNECTED = 'undici:client:connected'
+
+test('compare-and-swap, leases and watches go over HTTP as in process', async () => {
+  const service = await serveKeyValue({ port: 0, clock: createSystemClock(), random: createRandom(1) })
+  const connections = createConnections(4)
+  const fresh = createFreshConnections(4)
+  const keyValue = createKeyValue(connections, [service.address], fresh)
+  const owner = new AbortController()
+  try {
+    const first = await keyValue.compareAndSwap('a/1', ABSENT, 'one')
+    assert.equal(first.kind, 'swapped')
+    const conflict = await keyValue.compareAndSwap('a/1', ABSENT, 'two')
+    assert.deepEqual(conflict.kind === 'conflict' && conflict.current?.value, 'one')
+    const listing = await keyValue.list('a/')
+    const seen: KeyValueChange[] = []
+    const watching = (async () => {
+      for await (const changes of keyValue.watch('a/', listing.revision + 1, owner.signal)) {
+        seen.push(...changes)
+        if (seen.length === 2) return
+      }
+    })()
+    const lease = await keyValue.grantLease(60_000)
+    await keyValue.put('a/2', 'leased', { lease })
+    assert.ok(await keyValue.keepAlive(lease) > 0)
+    await keyValue.revokeLease(lease)
+    await watching
+    assert.deepEqual(seen.map((change) => change.kind), ['put', 'delete'])
+    assert.equal(await keyValue.keepAlive(lease), 0)
+  } finally {
+    owner.abort()
+    await Promise.all([connections.destroy(), fresh.destroy(), service.kill()])
+  }
+})
+
+test('a watch is never opened on a connection that was used before', async () => {
+  // Something between the ends has forgotten the pooled connections. The watch goes silent and is given
+  // up after half a minute; opened on another pooled connection it would be silent again, and again.
+  const service = await serveKeyValue({ port: 0, clock: createSystemClock(), random: createRandom(1) })
+  const connections = createConnections(4)
+  const fresh = createFreshConnections(4)
+  const keyValue = createKeyValue(connections, [service.address], fresh)
+  let opened = 0
+  const count = (): void => { opened += 1 }
+  try {
+    await Promise.all([keyValue.get('a/1'), keyValue.get('a/2')])
+    subscribe(CONNECTED, count)
+    for (let turn = 1; turn <= 3; turn += 1) {
+      const before = opened
+      const owner = new AbortController()
+      const first = await keyValue.watch('a/', 1, owner.signal)[Symbol.asyncIterator]().next()
+      assert.deepEqual(first.value, [])
+      owner.abort()
+      assert.ok(opened > before, `watch ${turn} used an old connection`)
+    }
+  } finally {
+    unsubscribe(CONNECTED, count)
+    await Promise.all([connections.destroy(), fresh.destroy(), service.kill()])
+  }
+})
