Answers take only their own stream's events, in any order

Cause: an engine that mixes events of several streams on one connection put another caller's words into an answer, all of them at worst; tokens in the wrong order failed the attempt. Events carry their stream's name and others are left out; each connection's pieces go through the matcher of attempts, and the final mark waits for every offset. Seen failing first: the new scenario answered with foreign words only.

--- a/features/entry-death.feature
+++ b/features/entry-death.feature
@@ -26,3 +26,9 @@
     Then every plan is whole at its own caller
     And no engine was asked to begin an answer twice
     And no offset came twice and none is missing
+
+  Scenario: Engines send tokens twice, in the wrong order, and events of other streams
+    Given 3 entry nodes, 2 engines that mix up what they send, and 6 plans of 60 tokens
+    Then every plan is whole at its own caller
+    And no engine was asked to begin an answer twice
+    And no offset came twice and none is missing
--- a/features/steps/entry-death.steps.ts
+++ b/features/steps/entry-death.steps.ts
@@ -38,6 +38,14 @@
   await writePlans(this, plans, tokens)
 })
 
+// A planner reads words of somebody else's plan in the middle of its own: the engine mixes events of streams
+// on one connection, repeats tokens and swaps them.
+Given('{int} entry nodes, {int} engines that mix up what they send, and {int} plans of {int} tokens', async function (this: DeathWorld, entries: number, engines: number, plans: number, tokens: number) {
+  await start(this, entries, engines)
+  for (const engine of this.deployment!.engines) Object.assign(engine.faults, { duplicates: true, outOfOrder: true, foreignEvents: true })
+  await writePlans(this, plans, tokens)
+})
+
 // A closure plan is being written at dawn when its node is taken back, and the node is gone before it has
 // handed over the rest. The planner reads on without a gap, or from the beginning at another node.
 When('the node with most plans is reclaimed and dies after its first message of the hand-over', async function (this: DeathWorld) {
--- a/src/entry/generation.ts
+++ b/src/entry/generation.ts
@@ -3,6 +3,7 @@
 import { createEngine } from '../platform/engine.js'
 import type { EngineCall, EngineEvent, EngineStream } from '../platform/engine.js'
 import { promptTokens } from '../platform/prompt.js'
+import { createAttemptMatcher } from '../request/index.js'
 import type { ChatBody } from '../request/index.js'
 import type { UpstreamView } from '../upstream/index.js'
 import { ServingError, toServingError } from '../verdict.js'
@@ -11,6 +12,9 @@
 import type { Placement } from './dispatcher.js'
 import type { Execution, OpenAttempt, Redirection } from './execution.js'
 
+/** Connections of an execution follow each other: each has a matcher of its own, with one attempt. */
+const CONNECTION = 1
+
 /** Tokens read ahead of the fastest reader before the upstream is left waiting. */
 const READ_AHEAD = 1_024
 
@@ -127,16 +131,23 @@
   return engine.start({ ...call, ...continuation })
 }
 
+/** Takes a connection's events into the answer, whatever order they come in. */
 async function follow (context: ExecutionContext, execution: Execution, upstream: UpstreamName, stream: EngineStream, signal: AbortSignal): Promise<Extract<EngineEvent, { kind: 'finished' }>> {
+  const { answer } = execution
+  const matcher = createAttemptMatcher(answer.offset())
+  matcher.begin(CONNECTION)
   for await (const event of stream.events) {
-    switch (event.kind) {
-      case 'token':
-        noteFirstToken(context, execution, upstream)
-        execution.answer.append(event)
-        await execution.answer.room(READ_AHEAD, signal)
-        break
-      case 'finished':
-        return event
+    for (const effect of matcher.handle(CONNECTION, event)) {
+      switch (effect.kind) {
+        case 'append':
+          noteFirstToken(context, execution, upstream)
+          answer.append(effect.token)
+          await answer.room(READ_AHEAD, signal)
+          break
+        case 'finish': return { kind: 'finished', finish: effect.finish, usage: effect.usage }
+        case 'cancel':
+        case 'starved': throw new ServingError('the stream left out tokens', { code: 'connection-lost', verdict: 'may-have-run' })
+      }
     }
   }
   throw new ServingError('the stream ended without its final mark', { code: 'connection-lost', verdict: 'may-have-run' })
--- a/src/platform/engine.ts
+++ b/src/platform/engine.ts
@@ -113,7 +113,8 @@
     const response = await send(connections, request)
     if (response.statusCode !== 200) throw await refusal(response, address)
     const handle = response.headers['x-stream-handle']
-    return { handle: typeof handle === 'string' ? handle : '', events: eventsOf(response, address) }
+    const name = typeof handle === 'string' ? handle : ''
+    return { handle: name, events: eventsOf(response, address, name) }
   }
 
   return {
@@ -155,13 +156,16 @@
 
 /**
  * Failure guarded against: a connection that closes in the middle of an answer looks like its end.
- * Only the final mark makes an answer whole; without it the stream throws.
+ * Only the final mark makes an answer whole; without it the stream throws. And an engine that mixes
+ * events of several streams would put another caller's words into this answer: only those that carry
+ * the stream's own name are taken.
  */
-async function * eventsOf (response: HttpResponse, address: Address): AsyncIterable<EngineEvent> {
+async function * eventsOf (response: HttpResponse, address: Address, handle: string): AsyncIterable<EngineEvent> {
   try {
     for await (const event of readEvents(response.body)) {
       if (event.data === DONE) return
-      yield * toEvents(chunkSchema.parse(JSON.parse(event.data)))
+      const chunk = chunkSchema.parse(JSON.parse(event.data))
+      if (handle === '' || chunk.id === handle) yield * toEvents(chunk)
     }
   } catch (error) {
     throw connectionFailure(error, address)
