--- /dev/null
+++ b/test/entry/notice-keeper.test.ts
@@ -0,0 +1,128 @@
+/** Notices through one node, with fakes for the cloud, the instance list and the peers. */
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { SECOND } from '../../src/clock.js'
+import { createNoticeKeeper } from '../../src/entry/notice-keeper.js'
+import { createUpstreamDirectory } from '../../src/entry/upstream-directory.js'
+import { failureDomainSchema, incarnationSchema, upstreamNameSchema } from '../../src/identifiers.js'
+import { createLog } from '../../src/log.js'
+import { nodeRecordSchema } from '../../src/membership/index.js'
+import type { NodeRecord } from '../../src/membership/index.js'
+import type { Peers } from '../../src/peer/client.js'
+import type { NoticesMessage } from '../../src/peer/reclaim.js'
+import type { Cloud } from '../../src/platform/cloud.js'
+import { instanceSchema } from '../../src/upstream/index.js'
+import type { Instance } from '../../src/upstream/index.js'
+import { createManualClock } from '../../stand-ins/manual-clock.js'
+
+const UPSTREAM = upstreamNameSchema.parse('engine-1')
+const ENGINE = instanceSchema.parse({
+  name: 'instance-engine-1',
+  failureDomain: 'zone-a',
+  machineClass: 'accelerated',
+  address: '127.0.0.1:8000',
+  role: { kind: 'upstream', upstream: UPSTREAM, service: 'assistant', protocol: 'model' },
+  state: 'live'
+})
+
+function node (number: number, zone = 'zone-a'): NodeRecord {
+  return nodeRecordSchema.parse({ instance: `entry-${number}`, incarnation: `entry-${number}-x`, failureDomain: zone, address: '127.0.0.1:1', peerAddress: `127.0.0.1:${9_000 + number}`, leaving: false })
+}
+
+interface Told {
+  readonly address: string
+  readonly message: NoticesMessage
+}
+
+async function start (options: { notice?: number, list?: () => Instance[], deadPool?: boolean, own?: NodeRecord, nodes?: NodeRecord[] } = {}) {
+  const clock = createManualClock()
+  const owner = new AbortController()
+  const log = createLog('notice-keeper-test', 'silent', clock.wall)
+  const told: Told[] = []
+  const told2: Told[] = []
+  const directory = createUpstreamDirectory({ instanceList: { read: async () => options.list?.() ?? [ENGINE] }, clock, log, signal: owner.signal })
+  const cloud = {
+    notices: async (after: number) => {
+      const noticed = options.notice !== undefined && clock.now() >= SECOND && after === 0
+      return noticed ? { notices: [{ sequence: 1, instance: ENGINE.name, failureDomain: ENGINE.failureDomain, remainingMs: options.notice }], next: 1 } : { notices: [], next: after }
+    }
+  } as unknown as Cloud
+  const peersInto = (into: Told[], dead: boolean) => ({
+    at: (address: string) => ({
+      reclaim: {
+        notices: {
+          mutate: async (message: NoticesMessage) => {
+            if (dead) throw new Error('silent')
+            into.push({ address, message })
+          }
+        }
+      }
+    })
+  }) as unknown as Peers
+  const own = options.own ?? node(1)
+  const keeper = createNoticeKeeper({
+    cloud,
+    directory,
+    own: () => own,
+    nodes: () => options.nodes ?? [node(1), node(2), node(3)],
+    peers: peersInto(told, options.deadPool ?? false),
+    freshPeers: peersInto(told2, false),
+    clock,
+    log,
+    signal: owner.signal
+  })
+  await clock.advance(1)
+  return { clock, directory, keeper, told, toldFresh: told2, stop: () => owner.abort() }
+}
+
+// A user would see its question cut: the cloud gave notice, the instance list goes on showing the
+// engine as live, and the node sends work there until the engine is gone.
+test('an asker marks the upstream and tells the others within a second, whatever the list shows', async () => {
+  const run = await start({ notice: 10 * SECOND })
+  await run.clock.advance(1_600)
+  assert.equal(run.directory.find(UPSTREAM)?.leaving, true)
+  assert.deepEqual(run.told.map((one) => one.address).sort(), ['127.0.0.1:9002', '127.0.0.1:9003'])
+  await run.clock.advance(5 * SECOND)
+  assert.equal(run.directory.find(UPSTREAM)?.leaving, true)
+  assert.equal(run.told.length, 2, 'told once')
+  run.stop()
+})
+
+test('a glitch of the list that drops the instance and shows it live again revokes nothing', async () => {
+  let reads = 0
+  const run = await start({ notice: 10 * SECOND, list: () => (reads++ === 3 ? [] : [ENGINE]) })
+  await run.clock.advance(6 * SECOND)
+  assert.equal(run.directory.find(UPSTREAM)?.leaving, true)
+  run.stop()
+})
+
+// A user would see work sent to a leaving engine by one node only: the pooled connection to that
+// node had gone silent, and the notice was lost on it.
+test('a notice that a pooled connection loses is sent again on a fresh one', async () => {
+  const run = await start({ notice: 10 * SECOND, deadPool: true })
+  await run.clock.advance(1_600)
+  assert.deepEqual(run.toldFresh.map((one) => one.address).sort(), ['127.0.0.1:9002', '127.0.0.1:9003'])
+  run.stop()
+})
+
+test('a peer\'s notice marks the upstream and is told as leaving with its deadline', async () => {
+  const run = await start()
+  const leaving = run.keeper.events.once('leaving')
+  run.keeper.handlers.notices({ from: incarnationSchema.parse('entry-2-x'), notices: [{ instance: ENGINE.name, address: ENGINE.address, ageMs: 40, remainingMs: 7 * SECOND }] })
+  const { view, deadline } = await leaving
+  assert.deepEqual([view.name, deadline], [UPSTREAM, run.clock.now() + 7 * SECOND])
+  run.stop()
+})
+
+test('a node that is not among the askers does not ask', async () => {
+  const zone = failureDomainSchema.parse('zone-a')
+  const nodes = Array.from({ length: 9 }, (_, index) => node(index + 1, zone))
+  const calls: number[] = []
+  for (const own of nodes) {
+    const run = await start({ own, nodes })
+    await run.clock.advance(3 * SECOND)
+    calls.push(run.keeper.cloudCalls())
+    run.stop()
+  }
+  assert.equal(calls.filter((count) => count > 0).length, 3)
+})
--- /dev/null
+++ b/test/entry/reclaim-keeper.test.ts
@@ -0,0 +1,156 @@
+/** Carrying out a plan, with fakes around the keeper and time under the test's control. */
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import Emittery from 'emittery'
+import { SECOND } from '../../src/clock.js'
+import type { NoticeEvents, NoticeKeeper } from '../../src/entry/notice-keeper.js'
+import type { ReclaimCoordinator } from '../../src/entry/reclaim-coordinator.js'
+import { startReclaimKeeper } from '../../src/entry/reclaim-keeper.js'
+import type { OpenStream, Streams } from '../../src/entry/streams.js'
+import { addressSchema, failureDomainSchema, incarnationSchema, instanceNameSchema, requestIdSchema, serviceNameSchema, upstreamNameSchema } from '../../src/identifiers.js'
+import type { RequestId } from '../../src/identifiers.js'
+import { createLog } from '../../src/log.js'
+import type { NodeRecord } from '../../src/membership/index.js'
+import type { Peers } from '../../src/peer/client.js'
+import type { UpstreamView } from '../../src/upstream/index.js'
+import type { StreamPlan } from '../../src/upstream/reclaim/index.js'
+import { createManualClock } from '../../stand-ins/manual-clock.js'
+
+const LEAVING = upstreamNameSchema.parse('engine-1')
+const TARGET = upstreamNameSchema.parse('engine-2')
+const NOTICE = 10 * SECOND
+
+const VIEW: UpstreamView = {
+  name: LEAVING,
+  service: serviceNameSchema.parse('assistant'),
+  failureDomain: failureDomainSchema.parse('zone-a'),
+  address: addressSchema.parse('127.0.0.1:1'),
+  protocol: 'model',
+  leaving: true,
+  inFlight: 0
+}
+
+function node (name: string): NodeRecord {
+  return {
+    instance: instanceNameSchema.parse(name),
+    incarnation: incarnationSchema.parse(`${name}-x`),
+    failureDomain: VIEW.failureDomain,
+    address: VIEW.address,
+    peerAddress: VIEW.address,
+    leaving: false
+  }
+}
+
+function idOf (index: number): RequestId {
+  return requestIdSchema.parse(`entry-1.${String(index).padStart(16, '0')}`)
+}
+
+function exportPlan (index: number): StreamPlan {
+  return { kind: 'export', id: idOf(index), target: TARGET, startAfter: index, endAfter: index + 1, otherwise: 'resume' }
+}
+
+interface Setup {
+  readonly plans: readonly StreamPlan[]
+  readonly idempotent?: boolean
+  readonly move?: (id: RequestId) => Promise<boolean>
+  readonly go?: boolean
+  readonly nodes?: readonly NodeRecord[]
+}
+
+async function start (setup: Setup) {
+  const clock = createManualClock()
+  const owner = new AbortController()
+  const events = new Emittery<NoticeEvents>()
+  const open = new Map<RequestId, OpenStream>(setup.plans.map((plan) => [plan.id, {
+    id: plan.id, upstream: LEAVING, handle: 'handle', kind: 'model', idempotent: setup.idempotent ?? true, offset: 5, promptTokens: 2_000, maxTokens: 400, startedAt: 0
+  }]))
+  const recomputed: RequestId[] = []
+  const ended: boolean[] = []
+  let asked = 0
+  const streams: Streams = {
+    openAt: () => [...open.values()],
+    moveTo: async (id) => {
+      const moved = await (setup.move?.(id) ?? Promise.resolve(true))
+      open.delete(id)
+      return moved
+    },
+    recompute: (id) => {
+      recomputed.push(id)
+      return open.delete(id)
+    }
+  }
+  const coordinator: ReclaimCoordinator = {
+    plan: async () => {
+      asked += 1
+      return { plans: asked === 1 ? setup.plans : setup.plans.map((plan) => ({ kind: 'stay', id: plan.id })) }
+    },
+    turn: async () => ({ go: setup.go ?? true }),
+    turnEnded: ({ moved }) => { ended.push(moved) }
+  }
+  startReclaimKeeper({
+    notices: { events } as unknown as NoticeKeeper,
+    coordinator,
+    streams,
+    openOf: () => ({ arrivedAt: 0, firstTokenAt: 1, request: { class: 'plan' } }) as never,
+    own: () => node('entry-1'),
+    nodes: () => setup.nodes ?? [node('entry-1')],
+    peers: { at: () => { throw new Error('the peer is dead') } } as unknown as Peers,
+    configuration: () => undefined,
+    clock,
+    log: createLog('reclaim-keeper-test', 'silent', clock.wall),
+    signal: owner.signal
+  })
+  await events.emit('leaving', { view: VIEW, deadline: NOTICE })
+  return { clock, open, recomputed, ended, planned: () => asked, stop: () => owner.abort() }
+}
+
+test('streams move as planned and each turn is given back', async () => {
+  const run = await start({ plans: [exportPlan(1), exportPlan(2)] })
+  await run.clock.advance(SECOND)
+  assert.deepEqual([run.open.size, run.recomputed, run.ended], [0, [], [true, true]])
+  run.stop()
+})
+
+// A user would see a plan stop half-way: the target dies during the export, the engine has given the
+// stream away, and the node waits for tokens that nobody sends.
+test('a stream whose export fails is computed again, and its turn is given back', async () => {
+  const run = await start({ plans: [exportPlan(1)], move: async () => { throw new Error('the target died') } })
+  await run.clock.advance(SECOND)
+  assert.deepEqual([run.recomputed, run.ended], [[idOf(1)], [false]])
+  run.stop()
+})
+
+// A user would get two coaches: an order that may not be repeated is started again from its prompt.
+test('a stream that is not idempotent is planned anew when its export fails, and never computed again', async () => {
+  const run = await start({ plans: [exportPlan(1)], idempotent: false, move: async () => { throw new Error('the target died') } })
+  await run.clock.advance(NOTICE)
+  assert.deepEqual([run.recomputed, run.planned()], [[], 2])
+  run.stop()
+})
+
+test('a stream that does not fit any more is computed again at once', async () => {
+  const run = await start({ plans: [exportPlan(1)], go: false })
+  await run.clock.advance(SECOND)
+  assert.deepEqual(run.recomputed, [idOf(1)])
+  run.stop()
+})
+
+// A user would wait seconds for the next token: an answer was expected to end in time and has not,
+// and its connection to the dead engine goes silent.
+test('what has not ended shortly before the deadline is moved then', async () => {
+  const run = await start({ plans: [{ kind: 'finish', id: idOf(1) }] })
+  await run.clock.advance(NOTICE * 0.9)
+  assert.deepEqual(run.recomputed, [])
+  await run.clock.advance(NOTICE * 0.1)
+  assert.deepEqual(run.recomputed, [idOf(1)])
+  run.stop()
+})
+
+// A user would see every plan of an engine begin again: the node that was to plan is dead, and the
+// others wait for it until the engine has ended.
+test('when the planning nodes do not answer, a node plans for itself', async () => {
+  const run = await start({ plans: [exportPlan(1)], nodes: ['entry-2', 'entry-3', 'entry-4'].map(node) })
+  await run.clock.advance(SECOND)
+  assert.deepEqual([run.planned(), run.ended], [1, [true]])
+  run.stop()
+})
--- a/test/upstream/reclaim/link-turns.test.ts
+++ b/test/upstream/reclaim/link-turns.test.ts
@@ -14,15 +14,19 @@
 }
 
 /** Runs exports over a link of a true rate, as nodes would that ask all at once. */
-function run (requests: readonly TurnRequest[], rate: number, lost: ReadonlySet<RequestId> = new Set()): { moved: RequestId[], givenUp: RequestId[], mostAtOnce: number } {
+function run (requests: readonly TurnRequest[], rate: number, lost: ReadonlySet<RequestId> = new Set()): { moved: RequestId[], givenUp: RequestId[], lastGivenUpAt: number, mostAtOnce: number } {
   const turns = createLinkTurns(createLinkEstimate(), DEADLINE)
   const running = new Map<RequestId, number>()
-  const result = { moved: [] as RequestId[], givenUp: [] as RequestId[], mostAtOnce: 0 }
+  const result = { moved: [] as RequestId[], givenUp: [] as RequestId[], lastGivenUpAt: 0, mostAtOnce: 0 }
   const tokens = new Map(requests.map((one) => [one.id, one.tokens]))
   const take = (decisions: readonly TurnDecision[], now: number): void => {
     for (const { id, kind } of decisions) {
-      if (kind === 'give-up') result.givenUp.push(id)
-      else running.set(id, now + (tokens.get(id) ?? 0) / rate)
+      if (kind === 'go') {
+        running.set(id, now + (tokens.get(id) ?? 0) / rate)
+        continue
+      }
+      result.givenUp.push(id)
+      result.lastGivenUpAt = now
     }
     result.mostAtOnce = Math.max(result.mostAtOnce, [...running.keys()].filter((id) => !lost.has(id)).length)
   }
@@ -44,9 +48,10 @@
 // none ends before the deadline.
 test('on a link slower than expected the first exports still arrive, and the rest are given up early', () => {
   const requests = Array.from({ length: 6 }, (_, index) => request(index))
-  const { moved, givenUp, mostAtOnce } = run(requests, 2)
+  const { moved, givenUp, lastGivenUpAt, mostAtOnce } = run(requests, 2)
   assert.deepEqual(moved, requests.slice(0, 3).map((one) => one.id))
   assert.equal(givenUp.length, 3)
+  assert.equal(lastGivenUpAt, SECOND, 'as soon as the first export has shown the rate')
   assert.equal(mostAtOnce, 1)
 })
 
