--- a/features/planner.feature
+++ b/features/planner.feature
@@ -22,3 +22,9 @@
     When the cloud takes back the reclaimable instances of "zone-c"
     Then within 20 seconds 3 engines of the deployment serve the model again
     And one engine of the deployment is on demand
+
+  Scenario: An instance that is drained gets no new work and finishes what it has
+    Given a deployment of 3 entry nodes and 3 engines
+    When the planner's list says that the first engine's instance is drained
+    Then within 8 seconds every entry node gives the first engine no new work
+    And 6 short questions are answered whole without it
--- a/features/steps/planner.steps.ts
+++ b/features/steps/planner.steps.ts
@@ -2,15 +2,17 @@
 import assert from 'node:assert/strict'
 import { After, Given, Then, When } from '@cucumber/cucumber'
 import { describeEvent, plannerHistorySchema } from '../../src/capacity/index.js'
+import { createClient } from '../../src/client/index.js'
 import { createSystemClock, SECOND } from '../../src/clock.js'
 import { failureDomainSchema } from '../../src/identifiers.js'
-import { HISTORY_KEY } from '../../src/planner/keys.js'
+import { HISTORY_KEY, LEAVING_KEY } from '../../src/planner/keys.js'
 import { startPlanner } from '../../src/planner/planner.js'
 import type { Planner } from '../../src/planner/planner.js'
 import { plannerSettingsSchema } from '../../src/planner/settings.js'
 import { createRandom } from '../../src/random.js'
 import { platformSettings } from '../../stand-ins/deployment.js'
 import type { Deployment } from '../../stand-ins/deployment.js'
+import { answerWords } from '../../stand-ins/engine.js'
 import type { DeploymentWorld } from './world.js'
 
 interface PlannerStepsWorld extends DeploymentWorld {
@@ -72,6 +74,28 @@
   for (const planner of this.planners ?? []) await planner.kill()
 })
 
+When('the planner\'s list says that the first engine\'s instance is drained', function (this: PlannerStepsWorld) {
+  const instance = this.deployment.fleet.instanceOf(this.deployment.engines[0]!.upstream)
+  this.deployment.keyValue.store.put(LEAVING_KEY, JSON.stringify({ instances: [instance] }))
+})
+
+Then('within {int} seconds every entry node gives the first engine no new work', async function (this: PlannerStepsWorld, seconds: number) {
+  const { upstream } = this.deployment.engines[0]!
+  await until(() => this.deployment.entries.every((entry) => entry.parts.directory.find(upstream)?.leaving === true), seconds)
+})
+
+Then('{int} short questions are answered whole without it', async function (this: PlannerStepsWorld, count: number) {
+  const before = this.deployment.engines[0]!.started.length
+  const client = createClient({ addresses: this.deployment.addresses, key: this.deployment.key })
+  for (let number = 0; number < count; number += 1) {
+    const messages = [{ role: 'user' as const, content: `Question ${number}?` }]
+    const answer = await client.chat({ class: 'short-question', messages, maxTokens: 5 })
+    assert.equal(answer.text, answerWords(messages, 5).join(''))
+  }
+  await client.close()
+  assert.equal(this.deployment.engines[0]!.started.length, before)
+})
+
 function enginesOf (deployment: Deployment) {
   return deployment.cloud.state.list(GROUP).filter((instance) => instance.service === SERVICE)
 }
