--- a/src/entry/membership-keeper.ts
+++ b/src/entry/membership-keeper.ts
@@ -9,16 +9,17 @@
 import type { ConfigurationRevision } from '../configuration/index.js'
 import type { Address, Incarnation, OrganisationName } from '../identifiers.js'
 import type { Log } from '../log.js'
-import { answerNodes, createMembershipView, createSuspicions, isWatcher, nodeRecordSchema, successorsOf } from '../membership/index.js'
-import type { AddressAnswer, NodeRecord, PeerState, Stamped, ViewChange } from '../membership/index.js'
+import { answerNodes, createMembershipView, createSuspicions, isWatcher, successorsOf } from '../membership/index.js'
+import type { AddressAnswer, NodeRecord, PeerState } from '../membership/index.js'
 import type { AgreementHandlers, DeliveryTarget } from '../peer/agreement.js'
-import type { KeyValue, KeyValueChange, KeyValueEntry } from '../platform/key-value.js'
+import type { KeyValue, KeyValueChange } from '../platform/key-value.js'
 import type { Random } from '../random.js'
 import type { AgreementPeers } from './agreement-peers.js'
 import type { ConfigurationKeeper } from './configuration-keeper.js'
 import { deliverTo } from './delivery.js'
 import { followKeys } from './key-watch.js'
 import { createPeerExchange } from './peer-exchange.js'
+import { toStamped, toViewChange } from './node-records.js'
 import { createRegistration, NODE_PREFIX } from './registration.js'
 
 /** What the keeper tells. */
@@ -302,25 +303,3 @@
     withdraw: registration.withdraw
   }
 }
-
-function toStamped (entry: KeyValueEntry): Stamped[] {
-  const record = parseRecord(entry.value)
-  return record === undefined ? [] : [{ record, revision: entry.revision }]
-}
-
-function toViewChange (change: KeyValueChange): ViewChange | undefined {
-  if (change.kind === 'delete') {
-    const incarnation = nodeRecordSchema.shape.incarnation.safeParse(change.key.slice(NODE_PREFIX.length))
-    return incarnation.success ? { kind: 'delete', revision: change.revision, incarnation: incarnation.data } : undefined
-  }
-  const record = parseRecord(change.entry.value)
-  return record && { kind: 'put', revision: change.entry.revision, record }
-}
-
-function parseRecord (value: string): NodeRecord | undefined {
-  try {
-    return nodeRecordSchema.parse(JSON.parse(value))
-  } catch {
-    return undefined
-  }
-}
--- /dev/null
+++ b/src/entry/node-records.ts
@@ -0,0 +1,39 @@
+/** Nodes' records as the key-value service holds them. What cannot be read is left out: one bad value must not hide the others. */
+import { nodeRecordSchema } from '../membership/index.js'
+import type { NodeRecord, Stamped, ViewChange } from '../membership/index.js'
+import type { KeyValueChange, KeyValueEntry } from '../platform/key-value.js'
+import { NODE_PREFIX } from './registration.js'
+
+/**
+ * Record of a listing's entry, in a list that is empty when the value cannot be read.
+ *
+ * @example
+ * const records = listing.entries.flatMap(toStamped)
+ */
+export function toStamped (entry: KeyValueEntry): Stamped[] {
+  const record = parseRecord(entry.value)
+  return record === undefined ? [] : [{ record, revision: entry.revision }]
+}
+
+/**
+ * A watched change as one of the view; undefined when it cannot be read.
+ *
+ * @example
+ * const change = toViewChange(changes[0])
+ */
+export function toViewChange (change: KeyValueChange): ViewChange | undefined {
+  if (change.kind === 'delete') {
+    const incarnation = nodeRecordSchema.shape.incarnation.safeParse(change.key.slice(NODE_PREFIX.length))
+    return incarnation.success ? { kind: 'delete', revision: change.revision, incarnation: incarnation.data } : undefined
+  }
+  const record = parseRecord(change.entry.value)
+  return record && { kind: 'put', revision: change.entry.revision, record }
+}
+
+function parseRecord (value: string): NodeRecord | undefined {
+  try {
+    return nodeRecordSchema.parse(JSON.parse(value))
+  } catch {
+    return undefined
+  }
+}
