--- a/features/steps/agreement.steps.ts
+++ b/features/steps/agreement.steps.ts
@@ -25,7 +25,7 @@
   first: ConfigurationRevision
   outcomes: ChangeOutcome[]
   report: DeliveryReport
-  planners: [LeaseKeeper, LeaseKeeper]
+  leases: [LeaseKeeper, LeaseKeeper]
   fencing: number
   pause: (duration: number) => void
 }
@@ -204,7 +204,7 @@
   })
   const holder = planner('planner-1', paused)
   await clock.advance(SECOND)
-  this.planners = [holder, planner('planner-two', clock)]
+  this.leases = [holder, planner('planner-two', clock)]
   await clock.advance(SECOND)
   this.fencing = holder.held(0)?.fencing ?? 0
   assert.ok(this.fencing > 0)
@@ -216,12 +216,12 @@
 })
 
 Then('the other holds the lease with a higher fencing number', function (this: AgreementWorld) {
-  assert.ok((this.planners[1].held(0)?.fencing ?? 0) > this.fencing)
+  assert.ok((this.leases[1].held(0)?.fencing ?? 0) > this.fencing)
 })
 
 Then('the paused one does not hold it when it wakes', async function (this: AgreementWorld) {
-  assert.equal(this.planners[0].held(0), undefined)
+  assert.equal(this.leases[0].held(0), undefined)
   await this.clock.advance(MINUTE)
-  assert.equal(this.planners[0].held(0), undefined)
-  assert.ok(this.planners[1].held(0))
+  assert.equal(this.leases[0].held(0), undefined)
+  assert.ok(this.leases[1].held(0))
 })
