--- a/test/bad-input.test.ts
+++ b/test/bad-input.test.ts
@@ -12,7 +12,6 @@
 
 const BODY_LIMIT = 16_384
 const PEER_KEY = 'peer-key-for-demonstration'
-const OPERATOR_PATH = '/operator/v1/configuration'
 
 /** Sockets that the parts' own connection pools may open meanwhile. */
 const POOLED = 16
@@ -58,6 +57,10 @@
   return { port: 'caller', method: 'POST', path: '/v1/chat/completions', headers: { authorization: `Bearer ${deployment.key}` }, expected: [400], ...part }
 }
 
+function asOperator (part: Partial<BadRequest>): BadRequest {
+  return asCaller({ headers: { authorization: `Bearer ${deployment.operatorKey}` }, ...part })
+}
+
 const badCallerRequest: fc.Arbitrary<BadRequest> = fc.oneof(
   fc.oneof(json, brokenJson, someText).map((body) => asCaller({ body })),
   unknownClass.map((name) => asCaller({ body: JSON.stringify({ model: name, messages }) })),
@@ -83,8 +86,20 @@
     expected: [401]
   }))
 
-const badOperatorRequest: fc.Arbitrary<BadRequest> = fc.tuple(fc.constantFrom('GET', 'POST', 'PUT'), headerText)
-  .map(([method, key]) => asCaller({ method, path: OPERATOR_PATH, headers: { authorization: `Bearer ${key}` }, ...(method === 'GET' ? {} : { body: '{}' }), expected: [401, 403, 404] }))
+const operatorCall = fc.constantFrom(
+  { method: 'POST', path: '/operator/configuration' },
+  { method: 'POST', path: '/operator/configuration/rollback' }
+)
+const operatorPath = fc.constantFrom('/operator/configuration', '/operator/status', '/operator/report', '/operator/planner', '/operator/configuration/history')
+
+const badOperatorRequest: fc.Arbitrary<BadRequest> = fc.oneof(
+  fc.tuple(operatorPath, headerText).map(([path, key]) => asCaller({ method: 'GET', path, headers: { authorization: `Bearer ${key}` }, expected: [401] })),
+  operatorPath.map((path) => asCaller({ method: 'GET', path, expected: [401] })),
+  fc.tuple(operatorCall, fc.oneof(json, brokenJson, someText)).map(([call, body]) => asOperator({ ...call, body })),
+  operatorCall.map((call) => asOperator({ ...call, body: ' '.repeat(2 * BODY_LIMIT), expected: [413] })),
+  headerText.map((text) => asOperator({ method: 'GET', path: `/operator/report?from=${encodeURIComponent(`x${text}`)}` })),
+  headerText.map((text) => asOperator({ method: 'GET', path: `/operator/requests/${encodeURIComponent(text)}` }))
+)
 
 const badPeerRequest: fc.Arbitrary<BadRequest> = fc.tuple(
   fc.constantFrom('agreement.exchange', 'request.submit', 'nowhere', 'agreement.exchange,request.submit'),
