--- a/src/entry/node.ts
+++ b/src/entry/node.ts
@@ -167,7 +167,7 @@
   const streams = createStreams(context, executions)
 
   const server = createCallerServer(settings.limits, metrics)
-  const service = restana({ server, defaultRoute: (_request: unknown, response: any) => sendFailure(response, unknownRoute()) })
+  const service = restana({ server, prioRequestsProcessing: false, defaultRoute: (_request: unknown, response: any) => sendFailure(response, unknownRoute()) })
   service.use((_request: unknown, response: any, next: () => void) => ready ? next() : sendFailure(response, startingFailure()))
   const peerServer = createPeerServer(settings.peer_key, {
     agreement: {
--- a/src/platform/plain-service.ts
+++ b/src/platform/plain-service.ts
@@ -54,15 +54,17 @@
  * endToEnd([['Connection', 'close, x-hop'], ['X-Hop', '1'], ['Accept', '*']]) // [['Accept', '*']]
  */
 export function endToEnd (headers: readonly (readonly [string, string])[]): [string, string][] {
-  const named = headers.filter(([name]) => name.toLowerCase() === 'connection')
-    .flatMap(([, value]) => value.split(',').map((part) => part.trim().toLowerCase()))
-  const dropped = new Set([...HOP_BY_HOP, ...named])
-  return headers.filter(([name]) => !dropped.has(name.toLowerCase())).map(([name, value]) => [name, value])
+  const named = headers.flatMap(([name, value]) => name.toLowerCase() === 'connection' ? value.toLowerCase().split(',').map((part) => part.trim()) : [])
+  return headers.flatMap(([name, value]): [string, string][] => {
+    const key = name.toLowerCase()
+    return HOP_BY_HOP.has(key) || named.includes(key) ? [] : [[name, value]]
+  })
 }
 
 function requestHeaders (call: PlainCall, traceparent: string | undefined): Record<string, string> {
   const headers: Record<string, string> = {}
-  for (const [name, value] of endToEnd(call.headers)) {
+  // The headers are end to end already: they were made so when the call was received.
+  for (const [name, value] of call.headers) {
     const key = name.toLowerCase()
     headers[key] = headers[key] === undefined ? value : `${headers[key]}, ${value}`
   }
