--- a/bench/reclaim-run.ts
+++ b/bench/reclaim-run.ts
@@ -7,7 +7,7 @@
 import type { EngineState, HiddenStream } from './reclaim-mix.js'
 
 /** What is done with the streams of a leaving engine. */
-export type Policy = 'always recompute' | 'recompute at the end' | 'fair sharing' | 'first in first out' | 'plan' | 'plan without turns'
+export type Policy = 'always recompute' | 'recompute at the end' | 'fair sharing' | 'first in first out' | 'plan' | 'plan without turns' | 'each node for itself'
 
 /** A reclaim as it really goes. */
 export interface ReclaimCase {
@@ -30,6 +30,9 @@
 
 const STEP: Milliseconds = 20
 
+/** Entry nodes that have streams at each engine. */
+const NODES = 8
+
 /** Time of an export's calls. */
 const SETUP: Milliseconds = 30
 
@@ -113,7 +116,9 @@
   const situation = reclaim.situations.get(engine.name) as ReclaimSituation
   const estimate = createLinkEstimate()
   const turns = createLinkTurns(estimate, situation.deadline)
-  const queue: Running[] = []
+  /** Exports that run one after the other; several queues share the link. */
+  const queues: Running[][] = Array.from({ length: NODES }, () => [])
+  const current: (Running | undefined)[] = []
   let begun = false
 
   function begin (now: Milliseconds, hosts: ReadonlyMap<UpstreamName, Host>, settle: Settle): void {
@@ -127,22 +132,27 @@
         for (const stream of streams) startExport(stream, leastLoaded(hosts).engine.name)
         break
       case 'first in first out':
-        queue.push(...streams)
+        queues[0]?.push(...streams)
         break
       case 'plan':
       case 'plan without turns':
-        beginPlan(now, settle)
+        beginPlan(situation, 0, now, settle)
+        break
+      case 'each node for itself':
+        for (let node = 0; node < NODES; node += 1) {
+          beginPlan({ ...situation, streams: situation.streams.filter((_, index) => index % NODES === node) }, node, now, settle)
+        }
     }
   }
 
-  function beginPlan (now: Milliseconds, settle: Settle): void {
-    for (const plan of planReclaim(situation, now)) {
+  function beginPlan (known: ReclaimSituation, node: number, now: Milliseconds, settle: Settle): void {
+    for (const plan of planReclaim(known, now)) {
       const stream = byId.get(plan.id) as Running
       if (plan.kind === 'resume') stream.recomputeAt = plan.startAfter
       if (plan.kind !== 'export') continue
       stream.target = plan.target
       stream.mayFinish = plan.otherwise === 'finish'
-      if (policy === 'plan without turns') queue.push(stream)
+      if (policy !== 'plan') queues[node]?.push(stream)
       else decide(turns.ask({ id: plan.id, tokens: stream.hidden.open.cachedTokens, rank: plan.startAfter, required: false }, now), now, settle)
     }
   }
@@ -164,15 +174,18 @@
 
   function step (now: Milliseconds, imports: ReadonlyMap<UpstreamName, number>, hosts: ReadonlyMap<UpstreamName, Host>, settle: Settle): void {
     if (!begun) begin(now, hosts, settle)
-    if (queue.length > 0 && !streams.some((stream) => stream.state === 'exporting')) startNext(hosts)
+    for (const [node, queue] of queues.entries()) {
+      if (current[node]?.state !== 'exporting') startNext(node, queue, hosts)
+    }
     const exporting = streams.filter((stream) => stream.state === 'exporting')
     for (const stream of streams) advance(stream, now, settle)
     for (const stream of exporting) transfer(stream, exporting.length, imports, now, settle)
     if (policy === 'plan') decide(turns.tick(now), now, settle)
   }
 
-  function startNext (hosts: ReadonlyMap<UpstreamName, Host>): void {
+  function startNext (node: number, queue: Running[], hosts: ReadonlyMap<UpstreamName, Host>): void {
     const next = queue.shift()
+    current[node] = next
     if (next?.state === 'open') startExport(next, next.target ?? leastLoaded(hosts).engine.name)
   }
 
--- a/bench/reclaim.ts
+++ b/bench/reclaim.ts
@@ -13,7 +13,7 @@
 
 const REPETITIONS = 60
 const NOTICES: readonly Milliseconds[] = [2, 5, 10, 20, 30].map((seconds) => seconds * SECOND)
-const POLICIES: readonly Policy[] = ['always recompute', 'recompute at the end', 'fair sharing', 'first in first out', 'plan without turns', 'plan']
+const POLICIES: readonly Policy[] = ['always recompute', 'recompute at the end', 'fair sharing', 'first in first out', 'each node for itself', 'plan without turns', 'plan']
 
 /** One notice in so many is shorter than announced, by this factor. */
 const SHORTER_ONE_IN = 10
@@ -41,7 +41,7 @@
 function reclaimRow (mix: ReclaimMix, extent: Extent, notice: Milliseconds, seed: number): (string | number)[] {
   const cases = Array.from({ length: REPETITIONS }, (_, repetition) => createCase(mix, extent, notice, createRandom(seed * 1_000 + repetition)))
   const results = POLICIES.map((policy) => sum(cases.map((reclaim) => runReclaim(reclaim, policy))))
-  const baselines = results.slice(0, POLICIES.indexOf('plan without turns')).map((result) => result.recomputed)
+  const baselines = results.slice(0, POLICIES.indexOf('each node for itself')).map((result) => result.recomputed)
   const own = results.at(-1) as ReclaimResult
   const bound = cases.reduce((total, reclaim) => total + lowerBound(reclaim), 0)
   const best = Math.min(...baselines)
--- a/src/upstream/reclaim/plan.ts
+++ b/src/upstream/reclaim/plan.ts
@@ -12,8 +12,9 @@
 /** Part of the notice left unused: the instance may end sooner and transfers take longer than expected. */
 const MARGIN_SHARE = 0.05
 
-/** Least time left unused, in milliseconds. */
+/** Least and most time left unused, in milliseconds. */
 const LEAST_MARGIN: Milliseconds = 100
+const MOST_MARGIN: Milliseconds = 250
 
 /** An answer counts on finishing in time only with this much more time than it is estimated to need. */
 const FINISH_CAUTION = 1.2
@@ -74,10 +75,10 @@
  * Time of a notice that plans may fill.
  *
  * @example
- * timeToUse(10 * SECOND) // 9,500 ms
+ * timeToUse(10 * SECOND) // 9,750 ms
  */
 export function timeToUse (notice: Milliseconds): Milliseconds {
-  return Math.max(0, notice - Math.max(LEAST_MARGIN, notice * MARGIN_SHARE))
+  return Math.max(0, notice - Math.min(MOST_MARGIN, Math.max(LEAST_MARGIN, notice * MARGIN_SHARE)))
 }
 
 function finishesWithin (stream: OpenStream, available: Milliseconds): boolean {
