--- a/src/operator/api.ts
+++ b/src/operator/api.ts
@@ -42,6 +42,7 @@
  * registerOperatorApi(service, { ...parts, reports })
  */
 export function registerOperatorApi (service: Service, context: OperatorContext): void {
+  registerGauges(context)
   const refresh = createRefresh(context)
   const operators = (route: Route) => guarded(async (request, response) => {
     authenticateOperator(context, request)
@@ -62,6 +63,14 @@
   registerOrganisationReport(service, context)
 }
 
+/** What the node's monitoring sees of its report. Strays should stay 0: events for requests that were not open. */
+function registerGauges ({ metrics, ledger, reports }: OperatorContext): void {
+  metrics.gauge('ledger_strays', () => ledger.usage().strays)
+  metrics.gauge('ledger_cells', () => ledger.usage().cells)
+  metrics.gauge('report_writes', () => reports.usage().writes)
+  metrics.gauge('report_bytes', () => reports.usage().lastBytes)
+}
+
 /** An organisation reads its own sums and nobody else's; instances are not named to it. */
 function registerOrganisationReport (service: Service, context: OperatorContext): void {
   const read = createOrganisationReader(context)
--- a/src/operator/context.ts
+++ b/src/operator/context.ts
@@ -3,6 +3,6 @@
 import type { ReportKeeper } from '../entry/report-keeper.js'
 
 /** Parts of the node, and the keeper of its report. */
-export interface OperatorContext extends Pick<EntryParts, 'settings' | 'keyValue' | 'configuration' | 'membership' | 'peers' | 'facts' | 'executions' | 'clock' | 'signal'> {
+export interface OperatorContext extends Pick<EntryParts, 'settings' | 'keyValue' | 'configuration' | 'membership' | 'peers' | 'facts' | 'executions' | 'ledger' | 'metrics' | 'clock' | 'signal'> {
   readonly reports: ReportKeeper
 }
--- a/test/operator/operator.test.ts
+++ b/test/operator/operator.test.ts
@@ -71,6 +71,8 @@
   assert.equal(shortQuestions.firstToken!.target, 560)
   assert.equal(report.total.sums.asked, 13)
   assert.equal(report.total.generatedTokens, 12 * 5 + 20)
+  const metrics = await Promise.all(deployment.addresses.map(async (address) => (await fetch(`http://${address}/metrics`)).text()))
+  for (const text of metrics) assert.match(text, /ledger_strays 0\n/)
   assertSumsAgree(report)
 
   const own = await fetch(`http://${deployment.addresses[0]}/v1/report`, { headers: { authorization: `Bearer ${deployment.otherKey}` } })
