Scheduler: nothing for engines that still load; messages of the fleet in their own file

Cause: after a wave new engines are listed while their weights load; each node sent its first four requests there and they stood still. Change: an engine that lists no model while others of its service list one takes nothing. Seen failing without the guard. Ruled out: comparing the listed names with the configured model; engines list versions with them.

--- a/src/upstream/cost.ts
+++ b/src/upstream/cost.ts
@@ -3,7 +3,7 @@
  * holds up what runs there already, in milliseconds.
  */
 import type { Milliseconds } from '../clock.js'
-import type { Demand, UpstreamState } from './fleet.js'
+import type { Demand, UpstreamState } from './fleet-types.js'
 import type { UpstreamHealth } from './outliers.js'
 
 /** What the cost depends on. */
--- a/src/upstream/fleet.ts
+++ b/src/upstream/fleet.ts
@@ -6,90 +6,17 @@
 import type { FailureDomain, UpstreamName } from '../identifiers.js'
 import type { Random } from '../random.js'
 import { createConcurrencyWindow } from './concurrency-window.js'
-import type { ConcurrencyWindow } from './concurrency-window.js'
 import { costOf } from './cost.js'
 import { createEngineEstimate, createPlainEstimate } from './estimate.js'
-import type { EngineEstimate, ExpectedAnswer, PlainEstimate } from './estimate.js'
+import type { EngineEstimate, PlainEstimate } from './estimate.js'
+import type { Demand, Placement, ServiceFleet, UpstreamState } from './fleet-types.js'
 import { createUpstreamLoad } from './load.js'
-import type { RoomLimits, UpstreamLoad } from './load.js'
+import type { RoomLimits } from './load.js'
 import { createOutlierDetector } from './outliers.js'
 import type { UpstreamHealth } from './outliers.js'
 import { createPace } from './pace.js'
 import { createPrefixIndex } from './prefix-index.js'
-import type { PrefixIndex } from './prefix-index.js'
-import type { LoadReport, UpstreamView, Usage } from './types.js'
-
-/** What an attempt asks of an upstream. */
-export interface Demand {
-  readonly promptTokens: number
-  /** Tokens that it is expected to generate. */
-  readonly generatedTokens: number
-  /** Hashes of the prompt's leading blocks, shortest first. */
-  readonly blocks: readonly string[]
-  readonly adapter: string | undefined
-  readonly excluded: readonly UpstreamName[]
-  /** Runs where nothing else of this node runs. */
-  readonly apart: boolean
-  /** Cannot wait for a place; others leave a few places free for it. */
-  readonly urgent: boolean
-  /** Time that the class allows for a whole answer. */
-  readonly wholeTarget: Milliseconds
-  /** May show whether an ejected upstream works again. */
-  readonly probe: boolean
-}
-
-/** An upstream chosen for a demand, with what was expected of its cache. */
-export interface Placement {
-  readonly upstream: UpstreamName
-  readonly expectedBlocks: number
-  /** Prompt tokens expected to be computed. */
-  readonly computedTokens: number
-}
-
-/** What one upstream is known by. */
-export interface UpstreamState {
-  view: UpstreamView
-  readonly load: UpstreamLoad
-  readonly prefixes: PrefixIndex
-  readonly window: ConcurrencyWindow
-  report: LoadReport | undefined
-  /** Runs an attempt apart. */
-  reserved: boolean
-}
-
-/** The upstreams of one service. */
-export interface ServiceFleet {
-  update (views: readonly UpstreamView[], now: Milliseconds): void
-  /** Nodes that send to the same upstreams, this one included. */
-  shared (nodes: number): void
-  reported (report: LoadReport, now: Milliseconds): void
-  cacheChanged (upstream: UpstreamName, stored: readonly string[], evicted: readonly string[], gap: boolean): void
-  /** Chooses without sending. `spare` places per upstream stay free unless the demand is urgent. */
-  choose (demand: Demand, spare: number, now: Milliseconds): Placement | undefined
-  sent (placement: Placement, demand: Demand, now: Milliseconds): void
-  firstToken (placement: Placement): void
-  /** The attempt is over, whatever its end. */
-  released (placement: Placement, demand: Demand, firstTokenCame: boolean, now: Milliseconds): void
-  observed (placement: Placement, demand: Demand, usage: Usage, firstToken: Milliseconds, whole: Milliseconds, now: Milliseconds): void
-  failed (placement: Placement, upstreamDied: boolean, now: Milliseconds): void
-  struck (upstream: UpstreamName, now: Milliseconds): void
-  withdrawn (upstream: UpstreamName): void
-  /** No attempt waits any more to run apart. */
-  stopEmptying (): void
-  /** An answer met its target of the time between tokens, or not. */
-  paced (inTarget: boolean, quantile: number): void
-  /** Expected times, that nine in ten keep. */
-  expect (demand: Demand): ExpectedAnswer
-  /** Expected work in milliseconds of one whole upstream. */
-  work (demand: Demand): number
-  /** Places of one upstream. */
-  slots (): number
-  /** Live upstreams. */
-  size (): number
-  /** Share of the service's requests that are this node's. */
-  share (): number
-  health (upstream: UpstreamName, now: Milliseconds): UpstreamHealth
-}
+import type { UpstreamView, Usage } from './types.js'
 
 /** How much more than its present share of requests a node may claim of what is free. */
 const SHARE_MARGIN = 1.25
@@ -126,6 +53,8 @@
   let live: UpstreamState[] = []
   /** Takes nothing new, so that an attempt can soon run there apart. */
   let emptying: UpstreamState | undefined
+  /** Live upstreams that list a model. */
+  let listing = 0
   let nodes = 1
   let ownTotal = 0
   let reportedTotal = 0
@@ -151,7 +80,21 @@
     return Math.min(1, Math.max(least, SHARE_MARGIN * ownTotal / reportedTotal))
   }
 
+  /**
+   * Failure guarded against: a new engine is listed and takes requests while its weights still load,
+   * and they stand there for a minute. Engines list their models; one that lists none while others of
+   * the service do is still loading.
+   */
+  function isLoading (state: UpstreamState): boolean {
+    return listing > 0 && state.report !== undefined && state.report.models.length === 0
+  }
+
+  function countListing (): void {
+    listing = live.filter((state) => (state.report?.models.length ?? 0) > 0).length
+  }
+
   function admits (state: UpstreamState, demand: Demand, limits: RoomLimits, now: Milliseconds): boolean {
+    if (isLoading(state)) return false
     if (state.reserved || (state === emptying && !demand.apart)) return false
     if (demand.excluded.includes(state.view.name)) return false
     if (demand.apart) return state.load.own() === 0
@@ -235,6 +178,7 @@
       }
       live = [...states.values()].filter((state) => !state.view.leaving)
       if (emptying !== undefined && !live.includes(emptying)) emptying = undefined
+      countListing()
       outliers.keep(live.map((state) => state.view.name))
       reportedTotal = live.reduce((sum, state) => sum + state.load.reportedTotal(), 0)
     },
@@ -243,7 +187,9 @@
       const state = states.get(report.upstream)
       if (state === undefined) return
       const before = state.load.reportedTotal()
+      const listedBefore = state.report?.models.length ?? 0
       state.report = report
+      if (listedBefore !== report.models.length) countListing()
       state.load.reported(report, share(), pace.cap(), now, random)
       if (!state.view.leaving) reportedTotal += state.load.reportedTotal() - before
     },
--- a/test/admission/scheduler.test.ts
+++ b/test/admission/scheduler.test.ts
@@ -135,6 +135,19 @@
   assert.ok(atStuck <= 10, `${atStuck} requests went to the upstream that stands still`)
 })
 
+test('an engine that still loads its weights gets nothing, and work as soon as it has them', () => {
+  // After a wave new engines are listed at once and accept requests, but answer only when their weights
+  // are there, a minute later. The first requests of each would be late.
+  const scheduler = start([view(1), view(2)])
+  scheduler.handle({ kind: 'load', report: { ...report(1, 4, 0), models: ['m@1'] } }, 0)
+  scheduler.handle({ kind: 'load', report: report(2, 0, 0) }, 0)
+  const first = [1, 2].flatMap((number) => dispatchedTo(scheduler.handle({ kind: 'arrived', attempt: attempt(number) }, 1)))
+  assert.ok(!first.includes(nameOf(2)))
+  scheduler.handle({ kind: 'load', report: { ...report(2, 0, 0), models: ['m@1'] } }, 2)
+  const next = [3, 4].flatMap((number) => dispatchedTo(scheduler.handle({ kind: 'arrived', attempt: attempt(number) }, 3)))
+  assert.ok(next.includes(nameOf(2)))
+})
+
 test('refused callers are told different times to come again', () => {
   // A burst is refused together. Told the same time, the callers come back together, are refused
   // together again, and the storm feeds itself.
