--- a/features/steps/upstream-reclaim.steps.ts
+++ b/features/steps/upstream-reclaim.steps.ts
@@ -5,7 +5,7 @@
 import type { ChatAnswer } from '../../src/client/index.js'
 import { createSystemClock, SECOND } from '../../src/clock.js'
 import { failureDomainSchema } from '../../src/identifiers.js'
-import type { UpstreamName } from '../../src/identifiers.js'
+import type { FailureDomain, UpstreamName } from '../../src/identifiers.js'
 import { startDeployment } from '../../stand-ins/deployment.js'
 import { answerWords } from '../../stand-ins/engine.js'
 import type { EngineStandIn } from '../../stand-ins/engine.js'
@@ -19,6 +19,8 @@
 const CHARACTERS_PER_TOKEN = 4
 const FEW_TOKENS = 5
 
+const DOMAIN = failureDomainSchema.parse('zone-b')
+
 interface WrittenPlan {
   readonly messages: { role: 'user', content: string }[]
   readonly offsets: number[]
@@ -69,9 +71,12 @@
 })
 
 When('a failure domain\'s engines are taken back with a notice of {int} seconds', function (this: ReclaimWorld, seconds: number) {
-  const domain = failureDomainSchema.parse('zone-b')
-  const views = this.deployment!.entries[0]!.parts.directory.views().filter((view) => view.failureDomain === domain)
-  takeBack(this, this.deployment!.engines.filter((engine) => views.some((view) => view.name === engine.upstream)), seconds)
+  takeBack(this, enginesOf(this, DOMAIN), seconds)
+})
+
+When('a failure domain with all that runs there is taken back with a notice of {int} seconds', function (this: ReclaimWorld, seconds: number) {
+  this.leaving = enginesOf(this, DOMAIN)
+  this.deployment!.cloud.state.reclaimDomain(DOMAIN, seconds * SECOND)
 })
 
 Then('every plan arrives whole, is its own, and has every offset once', async function (this: ReclaimWorld) {
@@ -128,6 +133,11 @@
   cloud.state.reclaim(engines.map((engine) => fleet.instanceOf(engine.upstream)), seconds * SECOND)
 }
 
+function enginesOf (world: ReclaimWorld, domain: FailureDomain): EngineStandIn[] {
+  const views = world.deployment!.entries[0]!.parts.directory.views().filter((view) => view.failureDomain === domain)
+  return world.deployment!.engines.filter((engine) => views.some((view) => view.name === engine.upstream))
+}
+
 function killLater (engine: EngineStandIn): void {
   setTimeout(() => { engine.kill().catch(() => {}) }, SECOND / 4)
 }
--- a/features/upstream-reclaim.feature
+++ b/features/upstream-reclaim.feature
@@ -22,6 +22,13 @@
     Then every plan arrives whole, is its own, and has every offset once
     And no plan moved to an engine of that failure domain
 
+  Scenario: A whole failure domain is reclaimed, entry node and engines together
+    Given 3 entry nodes and 6 engines whose links carry 40 tokens a millisecond
+    And 24 plans are being written from prompts of 2000 tokens
+    When a failure domain with all that runs there is taken back with a notice of 5 seconds
+    Then every plan arrives whole, is its own, and has every offset once
+    And no plan moved to an engine of that failure domain
+
   Scenario: The instance list lags behind the notice
     Given 8 entry nodes and 3 engines whose links carry 40 tokens a millisecond
     And the instance list shows nothing new
