--- a/features/crashing-request.feature
+++ b/features/crashing-request.feature
@@ -14,3 +14,12 @@
     When the crashing request is sent 3 times at once through every node under new ids
     Then at most 2 engines have died
     And every technician has a whole answer
+
+  Scenario: Crashed engines are started again at once at the same address
+    Given 3 entry nodes and 6 engines for a crashing request
+    And 12 technicians wait for answers
+    And a crashed engine is started again at its address at once
+    When the crashing request is sent 4 times in a row through every node under new ids
+    Then at most 2 engines have died
+    And the last send of the crashing request was refused for good
+    And every technician has a whole answer
--- a/features/steps/crashing-request.steps.ts
+++ b/features/steps/crashing-request.steps.ts
@@ -1,11 +1,13 @@
 /** Steps about a request that crashes every engine which runs it. */
 import assert from 'node:assert/strict'
-import { Given, Then, When } from '@cucumber/cucumber'
+import { After, Given, Then, When } from '@cucumber/cucumber'
 import { createClient, ServingError } from '../../src/client/index.js'
 import type { ChatAnswer } from '../../src/client/index.js'
 import { createSystemClock } from '../../src/clock.js'
+import { createRandom } from '../../src/random.js'
 import { startDeployment } from '../../stand-ins/deployment.js'
-import { answerWords, CRASH_MARK } from '../../stand-ins/engine.js'
+import { answerWords, CRASH_MARK, serveEngine } from '../../stand-ins/engine.js'
+import type { EngineStandIn } from '../../stand-ins/engine.js'
 import type { DeploymentWorld } from './world.js'
 
 const clock = createSystemClock()
@@ -21,12 +23,17 @@
 interface CrashWorld extends DeploymentWorld {
   questions: Question[]
   failures: ServingError[]
+  /** Engines that took the place of crashed ones. */
+  startedAgain: EngineStandIn[]
+  /** What dies now is cleaned up. */
+  ended: boolean
 }
 
 Given('{int} entry nodes and {int} engines for a crashing request', async function (this: CrashWorld, entries: number, engines: number) {
   this.deployment = await startDeployment({ clock, seed: 1, entries, engines, logLevel: 'silent', engineShape: { token_ms: 30 } })
   this.client = createClient({ addresses: this.deployment.addresses, key: this.deployment.key })
   this.failures = []
+  this.startedAgain = []
   while (this.deployment.entries.some((entry) => entry.parts.membership.count() < entries)) await clock.sleep(20)
 })
 
@@ -35,6 +42,11 @@
   while (this.questions.some((question) => question.tokens < FIRST_TOKENS)) await clock.sleep(5)
 })
 
+// The platform restarts a crashed engine before anybody looks: it takes connections and knows no stream.
+Given('a crashed engine is started again at its address at once', function (this: CrashWorld) {
+  for (const engine of this.deployment!.engines) startAgainAfterDeath(this, engine)
+})
+
 // A plan with an odd log crashes the engine that runs it; its caller sends it again, through whichever node,
 // under a new id each time. Left alone it takes down one engine after the other, with everybody's answers.
 When('the crashing request is sent {int} times in a row through every node under new ids', async function (this: CrashWorld, times: number) {
@@ -49,7 +61,7 @@
 })
 
 Then('at most {int} engines have died', function (this: CrashWorld, most: number) {
-  const dead = this.deployment!.engines.filter((engine) => !engine.alive()).length
+  const dead = [...this.deployment!.engines, ...this.startedAgain].filter((engine) => !engine.alive()).length
   assert.ok(dead > 0, 'the request crashed nothing')
   assert.ok(dead <= most, `${dead} engines died`)
 })
@@ -62,6 +74,33 @@
   for (const { messages, answer } of this.questions) assert.equal((await answer).text, answerWords(messages, QUESTION_TOKENS).join(''))
 })
 
+function startAgainAfterDeath (world: CrashWorld, engine: EngineStandIn): void {
+  engine.onDeath(() => {
+    if (world.ended || world.deployment!.entries.every((entry) => entry.parts.signal.aborted)) return
+    const port = Number(engine.address.split(':')[1])
+    serveAgain(world, engine, port).catch(() => {})
+  })
+}
+
+/** The port is free a moment after the death. */
+async function serveAgain (world: CrashWorld, engine: EngineStandIn, port: number): Promise<void> {
+  for (;;) {
+    try {
+      const again = await serveEngine({ port, upstream: engine.upstream, clock, random: createRandom(1), shape: { tokenTime: 30 } })
+      world.startedAgain.push(again)
+      startAgainAfterDeath(world, again)
+      return
+    } catch {
+      await clock.sleep(2)
+    }
+  }
+}
+
+After(async function (this: CrashWorld) {
+  this.ended = true
+  for (const engine of this.startedAgain ?? []) await engine.kill()
+})
+
 function ask (world: CrashWorld, content: string): Question {
   const messages = [{ role: 'user' as const, content }]
   const question = { messages, tokens: 0, answer: world.client!.chat({ class: 'short-question', messages, maxTokens: QUESTION_TOKENS, onToken: () => { question.tokens += 1 } }) }
--- a/src/request/hash.ts
+++ b/src/request/hash.ts
@@ -1,5 +1,6 @@
 /** Seeded hashing of short texts, and the rankings of nodes that follow from it. Not cryptographic. */
 import type { FailureDomain, Incarnation } from '../identifiers.js'
+import { rank, score } from '../membership/index.js'
 
 /** A node as far as rankings need it. */
 export interface RankedNode {
@@ -9,9 +10,6 @@
   readonly leaving: boolean
 }
 
-const FNV_OFFSET = 0x811c9dc5
-const FNV_PRIME = 0x01000193
-
 /**
  * Hash of a text.
  *
@@ -20,11 +18,7 @@
  * hashText('entry-1-x7', 1) % 16
  */
 export function hashText (text: string, seed: number): number {
-  let hash = (FNV_OFFSET ^ seed) >>> 0
-  for (let index = 0; index < text.length; index += 1) {
-    hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME)
-  }
-  return mix(hash)
+  return score(String(seed), text)
 }
 
 /**
@@ -36,10 +30,7 @@
  * rankNodes(fingerprint, nodes)[0] // the node that owns the fingerprint
  */
 export function rankNodes<Node extends RankedNode> (subject: string, nodes: readonly Node[]): Node[] {
-  const seed = hashText(subject, 0)
-  const scored = nodes.map((node) => ({ node, score: hashText(node.incarnation, seed) }))
-  scored.sort((left, right) => right.score - left.score || compare(left.node.incarnation, right.node.incarnation))
-  return scored.map(({ node }) => node)
+  return rank(subject, nodes)
 }
 
 /**
@@ -57,16 +48,3 @@
   const beside = candidates.filter((node) => node.failureDomain === home.failureDomain)
   return [...elsewhere, ...beside]
 }
-
-/** Finalizer of MurmurHash3: spreads every input bit over the whole result. */
-function mix (value: number): number {
-  let hash = value
-  hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b)
-  hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35)
-  return (hash ^ (hash >>> 16)) >>> 0
-}
-
-function compare (left: string, right: string): number {
-  if (left === right) return 0
-  return left < right ? -1 : 1
-}
