--- a/test/operator/operator.test.ts
+++ b/test/operator/operator.test.ts
@@ -175,3 +175,30 @@
   assert.match(page, /^<!doctype html>[^]*<\/html>\n$/)
   assert.equal(/(src|href)=|url\(|@import|<script/.test(page), false)
 })
+
+test('a request that was handed over is explained although its home is gone', async () => {
+  // An operator would be told that nobody knows the request: its node was taken back in the middle of
+  // the answer, and only the node that went on remembers it.
+  const clock = createSystemClock()
+  const caller = createClient({ addresses: deployment.addresses, key: deployment.key })
+  const answering = caller.chat({ class: 'service-plan', messages: QUESTION, maxTokens: 300 })
+  const holder = await untilOpen(clock)
+  await holder.stop(clock.now() + 3_000)
+  const { id, tokens } = await answering
+  assert.equal(tokens, 300)
+  const left = deployment.entries.filter((entry) => entry !== holder)
+  const single = createOperatorClient({ addresses: [left[0]!.address], operator_key: deployment.operatorKey })
+  const { out, notes } = await capture((output) => explainCommand(single, output, id, {}))
+  assert.match(out, /taken over from entry-[^]*ended: served whole/)
+  assert.match(notes.join('\n'), /The node that this request belongs to is gone/)
+  await Promise.all([single.close(), caller.close()])
+})
+
+async function untilOpen (clock: ReturnType<typeof createSystemClock>): Promise<Deployment['entries'][number]> {
+  for (let wait = 0; wait < 200; wait += 1) {
+    const holder = deployment.entries.find((entry) => entry.parts.executions.open().some((execution) => execution.answer.offset() > 10))
+    if (holder !== undefined) return holder
+    await clock.sleep(10)
+  }
+  throw new Error('no request was open in time')
+}
