An engine's refusal as leaving is a notice: the upstream is marked and peers are told

Cause: the source was planned for and nothing fed it; each node found the refusal for itself. Seen failing first: without the text match the test of the refusal is red.

--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -11,6 +11,7 @@
 import type { Execution } from './execution.js'
 import { generate } from './generation.js'
 import { isDead } from './liveness.js'
+import { refusedAsLeaving } from './notice-keeper.js'
 import type { DispatchEnd, Permit } from './permits.js'
 import { callPlain } from './plain-call.js'
 
@@ -80,6 +81,7 @@
   context.dispatcher.ended(execution.request.id, resultOf(end))
   if (end.kind !== 'whole') order.excluded.add(upstream.name)
   if (end.kind === 'failed') context.bookkeeping.attemptFailed(execution, upstream.name, end.failure)
+  if (end.kind === 'failed' && refusedAsLeaving(end.failure)) context.directory.markLeaving(upstream.name, 'connection')
   return end
 }
 
--- a/src/entry/notice-keeper.ts
+++ b/src/entry/notice-keeper.ts
@@ -16,6 +16,7 @@
 import type { Instance, UpstreamView } from '../upstream/index.js'
 import { createLeavingView, fromMessage, pollersOf, recipientsOf } from '../upstream/reclaim/index.js'
 import type { Leaving, LeavingView, Notice, NoticeMessage, NoticeSource } from '../upstream/reclaim/index.js'
+import type { ServingError } from '../verdict.js'
 import type { NoticeSource as DirectorySource, UpstreamDirectory } from './upstream-directory.js'
 
 /** What the keeper tells the rest of the node. */
@@ -57,6 +58,9 @@
 /** A deadline that differs by less is the same. */
 const NOTABLE_CHANGE: Milliseconds = SECOND / 4
 
+/** An upstream's refusal as its answer's body has it. */
+const LEAVING_REFUSAL = /"message":"[^"]*\bleaving\b/
+
 /** The directory's own sources, as the view names them. */
 const SOURCES: Record<Exclude<DirectorySource, 'peer' | 'cloud'>, NoticeSource> = {
   'instance-list': 'instance-list',
@@ -180,6 +184,17 @@
   }
 }
 
+/**
+ * Whether an upstream refused because it is leaving: the first to know may be a node whose instance
+ * list and cloud both lag.
+ *
+ * @example
+ * if (refusedAsLeaving(failure)) directory.markLeaving(upstream, 'connection')
+ */
+export function refusedAsLeaving (failure: ServingError): boolean {
+  return failure.code === 'upstream-refused' && failure.verdict === 'not-run' && LEAVING_REFUSAL.test(failure.message)
+}
+
 /**
  * Tells peers, each with one more try on a connection of its own.
  *
--- a/test/entry/notice-keeper.test.ts
+++ b/test/entry/notice-keeper.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { SECOND } from '../../src/clock.js'
-import { createNoticeKeeper } from '../../src/entry/notice-keeper.js'
+import { createNoticeKeeper, refusedAsLeaving } from '../../src/entry/notice-keeper.js'
 import { createUpstreamDirectory } from '../../src/entry/upstream-directory.js'
 import { failureDomainSchema, incarnationSchema, upstreamNameSchema } from '../../src/identifiers.js'
 import { createLog } from '../../src/log.js'
@@ -11,6 +11,7 @@
 import type { Peers } from '../../src/peer/client.js'
 import type { NoticesMessage } from '../../src/peer/reclaim.js'
 import type { Cloud } from '../../src/platform/cloud.js'
+import { ServingError } from '../../src/verdict.js'
 import { instanceSchema } from '../../src/upstream/index.js'
 import type { Instance } from '../../src/upstream/index.js'
 import { createManualClock } from '../../stand-ins/manual-clock.js'
@@ -126,3 +127,17 @@
   }
   assert.equal(calls.filter((count) => count > 0).length, 3)
 })
+
+// A user would see one refusal after another: an engine refuses because it leaves, before the cloud,
+// the list or its load report have said so, and every node finds that out for itself.
+test('an engine\'s refusal marks the upstream and is told to peers', async () => {
+  const run = await start()
+  const refusal = new ServingError('127.0.0.1:8000: status 503: {"error":{"message":"leaving","verdict":"not-run"}}', { code: 'upstream-refused', verdict: 'not-run' })
+  assert.equal(refusedAsLeaving(refusal), true)
+  assert.equal(refusedAsLeaving(new ServingError(refusal.message, { code: 'upstream-refused', verdict: 'may-have-run' })), false)
+  assert.equal(refusedAsLeaving(new ServingError('127.0.0.1:8000: status 503: {"error":{"message":"refused"}}', { code: 'upstream-refused', verdict: 'not-run' })), false)
+  run.directory.markLeaving(UPSTREAM, 'connection')
+  await run.clock.advance(10)
+  assert.deepEqual(run.told.map((one) => one.message.notices[0]?.instance), [ENGINE.name, ENGINE.name])
+  run.stop()
+})
