--- a/stand-ins/engine.ts
+++ b/stand-ins/engine.ts
@@ -4,11 +4,8 @@
  * with or without fencing. Its answers are a function of the prompt, so that any caller can tell a
  * whole answer of its own from anything else.
  */
-import { z } from 'zod'
-import { addressSchema } from '../src/identifiers.js'
-import type { Address } from '../src/identifiers.js'
 import { engineOrderSchema } from '../src/platform/engine.js'
-import { createConnections, exchangeJson } from '../src/platform/http.js'
+import { createConnections } from '../src/platform/http.js'
 import { createBatch } from './engine/batch.js'
 import { createCacheFeed } from './engine/cache-feed.js'
 import { createDesiredState } from './engine/desired-state.js'
@@ -16,8 +13,11 @@
 import { createLink } from './engine/link.js'
 import { createLoadHistory } from './engine/load-history.js'
 import { createPrefixCache } from './engine/prefix-cache.js'
-import { createStream, engineBodySchema, importSchema, isOpen, setState } from './engine/stream.js'
-import type { EngineBody, ImportedStream, Stream } from './engine/stream.js'
+import { parseCall, refusal } from './engine/messages.js'
+import { createMovement } from './engine/movement.js'
+import { createStreamRegistry } from './engine/registry.js'
+import { createStream, engineBodySchema, setState } from './engine/stream.js'
+import type { EngineBody } from './engine/stream.js'
 import type { EngineFaults, EngineOptions, EngineShape, EngineStandIn, EngineTokens } from './engine/types.js'
 import { createFaultSwitch } from './faults.js'
 import { serveStandIn, StandInFailure } from './http-server.js'
@@ -39,15 +39,6 @@
   loadTime: 1_000
 }
 
-/** Streams remembered after their end, so that a late resumption still finds them. */
-const KEPT_STREAMS = 4_096
-
-/** Bound on the last step of an export, at the target. */
-const IMPORT_TIMEOUT = 2_000
-
-const exportSchema = z.object({ handle: z.string(), target: addressSchema })
-const importAnswerSchema = z.object({ handle: z.string() })
-
 /**
  * Starts an engine.
  *
@@ -68,7 +59,6 @@
   const faultSwitch = createFaultSwitch(clock, random)
   const faults = noFaults()
   const tokens: EngineTokens = { prompt: 0, cached: 0, recomputed: 0, generated: 0, imported: 0 }
-  const streams = new Map<string, Stream>()
   const started: string[] = []
   const deathListeners = new Set<() => void>()
   let leaving = false
@@ -77,6 +67,8 @@
   const cache = createPrefixCache(shape.cacheTokens, feed.push)
   const link = createLink(clock, shape.linkRate)
   const batch = createBatch({ shape, faults, tokens, cache, clock, signal, crash: () => { kill().catch(() => {}) } })
+  const registry = createStreamRegistry(batch)
+  const movement = createMovement({ registry, link, faults, tokens, connections, signal, refuseIfUnable })
   const load = createLoadHistory(clock, shape.loadLag, () => ({ running: batch.running(), waiting: batch.waiting(), cacheUsed: cache.used() }))
   const state = createDesiredState({
     checkFencing: options.checkFencing ?? true,
@@ -87,24 +79,16 @@
   })
 
   async function start (call: StandInCall): Promise<undefined> {
-    const body = parse(engineBodySchema, call)
+    const body = parseCall(engineBodySchema, call)
     refuseIfUnable(body)
     started.push(call.body.toString('utf8'))
     const offset = body.continuation?.offset ?? 0
     const stream = createStream(body, offset, false)
-    remember(stream)
+    registry.enter(stream)
     await follow(stream, offset, true, faults, call.response)
     return undefined
   }
 
-  function remember (stream: Stream): void {
-    streams.set(stream.handle, stream)
-    batch.enter(stream)
-    if (streams.size <= KEPT_STREAMS) return
-    const oldest = [...streams.values()].find((known) => !isOpen(known) && known.followers.size === 0)
-    if (oldest !== undefined) streams.delete(oldest.handle)
-  }
-
   function refuseIfUnable (body: EngineBody): void {
     if (faults.refuse) throw refusal(503, 'refused')
     if (leaving) throw refusal(503, 'leaving')
@@ -112,55 +96,8 @@
     if (body.adapter !== undefined && options.models !== undefined && !state.adapters().includes(body.adapter)) throw refusal(503, `adapter ${body.adapter} is not loaded`)
   }
 
-  async function exportStream (call: StandInCall): Promise<object> {
-    const { handle, target } = parse(exportSchema, call)
-    const stream = find(handle)
-    if (faults.refuseExport) throw refusal(503, 'export refused')
-    if (!isOpen(stream)) throw new StandInFailure(409, { error: { message: `the stream is ${stream.state}`, verdict: 'ran' } })
-    if (!stream.prepared || stream.prefillLeft > 0) throw refusal(409, 'the prompt has not been computed yet')
-    stream.state = 'exporting'
-    try {
-      const moved = stream.promptTokens + stream.sent
-      await link.transfer(moved, signal)
-      const there = await sendStream(stream, target)
-      if (stream.state === 'exporting') setState(stream, 'moved')
-      if (faults.loseExportReply) call.response.destroy()
-      return { tokens: moved, handle: there }
-    } catch (error) {
-      takeBack(stream)
-      throw new StandInFailure(502, { error: { message: `export failed: ${String(error)}`, verdict: 'may-have-run' } })
-    }
-  }
-
-  function takeBack (stream: Stream): void {
-    if (stream.state !== 'exporting') return
-    stream.state = 'waiting'
-    batch.enter(stream)
-  }
-
-  async function sendStream (stream: Stream, target: Address): Promise<string> {
-    const imported: ImportedStream = { body: stream.body, offset: stream.sent }
-    const answer = await exchangeJson(connections, { address: target, method: 'POST', path: '/v1/cache/import', body: imported, silence: IMPORT_TIMEOUT, signal }, importAnswerSchema)
-    return answer.handle
-  }
-
-  function importStream (call: StandInCall): object {
-    const { body, offset } = parse(importSchema, call)
-    refuseIfUnable(body)
-    const stream = createStream(body, offset, true)
-    tokens.imported += stream.promptTokens + offset
-    remember(stream)
-    return { handle: stream.handle }
-  }
-
-  function find (handle: string): Stream {
-    const stream = streams.get(handle)
-    if (stream === undefined) throw new StandInFailure(404, { error: { message: 'no such stream', verdict: 'not-run' } })
-    return stream
-  }
-
   async function handleStream (call: StandInCall, handle: string, action: string | undefined): Promise<unknown> {
-    const stream = find(handle)
+    const stream = registry.find(handle)
     if (action === 'cancel') {
       if (stream.state !== 'finished') setState(stream, 'cancelled')
       return {}
@@ -182,9 +119,9 @@
       case 'POST /v1/chat/completions': return start(call)
       case 'GET /v1/load': return loadReport()
       case 'GET /v1/cache/events': return feed.after(Number(call.query.get('after') ?? 0))
-      case 'POST /v1/cache/export': return exportStream(call)
-      case 'POST /v1/cache/import': return importStream(call)
-      case 'POST /v1/orders': return { obeyed: state.order(parse(engineOrderSchema, call)) }
+      case 'POST /v1/cache/export': return movement.exportStream(call)
+      case 'POST /v1/cache/import': return movement.importStream(call)
+      case 'POST /v1/orders': return { obeyed: state.order(parseCall(engineOrderSchema, call)) }
       default: throw new StandInFailure(404, { error: { message: 'no such call', verdict: 'not-run' } })
     }
   }
@@ -207,7 +144,7 @@
     started,
     startsOf: (text) => started.filter((body) => body.includes(text)).length,
     computed: () => tokens.prompt - tokens.cached + tokens.recomputed,
-    open: () => [...streams.values()].filter(isOpen).length,
+    open: registry.open,
     orders: state.obeyed,
     models: state.models,
     setLeaving: (value) => { leaving = value },
@@ -231,15 +168,3 @@
     loseExportReply: false
   }
 }
-
-function refusal (status: number, message: string): StandInFailure {
-  return new StandInFailure(status, { error: { message, verdict: 'not-run' } })
-}
-
-function parse<T> (schema: z.ZodType<T>, call: StandInCall): T {
-  try {
-    return schema.parse(JSON.parse(call.body.toString('utf8')))
-  } catch (error) {
-    throw new StandInFailure(400, { error: { message: `malformed body: ${String(error)}`, verdict: 'not-run' } })
-  }
-}
--- /dev/null
+++ b/stand-ins/engine/movement.ts
@@ -0,0 +1,93 @@
+/** Movement of a stream and its cache from one engine stand-in to another over the link. */
+import { z } from 'zod'
+import { addressSchema } from '../../src/identifiers.js'
+import type { Address } from '../../src/identifiers.js'
+import { exchangeJson } from '../../src/platform/http.js'
+import type { Connections } from '../../src/platform/http.js'
+import { StandInFailure } from '../http-server.js'
+import type { StandInCall } from '../http-server.js'
+import type { Link } from './link.js'
+import { parseCall, refusal } from './messages.js'
+import type { StreamRegistry } from './registry.js'
+import { createStream, importSchema, isOpen, setState } from './stream.js'
+import type { EngineBody, ImportedStream, Stream } from './stream.js'
+import type { EngineFaults, EngineTokens } from './types.js'
+
+/** The two ends of a movement. */
+export interface Movement {
+  exportStream (call: StandInCall): Promise<object>
+  importStream (call: StandInCall): object
+}
+
+/** What movement needs from its engine. */
+export interface MovementContext {
+  readonly registry: StreamRegistry
+  readonly link: Link
+  readonly faults: EngineFaults
+  readonly tokens: EngineTokens
+  readonly connections: Connections
+  readonly signal: AbortSignal
+  /** @throws StandInFailure when the engine takes nothing new */
+  readonly refuseIfUnable: (body: EngineBody) => void
+}
+
+/** Bound on the last step of an export, at the target. */
+const IMPORT_TIMEOUT = 2_000
+
+const exportSchema = z.object({ handle: z.string(), target: addressSchema })
+const importAnswerSchema = z.object({ handle: z.string() })
+
+/**
+ * @example
+ * const movement = createMovement(context)
+ */
+export function createMovement (context: MovementContext): Movement {
+  const { registry, link, faults, signal } = context
+
+  async function sendStream (stream: Stream, target: Address): Promise<string> {
+    const imported: ImportedStream = { body: stream.body, offset: stream.sent }
+    const exchange = { address: target, method: 'POST' as const, path: '/v1/cache/import', body: imported, silence: IMPORT_TIMEOUT, signal }
+    return (await exchangeJson(context.connections, exchange, importAnswerSchema)).handle
+  }
+
+  /** After a failed export the answer goes on here, with its prompt still computed. */
+  function takeBack (stream: Stream): void {
+    if (stream.state !== 'exporting') return
+    stream.state = 'waiting'
+    registry.enter(stream)
+  }
+
+  return {
+    exportStream: async (call) => {
+      const { handle, target } = parseCall(exportSchema, call)
+      const stream = registry.find(handle)
+      refuseExport(faults, stream)
+      stream.state = 'exporting'
+      try {
+        const moved = stream.promptTokens + stream.sent
+        await link.transfer(moved, signal)
+        const there = await sendStream(stream, target)
+        if (stream.state === 'exporting') setState(stream, 'moved')
+        if (faults.loseExportReply) call.response.destroy()
+        return { tokens: moved, handle: there }
+      } catch (error) {
+        takeBack(stream)
+        throw new StandInFailure(502, { error: { message: `export failed: ${String(error)}`, verdict: 'may-have-run' } })
+      }
+    },
+    importStream: (call) => {
+      const { body, offset } = parseCall(importSchema, call)
+      context.refuseIfUnable(body)
+      const stream = createStream(body, offset, true)
+      context.tokens.imported += stream.promptTokens + offset
+      registry.enter(stream)
+      return { handle: stream.handle }
+    }
+  }
+}
+
+function refuseExport (faults: EngineFaults, stream: Stream): void {
+  if (faults.refuseExport) throw refusal(503, 'export refused')
+  if (!isOpen(stream)) throw new StandInFailure(409, { error: { message: `the stream is ${stream.state}`, verdict: 'ran' } })
+  if (!stream.prepared || stream.prefillLeft > 0) throw refusal(409, 'the prompt has not been computed yet')
+}
