A dead home's buddy is found through any node; relayed answers name their class

A node that still takes a dead home for live asks the others who holds the id before it gives up. A looked-up answer from another node said model "unknown". Seen failing first: without the note of the stream's name the buddy has nothing to follow (502); the third node's answer differed in its model.

--- a/src/entry/forwarded.ts
+++ b/src/entry/forwarded.ts
@@ -25,7 +25,7 @@
  * @example
  * toAnswerPart({ kind: 'token', offset: 0, text: 'Rinse ' })
  */
-export function toAnswerPart (part: Exclude<ForwardedPart, { kind: 'accepted' | 'waiting' | 'elsewhere' }>): AnswerPart {
+export function toAnswerPart (part: Exclude<ForwardedPart, { kind: 'found' | 'accepted' | 'waiting' | 'elsewhere' }>): AnswerPart {
   switch (part.kind) {
     case 'token': return { kind: 'token', token: { offset: part.offset, text: part.text } }
     case 'failed': return { kind: 'failed', failure: fromWire(part.failure) }
--- a/src/entry/relay.ts
+++ b/src/entry/relay.ts
@@ -56,12 +56,13 @@
 export function createRelay (options: { own: Incarnation, peers: Peers, freshPeers: Peers, membership: () => RelayMembership, clock: Clock }): Relay {
   const { peers, freshPeers, membership, clock } = options
 
-  async function * read (wanted: Wanted, first: Incarnation, offset: number, signal: AbortSignal, markAccepted: () => void): AsyncIterable<AnswerPart> {
+  async function * read (wanted: Wanted, first: Incarnation, offset: number, signal: AbortSignal, learn: (part: Learnt) => void): AsyncIterable<AnswerPart> {
     let holder = first
     let next = offset
     let failures = 0
+    let heir: Address | undefined
     for (let hops = 0; !signal.aborted && hops <= MOST_HOPS;) {
-      const address = addressOf(holder) ?? await findHeir(wanted, holder, signal)
+      const address = heir ?? addressOf(holder) ?? await findHeir(wanted, holder, signal)
       if (address === undefined) throw homeGoneFailure(holder)
       const watch = createWatch(signal)
       try {
@@ -71,7 +72,7 @@
           watch.progress()
           failures = 0
           if (part.kind === 'elsewhere') elsewhere = part.incarnation
-          else if (part.kind === 'accepted') markAccepted()
+          else if (part.kind === 'accepted' || part.kind === 'found') learn(part)
           else if (part.kind !== 'waiting') {
             yield toAnswerPart(part)
             if (part.kind !== 'token') return
@@ -80,11 +81,16 @@
         }
         if (elsewhere === undefined) throw new ServingError(`${address}: the answer ended without its final mark`, { code: 'connection-lost', verdict: 'may-have-run' })
         holder = elsewhere
+        heir = undefined
         hops += 1
       } catch (error) {
         failures += 1
         if (signal.aborted) return
-        if (failures >= MOST_CONNECTIONS) throw unreachable(holder, error, address)
+        if (failures >= MOST_CONNECTIONS) {
+          heir = heir === undefined ? await findHeir(wanted, holder, signal) : undefined
+          if (heir === undefined) throw unreachable(holder, error, address)
+          failures = 1
+        }
         await clock.sleep(PAUSE, signal).catch(() => {})
       } finally {
         watch.end()
@@ -116,16 +122,25 @@
     source: (wanted, incarnation) => {
       let markAccepted = (): void => {}
       const accepted = new Promise<void>((resolve) => { markAccepted = resolve })
+      let requestClass = wanted.kind === 'send' ? wanted.request.class : UNKNOWN_CLASS
+      const learn = (part: Learnt): void => {
+        if (part.kind === 'found') requestClass = part.class
+        else markAccepted()
+      }
       return {
         id: lookupOf(wanted).id,
-        class: wanted.kind === 'send' ? wanted.request.class : UNKNOWN_CLASS,
+        get class () { return requestClass },
         accepted,
-        read: (offset, signal) => read(wanted, incarnation, offset, signal, markAccepted)
+        read: (offset, signal) => read(wanted, incarnation, offset, signal, learn)
       }
     }
   }
 }
 
+/** What the holder tells about the request besides its answer. */
+type Learnt = Extract<ForwardedPart, { kind: 'accepted' | 'found' }>
+
+/** Class of a looked-up request until its holder has told it. */
 const UNKNOWN_CLASS = 'unknown' as ClassName
 
 function open (client: ReturnType<Peers['streamAt']>, wanted: Wanted, offset: number, signal: AbortSignal): Promise<AsyncIterable<ForwardedPart>> {
--- a/src/entry/request-handlers.ts
+++ b/src/entry/request-handlers.ts
@@ -27,8 +27,12 @@
   async function * forward (locate: () => Located, offset: number, signal: AbortSignal): AsyncIterable<ForwardedPart> {
     try {
       const located = locate()
-      if (located.kind === 'elsewhere') yield { kind: 'elsewhere', incarnation: located.incarnation }
-      else yield * withKeepAlive(localSource(located.execution, clock), offset, signal)
+      if (located.kind === 'elsewhere') {
+        yield { kind: 'elsewhere', incarnation: located.incarnation }
+        return
+      }
+      yield { kind: 'found', class: located.execution.request.class }
+      yield * withKeepAlive(localSource(located.execution, clock), offset, signal)
     } catch (error) {
       yield { kind: 'failed', failure: toWire(toServingError(error, 'may-have-run')) }
     }
--- a/src/peer/request.ts
+++ b/src/peer/request.ts
@@ -1,6 +1,6 @@
 /** Procedures about requests: what arrives at one node and runs at another. */
 import { z } from 'zod'
-import { incarnationSchema, organisationNameSchema, requestIdSchema } from '../identifiers.js'
+import { classNameSchema, incarnationSchema, organisationNameSchema, requestIdSchema } from '../identifiers.js'
 import { homeRecordSchema, requestSchema, streamPositionSchema } from '../request/index.js'
 import { usageSchema } from '../upstream/index.js'
 import { ServingError } from '../verdict.js'
@@ -35,6 +35,8 @@
 
 /** One piece of an answer on its way between nodes. */
 export const forwardedPartSchema = z.discriminatedUnion('kind', [
+  /** The request is known here; always first. */
+  z.object({ kind: z.literal('found'), class: classNameSchema }),
   z.object({ kind: z.literal('accepted') }),
   /** Nothing new; the sender lives. */
   z.object({ kind: z.literal('waiting') }),
--- /dev/null
+++ b/test/entry/note-keeper.test.ts
@@ -0,0 +1,56 @@
+/** The unannounced death of an entry node, as its buddy carries it out. */
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { createSystemClock } from '../../src/clock.js'
+import { requestIdFor } from '../../src/identifiers.js'
+import { startDeployment } from '../../stand-ins/deployment.js'
+import type { Deployment } from '../../stand-ins/deployment.js'
+import { answerWords } from '../../stand-ins/engine.js'
+
+const clock = createSystemClock()
+const TOKENS = 400
+const messages = [{ role: 'user', content: 'A plan that outlives its node' }]
+
+test('the buddy of a node that died follows its stream, and nothing is computed again', async () => {
+  // A node dies in the middle of a plan. The engine goes on with it. The buddy has a note of the stream's
+  // name and reads it from the beginning; the caller that asks there gets the whole plan. A call that must
+  // not run twice is told as may-have-run. Cause of the failure guarded against: only the home had the answer.
+  const deployment = await startDeployment({ clock, seed: 6, entries: 3, engines: 1, plainServices: 1, logLevel: 'silent' })
+  try {
+    while (deployment.entries.some((entry) => entry.parts.membership.count() < 3)) await clock.sleep(20)
+    const home = deployment.entries[0]!
+    const buddy = deployment.entries.find((entry) => entry.incarnation === home.parts.membership.buddy()?.incarnation)!
+    const [plan, booking] = [requestIdFor(home.incarnation, 'plan-of-a-dead-node0'), requestIdFor(home.incarnation, 'booking-of-dead-node')]
+    deployment.plainServices[0]!.faults.duration = 5_000
+    send(deployment, home.address, '/v1/chat/completions', plan, { model: 'service-plan', messages, max_tokens: TOKENS, stream: true })
+    send(deployment, home.address, '/v1/services/booking/bookings', booking, { reference: 'of-a-dead-node' })
+    while ((home.parts.executions.openOf(plan)?.answer.offset() ?? 0) < 20 || home.parts.executions.openOf(booking)?.attempt === undefined) await clock.sleep(5)
+    await clock.sleep(600)
+
+    await home.kill()
+    await buddy.parts.membership.events.emit('gone', { incarnation: home.incarnation })
+    const answer = await read(deployment, buddy.address, plan)
+    assert.equal(answer.status, 200)
+    assert.equal([...answer.text.matchAll(/"content":"([^"]*)"/g)].map((match) => match[1]).join(''), answerWords(messages, TOKENS).join(''))
+    assert.equal(deployment.engines[0]!.started.length, 1)
+    const third = deployment.entries.find((entry) => entry !== home && entry !== buddy)!
+    assert.equal((await read(deployment, third.address, plan)).text, answer.text)
+    const unknown = await read(deployment, buddy.address, booking)
+    assert.equal(unknown.verdict, 'may-have-run')
+  } finally {
+    await deployment.kill()
+  }
+})
+
+function send (deployment: Deployment, address: string, path: string, id: string, body: unknown): void {
+  fetch(`http://${address}${path}`, {
+    method: 'POST',
+    headers: { authorization: `Bearer ${deployment.key}`, 'content-type': 'application/json', 'hornbeamgap-request-id': id },
+    body: JSON.stringify(body)
+  }).then((response) => response.text()).catch(() => {})
+}
+
+async function read (deployment: Deployment, address: string, id: string): Promise<{ status: number, text: string, verdict: string | null }> {
+  const response = await fetch(`http://${address}/v1/requests/${id}`, { headers: { authorization: `Bearer ${deployment.key}` } })
+  return { status: response.status, text: await response.text(), verdict: response.headers.get('hornbeamgap-verdict') }
+}
