--- a/bench/main.ts
+++ b/bench/main.ts
@@ -8,6 +8,7 @@
 /** Each topic's module; loaded only when it is asked for. */
 const TOPICS: Readonly<Record<string, () => Promise<{ bench: Bench }>>> = {
   'capacity-mix': () => import('./capacity-mix.js'),
+  'capacity-targets': () => import('./capacity-targets.js'),
   'weight-loads': () => import('./weight-loads.js'),
   'planner-size': () => import('./planner-size.js'),
   agreement: () => import('./agreement/bench.js'),
@@ -19,6 +20,7 @@
   outliers: () => import('./outliers.js'),
   recovery: () => import('./recovery.js'),
   'decision-time': () => import('./decision-time.js'),
+  'partial-view': () => import('./partial-view.js'),
   reclaim: () => import('./reclaim.js'),
   'reclaim-notices': () => import('./reclaim-notices.js'),
   report: () => import('./report.js')
