Scheduler: an accepted attempt probes an ejected upstream rather than wait for good

Ruled out: emptying an upstream for it, none was full. Before: the test's suspect is never dispatched (shown with the second look dropped); after: dispatched by the first tick after the ejection.

--- a/src/admission/class-state.ts
+++ b/src/admission/class-state.ts
@@ -70,7 +70,8 @@
       apart: attempt.apart,
       urgent: urgent || attempt.accepted,
       wholeTarget: target.whole_answer_ms,
-      probe: requestClass.idempotent && !attempt.accepted && !attempt.apart
+      probe: requestClass.idempotent && !attempt.accepted && !attempt.apart,
+      accepted: attempt.accepted
     }),
     patience: (expected) => {
       const tail = { firstToken: expected.firstToken, whole: expected.whole * longLength.value() / Math.max(meanLength, 0.01) }
--- a/src/upstream/fleet-types.ts
+++ b/src/upstream/fleet-types.ts
@@ -25,6 +25,8 @@
   readonly wholeTarget: Milliseconds
   /** May show whether an ejected upstream works again. */
   readonly probe: boolean
+  /** Accepted: it may not be refused any more, so an upstream in probe is better than none. */
+  readonly accepted: boolean
 }
 
 /** An upstream chosen for a demand, with what was expected of its cache. */
--- a/src/upstream/fleet.ts
+++ b/src/upstream/fleet.ts
@@ -102,10 +102,10 @@
     return state.load.hasRoom(limits, demand.urgent, now)
   }
 
-  function healthAllows (state: UpstreamState, demand: Demand, now: Milliseconds): UpstreamHealth | undefined {
+  function healthAllows (state: UpstreamState, probing: boolean, now: Milliseconds): UpstreamHealth | undefined {
     const health = outliers.health(state.view.name, now)
     if (health === 'ejected') return undefined
-    return health === 'probe' && !demand.probe ? undefined : health
+    return health === 'probe' && !probing ? undefined : health
   }
 
   function place (state: UpstreamState, demand: Demand, guess: number): Placement {
@@ -120,7 +120,17 @@
     return at !== undefined && now - at < DOMAIN_MEMORY
   }
 
+  /**
+   * Failure guarded against: of two engines one has crashed under a suspect and the other comes back from
+   * an ejection. Only new idempotent work probes, and where none arrives the accepted suspect waits for
+   * good. What may not be refused any more probes when nothing else has room.
+   */
   function choose (demand: Demand, spare: number, now: Milliseconds): Placement | undefined {
+    const placement = chooseAmong(demand, spare, demand.probe, now)
+    return placement === undefined && demand.accepted ? chooseAmong(demand, spare, true, now) : placement
+  }
+
+  function chooseAmong (demand: Demand, spare: number, probing: boolean, now: Milliseconds): Placement | undefined {
     const loaded = demand.adapter !== undefined && live.some((state) => hasAdapter(state, demand.adapter))
     const mean = Math.max(0, reportedTotal - ownTotal) / Math.max(1, live.length)
     const limits = { share: 1 / nodes, spare, cap: pace.cap() }
@@ -130,7 +140,7 @@
     for (const state of live) {
       if (loaded && !hasAdapter(state, demand.adapter)) continue
       if (!admits(state, demand, limits, now)) continue
-      const health = healthAllows(state, demand, now)
+      const health = healthAllows(state, probing, now)
       if (health === undefined) continue
       const placement = place(state, demand, guess)
       guess = placement.expectedBlocks
--- a/test/admission/scheduler.test.ts
+++ b/test/admission/scheduler.test.ts
@@ -61,6 +61,23 @@
   assert.ok(placed)
 })
 
+test('an accepted suspect probes an ejected upstream when no other is left', () => {
+  // The target of an export dies midway. A plan that was there must run apart and not where it failed;
+  // the other engine was ejected a while ago. Nothing new arrives to probe that one, and the caller waits
+  // for good.
+  const scheduler = start([view(1), view(2), view(3)])
+  const strike = (number: number, at: number): void => {
+    const [upstream] = dispatchedTo(scheduler.handle({ kind: 'arrived', attempt: attempt(number, { arrivedAt: at, excluded: [nameOf(2), nameOf(3)] }) }, at))
+    assert.equal(upstream, nameOf(1))
+    scheduler.handle({ kind: 'ended', id: idOf(number), result: { kind: 'failed', verdict: 'may-have-run', upstreamDied: true } }, at)
+  }
+  strike(1, 0)
+  strike(2, 1)
+  const suspect = attempt(3, { accepted: true, apart: true, arrivedAt: 2, excluded: [nameOf(2), nameOf(3)] })
+  assert.deepEqual(scheduler.handle({ kind: 'arrived', attempt: suspect }, 2), [])
+  assert.deepEqual(kinds(scheduler.handle({ kind: 'tick' }, 60_000)), [['dispatch', idOf(3)]])
+})
+
 test('an accepted answer waits out the loss of all upstreams, a new request is refused at once', () => {
   // A wave takes every upstream. The caller of a begun answer holds its id and must not lose it; a new
   // caller is told at once that nothing ran.
