Scheduler: the rate of a service is measured over many queues

Cause: organisations within their share were refused at nodes that they shared with a flood. The measured rate stood at 0.3 to 0.9 where the number of engines suggested 1.6: with each queue the measurement began anew, and the dispatch that ended a queue was left out. Change: waiting time and the work it led to are summed over queues, three seconds to a measurement; use is forgotten with 30 s instead of 10; another organisation gives way only when its use is 1.25 times that of the late one.

--- a/bench/fairness.ts
+++ b/bench/fairness.ts
@@ -41,6 +41,7 @@
 function limitTable (mix: Mix, seed: number): Table {
   const variants: { name: string, policy: Policy, nodesPerOrganisation: number, toldNodes?: number, reportPeriod?: number }[] = [
     { name: 'share by reports, organisation at 3 nodes', policy: own, nodesPerOrganisation: 3 },
+    { name: 'share by reports, organisation at 5 nodes', policy: own, nodesPerOrganisation: 5 },
     { name: 'share by reports, organisation at 8 nodes', policy: own, nodesPerOrganisation: NODES },
     { name: 'share by reports, organisation at 1 node', policy: own, nodesPerOrganisation: 1 },
     { name: 'total over nodes, no reports, 3 nodes', policy: own, nodesPerOrganisation: 3, reportPeriod: 1e9 },
--- a/src/admission/fair-share.ts
+++ b/src/admission/fair-share.ts
@@ -22,7 +22,7 @@
 }
 
 /** Use is forgotten with this time constant. */
-const MEMORY: Milliseconds = 10 * SECOND
+const MEMORY: Milliseconds = 30 * SECOND
 
 /** Less work than this is forgotten altogether. */
 const NOTHING = 0.5
--- a/src/admission/service-rate.ts
+++ b/src/admission/service-rate.ts
@@ -3,18 +3,25 @@
  * wait: what is dispatched then is all that the upstreams take from this node.
  */
 import type { Milliseconds } from '../clock.js'
+import { SECOND } from '../clock.js'
 
 /** Rate of one service at one node, in milliseconds of one upstream per millisecond. */
 export interface ServiceRate {
   /** Called before each change: `waiting` says whether something waited since the last call. */
   passed (waiting: boolean, now: Milliseconds): void
+  /** An attempt was dispatched that had waited; one that found room at once shows nothing. */
   dispatched (work: number): void
   /** @param expected upstreams times this node's share; bounds what was measured */
   value (expected: number): number
 }
 
-/** Waiting time over which one measurement is taken. */
-const INTERVAL: Milliseconds = 500
+/**
+ * Waiting time over which one measurement is taken, summed over many queues.
+ *
+ * Failure guarded against: counted only while a queue lasts, the dispatch that ends a queue is left
+ * out, the rate comes out at a third, and callers are refused for it.
+ */
+const INTERVAL: Milliseconds = 3 * SECOND
 
 const STEP = 0.25
 
@@ -46,10 +53,6 @@
   return {
     passed: (waiting, now) => {
       if (at !== undefined && waiting) busy += now - at
-      if (!waiting) {
-        busy = 0
-        work = 0
-      }
       at = now
       if (busy >= INTERVAL) measure()
     },
--- a/src/admission/service-scheduler.ts
+++ b/src/admission/service-scheduler.ts
@@ -96,7 +96,7 @@
     const patience = classState.patience(fleet.expect(demand))
     const latestStart = attempt.arrivedAt + patience
     const order = attempt.accepted ? latestStart - ACCEPTED_ADVANCE : latestStart + fairDelay(attempt, patience, now)
-    return { attempt, classState, demand, work: fleet.work(demand), latestStart, order }
+    return { attempt, classState, demand, work: fleet.work(demand), latestStart, order, since: now }
   }
 
   /**
@@ -119,7 +119,7 @@
     running.set(attempt.id, started)
     unstarted.set(attempt.id, started)
     fleet.sent(placement, demand, now)
-    rate.dispatched(entry.work)
+    if (now > entry.since) rate.dispatched(entry.work)
     places.sent(demand.urgent)
     classState.dispatched()
     return { kind: 'dispatch', id: attempt.id, upstream: placement.upstream, priority: Math.max(0, Math.round(entry.latestStart - now)) }
--- a/src/admission/victim.ts
+++ b/src/admission/victim.ts
@@ -1,5 +1,6 @@
 /** Which waiting attempt is refused when not all of them can meet their targets. */
 import type { Milliseconds } from '../clock.js'
+import type { OrganisationName } from '../identifiers.js'
 import type { FairShare } from './fair-share.js'
 import type { WaitingAttempt } from './waiting.js'
 
@@ -29,7 +30,11 @@
   return victim
 }
 
+/** An organisation's use is clearly more than another's from this factor on. */
+const CLEARLY = 1.25
+
 interface Rank {
+  readonly name: OrganisationName
   readonly organisation: number
   readonly exhausted: boolean
   readonly class: number
@@ -40,6 +45,7 @@
 function rankOf (entry: WaitingAttempt, shares: FairShare, now: Milliseconds): Rank {
   const { organisation, class: requestClass, arrivedAt } = entry.attempt
   return {
+    name: organisation,
     organisation: shares.ofOrganisation(organisation, now),
     exhausted: entry.classState.exhausted(),
     class: shares.ofClass(organisation, requestClass, now) * entry.work,
@@ -48,7 +54,8 @@
 }
 
 function isWorse (left: Rank, right: Rank): boolean {
-  if (left.organisation !== right.organisation) return left.organisation > right.organisation
+  if (left.name !== right.name && left.organisation > right.organisation * CLEARLY) return true
+  if (left.name !== right.name) return false
   if (left.exhausted !== right.exhausted) return right.exhausted
   if (left.class !== right.class) return left.class > right.class
   return left.arrivedAt >= right.arrivedAt
--- a/src/admission/waiting.ts
+++ b/src/admission/waiting.ts
@@ -16,6 +16,8 @@
   readonly latestStart: Milliseconds
   /** Position: the latest start, moved back for what its organisation has had and has waiting. */
   readonly order: Milliseconds
+  /** Since when it waits here. */
+  readonly since: Milliseconds
 }
 
 /** The waiting attempts of one service. */
