Measurements of capacity; settled engines are asked in turns

Cause: at 600 engines and a look every 10 s the holder of the lease would spend about 15 KB/s on load reports (60 answers of some 250 bytes a second, worked out). Now new, unsettled and drained engines are asked at every look, of the others 100: about 2.5 KB/s.

--- a/bench/planner-size.ts
+++ b/bench/planner-size.ts
@@ -12,13 +12,16 @@
   readonly servers: number
   readonly domains: number
   readonly services: number
+  /** Target of the cost of 1,000 answers; a low one brings the two targets into conflict. */
+  readonly cost: number
 }
 
 const SIZES: readonly Size[] = [
-  { name: 'Tsubame', servers: 9, domains: 3, services: 2 },
-  { name: 'Calcária', servers: 16, domains: 3, services: 2 },
-  { name: 'a quarter of the target', servers: 150, domains: 5, services: 4 },
-  { name: 'target', servers: 600, domains: 5, services: 4 }
+  { name: 'Tsubame', servers: 9, domains: 3, services: 2, cost: 10 },
+  { name: 'Calcária', servers: 16, domains: 3, services: 2, cost: 10 },
+  { name: 'a quarter of the target', servers: 150, domains: 5, services: 4, cost: 10 },
+  { name: 'target', servers: 600, domains: 5, services: 4, cost: 10 },
+  { name: 'target, targets in conflict', servers: 600, domains: 5, services: 4, cost: 0.01 }
 ]
 
 const CLASSES = [{ name: 'small', work: 600, price: 2 }, { name: 'medium', work: 1_200, price: 3.7 }, { name: 'large', work: 2_400, price: 7.6 }]
@@ -45,7 +48,7 @@
   const domains = Array.from({ length: size.domains }, (_, index) => `zone-${index}`)
   const services = Array.from({ length: size.services }, (_, index) => `service-${index}`)
   const configuration = configurationSchema.parse({
-    deployment: { name: size.name, target: { cost_per_thousand_answers: 10, recomputed_per_thousand_tokens: 1 } },
+    deployment: { name: size.name, target: { cost_per_thousand_answers: size.cost, recomputed_per_thousand_tokens: 1 } },
     services: services.map((name) => ({ kind: 'model', name, model: `${name}-model` })),
     organisations: [{ name: 'one', key_sha256: ['0'.repeat(64)] }],
     classes: services.map((name) => ({ name: `${name}-class`, service: name, idempotent: true, target: { first_token_ms: 560, between_tokens_ms: 34, whole_answer_ms: 30_000, quantile: 0.95, reliability: 0.999 } }))
--- a/src/planner/observation.ts
+++ b/src/planner/observation.ts
@@ -27,6 +27,9 @@
 /** Plain services report no load; their calls are short. */
 const PLAIN_DRAIN: Milliseconds = MINUTE
 
+/** Settled engines asked in one look; at 600 engines each is asked once a minute, for some 2.5 KB/s. */
+const SETTLED_PER_LOOK = 100
+
 /** Engines asked for their load at a time. */
 const ASKED_AT_ONCE = 32
 
@@ -45,7 +48,7 @@
     context.instanceList.read(signal)
   ])
   const engines = listed.filter((instance) => instance.role.kind === 'upstream' && instance.role.protocol === 'model')
-  await askEngines(context, tenure, engines)
+  await askEngines(context, tenure, dueForQuestion(tenure, engines))
   forgetOthers(tenure, engines)
   tenure.listed = listed
   return { offers, cloudInstances, listed }
@@ -99,6 +102,17 @@
   return observation.offers.filter((offer) => classes.has(offer.machineClass))
 }
 
+/** Engines that are new, not settled or drained, and of the others those whose reports are oldest. */
+function dueForQuestion (tenure: Tenure, engines: readonly Instance[]): Instance[] {
+  const drained = new Set(tenure.state.slots.filter((slot) => slot.state === 'leaving').map((slot) => slot.name))
+  const reportedAt = (instance: Instance): Milliseconds =>
+    instance.role.kind === 'upstream' ? tenure.engines.get(instance.role.upstream)?.reportedAt ?? -Infinity : -Infinity
+  const isUrgent = (instance: Instance): boolean =>
+    reportedAt(instance) === -Infinity || drained.has(instance.name) || (instance.role.kind === 'upstream' && tenure.unsettled.has(instance.role.upstream))
+  const settled = engines.filter((instance) => !isUrgent(instance)).sort((left, right) => reportedAt(left) - reportedAt(right))
+  return [...engines.filter(isUrgent), ...settled.slice(0, SETTLED_PER_LOOK)]
+}
+
 async function askEngine (context: PlannerContext, tenure: Tenure, instance: Instance): Promise<void> {
   if (instance.role.kind !== 'upstream') return
   const { upstream, service } = instance.role
