--- a/stand-ins/demonstration.ts
+++ b/stand-ins/demonstration.ts
@@ -81,10 +81,12 @@
 async function report (operator: OperatorClient, from: number, clock: Clock, platform: Platform, records: readonly CallerRecord[], output: CommandOutput): Promise<string[]> {
   const document = await operator.get(`/operator/report?from=${Math.floor(from)}&to=${Math.ceil(clock.wall())}&fresh=true`, reportDocumentSchema)
   output.out(`\n${reportTable(document)}`)
+  const recomputed = platform.fleet.everyEngine().reduce((sum, engine) => sum + engine.tokens.recomputed, 0)
+  output.out(`\nThe engines computed ${recomputed} tokens again for answers that others had begun; the report says ${document.total.recomputedTokens}.\n`)
   const problems = disagreements(document, records, platform.ledger)
   const orders = platform.ledger.entries().length
   const verdict = problems.length === 0 ? 'they agree' : `${problems.length} disagreements`
-  output.out(`\nReport against ${records.length} requests of callers and ${orders} orders in the plain services' ledger: ${verdict}.\n`)
+  output.out(`Report against ${records.length} requests of callers and ${orders} orders in the plain services' ledger: ${verdict}.\n`)
   for (const problem of problems) output.note(`DISAGREEMENT: ${problem}`)
   return problems
 }
--- a/stand-ins/fleet.ts
+++ b/stand-ins/fleet.ts
@@ -28,6 +28,8 @@
 export interface Fleet {
   engines (): readonly EngineStandIn[]
   plainServices (): readonly PlainServiceStandIn[]
+  /** Every engine that was ever booted, dead ones included. */
+  everyEngine (): readonly EngineStandIn[]
   /** Boots the server of a machine that the cloud has started. */
   boot (machine: CloudInstance): Promise<void>
   /** Kills the server of a machine that has ended. */
@@ -70,6 +72,7 @@
   const { clock, instanceList, signal } = options
   const places = new Map<InstanceName, Place>()
   const booted = new Map<ServiceName, number>()
+  const everyEngine: EngineStandIn[] = []
   let listed = ''
 
   /** Shows the machines as the cloud has them; a machine under notice is leaving. */
@@ -91,6 +94,7 @@
     if (options.serverStart > 0) await clock.sleep(options.serverStart, signal)
     const server = await serve(options, group, machine, index)
     places.set(machine.name, { machine, server })
+    if (server.kind === 'engine') everyEngine.push(server.engine)
     sync()
   }
 
@@ -108,6 +112,7 @@
     boot,
     end,
     engines: () => servers().flatMap((server) => server.kind === 'engine' ? [server.engine] : []),
+    everyEngine: () => everyEngine,
     plainServices: () => servers().flatMap((server) => server.kind === 'plain' ? [server.plain] : []),
     instanceOf: (upstream) => instanceNameSchema.parse(INSTANCE_PREFIX + upstream),
     kill: async () => { await Promise.all(servers().map(killServer)) }
