A stop waits for what cannot be moved, and tells its callers when it cannot wait

Found while testing: with no successor the wait ended at once, and after a refusal by all successors the requests were left out of the hand-over; both were cut after two seconds. A call in flight at a deadline was cut without a word; its caller now hears that it may have run.

--- a/bench/entry-overhead.ts
+++ b/bench/entry-overhead.ts
@@ -16,14 +16,17 @@
 const MICROSECONDS = 1_000
 const CONNECTIONS = 64
 
+let calls = 0
+
 /** One way to make the same call. */
 interface Way {
   readonly name: 'direct' | 'through an entry'
   readonly address: string
-  readonly path: string
+  readonly path: (index: number) => string
   readonly method: 'GET' | 'POST'
   readonly headers: Readonly<Record<string, string>>
-  readonly body: string | null
+  /** Different for each call: equal bodies would meet the same permit. */
+  readonly body: (index: number) => string | null
 }
 
 /** One kind of call, made both ways. */
@@ -50,34 +53,34 @@
   {
     name: 'roster lookup',
     ways: (deployment) => {
-      const path = '/roster/depot-7'
-      const call = { method: 'GET' as const, body: null }
+      const path = (index: number): string => `/roster/depot-${index}`
+      const call = { method: 'GET' as const, body: () => null }
       return [
         { ...call, name: 'direct', address: deployment.plainServices[0]!.address, path, headers: {} },
-        { ...call, name: 'through an entry', address: deployment.addresses[0]!, path: `/v1/services/roster-lookup${path}`, headers: authorization(deployment) }
+        { ...call, name: 'through an entry', address: deployment.addresses[0]!, path: (index) => `/v1/services/roster-lookup${path(index)}`, headers: authorization(deployment) }
       ]
     }
   },
   {
     name: 'booking',
     ways: (deployment) => {
-      const call = { method: 'POST' as const, body: JSON.stringify({ reference: 'visit-17', day: 'Tuesday' }) }
+      const call = { method: 'POST' as const, body: (index: number) => JSON.stringify({ reference: `visit-${index}`, day: 'Tuesday' }) }
       const headers = { 'content-type': 'application/json' }
       return [
-        { ...call, name: 'direct', address: deployment.plainServices[0]!.address, path: '/bookings', headers },
-        { ...call, name: 'through an entry', address: deployment.addresses[0]!, path: '/v1/services/booking/bookings', headers: { ...headers, ...authorization(deployment) } }
+        { ...call, name: 'direct', address: deployment.plainServices[0]!.address, path: () => '/bookings', headers },
+        { ...call, name: 'through an entry', address: deployment.addresses[0]!, path: () => '/v1/services/booking/bookings', headers: { ...headers, ...authorization(deployment) } }
       ]
     }
   },
   {
     name: `answer of ${TOKENS} tokens, streamed`,
     ways: (deployment) => {
-      const call = { method: 'POST' as const, path: '/v1/chat/completions' }
+      const call = { method: 'POST' as const, path: () => '/v1/chat/completions' }
       const headers = { 'content-type': 'application/json' }
-      const body = { messages: [{ role: 'user', content: 'Which resin for 28 degrees of hardness?' }], max_tokens: TOKENS, stream: true }
+      const body = (index: number) => ({ messages: [{ role: 'user', content: `Which resin for ${index} degrees of hardness?` }], max_tokens: TOKENS, stream: true })
       return [
-        { ...call, name: 'direct', address: deployment.engines[0]!.address, headers, body: JSON.stringify({ ...body, model: 'assistant-7b', priority: 0 }) },
-        { ...call, name: 'through an entry', address: deployment.addresses[0]!, headers: { ...headers, ...authorization(deployment) }, body: JSON.stringify({ ...body, model: 'short-question' }) }
+        { ...call, name: 'direct', address: deployment.engines[0]!.address, headers, body: (index) => JSON.stringify({ ...body(index), model: 'assistant-7b', priority: 0 }) },
+        { ...call, name: 'through an entry', address: deployment.addresses[0]!, headers: { ...headers, ...authorization(deployment) }, body: (index) => JSON.stringify({ ...body(index), model: 'short-question' }) }
       ]
     }
   }
@@ -138,9 +141,11 @@
 }
 
 async function callOnce (clock: Clock, connections: Connections, way: Way, into: Measured): Promise<void> {
+  calls += 1
+  const index = calls
   const start = clock.now()
   try {
-    const response = await connections.request({ origin: `http://${way.address}`, path: way.path, method: way.method, headers: way.headers, body: way.body })
+    const response = await connections.request({ origin: `http://${way.address}`, path: way.path(index), method: way.method, headers: way.headers, body: way.body(index) })
     await response.body.dump({ limit: Infinity })
     if (response.statusCode !== 200) into.failed += 1
   } catch {
--- a/src/entry/hand-over.ts
+++ b/src/entry/hand-over.ts
@@ -47,7 +47,8 @@
 /** Before the deadline, so that what cannot be moved is still told to a successor. */
 const MARGIN: Milliseconds = SECOND / 2
 
-const POLL: Milliseconds = 20
+/** Pause before what could not be moved is tried again. */
+const POLL: Milliseconds = 100
 
 /**
  * Hands over everything, each id once. Streams move at once; a call in flight that cannot be moved is
@@ -59,13 +60,24 @@
 export async function handOverAll (options: HandOverOptions): Promise<void> {
   const { home, executions, clock, signal } = options
   const records = new Map(home.giveAway()?.map((record) => [record.id, record]))
+  const isOver = (): boolean => clock.now() >= (options.deadline() ?? Infinity) - MARGIN
   while (!signal.aborted) {
-    await moveStreams(options, records)
-    const open = executions.open().filter((execution) => records.has(execution.request.id))
-    if (open.length === 0 || options.successors().length === 0 || clock.now() >= (options.deadline() ?? Infinity) - MARGIN) break
+    // Without a successor everything ends here, however long it takes.
+    if (options.successors().length > 0) await moveStreams(options, records)
+    if (executions.open().length === 0 || isOver()) break
     await clock.sleep(POLL, signal).catch(() => {})
   }
   await giveRest(options, records)
+  await tellUnknown(executions.open())
+}
+
+/**
+ * Failure guarded against: the process ends under a call, and its caller sees a connection that breaks.
+ * It is told that the call may have run.
+ */
+async function tellUnknown (open: readonly Execution[]): Promise<void> {
+  for (const execution of open) execution.owner.abort('abandoned')
+  await Promise.all(open.map((execution) => execution.running))
 }
 
 /**
@@ -120,7 +132,10 @@
   await Promise.all(batch.map((execution) => executions.freeze(execution)))
   const frozen = batch.filter((execution) => execution.answer.end() === undefined)
   const handed = await Promise.all(frozen.map((execution) => toHanded(options, execution, positions.get(execution))))
-  const result = await sendToSuccessor(options, take(records, frozen.map((execution) => execution.request.id)), handed)
+  const taken = take(records, frozen.map((execution) => execution.request.id))
+  const result = await sendToSuccessor(options, taken, handed)
+  // Nobody has them: they may be offered again.
+  if (result.kind === 'nobody') for (const record of taken) records.set(record.id, record)
   for (const execution of frozen) {
     if (result.kind === 'taken') executions.handedOver(execution, result.by)
     else executions.thaw(execution, positions.get(execution))
--- a/src/entry/plain-call.ts
+++ b/src/entry/plain-call.ts
@@ -1,7 +1,7 @@
 /** One attempt of a plain call. */
 import { callPlainService } from '../platform/plain-service.js'
 import type { PlainCall } from '../request/index.js'
-import { toServingError } from '../verdict.js'
+import { ServingError, toServingError } from '../verdict.js'
 import type { AttemptEnd } from './attempt.js'
 import type { ExecutionContext } from './context.js'
 import type { Placement } from './dispatcher.js'
@@ -26,7 +26,11 @@
     const response = await callPlainService(connections, upstream.address, call, { signal: execution.owner.signal, traceparent })
     return { kind: 'whole', end: { kind: 'plain', response }, result: { kind: 'whole', usage: NO_TOKENS } }
   } catch (error) {
-    const failure = toServingError(error, 'may-have-run')
+    const failure = execution.owner.signal.aborted ? endedFailure() : toServingError(error, 'may-have-run')
     return { kind: 'failed', failure, upstreamDied: false }
   }
 }
+
+function endedFailure (): ServingError {
+  return new ServingError('this node ended before the call did', { code: 'outcome-unknown', verdict: 'may-have-run' })
+}
--- a/test/entry/stop.test.ts
+++ b/test/entry/stop.test.ts
@@ -93,6 +93,51 @@
   }
 })
 
+test('a reclaim waits for a booking while it can, and tells its caller when it cannot', async () => {
+  // Two families book. The node's instance is taken back while both calls are under way at the dispatch
+  // service: one answers in time, the other does not. The first caller gets its answer, the second hears
+  // that its booking may have run, and nobody runs either of them again. Cause: a call in flight cannot
+  // be moved.
+  const deployment = await startDeployment({ clock, seed: 3, entries: 2, engines: 1, plainServices: 2, logLevel: 'silent' })
+  const leaving = deployment.entries[0]!
+  try {
+    await acquainted(deployment)
+    deployment.plainServices.forEach((service, index) => { service.faults.duration = index === 0 ? 400 : 8_000 })
+    const booked = ['visit-1', 'visit-2'].map((reference) => book(leaving.address, deployment.key, reference))
+    while (leaving.parts.executions.open().filter((execution) => execution.attempt !== undefined).length < 2) await clock.sleep(5)
+    await leaving.stop(clock.now() + 2_000)
+    const answers = await Promise.all(booked)
+    assert.deepEqual(answers.map((answer) => answer.status).sort(), [200, 502])
+    assert.equal(answers.find((answer) => answer.status === 502)?.headers.get('hornbeamgap-verdict'), 'may-have-run')
+    for (const entry of deployment.ledger.entries()) assert.equal(entry.runs, 1)
+  } finally {
+    await deployment.kill()
+  }
+})
+
+test('the last node of a deployment ends its open answers itself', async () => {
+  // An operator stops a deployment that has one node. Nobody can take its requests over; it must neither
+  // cut them off nor hand them to nobody over and over.
+  const deployment = await startDeployment({ clock, seed: 4, entries: 1, engines: 1, logLevel: 'silent', engineShape: { token_ms: 14 } })
+  const client = createClient({ addresses: deployment.addresses, key: deployment.key })
+  try {
+    const asked = await askAll(client, 2)
+    await deployment.entries[0]!.stop(clock.now() + 10_000)
+    await assertWhole(asked)
+  } finally {
+    await client.close()
+    await deployment.kill()
+  }
+})
+
+function book (address: string, key: string, reference: string): Promise<Response> {
+  return fetch(`http://${address}/v1/services/booking/bookings`, {
+    method: 'POST',
+    headers: { authorization: `Bearer ${key}`, 'content-type': 'application/json' },
+    body: JSON.stringify({ reference })
+  })
+}
+
 function fetchChat (address: string, key: string): Promise<Response> {
   return fetch(`http://${address}/v1/chat/completions`, {
     method: 'POST',
