--- a/src/entry/node.ts
+++ b/src/entry/node.ts
@@ -149,7 +149,7 @@
     permits,
     notes: notes.journal,
     directory,
-    dispatcher: createDispatcher({ scheduler: createScheduler({ random }), directory, configuration: current, clock }),
+    dispatcher: createDispatcher({ scheduler: createScheduler({ random, node: settings.instance }), directory, configuration: current, clock }),
     bookkeeping: createBookkeeping({ ledger, facts, metrics, clock, configuration: current }),
     tracing,
     retries: createRetryPolicy(),
@@ -238,7 +238,7 @@
   const inquiry = createInquiryHandlers({ ...parts, reports })
   registerOperatorApi(service, { ...parts, reports })
   await Promise.allSettled([directory.refresh(), configuration.refresh(), membership.refresh()])
-  startSchedulerFeed({ dispatcher: context.dispatcher, directory, connections, nodeCount: () => membership.count(), clock, signal })
+  startSchedulerFeed({ dispatcher: context.dispatcher, directory, node: settings.instance, connections, nodeCount: () => membership.count(), clock, signal })
   ready = true
   log.info('started', { address, incarnation })
 
--- a/src/entry/scheduler-feed.ts
+++ b/src/entry/scheduler-feed.ts
@@ -1,10 +1,11 @@
 /** Feeds the scheduler: upstreams, load, cache events, node count and time. */
 import type { Clock, Milliseconds } from '../clock.js'
 import { every, SECOND } from '../clock.js'
-import type { UpstreamName } from '../identifiers.js'
+import type { InstanceName, UpstreamName } from '../identifiers.js'
 import { createEngine } from '../platform/engine.js'
 import type { CacheEvent } from '../platform/engine.js'
 import type { Connections } from '../platform/http.js'
+import { usedUpstreams } from '../upstream/index.js'
 import type { UpstreamView } from '../upstream/index.js'
 import type { Dispatcher } from './dispatcher.js'
 import type { UpstreamDirectory } from './upstream-directory.js'
@@ -13,6 +14,8 @@
 export interface SchedulerFeedOptions {
   readonly dispatcher: Dispatcher
   readonly directory: UpstreamDirectory
+  /** Name of this node: of a large service it follows only the part that it uses. */
+  readonly node: InstanceName
   readonly connections: Connections
   /** Entry nodes that share the upstreams, this one included. */
   readonly nodeCount: () => number
@@ -22,27 +25,39 @@
 
 const TICK_PERIOD: Milliseconds = 50
 const LOAD_PERIOD: Milliseconds = SECOND
+
+/** Cache events are late anyway and only shift an estimate; load decides. */
+const CACHE_PERIOD: Milliseconds = 2 * SECOND
 const NODE_COUNT_PERIOD: Milliseconds = SECOND
 
 /**
  * @example
- * startSchedulerFeed({ dispatcher, directory, connections, nodeCount, clock, signal })
+ * startSchedulerFeed({ dispatcher, directory, node, connections, nodeCount, clock, signal })
  */
 export function startSchedulerFeed (options: SchedulerFeedOptions): void {
   const { dispatcher, directory, connections, clock, signal } = options
   const cacheSequences = new Map<UpstreamName, number>()
   let nodes = 0
 
-  async function pollAll (): Promise<void> {
-    const models = directory.views().filter((view) => view.protocol === 'model')
-    forgetGone(models)
-    await Promise.allSettled(models.flatMap((view) => [pollLoad(view), pollCache(view)]))
+  function models (): readonly UpstreamView[] {
+    const used = usedUpstreams(options.node, directory.views(), Math.max(1, options.nodeCount()))
+    return used.filter((view) => view.protocol === 'model')
+  }
+
+  async function pollLoads (): Promise<void> {
+    await Promise.allSettled(models().map(pollLoad))
+  }
+
+  async function pollCaches (): Promise<void> {
+    const present = models()
+    forgetGone(present)
+    await Promise.allSettled(present.map(pollCache))
   }
 
-  function forgetGone (models: readonly UpstreamView[]): void {
-    const present = new Set(models.map((view) => view.name))
+  function forgetGone (present: readonly UpstreamView[]): void {
+    const names = new Set(present.map((view) => view.name))
     for (const upstream of cacheSequences.keys()) {
-      if (!present.has(upstream)) cacheSequences.delete(upstream)
+      if (!names.has(upstream)) cacheSequences.delete(upstream)
     }
   }
 
@@ -76,7 +91,8 @@
   dispatcher.feed({ kind: 'upstreams', upstreams: directory.views() })
   tick()
   every(clock, TICK_PERIOD, signal, tick, quiet).catch(quiet)
-  every(clock, LOAD_PERIOD, signal, pollAll, quiet).catch(quiet)
+  every(clock, LOAD_PERIOD, signal, pollLoads, quiet).catch(quiet)
+  every(clock, CACHE_PERIOD, signal, pollCaches, quiet).catch(quiet)
   every(clock, NODE_COUNT_PERIOD, signal, countNodes, quiet).catch(quiet)
 }
 
--- a/src/upstream/partial-view.ts
+++ b/src/upstream/partial-view.ts
@@ -6,7 +6,7 @@
  * Rendezvous hashing (highest random weight) makes the part stable: an upstream that comes or goes
  * changes it by that one at most, a node that comes or goes changes no other node's part.
  */
-import type { FailureDomain } from '../identifiers.js'
+import type { FailureDomain, ServiceName } from '../identifiers.js'
 import { score } from '../membership/index.js'
 import type { UpstreamView } from './types.js'
 
@@ -48,6 +48,25 @@
   return [...chosen, ...views.filter((view) => view.leaving)]
 }
 
+/**
+ * The upstreams of all services that a node uses.
+ *
+ * @param node name of the node, stable over its life
+ * @param views all upstreams
+ * @param nodes all nodes
+ * @example
+ * const polled = usedUpstreams('entry-17', directory.views(), 370)
+ */
+export function usedUpstreams (node: string, views: readonly UpstreamView[], nodes: number): readonly UpstreamView[] {
+  const services = new Map<ServiceName, UpstreamView[]>()
+  for (const view of views) {
+    const same = services.get(view.service)
+    if (same === undefined) services.set(view.service, [view])
+    else same.push(view)
+  }
+  return [...services.values()].flatMap((same) => partialView(node, same, viewSize(nodes, same.length)))
+}
+
 /**
  * Nodes that use the same upstream as this one, on average.
  *
