--- a/test/planner/harness.ts
+++ b/test/planner/harness.ts
@@ -71,6 +71,8 @@
   readonly releasedThoughWanted: InstanceName[]
   /** Start orders that reached the cloud. */
   readonly starts: InstanceName[]
+  /** Engines that no planner reaches, though the cloud lists them. */
+  readonly cutOff: Set<InstanceName>
   /** Whether an engine reports a running request. */
   setBusy (name: InstanceName, isBusy: boolean): void
   desired (): DesiredState
@@ -105,6 +107,7 @@
   const releasedThoughWanted: InstanceName[] = []
   const starts: InstanceName[] = []
   const busy = new Set<InstanceName>()
+  const cutOff = new Set<InstanceName>()
   const owner = new AbortController()
   let model = 'model-1'
   let lease = { holder: -1, fencing: 0, until: 0 }
@@ -250,7 +253,7 @@
   function engineAt (address: Address, send: <T>(operation: () => T | Promise<T>) => Promise<T>): OrderedEngine {
     const probe = (): EngineProbe => {
       const found = engines.get(addresses.get(address) as InstanceName)
-      if (found === undefined) throw new ServingError('connection refused', { code: 'connection-lost', verdict: 'not-run' })
+      if (found === undefined || cutOff.has(addresses.get(address) as InstanceName)) throw new ServingError('connection refused', { code: 'connection-lost', verdict: 'not-run' })
       return found
     }
     return {
@@ -281,6 +284,7 @@
     engines: () => engines,
     releasedThoughWanted,
     starts,
+    cutOff,
     setBusy: (name, isBusy) => { isBusy ? busy.add(name) : busy.delete(name) },
     desired,
     setModel: (name) => { model = name },
--- a/test/planner/replacement.test.ts
+++ b/test/planner/replacement.test.ts
@@ -64,6 +64,25 @@
   assert.ok(gone - marked >= 10 * MINUTE - LOOK && gone - marked <= 11 * MINUTE, `${gone - marked} ms`)
 })
 
+// One engine hangs for a day on a machine that the cloud calls live; or a broken path of the planner's
+// own makes all engines look dead, and the whole fleet is bought anew.
+test('an engine that is silent for long is replaced, a fleet that is silent is not', async () => {
+  const one = createPlannerWorld({ seed: 1, checksFencing: () => true })
+  await look(one, 5)
+  const hung = one.cloud.list('sample')[0]!.name
+  one.cutOff.add(hung)
+  await look(one, 6 * 20)
+  assert.ok(!one.engines().has(hung))
+  assert.equal(serving(one), 3)
+
+  const all = createPlannerWorld({ seed: 1, checksFencing: () => true })
+  await look(all, 5)
+  const names = all.cloud.list('sample').map((instance) => instance.name)
+  for (const name of names) all.cutOff.add(name)
+  await look(all, 6 * 20)
+  assert.deepEqual(all.cloud.list('sample').map((instance) => instance.name), names)
+})
+
 // Prices twitch every few minutes, and the fleet follows: machines start, load weights and drain all
 // day, and the bill is higher than without any of it.
 test('prices that twitch move nothing', async () => {
