Only what had given no token runs apart after a crash

A culprit crashes engines when its prompt is computed; what had given tokens goes on beside others and is refused only after a third crash. Ruled out: clearing a suspect at its first token, which leaves late crashes without a bound.

--- a/features/entry-death.feature
+++ b/features/entry-death.feature
@@ -32,3 +32,9 @@
     Then every plan is whole at its own caller
     And no engine was asked to begin an answer twice
     And no offset came twice and none is missing
+
+  Scenario: An engine dies without notice while it writes a third of the plans
+    Given 3 entry nodes, 3 engines and 30 plans of 150 tokens over all nodes
+    When the engine with most plans dies without notice
+    Then every plan is whole at its own caller
+    And no offset came twice and none is missing
--- a/features/steps/entry-death.steps.ts
+++ b/features/steps/entry-death.steps.ts
@@ -71,6 +71,13 @@
   await busiest(this).kill()
 })
 
+// Technicians wait for plans when an engine dies, and each of its plans would wait for an engine of its own,
+// as if it were to blame.
+When('the engine with most plans dies without notice', async function (this: DeathWorld) {
+  const [engine] = [...this.deployment!.engines].sort((left, right) => right.open() - left.open())
+  await engine!.kill()
+})
+
 Then('every plan is whole at its own caller', async function (this: DeathWorld) {
   for (const { messages, answer } of this.plans) assert.equal((await answer).text, answerWords(messages, this.tokens).join(''))
 })
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -55,6 +55,7 @@
     return { kind: 'refused', failure: toServingError(error, 'not-run') }
   }
   let how: DispatchEnd = 'withdrawn'
+  const before = execution.answer.offset()
   try {
     const placement = await context.dispatcher.place(pendingAttempt(execution, order, permit.apart), execution.owner.signal)
     const { upstream } = placement
@@ -69,7 +70,7 @@
   } catch (error) {
     return { kind: 'refused', failure: toServingError(error, 'not-run') }
   } finally {
-    permit.end(how)
+    permit.end(how, execution.answer.offset() > before)
   }
 }
 
--- a/src/entry/permits.ts
+++ b/src/entry/permits.ts
@@ -18,7 +18,8 @@
   readonly apart: boolean
   /** Admits the dispatch to an upstream. @returns false when another suspect is there */
   enter (upstream: UpstreamName): Promise<boolean>
-  end (how: DispatchEnd): void
+  /** @param progressed tokens came before it ended */
+  end (how: DispatchEnd, progressed: boolean): void
 }
 
 /** Permits of one node. */
@@ -107,8 +108,8 @@
         if (admitted) entered = upstream
         return admitted
       },
-      end: (how) => {
-        const end = { permit, fingerprint: request.fingerprint, how, suspectedFor: granted.suspectedFor }
+      end: (how, progressed) => {
+        const end = { permit, fingerprint: request.fingerprint, how, suspectedFor: granted.suspectedFor, progressed }
         ask(request.fingerprint, { kind: 'release', end }, how === 'crashed' ? 'now' : 'soon').catch(() => {})
         if (entered === undefined) return
         ask(isolationSubject(entered), { kind: 'leave', isolation: { upstream: entered, permit, holder: own } }, 'soon').catch(() => {})
--- a/src/peer/suspicion.ts
+++ b/src/peer/suspicion.ts
@@ -22,7 +22,8 @@
   permit: permitSchema,
   fingerprint: z.string().min(1),
   how: z.enum(['answered', 'crashed', 'withdrawn']),
-  suspectedFor: z.array(z.string()).max(64).default([])
+  suspectedFor: z.array(z.string()).max(64).default([]),
+  progressed: z.boolean().default(false)
 })
 
 /** What one node tells or asks another. */
--- a/src/request/suspicion.ts
+++ b/src/request/suspicion.ts
@@ -3,8 +3,9 @@
  * the request's fingerprint (organisation and body, whatever its id), so that at most two upstreams crash
  * for one fingerprint, however often, wherever and under however many ids it is sent.
  *
- * What is in flight at a crash becomes suspect and is tried once more, apart from everything else. The
- * second crash names the culprit, which is refused everywhere; a whole answer clears an innocent.
+ * What is in flight at a crash becomes suspect. What had given no token is tried once more, apart from
+ * everything else, so that the second crash names the culprit; what had given tokens goes on beside others
+ * and is refused after a third crash. A culprit is refused everywhere; a whole answer clears an innocent.
  */
 import { z } from 'zod'
 import type { Milliseconds } from '../clock.js'
@@ -59,7 +60,9 @@
   /** `withdrawn`: nothing was learnt, since it did not run, or its upstream was left as announced. */
   how: z.enum(['answered', 'crashed', 'withdrawn']),
   /** What the grant named, so that an owner which knows nothing of the grant clears the same. */
-  suspectedFor: z.array(z.string()).max(64).default([])
+  suspectedFor: z.array(z.string()).max(64).default([]),
+  /** Tokens had come before it ended: a crash is then less likely to be its doing. */
+  progressed: z.boolean().default(false)
 })
 export type PermitEnd = z.input<typeof permitEndSchema>
 
@@ -126,6 +129,12 @@
 /** Upstreams that one fingerprint may cost. */
 export const MOST_CRASHES = 2
 
+/** Upstreams that one fingerprint may cost when tokens came before each crash. */
+export const MOST_LATE_CRASHES = 3
+
+/** Ends the name of a crash before which the dispatch had given tokens. */
+const PROGRESSED = '+'
+
 const QUARANTINE: Milliseconds = 24 * HOUR
 const PERMIT_TIME: Milliseconds = 10 * MINUTE
 const MOST_RECORDS = 10_000
@@ -177,7 +186,7 @@
   function crash (record: FingerprintRecord, permit: string): void {
     if (record.cleared.has(permit) || record.crashes.has(permit)) return
     record.proven = false
-    if (record.crashes.size > 0 && record.permits.get(permit)?.proven === true) record.cleared.add(permit)
+    if (record.crashes.size > 0 && record.permits.get(plainName(permit))?.proven === true) record.cleared.add(permit)
     else record.crashes.add(permit)
   }
 
@@ -197,7 +206,7 @@
   }
 
   function judge (record: FingerprintRecord, now: Milliseconds): void {
-    if (record.crashes.size >= MOST_CRASHES) record.quarantinedAt ??= now
+    if (silentCrashes(record) >= MOST_CRASHES || record.crashes.size >= MOST_LATE_CRASHES) record.quarantinedAt ??= now
   }
 
   function quarantined (record: FingerprintRecord, now: Milliseconds): boolean {
@@ -215,7 +224,7 @@
       if (!record.permits.has(request.permit)) dropLost(record, now)
       judge(record, now)
       if (quarantined(record, now)) return { kind: 'quarantined' }
-      const granted = { kind: 'granted' as const, apart: record.crashes.size > 0, suspectedFor: [...record.crashes] }
+      const granted = { kind: 'granted' as const, apart: silentCrashes(record) > 0, suspectedFor: [...record.crashes] }
       if (record.permits.has(request.permit)) return granted
       /**
        * Failure guarded against: the same body is sent at once through many nodes, each of which takes it for
@@ -230,8 +239,8 @@
     release: (end, now) => {
       const record = touch(end.fingerprint)
       const held = record.permits.has(end.permit)
-      if (end.how === 'crashed') crash(record, end.permit)
-      const news = end.how === 'answered' && clear(record, [...end.suspectedFor ?? [], end.permit])
+      if (end.how === 'crashed') crash(record, end.progressed === true ? end.permit + PROGRESSED : end.permit)
+      const news = end.how === 'answered' && clear(record, [...end.suspectedFor ?? [], end.permit, end.permit + PROGRESSED])
       if (end.how === 'answered' && held && record.crashes.size === 0) record.proven = true
       record.permits.delete(end.permit)
       record.ended.add(end.permit)
@@ -294,6 +303,17 @@
 /** Names that travel and are remembered; what is older has been heard of everywhere. */
 const MOST_NAMES = 64
 
+/** Crashes of dispatches that had given no token: what crashes upstreams does so when its prompt is computed. */
+function silentCrashes (record: FingerprintRecord): number {
+  let count = 0
+  for (const name of record.crashes) if (!name.endsWith(PROGRESSED)) count += 1
+  return count
+}
+
+function plainName (crash: string): string {
+  return crash.endsWith(PROGRESSED) ? crash.slice(0, -PROGRESSED.length) : crash
+}
+
 /** @returns whether any of them was news */
 function clear (record: FingerprintRecord, permits: readonly string[]): boolean {
   const before = record.crashes.size
