The death of an upstream costs attempts, not the retry budget

Cause: an engine that dies ends all its plans at once; those beyond the 20 retries of a class's budget were lost although other engines were idle. At most 4 attempts stay.

--- a/src/entry/attempts.ts
+++ b/src/entry/attempts.ts
@@ -53,7 +53,7 @@
       case 'failed':
         failures += 1
         verdict = stronger(verdict, end.failure.verdict)
-        decision = decideRetry(context, execution, end.failure, failures)
+        decision = decideRetry(context, execution, end, failures)
         if (decision.kind === 'give-up') return { kind: 'failed', failure: withVerdict(end.failure, verdict, decision.retryAfter) }
         await context.clock.sleep(decision.delay, execution.owner.signal).catch(() => {})
     }
@@ -111,8 +111,9 @@
   if (live.every((view) => excluded.has(view.name))) excluded.clear()
 }
 
-function decideRetry (context: ExecutionContext, execution: Execution, failure: ServingError, failures: number): RetryDecision {
+function decideRetry (context: ExecutionContext, execution: Execution, end: Extract<AttemptEnd, { kind: 'failed' }>, failures: number): RetryDecision {
   const { request, owner } = execution
+  const { failure } = end
   const code = owner.signal.aborted ? 'cancelled' : failure.code
   return context.retries.afterFailure({
     class: request.class,
@@ -120,7 +121,7 @@
     attempt: failures,
     verdict: failure.verdict,
     code,
-    cause: 'failure',
+    cause: end.upstreamDied ? 'upstream-died' : 'failure',
     ...(failure.retryAfter === undefined ? {} : { retryAfter: failure.retryAfter })
   }, context.random)
 }
--- a/src/request/retry.ts
+++ b/src/request/retry.ts
@@ -19,9 +19,10 @@
   readonly code: FailureCode
   /**
    * Why it ended. An attempt cut off by an announced reclaim or a planned stop is the system's own doing:
-   * its continuation costs no budget and no attempt, since accepted work survives.
+   * its continuation costs no budget and no attempt, since accepted work survives. The death of an upstream
+   * ends all that it ran at once, which is no storm of retries: it costs an attempt, but no budget.
    */
-  readonly cause: 'failure' | 'leaving'
+  readonly cause: 'failure' | 'upstream-died' | 'leaving'
   /** Earliest sensible next attempt as the upstream said, in milliseconds. */
   readonly retryAfter?: Milliseconds
 }
@@ -85,6 +86,7 @@
     if (failed.cause === 'leaving') return undefined
     if (FINAL_CODES.has(failed.code)) return 'not-retryable'
     if (failed.attempt >= mostAttempts) return 'attempts-used'
+    if (failed.cause === 'upstream-died') return undefined
     /**
      * Failure guarded against: upstreams slow down, every request is tried four times, and the fourfold load
      * keeps them slow. Retries above the budget are refused, so the load stays near that of first attempts.
@@ -102,7 +104,7 @@
       const delay = Math.max(failed.retryAfter ?? 0, jitteredDelay(failed.attempt, random))
       if (reason !== undefined) return { kind: 'give-up', reason, retryAfter: Math.max(delay, SECOND) }
       if (failed.cause === 'leaving') return { kind: 'retry', delay: 0 }
-      budgets.set(failed.class, budget(failed.class) - 1)
+      if (failed.cause === 'failure') budgets.set(failed.class, budget(failed.class) - 1)
       return { kind: 'retry', delay }
     }
   }
--- a/test/request/retry.test.ts
+++ b/test/request/retry.test.ts
@@ -47,3 +47,15 @@
   assert.equal(policy.afterFailure(failed({}), random).kind, 'give-up')
   assert.equal(policy.afterFailure(failed({ class: classNameSchema.parse('plan') }), random).kind, 'retry')
 })
+
+// An engine with fifty plans dies. The plans beyond the budget of retries would be lost, although other
+// engines are idle: one death is not a storm of failures.
+test('the death of an upstream costs attempts and no budget', () => {
+  const policy = createRetryPolicy({ burst: 1 })
+  const random = createRandom(1)
+  assert.equal(policy.afterFailure(failed({}), random).kind, 'retry')
+  for (let plan = 0; plan < 50; plan += 1) assert.equal(policy.afterFailure(failed({ cause: 'upstream-died' }), random).kind, 'retry')
+  assert.equal(policy.afterFailure(failed({ cause: 'upstream-died', attempt: 4 }), random).kind, 'give-up')
+  assert.equal(policy.afterFailure(failed({ cause: 'upstream-died', idempotent: false }), random).kind, 'give-up')
+  assert.equal(policy.budget(booking), 0)
+})
