Notices hold for an address; vanished upstreams are decided again; errors say things once

Causes, each found by reading or in a run by hand: (1) the directory remembered a leaving upstream by name, so a replacement under the same name got no work until the list had missed the name; (2) an accepted attempt whose chosen upstream had left the directory was refused instead of decided again; (3) the scheduler never heard an upstream's machine class, so all engines shared one estimate; (4) errors with a cause said the same twice, and the log's process name was overwritten by a fact named source.

--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -34,6 +34,7 @@
 }
 
 interface Waiter {
+  readonly attempt: PendingAttempt
   readonly place: (placement: Placement) => void
   readonly refuse: (failure: ServingError) => void
 }
@@ -78,18 +79,27 @@
   function carryOut (effect: SchedulerEffect): void {
     const waiter = waiters.get(effect.id)
     if (waiter === undefined) return
-    waiters.delete(effect.id)
     switch (effect.kind) {
       case 'dispatch': return dispatch(effect, waiter)
-      case 'refuse': return waiter.refuse(refusal(effect))
+      case 'refuse':
+        waiters.delete(effect.id)
+        return waiter.refuse(refusal(effect))
     }
   }
 
+  /**
+   * Failure guarded against: an upstream vanishes between the decision and its carrying out, and an
+   * accepted answer is lost over it. The attempt arrives again and is decided on the present upstreams.
+   */
   function dispatch (effect: Extract<SchedulerEffect, { kind: 'dispatch' }>, waiter: Waiter): void {
     const upstream = directory.find(effect.upstream)
-    if (upstream !== undefined) return waiter.place({ upstream, priority: effect.priority, handle: undefined })
+    if (upstream !== undefined) {
+      waiters.delete(effect.id)
+      return waiter.place({ upstream, priority: effect.priority, handle: undefined })
+    }
     handle({ kind: 'ended', id: effect.id, result: { kind: 'withdrawn' } })
-    waiter.refuse(new ServingError(`${effect.upstream} is gone`, { code: 'no-upstream', verdict: 'not-run' }))
+    handle({ kind: 'upstreams', upstreams: directory.views() })
+    handle({ kind: 'arrived', attempt: waiter.attempt })
   }
 
   return {
@@ -105,7 +115,7 @@
         signal.removeEventListener('abort', withdraw)
         settled(value)
       }
-      waiters.set(attempt.id, { place: settle(resolve), refuse: settle(reject) })
+      waiters.set(attempt.id, { attempt, place: settle(resolve), refuse: settle(reject) })
       handle({ kind: 'arrived', attempt })
     }),
     firstToken: (id) => handle({ kind: 'first-token', id }),
--- a/src/entry/upstream-directory.ts
+++ b/src/entry/upstream-directory.ts
@@ -2,7 +2,7 @@
 import Emittery from 'emittery'
 import type { Clock, Milliseconds } from '../clock.js'
 import { SECOND } from '../clock.js'
-import type { UpstreamName } from '../identifiers.js'
+import type { Address, UpstreamName } from '../identifiers.js'
 import type { Log } from '../log.js'
 import type { InstanceList } from '../platform/instance-list.js'
 import { repeat } from '../repeat.js'
@@ -30,7 +30,7 @@
   enter (upstream: UpstreamName): () => void
   /**
    * Gives an upstream no new work from now on, whatever the instance list still shows. Lasts until
-   * the list no longer names the instance, so that a lagging list cannot take it back.
+   * the list no longer shows it at its address, so that a lagging list cannot take it back.
    */
   markLeaving (upstream: UpstreamName, source: NoticeSource): void
   refresh (): Promise<void>
@@ -47,7 +47,8 @@
   const { instanceList, clock, log, signal } = options
   const notices = new Emittery<DirectoryNotices>()
   const inFlight = new Map<UpstreamName, number>()
-  const leaving = new Set<UpstreamName>()
+  /** Addresses of the upstreams that leave; undefined for one that was not listed yet. */
+  const leaving = new Map<UpstreamName, Address | undefined>()
   let instances: readonly Instance[] = []
   let known = new Map<UpstreamName, Instance>()
   let shape = ''
@@ -56,18 +57,27 @@
     const fresh = await instanceList.read(signal)
     instances = fresh
     known = new Map(fresh.flatMap((instance) => instance.role.kind === 'upstream' ? [[instance.role.upstream, instance]] : []))
-    for (const upstream of leaving) {
-      if (!known.has(upstream)) leaving.delete(upstream)
-    }
+    forgetGone()
     for (const [upstream, instance] of known) {
       if (instance.state === 'leaving') markLeaving(upstream, 'instance-list')
     }
     await announce()
   }
 
+  /**
+   * Failure guarded against: a replacement starts under its predecessor's name before the list has missed
+   * that name once, and gets no work for as long as it lives. What leaves is an upstream at its address.
+   */
+  function forgetGone (): void {
+    for (const [upstream, address] of leaving) {
+      const listed = known.get(upstream)
+      if (listed === undefined || (address !== undefined && listed.address !== address)) leaving.delete(upstream)
+    }
+  }
+
   function markLeaving (upstream: UpstreamName, source: NoticeSource): void {
     if (leaving.has(upstream)) return
-    leaving.add(upstream)
+    leaving.set(upstream, known.get(upstream)?.address)
     log.info('upstream-leaving', { upstream, source })
     announce().catch(() => {})
     notices.emit('leaving', { upstream, source }).catch(() => {})
@@ -91,6 +101,7 @@
       name,
       service: role.service,
       failureDomain: instance.failureDomain,
+      machineClass: instance.machineClass,
       address: instance.address,
       protocol: role.protocol,
       leaving: leaving.has(name),
--- a/src/log.ts
+++ b/src/log.ts
@@ -26,7 +26,7 @@
 export function createLog (source: string, level: LogLevelDesc, wall: () => number, write: (line: string) => void = toStandardError): Log {
   const logger = loglevel.getLogger(`hornbeamgap/${source}`)
   logger.methodFactory = (method) => (event: string, facts: LogFacts = {}) => {
-    write(JSON.stringify({ time: new Date(wall()).toISOString(), level: method, source, event, ...facts }))
+    write(JSON.stringify({ time: new Date(wall()).toISOString(), level: method, process: source, event, ...facts }))
   }
   logger.setLevel(level, false)
   return {
--- a/src/peer/client.ts
+++ b/src/peer/client.ts
@@ -92,7 +92,7 @@
  */
 export function peerFailure (error: unknown, address: Address): ServingError {
   if (!(error instanceof TRPCClientError)) return connectionFailure(error, address)
-  if (error.data) return new ServingError(error.message, { code: 'upstream-refused', verdict: 'may-have-run', cause: error })
+  if (error.data) return new ServingError(error.message, { code: 'upstream-refused', verdict: 'may-have-run' })
   return connectionFailure((error.cause as { cause?: unknown } | undefined)?.cause ?? error.cause ?? error, address)
 }
 
--- a/src/platform/http.ts
+++ b/src/platform/http.ts
@@ -136,9 +136,9 @@
   if (error instanceof ServingError) return error
   const code = errorCode(error)
   const verdict: Verdict = NEVER_SENT.has(code) ? 'not-run' : 'may-have-run'
-  const message = error instanceof Error ? error.message : String(error)
-  if (isAbort(error)) return new ServingError(`${address}: cancelled`, { code: 'cancelled', verdict, cause: error })
-  return new ServingError(`${address}: ${message}`, { code: SILENT.has(code) ? 'timeout' : 'connection-lost', verdict, cause: error })
+  // The colon joins the cause's message to the address.
+  if (isAbort(error)) return new ServingError(`${address}: cancelled:`, { code: 'cancelled', verdict, cause: error })
+  return new ServingError(`${address}:`, { code: SILENT.has(code) ? 'timeout' : 'connection-lost', verdict, cause: error })
 }
 
 function statusFailure (status: number, text: string, address: Address): ServingError {
--- a/src/verdict.ts
+++ b/src/verdict.ts
@@ -124,8 +124,9 @@
  */
 export function toServingError (error: unknown, fallback: Verdict): ServingError {
   if (error instanceof ServingError) return error
-  const message = error instanceof Error ? error.message : String(error)
-  return new ServingError(message, { code: 'internal', verdict: fallback, cause: error })
+  if (!(error instanceof Error)) return new ServingError(String(error), { code: 'internal', verdict: fallback })
+  // The cause's message becomes part of the new one, so there is none to repeat.
+  return new ServingError('', { code: 'internal', verdict: fallback, cause: error })
 }
 
 /**
--- a/test/entry/dispatcher.test.ts
+++ b/test/entry/dispatcher.test.ts
@@ -51,3 +51,17 @@
   const placement = await dispatcher.place(attempt, new AbortController().signal)
   assert.equal(placement.upstream.name, 'depot-1')
 })
+
+/*
+ * An answer has begun and its engine is gone. The scheduler names another, which vanishes from the list
+ * in that moment, and the caller is told that the rest of the answer is refused. Cause: the carrying out
+ * gave up on the attempt instead of having it decided again.
+ */
+test('an accepted attempt whose upstream vanishes under the decision is decided again', async () => {
+  const other = { ...view, name: 'depot-2' } as UpstreamView
+  const directory = { find: (name: string) => name === other.name ? other : undefined, views: () => [other] } as unknown as UpstreamDirectory
+  const dispatcher = createDispatcher({ scheduler: createScheduler({ random: createRandom(1) }), directory, configuration: () => configuration, clock: createManualClock() })
+  dispatcher.feed({ kind: 'upstreams', upstreams: [view] })
+  const placement = await dispatcher.place({ ...attempt, accepted: true }, new AbortController().signal)
+  assert.equal(placement.upstream.name, 'depot-2')
+})
