Permits: pauses between two questions double

Cause: a request that waits for the permit of an equal body asked its owner every 25 ms for as long as the first answer took. The price: up to 400 ms more wait for the second of two equal bodies.

--- a/src/entry/permits.ts
+++ b/src/entry/permits.ts
@@ -45,7 +45,9 @@
   readonly clock: Clock
 }
 
-const WAIT: Milliseconds = 25
+/** First pause before a permit that others hold is asked for again, and the longest after doubling. */
+const FIRST_WAIT: Milliseconds = 25
+const LONGEST_WAIT: Milliseconds = 400
 
 /** A holder whose permit makes others wait is looked at this often. */
 const PROBE_PERIOD: Milliseconds = 1_000
@@ -150,13 +152,17 @@
   return {
     handlers,
     acquire: async (request, attempt, within) => {
-      for (;;) {
+      /**
+       * Failure guarded against: a plan is sent twice and the second send asks for its permit forty times a
+       * second for as long as the first one is written. The pauses double.
+       */
+      for (let wait = FIRST_WAIT; ; wait = Math.min(LONGEST_WAIT, 2 * wait)) {
         const decision = await decide(request, attempt)
         switch (decision.kind) {
           case 'granted': return toPermit(request, attempt, decision)
           case 'quarantined': throw new ServingError('this request has crashed upstreams and is not run again', { code: 'quarantined', verdict: 'not-run', retryAfter: QUARANTINE_RETRY })
           case 'wait':
-            await clock.sleep(WAIT, within).catch(() => {})
+            await clock.sleep(wait, within).catch(() => {})
             if (within.aborted) throw new ServingError('withdrawn before it was dispatched', { code: 'cancelled', verdict: 'not-run' })
         }
       }
