--- a/src/bin/command-line.ts
+++ b/src/bin/command-line.ts
@@ -1,6 +1,11 @@
-/** What the binaries share: exit codes, errors for people, and the end by signal. */
-import { toServingError } from '../verdict.js'
+/** What the binaries share: exit codes, errors for people, processes with a settings file, and the end by signal. */
+import { cac } from 'cac'
+import type { Command } from 'cac'
+import type { z } from 'zod'
+import { loadSettings } from '../settings.js'
+import { ServingError, toServingError } from '../verdict.js'
 import type { FailureCode } from '../verdict.js'
+import { VERSION } from '../version.js'
 
 /** Exit codes of all binaries. */
 export const EXIT = {
@@ -13,6 +18,58 @@
   unknown: 3
 } as const
 
+/** A binary that reads a settings file and runs until it is told to stop. */
+export interface ServerCommand<Settings> {
+  /** Name of the binary. */
+  readonly name: string
+  readonly description: string
+  readonly schema: z.ZodType<Settings>
+  /** Adds options beside `--settings` and `--check`. */
+  readonly addOptions?: (command: Command) => void
+  /** Starts the process. @returns how to stop it */
+  readonly start: (settings: Settings, options: ServerCommandOptions) => Promise<() => Promise<void>>
+}
+
+/** Options from the command line; those of {@link ServerCommand.addOptions} by their name. */
+export interface ServerCommandOptions {
+  readonly settings?: string
+  readonly check?: boolean
+  readonly [name: string]: unknown
+}
+
+/**
+ * Runs a server until SIGTERM or SIGINT. With `--check` it only checks the settings.
+ *
+ * @example
+ * runServer({
+ *   name: 'hornbeamgap-planner',
+ *   description: 'Run a planner',
+ *   schema: plannerSettingsSchema,
+ *   start: async (settings) => startPlanner({ settings, clock, random }).stop
+ * })
+ */
+export function runServer<Settings> ({ name, description, schema, addOptions, start }: ServerCommand<Settings>): void {
+  const program = cac(name)
+  const command = program.command('', description)
+    .option('--settings <file>', 'TOML settings file')
+    .option('--check', 'Check the settings and exit')
+    .action(run)
+  addOptions?.(command)
+  program.help()
+  program.version(VERSION)
+  runCommand(async () => {
+    program.parse(process.argv, { run: false })
+    await program.runMatchedCommand()
+  })
+
+  async function run (options: ServerCommandOptions): Promise<void> {
+    if (options.settings === undefined) throw new ServingError('--settings <file> is required', { code: 'invalid-request', verdict: 'not-run' })
+    const settings = loadSettings(schema, options.settings)
+    if (options.check) return
+    onStopSignal(await start(settings, options))
+  }
+}
+
 /**
  * Runs a command and turns what it throws into one line and an exit code.
  *
