apply: say that a group cut off together may serve on with the revision before

The note on nodes that have not confirmed a change said that they take no new work while they hear nobody. That holds for a single node; nodes that are cut off together hear each other and serve on (docs/design/agreement.md), so an operator could take a removed key for refused everywhere. The note now says both, as the operators' page does.

--- a/src/operator/command/change.ts
+++ b/src/operator/command/change.ts
@@ -129,7 +129,7 @@
   if (answer.superseded) output.note('A later revision has already replaced it.')
   if (answer.missing.length === 0) return output.out(`In force at all ${answer.confirmed} nodes.\n`)
   output.out(`In force at ${answer.confirmed} nodes. Not confirmed yet by ${answer.missing.join(', ')}.\n`)
-  output.note('These nodes take it over when they are heard again, and take no new work while they hear nobody; "status" shows where they stand.')
+  output.note('These nodes follow it when they are heard again. One that hears nobody takes no new work; a group that is cut off together may serve on with the revision before. "status" shows where they stand.')
 }
 
 function describeDifferences (output: CommandOutput, lines: readonly string[], title: string): void {
