Request: crash guard, its messages and its records each in a module of their own

suspicion.ts (337 lines) held the messages about permits, the state of one fingerprint and the guard; its name was also that of a module on membership.

--- a/src/request/suspicion.ts
+++ b/src/request/crash-guard.ts
@@ -7,64 +7,14 @@
  * everything else, so that the second crash names the culprit; what had given tokens goes on beside others
  * and is refused after a third crash. A culprit is refused everywhere; a whole answer clears an innocent.
  */
-import { z } from 'zod'
 import type { Milliseconds } from '../clock.js'
 import { HOUR, MINUTE } from '../clock.js'
-import { incarnationSchema } from '../identifiers.js'
 import type { Incarnation } from '../identifiers.js'
+import { addCrash, clearCrashes, crashName, createFingerprintRecord, silentCrashes, toEvidence, trimNames } from './crash-record.js'
+import type { FingerprintRecord } from './crash-record.js'
 import type { RankedNode } from './hash.js'
 import { rankNodes } from './hash.js'
-
-/** What is known of crashes with a fingerprint in flight. Merging is a union, so it may travel late, twice or out of order. */
-export const evidenceSchema = z.object({
-  fingerprint: z.string().min(1),
-  /** Permits whose dispatch ended in a crash. */
-  crashes: z.array(z.string()).max(64),
-  /** Such permits that a later whole answer explained away. */
-  cleared: z.array(z.string()).max(64),
-  /** The owner has refused the fingerprint. */
-  quarantined: z.boolean()
-})
-export type Evidence = z.infer<typeof evidenceSchema>
-
-/** A home asks for a dispatch. */
-export const permitRequestSchema = z.object({
-  /** Names the dispatch; see {@link permitName}. */
-  permit: z.string().min(1).max(200),
-  holder: incarnationSchema,
-  /** What the holder itself knows; the owner may not have heard it yet. */
-  evidence: evidenceSchema
-})
-export type PermitRequest = z.infer<typeof permitRequestSchema>
-
-/** Answer to a {@link PermitRequest}. */
-export const permitDecisionSchema = z.discriminatedUnion('kind', [
-  /** `apart`: run it where nothing else runs; see {@link createIsolation}. */
-  z.object({
-    kind: z.literal('granted'),
-    apart: z.boolean(),
-    /** Crashes that a whole answer of this dispatch explains away; to be named when it ends. */
-    suspectedFor: z.array(z.string()).max(64)
-  }),
-  /** Another one with the same body is in flight and none has been answered yet; ask again. */
-  z.object({ kind: z.literal('wait') }),
-  /** Two upstreams crashed: refused everywhere. */
-  z.object({ kind: z.literal('quarantined') })
-])
-export type PermitDecision = z.infer<typeof permitDecisionSchema>
-
-/** How a permitted dispatch ended. */
-export const permitEndSchema = z.object({
-  permit: z.string().min(1).max(200),
-  fingerprint: z.string().min(1),
-  /** `withdrawn`: nothing was learnt, since it did not run, or its upstream was left as announced. */
-  how: z.enum(['answered', 'crashed', 'withdrawn']),
-  /** What the grant named, so that an owner which knows nothing of the grant clears the same. */
-  suspectedFor: z.array(z.string()).max(64).default([]),
-  /** Tokens had come before it ended: a crash is then less likely to be its doing. */
-  progressed: z.boolean().default(false)
-})
-export type PermitEnd = z.input<typeof permitEndSchema>
+import type { Evidence, HeldPermit, PermitDecision, PermitEnd, PermitRequest } from './permit.js'
 
 /** Crashes and permits as one node knows them. Each node has one, and owns its share of fingerprints. */
 export interface CrashGuard {
@@ -93,10 +43,6 @@
   size (): number
 }
 
-/** A permit in force. */
-export const heldPermitSchema = z.object({ permit: z.string(), fingerprint: z.string(), holder: incarnationSchema, proven: z.boolean() })
-export type HeldPermit = z.infer<typeof heldPermitSchema>
-
 /** Bounds of a guard. */
 export interface CrashGuardOptions {
   /** How long a culprit stays refused after its second crash. */
@@ -107,34 +53,12 @@
   readonly mostRecords?: number
 }
 
-interface Permit {
-  readonly holder: Incarnation
-  /** Granted beside others, since an earlier dispatch had been answered. */
-  readonly proven: boolean
-  /** When another dispatch first had to wait for it. */
-  blockedSince: Milliseconds | undefined
-}
-
-interface FingerprintRecord {
-  readonly crashes: Set<string>
-  readonly cleared: Set<string>
-  readonly permits: Map<string, Permit>
-  /** Permits that ended: a request for one of them that arrives late grants nothing. */
-  readonly ended: Set<string>
-  /** A dispatch was answered and nothing crashed since: any number may run at once. */
-  proven: boolean
-  quarantinedAt: Milliseconds | undefined
-}
-
 /** Upstreams that one fingerprint may cost. */
 export const MOST_CRASHES = 2
 
 /** Upstreams that one fingerprint may cost when tokens came before each crash. */
 export const MOST_LATE_CRASHES = 3
 
-/** Ends the name of a crash before which the dispatch had given tokens. */
-const PROGRESSED = '+'
-
 const QUARANTINE: Milliseconds = 24 * HOUR
 const PERMIT_TIME: Milliseconds = 10 * MINUTE
 const MOST_RECORDS = 10_000
@@ -150,7 +74,7 @@
 
   /** The record, made the most recently touched one. */
   function touch (fingerprint: string): FingerprintRecord {
-    const record = records.get(fingerprint) ?? { crashes: new Set(), cleared: new Set(), permits: new Map(), ended: new Set(), proven: false, quarantinedAt: undefined }
+    const record = records.get(fingerprint) ?? createFingerprintRecord()
     records.delete(fingerprint)
     records.set(fingerprint, record)
     if (records.size > mostRecords) forgetOldest(fingerprint)
@@ -173,23 +97,11 @@
   function merge (evidence: Evidence, now: Milliseconds): void {
     if (evidence.crashes.length === 0 && evidence.cleared.length === 0 && !evidence.quarantined) return
     const record = touch(evidence.fingerprint)
-    clear(record, evidence.cleared)
-    for (const permit of evidence.crashes) crash(record, permit)
+    clearCrashes(record, evidence.cleared)
+    for (const permit of evidence.crashes) addCrash(record, permit)
     if (evidence.quarantined) record.quarantinedAt ??= now
   }
 
-  /**
-   * Failure guarded against: a harmless question runs several times on an upstream that something else
-   * crashes, and the one crash counts against it once for each. Permits granted beside others count
-   * together as one crash.
-   */
-  function crash (record: FingerprintRecord, permit: string): void {
-    if (record.cleared.has(permit) || record.crashes.has(permit)) return
-    record.proven = false
-    if (record.crashes.size > 0 && record.permits.get(plainName(permit))?.proven === true) record.cleared.add(permit)
-    else record.crashes.add(permit)
-  }
-
   /**
    * Failure guarded against: the message that ends a permit never reaches its owner, and requests with that
    * body wait for ever. Such a permit ends after its time; as nobody knows how, it counts as a crash until
@@ -200,7 +112,7 @@
     for (const [name, permit] of record.permits) {
       permit.blockedSince ??= now
       if (now - permit.blockedSince < permitTime) continue
-      crash(record, name)
+      addCrash(record, name)
       record.permits.delete(name)
     }
   }
@@ -212,7 +124,7 @@
   function quarantined (record: FingerprintRecord, now: Milliseconds): boolean {
     if (record.quarantinedAt === undefined) return false
     if (now - record.quarantinedAt < quarantine) return true
-    clear(record, [...record.crashes])
+    clearCrashes(record, [...record.crashes])
     record.quarantinedAt = undefined
     return false
   }
@@ -239,12 +151,12 @@
     release: (end, now) => {
       const record = touch(end.fingerprint)
       const held = record.permits.has(end.permit)
-      if (end.how === 'crashed') crash(record, end.progressed === true ? end.permit + PROGRESSED : end.permit)
-      const news = end.how === 'answered' && clear(record, [...end.suspectedFor ?? [], end.permit, end.permit + PROGRESSED])
+      if (end.how === 'crashed') addCrash(record, crashName(end.permit, end.progressed === true))
+      const news = end.how === 'answered' && clearCrashes(record, [...end.suspectedFor ?? [], crashName(end.permit, false), crashName(end.permit, true)])
       if (end.how === 'answered' && held && record.crashes.size === 0) record.proven = true
       record.permits.delete(end.permit)
       record.ended.add(end.permit)
-      trim(record.ended)
+      trimNames(record.ended)
       judge(record, now)
       return news || end.how === 'crashed' ? toEvidence(end.fingerprint, record) : undefined
     },
@@ -288,50 +200,3 @@
 export function fingerprintOwner<Node extends RankedNode> (fingerprint: string, nodes: readonly Node[]): Node | undefined {
   return rankNodes(fingerprint, nodes).find((node) => !node.leaving)
 }
-
-/**
- * Name of one dispatch.
- *
- * @param attempt 1 for the first
- * @example
- * permitName(request.id, 2)
- */
-export function permitName (id: string, attempt: number): string {
-  return `${id}#${attempt}`
-}
-
-/** Names that travel and are remembered; what is older has been heard of everywhere. */
-const MOST_NAMES = 64
-
-/** Crashes of dispatches that had given no token: what crashes upstreams does so when its prompt is computed. */
-function silentCrashes (record: FingerprintRecord): number {
-  let count = 0
-  for (const name of record.crashes) if (!name.endsWith(PROGRESSED)) count += 1
-  return count
-}
-
-function plainName (crash: string): string {
-  return crash.endsWith(PROGRESSED) ? crash.slice(0, -PROGRESSED.length) : crash
-}
-
-/** @returns whether any of them was news */
-function clear (record: FingerprintRecord, permits: readonly string[]): boolean {
-  const before = record.crashes.size
-  for (const permit of permits) {
-    record.cleared.add(permit)
-    record.crashes.delete(permit)
-  }
-  trim(record.cleared)
-  return record.crashes.size < before
-}
-
-function trim (names: Set<string>): void {
-  for (const name of names) {
-    if (names.size <= MOST_NAMES) return
-    names.delete(name)
-  }
-}
-
-function toEvidence (fingerprint: string, record: FingerprintRecord): Evidence {
-  return { fingerprint, crashes: [...record.crashes].slice(0, MOST_NAMES), cleared: [...record.cleared].slice(-MOST_NAMES), quarantined: record.quarantinedAt !== undefined }
-}
