Aggregates: index modules name what others use

Most index.ts files re-exported whole modules, so that a reader could not tell the public surface from what the folder keeps to itself. Each now names the functions, schemas and types that are imported from outside its folder; the rest is no longer reachable through it.

--- a/src/admission/index.ts
+++ b/src/admission/index.ts
@@ -1,3 +1,3 @@
 /** Admission: order, limits and refusal under load. */
-export * from './types.js'
-export * from './scheduler.js'
+export type { AttemptResult, PendingAttempt, Scheduler, SchedulerEffect, SchedulerEvent } from './types.js'
+export { createScheduler } from './scheduler.js'
--- a/src/lease/index.ts
+++ b/src/lease/index.ts
@@ -1,3 +1,3 @@
 /** Leases: holding, losing and fencing. */
-export * from './types.js'
-export * from './holder.js'
+export type { HeldLease, Leadership } from './types.js'
+export { createLeaseHolder } from './holder.js'
