Doc comments for schemas, constants and measurements that had none

Found by a script over all exports: schemas of reports and of operators' messages, environment variables, baseline policies and benches had no doc comment; functions of bench/scheduling/measures.ts and mixes.ts no example. Comments only.

--- a/bench/agreement/bench.ts
+++ b/bench/agreement/bench.ts
@@ -17,6 +17,7 @@
   { obstacle: 'a failure domain has just gone', changes: 4 }
 ]
 
+/** Changes of configuration in force, a quiet minute and an outage, by number of nodes. */
 export const bench: Bench = {
   name: 'agreement',
   description: 'Configuration and membership at 8 to 370 nodes in virtual time',
--- a/bench/claims.ts
+++ b/bench/claims.ts
@@ -31,6 +31,7 @@
 /** Way to the writer of a shard and back, another failure domain away. */
 const PEER_ROUND_TRIP: Milliseconds = 3
 
+/** Idempotency keys against ids with a home, by arrival rate and latency of the service. */
 export const bench: Bench = {
   name: 'claims',
   description: 'Key-value writes and added latency of bare idempotency keys',
--- a/bench/planner-size.ts
+++ b/bench/planner-size.ts
@@ -28,6 +28,7 @@
 const RUNS = 40
 const LARGEST_VALUE = 1_048_576
 
+/** Time of the planner's decision and size of its values, by size of deployment. */
 export const bench: Bench = {
   name: 'planner-size',
   description: 'Decision time of the planner and size of its values in the key-value service',
--- a/bench/reclaim-mix.ts
+++ b/bench/reclaim-mix.ts
@@ -48,6 +48,7 @@
 /** Time for a token at the usual load. */
 export const TOKEN_TIME: Milliseconds = 20
 
+/** Service plans and short questions on 13 engines. */
 export const CALCARIA: ReclaimMix = {
   name: 'Calcária',
   engines: 13,
@@ -61,6 +62,7 @@
   ]
 }
 
+/** Closure plans and stop notices on 6 engines. */
 export const TSUBAME: ReclaimMix = {
   name: 'Tsubame',
   engines: 6,
--- a/bench/reclaim-notices.ts
+++ b/bench/reclaim-notices.ts
@@ -40,6 +40,7 @@
   readonly untold: number
 }
 
+/** Time until no node gives a leaving upstream new work, by number of nodes. */
 export const bench: Bench = {
   name: 'reclaim-notices',
   description: 'time until a leaving upstream gets nothing new, calls and bytes, with 8 to 370 copies',
--- a/bench/reclaim.ts
+++ b/bench/reclaim.ts
@@ -24,6 +24,7 @@
 
 type Extent = 'single' | 'wave'
 
+/** Recomputed tokens and late answers, for one engine and for a wave, by policy. */
 export const bench: Bench = {
   name: 'reclaim',
   description: 'recomputed tokens and late answers per reclaim, against recomputing, fair sharing and first in first out',
--- a/bench/scheduling/measures.ts
+++ b/bench/scheduling/measures.ts
@@ -47,27 +47,47 @@
   return tokens / measures.seconds
 }
 
-/** Share of a class's requests with one end. */
+/**
+ * Share of a class's requests with one end.
+ *
+ * @example
+ * shareOf(measures, name, 'refused')
+ */
 export function shareOf (measures: Measures, requestClass: ClassName | undefined, end: RequestEnd, organisation?: OrganisationName): number {
   const chosen = measures.requests.filter(({ request }) =>
     (requestClass === undefined || request.classMix.name === requestClass) && (organisation === undefined || request.organisation === organisation))
   return chosen.length === 0 ? 0 : chosen.filter((measured) => measured.end === end).length / chosen.length
 }
 
-/** Of the answers of a class that came at all, the share within target. */
+/**
+ * Of the answers of a class that came at all, the share within target.
+ *
+ * @example
+ * answeredInTarget(measures, name)
+ */
 export function answeredInTarget (measures: Measures, requestClass: ClassName): number {
   const answered = measures.requests.filter(({ request, end }) => request.classMix.name === requestClass && (end === 'in-target' || end === 'late' || end === 'gave-up'))
   return answered.length === 0 ? 1 : answered.filter(({ end }) => end === 'in-target').length / answered.length
 }
 
-/** Quantile of the time to the first token of a class, in milliseconds. */
+/**
+ * Quantile of the time to the first token of a class, in milliseconds.
+ *
+ * @example
+ * firstTokenQuantile(measures, name, 0.95)
+ */
 export function firstTokenQuantile (measures: Measures, requestClass: ClassName, quantile: number): Milliseconds {
   const times = measures.requests.flatMap(({ request, firstToken }) => request.classMix.name === requestClass && firstToken !== undefined ? [firstToken] : [])
   times.sort((left, right) => left - right)
   return times[Math.min(times.length - 1, Math.floor(times.length * quantile))] ?? Number.NaN
 }
 
-/** Goodput of each second, by the time of the first send. */
+/**
+ * Goodput of each second, by the time of the first send.
+ *
+ * @example
+ * goodputBySecond(measures, 0, MINUTE)
+ */
 export function goodputBySecond (measures: Measures, start: Milliseconds, end: Milliseconds, width = SECOND): { offered: number, good: number }[] {
   const buckets = Array.from({ length: Math.ceil((end - start) / width) }, () => ({ offered: 0, good: 0 }))
   for (const { request, end: outcome } of measures.requests) {
@@ -79,7 +99,12 @@
   return buckets
 }
 
-/** Jain's index of fairness: 1 when all are equal, 1/n when one has everything. */
+/**
+ * Jain's index of fairness: 1 when all are equal, 1/n when one has everything.
+ *
+ * @example
+ * jainIndex([1, 0]) // 0.5
+ */
 export function jainIndex (values: readonly number[]): number {
   const sum = values.reduce((total, value) => total + value, 0)
   const squares = values.reduce((total, value) => total + value * value, 0)
--- a/bench/scheduling/mixes.ts
+++ b/bench/scheduling/mixes.ts
@@ -1,5 +1,5 @@
 /**
- * The two deployments of the brief as mixes of work: classes with targets, organisations of which a
+ * Two deployments as mixes of work: classes with targets, organisations of which a
  * few are large, prompts that share their beginnings, and the machines that serve them.
  */
 import type { Configuration, Target } from '../../src/configuration/index.js'
@@ -167,7 +167,12 @@
   }
 }
 
-/** Whether requests of a class go to the plain servers. */
+/**
+ * Whether requests of a class go to the plain servers.
+ *
+ * @example
+ * calcaria.classes.filter(isPlain)
+ */
 export function isPlain (classMix: ClassMix): boolean {
   return classMix.service === PLAIN
 }
--- a/bench/scheduling/policies.ts
+++ b/bench/scheduling/policies.ts
@@ -20,11 +20,19 @@
 /** The scheduler of the system. */
 export const own: Policy = { name: 'hornbeamgap', create: (random) => createScheduler({ random }) }
 
-/** Without admission, first come first served at the engines. */
+/** Any upstream. As the other baselines below, without admission: first come first served at the engines. */
 export const random: Policy = { name: 'random', create: (source) => createBaseline('random', source) }
+
+/** Each upstream in turn. */
 export const roundRobin: Policy = { name: 'round robin', create: (source) => createBaseline('round robin', source) }
+
+/** The upstream with the fewest requests of this node in flight. */
 export const leastInFlight: Policy = { name: 'least in flight', create: (source) => createBaseline('least in flight', source) }
+
+/** Of two upstreams drawn at random, the one with fewer requests of this node in flight. */
 export const twoChoices: Policy = { name: 'two choices', create: (source) => createBaseline('two choices', source) }
+
+/** The upstream that reported the least load. */
 export const leastReported: Policy = { name: 'least reported', create: (source) => createBaseline('least reported', source) }
 
 /**
--- a/bench/weight-loads.ts
+++ b/bench/weight-loads.ts
@@ -49,6 +49,7 @@
   }
 ]
 
+/** Time until services have capacity again, by order of loads. */
 export const bench: Bench = {
   name: 'weight-loads',
   description: 'Order of weight loads under the store\'s rate after a reclaim wave',
--- a/src/capacity/learned.ts
+++ b/src/capacity/learned.ts
@@ -9,6 +9,7 @@
 import { emptyReclaimHistory, reclaimHistorySchema } from './reclaim-history.js'
 import { refusalSchema } from './refusals.js'
 
+/** What the planner has learned: demand, capacities, reclaims and refusals. */
 export const learnedSchema = z.object({
   demands: z.array(z.object({ service: serviceNameSchema, demand: demandSchema })),
   capacities: z.array(z.object({ service: serviceNameSchema, machineClass: z.string(), capacity: instanceCapacitySchema })),
@@ -19,7 +20,6 @@
   /** Wall time up to which the cost of instances was counted for the reports. */
   countedUntil: z.number()
 })
-/** Demand, capacities, reclaims and refusals. */
 export type Learned = z.infer<typeof learnedSchema>
 
 /**
--- a/src/operator/command/connection.ts
+++ b/src/operator/command/connection.ts
@@ -33,9 +33,13 @@
   close (): Promise<void>
 }
 
-/** Environment variables that stand in for the settings file. */
+/** Environment variable with the addresses of entry nodes, separated by commas. */
 export const ADDRESS_VARIABLE = 'HORNBEAMGAP_ADDRESSES'
+
+/** Environment variable with the operators' key. */
 export const KEY_VARIABLE = 'HORNBEAMGAP_OPERATOR_KEY'
+
+/** Environment variable with the path of the settings file. */
 export const SETTINGS_VARIABLE = 'HORNBEAMGAP_SETTINGS'
 
 /** A change answers after all nodes had their time to confirm it; the node itself gives up before this. */
--- a/src/operator/messages.ts
+++ b/src/operator/messages.ts
@@ -63,6 +63,7 @@
 export const currentAnswerSchema = z.object({ current: configurationRevisionSchema.optional() })
 export type CurrentAnswer = z.infer<typeof currentAnswerSchema>
 
+/** Revisions with what each changed, latest first. */
 export const historyAnswerSchema = z.object({
   revisions: z.array(z.object({
     revision: z.number().int(),
@@ -76,6 +77,7 @@
 })
 export type HistoryAnswer = z.infer<typeof historyAnswerSchema>
 
+/** Where every node stands. */
 export const statusAnswerSchema = z.object({
   /** Latest revision that the answering node knows of. */
   revision: z.number().int().nonnegative(),
@@ -98,4 +100,5 @@
 })
 export type ExplainAnswer = z.infer<typeof explainAnswerSchema>
 
+/** What the planner did, and why. */
 export const plannerAnswerSchema = plannerHistorySchema
--- a/src/report/counts.ts
+++ b/src/report/counts.ts
@@ -6,6 +6,7 @@
 
 const count = z.number().int()
 
+/** Counts as they are written. */
 export const countsSchema = z.object({
   accepted: count,
   /** Refused before acceptance; proven not to have run. */
--- a/src/report/death.ts
+++ b/src/report/death.ts
@@ -9,6 +9,7 @@
 
 const count = z.number().int()
 
+/** Requests of one class and organisation that were open at a node when it died. */
 export const deathNoteSchema = z.strictObject({
   /** Period in which the death was noticed. */
   period: z.number().int().nonnegative(),
@@ -20,7 +21,6 @@
   lost: count,
   unknown: count
 })
-/** Requests of one class and organisation that were open at a node when it died. */
 export type DeathNote = z.infer<typeof deathNoteSchema>
 
 /**
--- a/src/report/document.ts
+++ b/src/report/document.ts
@@ -77,6 +77,7 @@
 })
 export type ReportGap = z.infer<typeof reportGapSchema>
 
+/** A report over one or more periods, as operators and organisations read it. */
 export const reportDocumentSchema = z.object({
   format: z.literal(1),
   deployment: z.string(),
--- a/src/report/fact.ts
+++ b/src/report/fact.ts
@@ -13,6 +13,7 @@
   z.object({ kind: z.literal('unknown') })
 ]) satisfies z.ZodType<Outcome>
 
+/** What may happen to a request. */
 export const factSchema = z.discriminatedUnion('kind', [
   z.object({ kind: z.literal('accepted') }),
   z.object({ kind: z.literal('refused'), code: z.string(), retryAfter: z.number() }),
--- a/src/report/snapshot.ts
+++ b/src/report/snapshot.ts
@@ -15,6 +15,8 @@
 export const LARGEST_SNAPSHOT = 900_000
 
 /**
+ * Where an epoch stands.
+ *
  * - `counting`: the node goes on writing.
  * - `closed`: the node closed the epoch and counts on in the next one.
  * - `final`: the node stopped as planned; nothing follows.
@@ -29,6 +31,7 @@
 ])
 export type SnapshotState = z.infer<typeof snapshotStateSchema>
 
+/** Money spent on one service in one period. */
 export const spendSchema = z.strictObject({
   period: z.number().int().nonnegative(),
   service: serviceNameSchema,
@@ -42,6 +45,7 @@
   open: z.number().int().nonnegative()
 })
 
+/** A snapshot as it is written. */
 export const snapshotSchema = z.strictObject({
   format: z.literal(1),
   incarnation: incarnationSchema,
--- a/src/report/tally.ts
+++ b/src/report/tally.ts
@@ -29,6 +29,7 @@
   readonly latencies: Latencies
 }
 
+/** A cell as it is written. */
 export const cellSchema = z.object({
   period: z.number().int().nonnegative(),
   class: classNameSchema,
@@ -38,7 +39,6 @@
   refusals: z.record(z.string(), z.number().int()).default({}),
   latency: z.object({ firstToken: z.string(), betweenTokens: z.string(), wholeAnswer: z.string() }).partial().default({})
 })
-/** A cell as it is written. */
 export type WrittenCell = z.infer<typeof cellSchema>
 
 /** Cells by key. */
--- a/src/report/total.ts
+++ b/src/report/total.ts
@@ -35,6 +35,7 @@
 export const returnSchema = z.strictObject({ incarnation: incarnationSchema, epoch: z.number().int().positive() })
 export type Return = z.infer<typeof returnSchema>
 
+/** One part of the counts of one period, with the epochs that are in it. */
 export const totalSchema = z.strictObject({
   format: z.literal(1),
   period: z.number().int().nonnegative(),
