--- a/src/operator/known-nodes.ts
+++ b/src/operator/known-nodes.ts
@@ -4,6 +4,7 @@
  * is the union, as far as the service answers.
  */
 import { NODE_PREFIX } from '../entry/registration.js'
+import { readJson } from '../json.js'
 import { nodeRecordSchema } from '../membership/index.js'
 import type { NodeRecord } from '../membership/index.js'
 import type { OperatorContext } from './context.js'
@@ -16,16 +17,8 @@
   const nodes = new Map(membership.nodes().map((record) => [record.incarnation, record]))
   const listing = await keyValue.list(NODE_PREFIX, signal).catch(() => undefined)
   for (const entry of listing?.entries ?? []) {
-    const record = recordIn(entry.value)
+    const record = readJson(nodeRecordSchema, entry.value)
     if (record !== undefined && !nodes.has(record.incarnation)) nodes.set(record.incarnation, record)
   }
   return [...nodes.values()]
 }
-
-function recordIn (text: string): NodeRecord | undefined {
-  try {
-    return nodeRecordSchema.safeParse(JSON.parse(text)).data
-  } catch {
-    return undefined
-  }
-}
--- a/src/planner/report-folder.ts
+++ b/src/planner/report-folder.ts
@@ -12,6 +12,7 @@
 import { HOUR } from '../clock.js'
 import { NODE_PREFIX } from '../entry/registration.js'
 import type { Incarnation } from '../identifiers.js'
+import { readJson } from '../json.js'
 import type { Log } from '../log.js'
 import { nodeRecordSchema } from '../membership/index.js'
 import { ABSENT } from '../platform/key-value.js'
@@ -55,6 +56,9 @@
 /** Totals are kept for so long; older ones are deleted and reports say from when on they can tell. */
 export const RETENTION: Milliseconds = 14 * 24 * HOUR
 
+/** What the folder reads of a node's record. */
+const incarnationRecordSchema = nodeRecordSchema.pick({ incarnation: true })
+
 /** A pass stops after the shard in which it has read so many bytes. */
 const BYTES_PER_PASS = 262_144
 
@@ -104,15 +108,7 @@
 
 async function liveIncarnations (keyValue: KeyValue, signal: AbortSignal): Promise<ReadonlySet<Incarnation>> {
   const listing = await keyValue.list(NODE_PREFIX, signal)
-  return new Set(listing.entries.flatMap((entry) => incarnationIn(entry.value) ?? []))
-}
-
-function incarnationIn (text: string): Incarnation | undefined {
-  try {
-    return nodeRecordSchema.pick({ incarnation: true }).safeParse(JSON.parse(text)).data?.incarnation
-  } catch {
-    return undefined
-  }
+  return new Set(listing.entries.flatMap((entry) => readJson(incarnationRecordSchema, entry.value)?.incarnation ?? []))
 }
 
 /** Nodes whose record vanished between two passes, until nothing of theirs is left or they are back. */
--- a/src/report/snapshot.ts
+++ b/src/report/snapshot.ts
@@ -7,6 +7,7 @@
 import type { Milliseconds } from '../clock.js'
 import { classNameSchema, incarnationSchema, instanceNameSchema, organisationNameSchema, serviceNameSchema } from '../identifiers.js'
 import type { Incarnation, InstanceName } from '../identifiers.js'
+import { readJson } from '../json.js'
 import { deathNoteSchema } from './death.js'
 import type { EpochCounts } from './ledger.js'
 import { cellSchema } from './tally.js'
@@ -112,11 +113,7 @@
  * const snapshot = decodeSnapshot(entry.value)
  */
 export function decodeSnapshot (text: string): Snapshot | undefined {
-  try {
-    return snapshotSchema.safeParse(JSON.parse(text)).data
-  } catch {
-    return undefined
-  }
+  return readJson(snapshotSchema, text)
 }
 
 /**
--- a/src/report/total.ts
+++ b/src/report/total.ts
@@ -6,6 +6,7 @@
 import { z } from 'zod'
 import type { Milliseconds } from '../clock.js'
 import { classNameSchema, incarnationSchema, instanceNameSchema } from '../identifiers.js'
+import { readJson } from '../json.js'
 import { deathNoteSchema, sumDeathNotes } from './death.js'
 import type { Spend } from './ledger.js'
 import { endsIncarnation, snapshotName, spendSchema } from './snapshot.js'
@@ -136,11 +137,7 @@
  * const total = decodeTotal(entry.value)
  */
 export function decodeTotal (text: string): Total | undefined {
-  try {
-    return totalSchema.safeParse(JSON.parse(text)).data
-  } catch {
-    return undefined
-  }
+  return readJson(totalSchema, text)
 }
 
 function emptyTotal (key: TotalKey): Total {
