Virtual clock of the benches: the manual clock's type and its settling

Both clocks declared the same interface and the same way to let ready promises run; the virtual one now takes them from stand-ins/manual-clock.ts. How either moves time is unchanged; the scenarios of agreement and the tests of the manual clock's users pass as they were.

--- a/bench/agreement/measure.ts
+++ b/bench/agreement/measure.ts
@@ -6,10 +6,10 @@
 import { checkConfiguration } from '../../src/configuration/index.js'
 import type { ConfigurationRevision } from '../../src/configuration/index.js'
 import { applyChange } from '../../src/entry/configuration-change.js'
+import type { ManualClock } from '../../stand-ins/manual-clock.js'
 import { createFleet, domainName } from './fleet.js'
 import type { Fleet, FleetNode } from './fleet.js'
 import { createVirtualClock } from './virtual-clock.js'
-import type { VirtualClock } from './virtual-clock.js'
 
 /** Sizes of the fleet: today's, two between, and the target. */
 export const SIZES = [8, 40, 100, 370]
@@ -34,7 +34,7 @@
 
 /** A running fleet with its clock. */
 export interface Run {
-  readonly clock: VirtualClock
+  readonly clock: ManualClock
   readonly fleet: Fleet
 }
 
@@ -177,7 +177,7 @@
  * @example
  * const { revision } = await change(fleet, clock, 1, () => {})
  */
-export async function change (fleet: Fleet, clock: VirtualClock, base: number, then: (revision: ConfigurationRevision) => void): Promise<AcceptedChange> {
+export async function change (fleet: Fleet, clock: ManualClock, base: number, then: (revision: ConfigurationRevision) => void): Promise<AcceptedChange> {
   const request = { changeId: `change-${base + 1}`, author: 'bench', reason: 'measurement', configuration: sampleConfiguration(base), base }
   const outcome = applyChange({ store: fleet.keyValue, clock }, request).then((result) => {
     if (result.kind !== 'accepted') throw new Error(`the change was not accepted: ${result.kind}`)
--- a/bench/agreement/virtual-clock.ts
+++ b/bench/agreement/virtual-clock.ts
@@ -1,11 +1,7 @@
 /** Virtual time for many copies in one process: whole milliseconds, sleepers in a binary heap. */
-import type { Clock, Milliseconds } from '../../src/clock.js'
-
-/** A clock that runs as fast as the work allows. */
-export interface VirtualClock extends Clock {
-  /** Lets time pass; what is due in the same millisecond wakes together. */
-  advance (duration: Milliseconds): Promise<void>
-}
+import type { Milliseconds } from '../../src/clock.js'
+import { settle } from '../../stand-ins/manual-clock.js'
+import type { ManualClock } from '../../stand-ins/manual-clock.js'
 
 interface Sleeper {
   readonly due: Milliseconds
@@ -13,11 +9,13 @@
 }
 
 /**
+ * A manual clock for thousands of sleepers; what is due in the same millisecond wakes together.
+ *
  * @example
  * const clock = createVirtualClock()
  * await clock.advance(60_000)
  */
-export function createVirtualClock (): VirtualClock {
+export function createVirtualClock (): ManualClock {
   const heap: Sleeper[] = []
   let time = 0
 
@@ -57,10 +55,6 @@
   }
 }
 
-function settle (): Promise<void> {
-  return new Promise((resolve) => setImmediate(resolve))
-}
-
 function push (heap: Sleeper[], item: Sleeper): void {
   let index = heap.push(item) - 1
   while (index > 0) {
--- a/features/steps/agreement.steps.ts
+++ b/features/steps/agreement.steps.ts
@@ -5,7 +5,6 @@
 import { createFleet } from '../../bench/agreement/fleet.js'
 import type { Fleet, FleetNode } from '../../bench/agreement/fleet.js'
 import { createVirtualClock } from '../../bench/agreement/virtual-clock.js'
-import type { VirtualClock } from '../../bench/agreement/virtual-clock.js'
 import { MINUTE, SECOND } from '../../src/clock.js'
 import type { Clock } from '../../src/clock.js'
 import type { ConfigurationRevision } from '../../src/configuration/index.js'
@@ -16,10 +15,11 @@
 import { createLeaseKeeper } from '../../src/planner/lease-keeper.js'
 import type { LeaseKeeper } from '../../src/planner/lease-keeper.js'
 import { createRandom } from '../../src/random.js'
+import type { ManualClock } from '../../stand-ins/manual-clock.js'
 import type { DeploymentWorld } from './world.js'
 
 interface AgreementWorld extends DeploymentWorld {
-  clock: VirtualClock
+  clock: ManualClock
   fleet: Fleet
   node: FleetNode
   first: ConfigurationRevision
--- a/stand-ins/manual-clock.ts
+++ b/stand-ins/manual-clock.ts
@@ -57,7 +57,12 @@
   }
 }
 
-/** Lets promises that are ready run. */
-function settle (): Promise<void> {
+/**
+ * Lets promises that are ready run.
+ *
+ * @example
+ * await settle()
+ */
+export function settle (): Promise<void> {
   return new Promise((resolve) => setImmediate(resolve))
 }
