createLog: the parameter is named as the field it fills

Lines have carried the process's name as process for a while; the parameter was still called source. No document shows a line with the earlier field.

--- a/src/log.ts
+++ b/src/log.ts
@@ -15,7 +15,7 @@
 }
 
 /**
- * @param source name of the process, written into each line
+ * @param processName name of the process, written into each line
  * @param level least severe level that is written; `silent` for none
  * @param wall wall clock for the time stamp
  * @param write sink for one line; standard error by default
@@ -23,10 +23,10 @@
  * const log = createLog('entry-1', 'info', clock.wall)
  * log.info('upstream-leaving', { upstream: 'engine-4', source: 'cloud' })
  */
-export function createLog (source: string, level: LogLevelDesc, wall: () => number, write: (line: string) => void = toStandardError): Log {
-  const logger = loglevel.getLogger(`hornbeamgap/${source}`)
+export function createLog (processName: string, level: LogLevelDesc, wall: () => number, write: (line: string) => void = toStandardError): Log {
+  const logger = loglevel.getLogger(`hornbeamgap/${processName}`)
   logger.methodFactory = (method) => (event: string, facts: LogFacts = {}) => {
-    write(JSON.stringify({ time: new Date(wall()).toISOString(), level: method, process: source, event, ...facts }))
+    write(JSON.stringify({ time: new Date(wall()).toISOString(), level: method, process: processName, event, ...facts }))
   }
   logger.setLevel(level, false)
   return {
