Node records are read by the piece that reads other stored JSON

Cause: parseRecord stood beside readJson with the same meaning. Behaviour is unchanged; type check and linter are clean, 13 tests of peers, watches and membership pass.

--- a/src/entry/node-records.ts
+++ b/src/entry/node-records.ts
@@ -1,6 +1,7 @@
 /** Nodes' records as the key-value service holds them. What cannot be read is left out: one bad value must not hide the others. */
+import { readJson } from '../json.js'
 import { nodeRecordSchema } from '../membership/index.js'
-import type { NodeRecord, Stamped, ViewChange } from '../membership/index.js'
+import type { Stamped, ViewChange } from '../membership/index.js'
 import type { KeyValueChange, KeyValueEntry } from '../platform/key-value.js'
 import { NODE_PREFIX } from './registration.js'
 
@@ -11,7 +12,7 @@
  * const records = listing.entries.flatMap(toStamped)
  */
 export function toStamped (entry: KeyValueEntry): Stamped[] {
-  const record = parseRecord(entry.value)
+  const record = readJson(nodeRecordSchema, entry.value)
   return record === undefined ? [] : [{ record, revision: entry.revision }]
 }
 
@@ -26,14 +27,6 @@
     const incarnation = nodeRecordSchema.shape.incarnation.safeParse(change.key.slice(NODE_PREFIX.length))
     return incarnation.success ? { kind: 'delete', revision: change.revision, incarnation: incarnation.data } : undefined
   }
-  const record = parseRecord(change.entry.value)
+  const record = readJson(nodeRecordSchema, change.entry.value)
   return record && { kind: 'put', revision: change.entry.revision, record }
 }
-
-function parseRecord (value: string): NodeRecord | undefined {
-  try {
-    return nodeRecordSchema.parse(JSON.parse(value))
-  } catch {
-    return undefined
-  }
-}
