--- a/src/entry/configuration-keeper.ts
+++ b/src/entry/configuration-keeper.ts
@@ -5,6 +5,7 @@
 import Emittery from 'emittery'
 import type { Clock, Milliseconds } from '../clock.js'
 import { SECOND } from '../clock.js'
+import { parseJson } from '../json.js'
 import { configurationRevisionSchema } from '../configuration/index.js'
 import type { ConfigurationRevision } from '../configuration/index.js'
 import type { Log } from '../log.js'
@@ -122,11 +123,3 @@
     refresh: async () => { await load() }
   }
 }
-
-function parseJson (text: string): unknown {
-  try {
-    return JSON.parse(text)
-  } catch {
-    return undefined
-  }
-}
--- a/src/json.ts
+++ b/src/json.ts
@@ -9,8 +9,19 @@
  * const record = readJson(nodeRecordSchema, entry.value)
  */
 export function readJson<T> (schema: z.ZodType<T>, text: string): T | undefined {
+  return schema.safeParse(parseJson(text)).data
+}
+
+/**
+ * Parses a text that may be no JSON.
+ *
+ * @returns undefined when it is none
+ * @example
+ * parseJson('{') // undefined
+ */
+export function parseJson (text: string): unknown {
   try {
-    return schema.safeParse(JSON.parse(text)).data
+    return JSON.parse(text)
   } catch {
     return undefined
   }
--- a/src/operator/command/connection.ts
+++ b/src/operator/command/connection.ts
@@ -5,6 +5,7 @@
 import { SECOND } from '../../clock.js'
 import { addressSchema } from '../../identifiers.js'
 import type { Address } from '../../identifiers.js'
+import { parseJson } from '../../json.js'
 import { createConnections, readBody, send } from '../../platform/http.js'
 import { loadSettings, parseSettings } from '../../settings.js'
 import { ServingError, toServingError } from '../../verdict.js'
@@ -130,14 +131,6 @@
   return new ServingError(message, { code: type as ServingError['code'], verdict })
 }
 
-function parseJson (text: string): unknown {
-  try {
-    return JSON.parse(text)
-  } catch {
-    return undefined
-  }
-}
-
 function invalid (message: string): ServingError {
   return new ServingError(message, { code: 'invalid-request', verdict: 'not-run' })
 }
--- a/src/platform/http.ts
+++ b/src/platform/http.ts
@@ -7,6 +7,7 @@
 import type { z } from 'zod'
 import type { Milliseconds } from '../clock.js'
 import type { Address } from '../identifiers.js'
+import { parseJson } from '../json.js'
 import { ServingError } from '../verdict.js'
 import type { Verdict } from '../verdict.js'
 
@@ -152,14 +153,6 @@
   return body?.error?.verdict === 'not-run' ? 'not-run' : undefined
 }
 
-function parseJson (text: string): unknown {
-  try {
-    return JSON.parse(text)
-  } catch {
-    return undefined
-  }
-}
-
 function headersOf (exchange: HttpExchange): Record<string, string> {
   if (exchange.body === undefined || Buffer.isBuffer(exchange.body)) return { ...exchange.headers }
   return { 'content-type': 'application/json', ...exchange.headers }
