Protocols of the product's own interface move to src/protocols

The machines get an adapter folder platform/ at the root; src/platform would collide with it in every import. A rename only, no behaviour changes; the lint rule against I/O in aggregates names both.

--- a/bench/agreement/message-cost.ts
+++ b/bench/agreement/message-cost.ts
@@ -12,8 +12,8 @@
 import { createPeers } from '../../src/peer/client.js'
 import type { PeerHandlers, PeerRouter } from '../../src/peer/router.js'
 import { createPeerServer } from '../../src/peer/server.js'
-import { createConnections } from '../../src/platform/http.js'
-import type { Connections } from '../../src/platform/http.js'
+import { createConnections } from '../../src/protocols/http.js'
+import type { Connections } from '../../src/protocols/http.js'
 
 /** Cost of one exchange. */
 export interface MessageCost {
--- a/bench/capacity/feed.ts
+++ b/bench/capacity/feed.ts
@@ -5,8 +5,8 @@
  */
 import { createSystemClock } from '../../src/clock.js'
 import { addressSchema, failureDomainSchema, instanceNameSchema, serviceNameSchema, upstreamNameSchema } from '../../src/identifiers.js'
-import { createEngine } from '../../src/platform/engine.js'
-import type { Engine } from '../../src/platform/engine.js'
+import { createEngine } from '../../src/protocols/engine.js'
+import type { Engine } from '../../src/protocols/engine.js'
 import { createRandom } from '../../src/random.js'
 import type { Random } from '../../src/random.js'
 import { chatBodySchema } from '../../src/request/index.js'
--- a/bench/capacity/sockets.ts
+++ b/bench/capacity/sockets.ts
@@ -1,7 +1,7 @@
 /** Connections whose bytes are counted at the sockets: HTTP headers and bodies, without TCP and IP. */
 import type { Socket } from 'node:net'
 import { Agent, buildConnector } from 'undici'
-import type { Connections } from '../../src/platform/http.js'
+import type { Connections } from '../../src/protocols/http.js'
 
 /** Connections with a count. */
 export interface CountedConnections {
--- a/bench/entry-overhead.ts
+++ b/bench/entry-overhead.ts
@@ -1,8 +1,8 @@
 /** What one entry node adds to a small request, against direct calls to the same stand-ins in one run. */
 import { build } from 'hdr-histogram-js'
 import type { Histogram } from 'hdr-histogram-js'
-import { createConnections } from '../src/platform/http.js'
-import type { Connections } from '../src/platform/http.js'
+import { createConnections } from '../src/protocols/http.js'
+import type { Connections } from '../src/protocols/http.js'
 import { createSystemClock } from '../src/clock.js'
 import type { Clock, Milliseconds } from '../src/clock.js'
 import { startDeployment } from '../stand-ins/deployment.js'
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -6,7 +6,7 @@
 /** Modules that perform I/O, or folders that do. */
 const inputOutput = [
   'node:*', 'undici', 'restana', '@trpc/*', 'loglevel', 'cac', 'emittery', '@opentelemetry/*',
-  '**/platform/**', '**/caller/**', '**/operator/**', '**/peer/**', '**/entry/**', '**/planner/**', '**/bin/**', '**/stand-ins/**'
+  '**/protocols/**', '**/platform/**', '**/caller/**', '**/operator/**', '**/peer/**', '**/entry/**', '**/planner/**', '**/bin/**', '**/stand-ins/**'
 ]
 
 export default [
--- a/src/client/chat.ts
+++ b/src/client/chat.ts
@@ -1,9 +1,9 @@
 /** Chat completions: the stream is read to its final mark, over as many connections as it takes. */
 import type { Milliseconds } from '../clock.js'
 import type { RequestId } from '../identifiers.js'
-import { connectionFailure, readBody, send as exchange } from '../platform/http.js'
-import type { HttpResponse } from '../platform/http.js'
-import { readEvents } from '../platform/server-sent-events.js'
+import { connectionFailure, readBody, send as exchange } from '../protocols/http.js'
+import type { HttpResponse } from '../protocols/http.js'
+import { readEvents } from '../protocols/server-sent-events.js'
 import type { ChatMessage } from '../request/index.js'
 import type { Usage } from '../upstream/index.js'
 import { ServingError } from '../verdict.js'
--- a/src/client/plain.ts
+++ b/src/client/plain.ts
@@ -1,7 +1,7 @@
 /** Calls of plain services through the system. */
 import type { Milliseconds } from '../clock.js'
 import type { RequestId } from '../identifiers.js'
-import { connectionFailure, send as exchange } from '../platform/http.js'
+import { connectionFailure, send as exchange } from '../protocols/http.js'
 import { ServingError } from '../verdict.js'
 import { sendUntilAnswered, ToldFailure } from './sending.js'
 import type { Send, Sending } from './sending.js'
--- a/src/entry/agreement-peers.ts
+++ b/src/entry/agreement-peers.ts
@@ -5,8 +5,8 @@
 import { createAgreementClient } from '../peer/agreement-client.js'
 import type { AgreementMessage, Delivery, DeliveryReceipt, DeliveryTarget, ProbeAnswer } from '../peer/agreement.js'
 import type { PeerClient } from '../peer/client.js'
-import { createConnections } from '../platform/http.js'
-import type { Connections } from '../platform/http.js'
+import { createConnections } from '../protocols/http.js'
+import type { Connections } from '../protocols/http.js'
 
 /** Calls to peers as the agreement makes them. Every method rejects when the peer does not answer in time. */
 export interface AgreementPeers {
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -2,7 +2,7 @@
 import type { AttemptResult, PendingAttempt } from '../admission/index.js'
 import type { Service } from '../configuration/index.js'
 import type { UpstreamName } from '../identifiers.js'
-import { prefixBlocks, promptTokens } from '../platform/prompt.js'
+import { prefixBlocks, promptTokens } from '../protocols/prompt.js'
 import type { AnswerEnd } from '../request/index.js'
 import type { UpstreamView } from '../upstream/index.js'
 import { ServingError, toServingError } from '../verdict.js'
--- a/src/entry/claim-keeper.ts
+++ b/src/entry/claim-keeper.ts
@@ -4,7 +4,7 @@
  */
 import type { Clock, Milliseconds } from '../clock.js'
 import { MINUTE } from '../clock.js'
-import type { KeyValue, KeyValueEntry, SwapResult } from '../platform/key-value.js'
+import type { KeyValue, KeyValueEntry, SwapResult } from '../protocols/key-value.js'
 import { CLAIM_SHARDS, mergeClaims, shardKey, shardOf, shardValueSchema } from '../request/index.js'
 import type { Claim, ClaimResult, WantedClaim } from '../request/index.js'
 import { ServingError, toServingError } from '../verdict.js'
--- a/src/entry/configuration-change.ts
+++ b/src/entry/configuration-change.ts
@@ -3,8 +3,8 @@
 import { SECOND } from '../clock.js'
 import { checkConfiguration, difference, formatRevision, HISTORY_KEPT, parseRevision, propose, settle } from '../configuration/index.js'
 import type { ChangeRequest, ConfigurationRevision, Difference, Settlement, StoredRevision } from '../configuration/index.js'
-import { ABSENT } from '../platform/key-value.js'
-import type { KeyValue, SwapResult } from '../platform/key-value.js'
+import { ABSENT } from '../protocols/key-value.js'
+import type { KeyValue, SwapResult } from '../protocols/key-value.js'
 import { ServingError } from '../verdict.js'
 
 /** Key of the current configuration. */
--- a/src/entry/context.ts
+++ b/src/entry/context.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '../clock.js'
 import type { Configuration } from '../configuration/index.js'
 import type { RequestId } from '../identifiers.js'
-import type { Connections } from '../platform/http.js'
+import type { Connections } from '../protocols/http.js'
 import type { Random } from '../random.js'
 import type { RetryPolicy } from '../request/index.js'
 import type { Tracing } from '../tracing.js'
--- a/src/entry/generation.ts
+++ b/src/entry/generation.ts
@@ -1,8 +1,8 @@
 /** One attempt of a model request: tokens from an engine's stream into the answer. */
 import type { UpstreamName } from '../identifiers.js'
-import { createEngine } from '../platform/engine.js'
-import type { EngineCall, EngineEvent, EngineStream } from '../platform/engine.js'
-import { promptTokens } from '../platform/prompt.js'
+import { createEngine } from '../protocols/engine.js'
+import type { EngineCall, EngineEvent, EngineStream } from '../protocols/engine.js'
+import { promptTokens } from '../protocols/prompt.js'
 import { createAttemptMatcher } from '../request/index.js'
 import type { ChatBody } from '../request/index.js'
 import type { UpstreamView } from '../upstream/index.js'
--- a/src/entry/liveness.ts
+++ b/src/entry/liveness.ts
@@ -1,6 +1,6 @@
 /** Whether an upstream still takes connections, after one of them broke. */
 import type { Milliseconds } from '../clock.js'
-import { send } from '../platform/http.js'
+import { send } from '../protocols/http.js'
 import type { UpstreamView } from '../upstream/index.js'
 import { toServingError } from '../verdict.js'
 import type { ExecutionContext } from './context.js'
--- a/src/entry/node-records.ts
+++ b/src/entry/node-records.ts
@@ -2,7 +2,7 @@
 import { readJson } from '../json.js'
 import { nodeRecordSchema } from '../membership/index.js'
 import type { Stamped, ViewChange } from '../membership/index.js'
-import type { KeyValueChange, KeyValueEntry } from '../platform/key-value.js'
+import type { KeyValueChange, KeyValueEntry } from '../protocols/key-value.js'
 import { NODE_PREFIX } from './registration.js'
 
 /**
--- a/src/entry/plain-call.ts
+++ b/src/entry/plain-call.ts
@@ -1,5 +1,5 @@
 /** One attempt of a plain call. */
-import { callPlainService } from '../platform/plain-service.js'
+import { callPlainService } from '../protocols/plain-service.js'
 import type { PlainCall } from '../request/index.js'
 import { ServingError, toServingError } from '../verdict.js'
 import type { AttemptEnd } from './attempt.js'
--- a/src/entry/registration.ts
+++ b/src/entry/registration.ts
@@ -3,7 +3,7 @@
 import { SECOND } from '../clock.js'
 import type { Log } from '../log.js'
 import type { NodeRecord } from '../membership/index.js'
-import type { KeyValue, LeaseId } from '../platform/key-value.js'
+import type { KeyValue, LeaseId } from '../protocols/key-value.js'
 import type { Random } from '../random.js'
 
 /** Prefix of the nodes' records, one key per incarnation. */
--- a/src/entry/streams.ts
+++ b/src/entry/streams.ts
@@ -1,8 +1,8 @@
 /** The open streams of one node as decisions about reclaims see them, and the ways to move them. */
 import type { Milliseconds } from '../clock.js'
 import type { RequestId, UpstreamName } from '../identifiers.js'
-import { createEngine } from '../platform/engine.js'
-import { promptTokens } from '../platform/prompt.js'
+import { createEngine } from '../protocols/engine.js'
+import { promptTokens } from '../protocols/prompt.js'
 import type { ExecutionContext } from './context.js'
 import type { Execution } from './execution.js'
 import type { Executions } from './submission.js'
--- a/src/entry/upstream-directory.ts
+++ b/src/entry/upstream-directory.ts
@@ -4,7 +4,7 @@
 import { SECOND } from '../clock.js'
 import type { Address, UpstreamName } from '../identifiers.js'
 import type { Log } from '../log.js'
-import type { InstanceList } from '../platform/instance-list.js'
+import type { InstanceList } from '../protocols/instance-list.js'
 import { repeat } from '../repeat.js'
 import type { Instance, UpstreamView } from '../upstream/index.js'
 
--- a/src/operator/command/connection.ts
+++ b/src/operator/command/connection.ts
@@ -6,7 +6,7 @@
 import { addressSchema } from '../../identifiers.js'
 import type { Address } from '../../identifiers.js'
 import { parseJson } from '../../json.js'
-import { createConnections, readBody, send } from '../../platform/http.js'
+import { createConnections, readBody, send } from '../../protocols/http.js'
 import { loadSettings, parseSettings } from '../../settings.js'
 import { ServingError, toServingError } from '../../verdict.js'
 
--- a/src/peer/agreement-client.ts
+++ b/src/peer/agreement-client.ts
@@ -6,7 +6,7 @@
 import { createTRPCClient, httpLink } from '@trpc/client'
 import { request } from 'undici'
 import type { Address } from '../identifiers.js'
-import type { Connections } from '../platform/http.js'
+import type { Connections } from '../protocols/http.js'
 import type { PeerClient } from './client.js'
 import type { PeerRouter } from './router.js'
 
--- a/src/peer/suspicion-client.ts
+++ b/src/peer/suspicion-client.ts
@@ -1,8 +1,8 @@
 /** Sends messages about suspicion to peers: what is due to one peer shares an exchange. */
 import type { Clock, Milliseconds } from '../clock.js'
 import type { Address } from '../identifiers.js'
-import { exchangeJson } from '../platform/http.js'
-import type { Connections } from '../platform/http.js'
+import { exchangeJson } from '../protocols/http.js'
+import type { Connections } from '../protocols/http.js'
 import { SUSPICION_PATH, suspicionAnswersSchema } from './suspicion.js'
 import type { SuspicionAnswer, SuspicionMessage } from './suspicion.js'
 
--- a/src/planner/demand-reader.ts
+++ b/src/planner/demand-reader.ts
@@ -8,7 +8,7 @@
 import type { Milliseconds } from '../clock.js'
 import { SECOND } from '../clock.js'
 import type { Incarnation, ServiceName } from '../identifiers.js'
-import type { KeyValue } from '../platform/key-value.js'
+import type { KeyValue } from '../protocols/key-value.js'
 import { decodeSnapshot, endsIncarnation, shardPrefix, SHARDS, snapshotName } from '../report/index.js'
 import type { Snapshot } from '../report/index.js'
 
--- a/src/planner/stored-value.ts
+++ b/src/planner/stored-value.ts
@@ -1,7 +1,7 @@
 /** A value of the planner in the key-value service, changed by compare-and-swap. */
 import type { z } from 'zod'
-import { ABSENT } from '../platform/key-value.js'
-import type { KeyValue } from '../platform/key-value.js'
+import { ABSENT } from '../protocols/key-value.js'
+import type { KeyValue } from '../protocols/key-value.js'
 import { ServingError } from '../verdict.js'
 
 /** The value with its revision. */
--- a/stand-ins/cloud-state.ts
+++ b/stand-ins/cloud-state.ts
@@ -6,7 +6,7 @@
 import type { CloudInstance, Offer, ReclaimNotice, StartAnswer, StartOrder } from '../src/capacity/index.js'
 import type { Clock, Milliseconds } from '../src/clock.js'
 import type { FailureDomain, InstanceName } from '../src/identifiers.js'
-import type { NoticePage } from '../src/platform/cloud.js'
+import type { NoticePage } from '../src/protocols/cloud.js'
 
 /** The cloud's operations; all are immediate. */
 export interface CloudState {
--- a/stand-ins/engine.ts
+++ b/stand-ins/engine.ts
@@ -4,8 +4,8 @@
  * with or without fencing. Its answers are a function of the prompt, so that any caller can tell a
  * whole answer of its own from anything else.
  */
-import { engineOrderSchema } from '../src/platform/engine.js'
-import { createConnections } from '../src/platform/http.js'
+import { engineOrderSchema } from '../src/protocols/engine.js'
+import { createConnections } from '../src/protocols/http.js'
 import { createBatch } from './engine/batch.js'
 import { createCacheFeed } from './engine/cache-feed.js'
 import { createDesiredState } from './engine/desired-state.js'
--- a/stand-ins/engine/cache-feed.ts
+++ b/stand-ins/engine/cache-feed.ts
@@ -1,6 +1,6 @@
 /** Feed of an engine stand-in's cache changes: late, bounded, and with gaps when told so. */
 import type { Clock, Milliseconds } from '../../src/clock.js'
-import type { CacheEvent } from '../../src/platform/engine.js'
+import type { CacheEvent } from '../../src/protocols/engine.js'
 import type { Random } from '../../src/random.js'
 import type { CacheChange } from './prefix-cache.js'
 
--- a/stand-ins/engine/desired-state.ts
+++ b/stand-ins/engine/desired-state.ts
@@ -1,5 +1,5 @@
 /** Orders of an engine stand-in: desired state, fencing checked or ignored, weights that take time. */
-import type { EngineOrder } from '../../src/platform/engine.js'
+import type { EngineOrder } from '../../src/protocols/engine.js'
 
 /** What an engine holds and has been told to hold. */
 export interface DesiredState {
--- a/stand-ins/engine/follower.ts
+++ b/stand-ins/engine/follower.ts
@@ -1,6 +1,6 @@
 /** One connection that follows a stream of an engine stand-in as server-sent events. */
 import type { ServerResponse } from 'node:http'
-import { formatEvent } from '../../src/platform/server-sent-events.js'
+import { formatEvent } from '../../src/protocols/server-sent-events.js'
 import type { Stream } from './stream.js'
 import type { EngineFaults } from './types.js'
 
--- a/stand-ins/engine/prefix-cache.ts
+++ b/stand-ins/engine/prefix-cache.ts
@@ -1,5 +1,5 @@
 /** Prefix cache of an engine stand-in: hash chains of prompt blocks, the least recently used go first. */
-import { BLOCK_CHARACTERS } from '../../src/platform/prompt.js'
+import { BLOCK_CHARACTERS } from '../../src/protocols/prompt.js'
 
 /** One change, for the engine's cache feed. */
 export interface CacheChange {
--- a/stand-ins/engine/types.ts
+++ b/stand-ins/engine/types.ts
@@ -1,7 +1,7 @@
 /** What an engine stand-in is made of, which faults it has, and what tests read from it. */
 import type { Clock, Milliseconds } from '../../src/clock.js'
 import type { UpstreamName } from '../../src/identifiers.js'
-import type { EngineOrder } from '../../src/platform/engine.js'
+import type { EngineOrder } from '../../src/protocols/engine.js'
 import type { Random } from '../../src/random.js'
 import type { FaultSwitch } from '../faults.js'
 import type { StandInServer } from '../http-server.js'
--- a/stand-ins/key-value-direct.ts
+++ b/stand-ins/key-value-direct.ts
@@ -1,8 +1,8 @@
 /** In-process face of the key-value stand-in: the same store and faults without a network. */
 import type { Clock, Milliseconds } from '../src/clock.js'
 import { SECOND } from '../src/clock.js'
-import { prefixEnd } from '../src/platform/key-value.js'
-import type { KeyValue, KeyValueChange } from '../src/platform/key-value.js'
+import { prefixEnd } from '../src/protocols/key-value.js'
+import type { KeyValue, KeyValueChange } from '../src/protocols/key-value.js'
 import { ServingError } from '../src/verdict.js'
 import type { FaultSwitch } from './faults.js'
 import type { KeyValueStore } from './key-value-store.js'
--- a/stand-ins/key-value-store.ts
+++ b/stand-ins/key-value-store.ts
@@ -3,8 +3,8 @@
  * clock, and watchers. No network; the HTTP face and the in-process face both drive it.
  */
 import type { Clock, Milliseconds } from '../src/clock.js'
-import { ABSENT } from '../src/platform/key-value.js'
-import type { KeyValueChange, KeyValueEntry, KeyValueListing, LeaseId, SwapResult } from '../src/platform/key-value.js'
+import { ABSENT } from '../src/protocols/key-value.js'
+import type { KeyValueChange, KeyValueEntry, KeyValueListing, LeaseId, SwapResult } from '../src/protocols/key-value.js'
 
 /** The store's operations; all are immediate. */
 export interface KeyValueStore {
--- a/stand-ins/key-value.ts
+++ b/stand-ins/key-value.ts
@@ -1,7 +1,7 @@
 /** HTTP face of the key-value stand-in, in the JSON form of the etcd v3 API. */
 import type { Clock } from '../src/clock.js'
 import { SECOND } from '../src/clock.js'
-import type { KeyValueChange, KeyValueEntry } from '../src/platform/key-value.js'
+import type { KeyValueChange, KeyValueEntry } from '../src/protocols/key-value.js'
 import type { Random } from '../src/random.js'
 import { createFaultSwitch } from './faults.js'
 import type { FaultSwitch } from './faults.js'
--- a/stand-ins/weight-store.ts
+++ b/stand-ins/weight-store.ts
@@ -3,7 +3,7 @@
  * receiver, and a status page.
  */
 import type { Clock, Milliseconds } from '../src/clock.js'
-import type { WeightStoreStatus } from '../src/platform/weight-store.js'
+import type { WeightStoreStatus } from '../src/protocols/weight-store.js'
 import type { Random } from '../src/random.js'
 import { createFaultSwitch } from './faults.js'
 import type { FaultSwitch } from './faults.js'
--- a/test/entry/key-watch.test.ts
+++ b/test/entry/key-watch.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { followKeys } from '../../src/entry/key-watch.js'
-import type { KeyValueChange } from '../../src/platform/key-value.js'
+import type { KeyValueChange } from '../../src/protocols/key-value.js'
 import { createRandom } from '../../src/random.js'
 import { createFaultSwitch } from '../../stand-ins/faults.js'
 import { createDirectKeyValue } from '../../stand-ins/key-value-direct.js'
