Gateway node and adapter: the thin path through the users' machines

Cause: the product's entry speaks chat completions and keeps homes of requests between nodes; the machines' callers send opaque requests whose each attempt has an id of its own, so that at-most-once is local to the node that took it. Change: src/gateway forwards with pure decisions in src/routing, quota, placement and usage; platform/ decodes names once.

--- a/src/bin/command-line.ts
+++ b/src/bin/command-line.ts
@@ -24,6 +24,8 @@
   readonly name: string
   readonly description: string
   readonly schema: z.ZodType<Settings>
+  /** Settings file where the command line names none. */
+  readonly defaultSettings?: string
   /** Adds options beside `--settings` and `--check`. */
   readonly addOptions?: (command: Command) => void
   /** Starts the process. @returns how to stop it */
@@ -48,7 +50,7 @@
  *   start: async (settings) => startPlanner({ settings, clock, random }).stop
  * })
  */
-export function runServer<Settings> ({ name, description, schema, addOptions, start }: ServerCommand<Settings>): void {
+export function runServer<Settings> ({ name, description, schema, defaultSettings, addOptions, start }: ServerCommand<Settings>): void {
   const program = cac(name)
   const command = program.command('', description)
     .option('--settings <file>', 'TOML settings file')
@@ -63,8 +65,9 @@
   })
 
   async function run (options: ServerCommandOptions): Promise<void> {
-    if (options.settings === undefined) throw new ServingError('--settings <file> is required', { code: 'invalid-request', verdict: 'not-run' })
-    const settings = loadSettings(schema, options.settings)
+    const path = options.settings ?? defaultSettings
+    if (path === undefined) throw new ServingError('--settings <file> is required', { code: 'invalid-request', verdict: 'not-run' })
+    const settings = loadSettings(schema, path)
     if (options.check) return
     onStopSignal(await start(settings, options))
   }
--- a/src/caller/http.ts
+++ b/src/caller/http.ts
@@ -110,7 +110,7 @@
  * @example
  * await writeSlowly(response, formatEvent(data), gone)
  */
-export function writeSlowly (response: ServerResponse, text: string, gone: AbortSignal): Promise<void> | void {
+export function writeSlowly (response: ServerResponse, text: string | Buffer, gone: AbortSignal): Promise<void> | void {
   if (response.write(text)) return
   return new Promise((resolve) => {
     const timer = setTimeout(() => response.destroy(), STALLED)
--- a/src/entry/key-watch.ts
+++ b/src/entry/key-watch.ts
@@ -18,11 +18,25 @@
   /** Takes changes; an empty list is a sign of progress. */
   readonly changed: (changes: readonly KeyValueChange[]) => void
   readonly failed: (error: unknown) => void
+  /** {@link CALM_PAUSES} unless said otherwise. */
+  readonly pauses?: WatchPauses
+}
+
+/** Pauses of a follower. */
+export interface WatchPauses {
+  /** Before the first reading. */
+  readonly start: Milliseconds
+  /** After the first failure in a row; doubles with each further one. */
+  readonly first: Milliseconds
+  readonly longest: Milliseconds
+  /** Between two calls of a watch, so that what comes in quick succession is read at once. */
+  readonly batch: Milliseconds
 }
 
 const IDLE_CHECK: Milliseconds = SECOND
-const FIRST_PAUSE: Milliseconds = SECOND
-const LONGEST_PAUSE: Milliseconds = 8 * SECOND
+
+/** A node that has just started knows no other and would take itself for a watcher; it waits first. */
+export const CALM_PAUSES: WatchPauses = { start: IDLE_CHECK, first: SECOND, longest: 8 * SECOND, batch: 0 }
 
 /**
  * Follows until the signal aborts.
@@ -31,9 +45,9 @@
  * followKeys({ keyValue, prefix, clock, random, signal, wanted: () => true, load, changed, failed })
  */
 export async function followKeys (watch: KeyWatch): Promise<void> {
-  let pause = FIRST_PAUSE
-  // A node that has just started knows no other and would take itself for a watcher.
-  await rest(watch, IDLE_CHECK * (1 + watch.random.fraction()))
+  const pauses = watch.pauses ?? CALM_PAUSES
+  let pause = pauses.first
+  if (pauses.start > 0) await rest(watch, pauses.start * (1 + watch.random.fraction()))
   while (!watch.signal.aborted) {
     if (!watch.wanted()) {
       await rest(watch, IDLE_CHECK)
@@ -41,26 +55,27 @@
     }
     try {
       const revision = await watch.load()
-      pause = FIRST_PAUSE
-      await followFrom(watch, revision + 1)
+      pause = pauses.first
+      await followFrom(watch, revision + 1, pauses.batch)
     } catch (error) {
       if (watch.signal.aborted) return
       watch.failed(error)
       // Failure guarded against: when the service comes back, all watchers would call in the same
       // instant. The pauses grow and are spread over half their length.
       await rest(watch, pause * (1 + watch.random.fraction()) / 2)
-      pause = Math.min(LONGEST_PAUSE, pause * 2)
+      pause = Math.min(pauses.longest, pause * 2)
     }
   }
 }
 
-async function followFrom (watch: KeyWatch, revision: number): Promise<void> {
+async function followFrom (watch: KeyWatch, revision: number, batch: Milliseconds): Promise<void> {
   const owner = new AbortController()
   const signal = AbortSignal.any([watch.signal, owner.signal])
   try {
     for await (const changes of watch.keyValue.watch(watch.prefix, revision, signal)) {
       watch.changed(changes)
       if (!watch.wanted()) return
+      if (batch > 0) await rest(watch, batch)
     }
   } finally {
     owner.abort()
--- /dev/null
+++ b/src/gateway/configuration-keeper.ts
@@ -0,0 +1,54 @@
+/** The configuration in force at this node: the highest version that the store or a peer has shown. */
+import { createRouteTable, supersedes } from '../routing/index.js'
+import type { RouteTable, RoutingConfiguration } from '../routing/index.js'
+import { PROMPT_PAUSES, follow } from './follow.js'
+import type { FollowContext, Following } from './follow.js'
+import type { Registry } from './ports.js'
+
+/** Configuration of one node. */
+export interface ConfigurationKeeper {
+  table (): RouteTable | undefined
+  /** The text that the configuration in force was read from, for peers that don't reach the store. */
+  text (): string | undefined
+  /** Takes a configuration that a peer passed on. */
+  offer (text: string, source: string): void
+  readonly following: Following
+}
+
+/**
+ * @param changed called with each version that comes into force
+ * @example
+ * const keeper = createConfigurationKeeper(context, platform.registry, (configuration) => limitCallers(server, configuration.limits))
+ */
+export function createConfigurationKeeper (context: FollowContext, registry: Registry, changed: (configuration: RoutingConfiguration) => void): ConfigurationKeeper {
+  const { log } = context
+  let table: RouteTable | undefined
+  let text: string | undefined
+
+  function offer (candidate: string, source: string): void {
+    let configuration: RoutingConfiguration
+    try {
+      configuration = registry.readConfiguration(candidate)
+    } catch (error) {
+      log.warn('configuration-unreadable', { source, error: String(error).slice(0, 300) })
+      return
+    }
+    const inForce = table?.configuration.version
+    if (!supersedes(configuration.version, inForce)) return
+    table = createRouteTable(configuration)
+    text = candidate
+    log.info('configuration-in-force', { version: configuration.version, before: inForce, source, routes: configuration.routes.length, organisations: configuration.organisations?.length })
+    changed(configuration)
+  }
+
+  const following = follow(context, registry.configurationKey, {
+    replace: (entries) => {
+      for (const entry of entries) if (entry.key === registry.configurationKey) offer(entry.value, 'store')
+    },
+    put: (entry) => { if (entry.key === registry.configurationKey) offer(entry.value, 'store') },
+    // The configuration in force stays: operators replace it, they don't take it away.
+    remove: (key) => log.warn('configuration-removed', { key })
+  }, PROMPT_PAUSES)
+
+  return { table: () => table, text: () => text, offer, following }
+}
--- /dev/null
+++ b/src/gateway/context.ts
@@ -0,0 +1,34 @@
+/** What the parts of a gateway node share. */
+import type { Clock, Milliseconds } from '../clock.js'
+import type { Log } from '../log.js'
+import type { QuotaLimiter, RetryBudget } from '../quota/index.js'
+import type { Random } from '../random.js'
+import type { RouteTable } from '../routing/index.js'
+import type { UsageWindows } from '../usage/index.js'
+import type { UpstreamConnections } from './exchange.js'
+import type { GatewayMetrics } from './metrics.js'
+import type { RequestFormat } from './ports.js'
+import type { GatewaySettings } from './settings.js'
+import type { UpstreamView } from './upstream-view.js'
+
+/** Shared by all requests of a node. */
+export interface GatewayContext {
+  readonly settings: GatewaySettings
+  readonly clock: Clock
+  readonly random: Random
+  readonly log: Log
+  readonly metrics: GatewayMetrics
+  readonly format: RequestFormat
+  readonly upstreams: UpstreamView
+  readonly connections: UpstreamConnections
+  readonly quotas: QuotaLimiter
+  readonly usage: UsageWindows
+  /** Bound on further attempts of a service. */
+  readonly retryBudget: (service: string) => RetryBudget
+  /** The configuration in force; undefined until the first one is known. */
+  readonly table: () => RouteTable | undefined
+  /** Wall time that the nodes agree on, which a step of this machine's clock doesn't move. */
+  readonly sharedWall: () => Milliseconds
+  /** Undefined while the node serves; once it stops, the time by which all requests must have ended. */
+  readonly stopBy: () => Milliseconds | undefined
+}
--- /dev/null
+++ b/src/gateway/metrics.ts
@@ -0,0 +1,83 @@
+/** Counters, gauges and latency histograms of a gateway node, in the Prometheus text format. */
+import { build } from 'hdr-histogram-js'
+import type { Histogram } from 'hdr-histogram-js'
+import type { Milliseconds } from '../clock.js'
+
+/** Labels of one series. */
+export type Labels = Readonly<Record<string, string>>
+
+/** What a gateway node counts. */
+export interface GatewayMetrics {
+  /** Adds one to a counter. */
+  count (name: string, labels?: Labels): void
+  /** Adds a duration to a histogram. */
+  record (name: string, duration: Milliseconds, labels?: Labels): void
+  /** Names a value that is read when the page is. */
+  gauge (name: string, read: () => number | undefined): void
+  /** The page. */
+  text (): string
+}
+
+const QUANTILES = [50, 95, 99]
+const LONGEST: Milliseconds = 600_000
+
+/** Series beyond this are summed up without labels, so that a hostile caller can't fill the memory. */
+const MOST_SERIES = 500
+
+/**
+ * @example
+ * const metrics = createGatewayMetrics()
+ * metrics.count('answers', { route: 'plans', outcome: 'served' })
+ */
+export function createGatewayMetrics (): GatewayMetrics {
+  const counters = new Map<string, number>()
+  const histograms = new Map<string, Histogram>()
+  const gauges = new Map<string, () => number | undefined>()
+
+  function seriesOf (known: ReadonlyMap<string, unknown>, name: string, labels: Labels): string {
+    const series = `${name}${formatLabels(labels)}`
+    return known.has(series) || known.size < MOST_SERIES ? series : name
+  }
+
+  return {
+    count: (name, labels = {}) => {
+      const series = seriesOf(counters, `${name}_total`, labels)
+      counters.set(series, (counters.get(series) ?? 0) + 1)
+    },
+    record: (name, duration, labels = {}) => {
+      const series = seriesOf(histograms, name, labels)
+      const histogram = histograms.get(series) ?? createHistogram()
+      histograms.set(series, histogram)
+      histogram.recordValue(Math.min(LONGEST, Math.max(0, Math.round(duration))))
+    },
+    gauge: (name, read) => { gauges.set(name, read) },
+    text: () => [
+      ...[...counters].map(([series, value]) => `hornbeamgap_${series} ${value}`),
+      ...[...gauges].flatMap(([name, read]) => {
+        const value = read()
+        return value === undefined ? [] : [`hornbeamgap_${name} ${value}`]
+      }),
+      ...[...histograms].flatMap(([series, histogram]) => histogramLines(series, histogram)),
+      ''
+    ].join('\n')
+  }
+}
+
+function createHistogram (): Histogram {
+  return build({ lowestDiscernibleValue: 1, highestTrackableValue: LONGEST, numberOfSignificantValueDigits: 2 })
+}
+
+function formatLabels (labels: Labels): string {
+  const entries = Object.entries(labels)
+  return entries.length === 0 ? '' : `{${entries.map(([name, value]) => `${name}="${value.replace(/["\\\n]/g, '_')}"`).join(',')}}`
+}
+
+function histogramLines (series: string, histogram: Histogram): string[] {
+  const brace = series.indexOf('{')
+  const name = brace < 0 ? series : series.slice(0, brace)
+  const labels = brace < 0 ? '' : `${series.slice(brace + 1, -1)},`
+  return [
+    ...QUANTILES.map((quantile) => `hornbeamgap_${name}_ms{${labels}quantile="${quantile / 100}"} ${histogram.getValueAtPercentile(quantile)}`),
+    `hornbeamgap_${name}_ms_count{${labels.slice(0, -1)}} ${histogram.totalCount}`
+  ]
+}
--- /dev/null
+++ b/src/gateway/upstream-keeper.ts
@@ -0,0 +1,62 @@
+/** Keeps the view of upstreams in step with the store's records. */
+import type { WatchPauses } from '../entry/key-watch.js'
+import type { UpstreamRecord } from '../placement/index.js'
+import type { KeyValueEntry } from '../protocols/key-value.js'
+import type { UpstreamConnections } from './exchange.js'
+import { follow, PROMPT_PAUSES } from './follow.js'
+import type { FollowContext, Following } from './follow.js'
+import type { Registry } from './ports.js'
+import type { UpstreamView } from './upstream-view.js'
+
+/**
+ * Upstreams write a heartbeat each second or so. A pause between two calls reads several at once; a
+ * leaving upstream must be known within two seconds, and this is a small part of it.
+ */
+const PAUSES: WatchPauses = { ...PROMPT_PAUSES, batch: 300 }
+
+/**
+ * @example
+ * keepUpstreams(context, platform.registry, view, connections)
+ */
+export function keepUpstreams (context: FollowContext, registry: Registry, view: UpstreamView, connections: UpstreamConnections): Following {
+  const { log } = context
+  const prefix = registry.upstreamPrefix
+
+  function read (entry: KeyValueEntry): UpstreamRecord | undefined {
+    try {
+      return registry.readUpstream(entry.key.slice(prefix.length), entry.value)
+    } catch (error) {
+      log.warn('upstream-record-unreadable', { key: entry.key, error: String(error).slice(0, 300) })
+      return undefined
+    }
+  }
+
+  function put (record: UpstreamRecord, source: string): void {
+    const change = view.put(record)
+    if (change === undefined) return
+    log.info(`upstream-${change}`, { upstream: record.id, service: record.service, address: record.address, failureDomain: record.failureDomain, reclaimable: record.reclaimable, leavesIn: record.leavesIn, source })
+  }
+
+  function keepConnections (): void {
+    connections.keep(new Set(view.all().map((record) => record.id)))
+  }
+
+  return follow(context, prefix, {
+    replace: (entries) => {
+      const records = entries.map(read).filter((record) => record !== undefined)
+      for (const id of view.replace(records)) log.info('upstream-gone', { upstream: id, source: 'listing' })
+      for (const record of records) put(record, 'listing')
+      keepConnections()
+    },
+    put: (entry) => {
+      const record = read(entry)
+      if (record !== undefined) put(record, 'watch')
+    },
+    remove: (key) => {
+      const gone = view.remove(key.slice(prefix.length))
+      if (gone === undefined) return
+      log.info('upstream-gone', { upstream: gone.id, service: gone.service, source: 'watch' })
+      keepConnections()
+    }
+  }, PAUSES)
+}
--- /dev/null
+++ b/src/quota/share.ts
@@ -0,0 +1,25 @@
+/**
+ * This node's share of what an organisation may use over all nodes together.
+ *
+ * The shares of all nodes add up to one, so the sum of what the nodes let through keeps to the rate
+ * whatever is late or lost between them. A part is even, so that a node with a first request of an
+ * organisation needn't ask; the rest follows demand.
+ */
+
+/** Part of the rate that is dealt evenly. Chosen so that three nodes of nine can take all demand at 0.8 of the rate. */
+export const EVEN_PART = 0.25
+
+/**
+ * @param own this node's recent demand of the organisation, in units a second
+ * @param others the same of each other live node, as last heard
+ * @param nodes nodes that may serve, this one included; at least 1
+ * @returns a number above 0 and at most 1
+ * @example
+ * shareOf(300, [100, 0], 3) // 0.646
+ */
+export function shareOf (own: number, others: readonly number[], nodes: number): number {
+  const even = 1 / Math.max(1, nodes)
+  const total = others.reduce((sum, demand) => sum + demand, own)
+  if (total <= 0) return even
+  return EVEN_PART * even + (1 - EVEN_PART) * own / total
+}
--- a/src/verdict.ts
+++ b/src/verdict.ts
@@ -25,6 +25,8 @@
   /** The request ran and was answered; its answer is no longer kept. */
   | 'gone'
   | 'too-large'
+  | 'header-too-large'
+  | 'request-timeout'
   | 'moved'
   | 'overloaded'
   | 'organisation-limit'
@@ -87,6 +89,8 @@
   conflict: 409,
   gone: 410,
   'too-large': 413,
+  'header-too-large': 431,
+  'request-timeout': 408,
   moved: 421,
   overloaded: 503,
   'organisation-limit': 429,
