Gateway: duties, gossip between nodes, size of services

Change: one node holds the duties by a lease of the store with its fencing number; usage counts are written by each node, decided once under compare-and-swap and repeated exactly; engines are ordered by measured load, reclaimable ones first; nodes pass their state on by push and pull.

--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -4,6 +4,7 @@
 import type { QuotaLimiter, RetryBudget } from '../quota/index.js'
 import type { Random } from '../random.js'
 import type { RouteTable } from '../routing/index.js'
+import type { WorkMeter } from '../scaling/index.js'
 import type { UsageWindows } from '../usage/index.js'
 import type { UpstreamConnections } from './exchange.js'
 import type { GatewayMetrics } from './metrics.js'
@@ -23,6 +24,7 @@
   readonly connections: UpstreamConnections
   readonly quotas: QuotaLimiter
   readonly usage: UsageWindows
+  readonly work: WorkMeter
   /** Bound on further attempts of a service. */
   readonly retryBudget: (service: string) => RetryBudget
   /** The configuration in force; undefined until the first one is known. */
--- /dev/null
+++ b/src/gateway/duty-holder.ts
@@ -0,0 +1,94 @@
+/**
+ * The duties of one node at a time: a lease of the store with the fencing number that goes with each call.
+ *
+ * Failure guarded against: a node loses the duties, another acts, and the first takes them back within the
+ * time in which both may still be acting; their calls would alternate. A node that takes the lease waits
+ * until its own last call, or its own start if it may have held the lease in an earlier life, is older
+ * than the lease's time.
+ */
+import type { Milliseconds } from '../clock.js'
+import type { Incarnation } from '../identifiers.js'
+import { createLeaseKeeper } from '../planner/lease-keeper.js'
+import type { FollowContext } from './follow.js'
+import type { DutyProof } from './ports.js'
+
+/** The duties as this node holds them. */
+export interface DutyHolder {
+  /** What to call with now; undefined while another node holds the duties. */
+  proof (): DutyProof | undefined
+  /** The platform has seen a higher number: nothing more under this one. */
+  superseded (proof: DutyProof): void
+  /** A call is made now. */
+  acted (): void
+  /** The lease's key was seen to vanish. */
+  vacant (): void
+  release (): Promise<void>
+}
+
+/** What the holder needs. */
+export interface DutyHolderOptions {
+  readonly context: FollowContext
+  /** Name of this node, which calls carry. */
+  readonly node: string
+  readonly incarnation: string
+  readonly leaseTime: Milliseconds
+  /** No life of any node has acted before this one started. */
+  readonly firstStart: boolean
+}
+
+/** Key of the lease. */
+export const DUTY_KEY = 'hornbeamgap/fleet/duty'
+
+/** A call is made only if the lease holds for this much longer: what a call takes to arrive. */
+const MARGIN: Milliseconds = 300
+
+/** Nodes that see the key vanish ask for it spread over this time, so that not all call at once. */
+const RACE_SPREAD: Milliseconds = 250
+
+/** Nodes look at the key this often even if the watch shows nothing. */
+const WAITING_PERIOD: Milliseconds = 6_000
+
+/**
+ * @example
+ * const duty = createDutyHolder({ context, node, incarnation, leaseTime: 3 * SECOND, firstStart: false })
+ * const proof = duty.proof()
+ */
+export function createDutyHolder (options: DutyHolderOptions): DutyHolder {
+  const { context, node, incarnation, leaseTime } = options
+  const { clock, random, log, signal, store } = context
+  let lastActed = options.firstStart ? -Infinity : clock.now()
+  let fencing = 0
+  let mayActFrom: Milliseconds = 0
+  let supersededUpTo = 0
+  const lease = createLeaseKeeper({
+    keyValue: store,
+    clock,
+    random,
+    log,
+    signal,
+    holder: incarnation as Incarnation,
+    terms: { name: 'duty', key: DUTY_KEY, time: leaseTime, renewal: leaseTime / 3, waiting: WAITING_PERIOD }
+  })
+
+  return {
+    proof: () => {
+      const held = lease.held(MARGIN)
+      if (held === undefined || held.fencing <= supersededUpTo) return undefined
+      if (held.fencing !== fencing) {
+        fencing = held.fencing
+        mayActFrom = lastActed + leaseTime
+      }
+      return clock.now() < mayActFrom ? undefined : { holder: node, fencing }
+    },
+    superseded: (proof) => {
+      supersededUpTo = Math.max(supersededUpTo, proof.fencing)
+      log.warn('duty-superseded', { fencing: proof.fencing })
+      lease.release().catch((error) => log.info('duty-release-failed', { error: String(error) }))
+    },
+    acted: () => { lastActed = clock.now() },
+    vacant: () => {
+      clock.sleep(random.fraction() * RACE_SPREAD, signal).then(lease.refresh).catch(() => {})
+    },
+    release: lease.release
+  }
+}
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -90,6 +90,7 @@
     const service = chooseService(accepted.route, context.random)
     passage = { accepted, request, response, body, limit, signal: controller.signal, service: service ?? '', tried: new Set(), attempts: 0, unrun: 0, arrivals: 0, progress: { lastId: head.lastEvent, events: 0 }, counted: false }
     context.retryBudget(passage.service).request(arrival)
+    context.work.add(passage.service, head.tokens?.prompt ?? 0, head.tokens?.generated ?? 0, arrival)
     outcome = await sendUntilDone(context, passage)
     if (passage.attempts === 0) giveBack()
   } catch (error) {
--- a/src/gateway/node-records.ts
+++ b/src/gateway/node-records.ts
@@ -3,7 +3,7 @@
 import type { Milliseconds } from '../clock.js'
 import { SECOND } from '../clock.js'
 import { readJson } from '../json.js'
-import type { LeaseId } from '../protocols/key-value.js'
+import type { KeyValueEntry, LeaseId } from '../protocols/key-value.js'
 import { follow, PROMPT_PAUSES } from './follow.js'
 import type { FollowContext, Following } from './follow.js'
 
@@ -29,7 +29,10 @@
   readonly following: Following
 }
 
-const PREFIX = 'hornbeamgap/nodes/'
+/** What all nodes follow: the nodes' records and the key of the duties' lease. */
+const FLEET_PREFIX = 'hornbeamgap/fleet/'
+
+const NODE_PREFIX = `${FLEET_PREFIX}nodes/`
 
 /** A node that died is forgotten after this time; one that is cut off from the store for less keeps its place. */
 const REGISTRATION_TIME: Milliseconds = 6 * SECOND
@@ -40,10 +43,11 @@
 
 /**
  * @param own this node's record
+ * @param otherGone called with each key beside the nodes' that vanishes
  * @example
- * const nodes = keepNodeRecords(context, { name, incarnation, failureDomain, front, peer })
+ * const nodes = keepNodeRecords(context, { name, incarnation, failureDomain, front, peer }, (key) => key === DUTY_KEY && duty.vacant())
  */
-export function keepNodeRecords (context: FollowContext, own: NodeRecord): NodeRecords {
+export function keepNodeRecords (context: FollowContext, own: NodeRecord, otherGone: (key: string) => void): NodeRecords {
   const { store, clock, log, signal } = context
   const records = new Map<string, NodeRecord>()
   let lease: LeaseId | undefined
@@ -52,7 +56,7 @@
   async function register (): Promise<void> {
     const granted = await store.grantLease(REGISTRATION_TIME, signal)
     if (withdrawal.signal.aborted) return
-    await store.put(PREFIX + own.name, JSON.stringify(own), { lease: granted, signal })
+    await store.put(NODE_PREFIX + own.name, JSON.stringify(own), { lease: granted, signal })
     lease = granted
     log.info('node-registered', { lease: granted })
   }
@@ -77,21 +81,23 @@
 
   run().catch((error) => log.error('node-registration-ended', { error: String(error) }))
 
-  const following = follow(context, PREFIX, {
+  const following = follow(context, FLEET_PREFIX, {
     replace: (entries) => {
       records.clear()
-      for (const entry of entries) take(entry.value)
+      for (const entry of entries) take(entry)
     },
-    put: (entry) => take(entry.value),
+    put: take,
     remove: (key) => {
-      const name = key.slice(PREFIX.length)
+      if (!key.startsWith(NODE_PREFIX)) return otherGone(key)
+      const name = key.slice(NODE_PREFIX.length)
       if (records.delete(name)) log.info('node-gone', { node: name })
     }
   }, PROMPT_PAUSES)
 
-  function take (text: string): void {
-    const record = readJson(nodeRecordSchema, text)
-    if (record === undefined) return log.warn('node-record-unreadable', { text: text.slice(0, 100) })
+  function take ({ key, value }: KeyValueEntry): void {
+    if (!key.startsWith(NODE_PREFIX)) return
+    const record = readJson(nodeRecordSchema, value)
+    if (record === undefined) return log.warn('node-record-unreadable', { key, value: value.slice(0, 100) })
     if (records.get(record.name)?.incarnation !== record.incarnation) log.info('node-known', { node: record.name, incarnation: record.incarnation, front: record.front })
     records.set(record.name, record)
   }
--- /dev/null
+++ b/src/gateway/peer-link.ts
@@ -0,0 +1,59 @@
+/** The protocol between gateway nodes, by tRPC: an exchange of states, and the configuration for those behind. */
+import type { Server } from 'node:http'
+import { createTRPCClient, httpLink } from '@trpc/client'
+import type { TRPCClient } from '@trpc/client'
+import { initTRPC } from '@trpc/server'
+import { createHTTPServer } from '@trpc/server/adapters/standalone'
+import { gossipMessageSchema } from '../gossip/index.js'
+import type { GossipMessage } from '../gossip/index.js'
+import { createLinkFetch } from '../peer/fetch.js'
+import type { ByteCounter } from '../peer/fetch.js'
+import type { Connections } from '../protocols/http.js'
+
+/** What a node answers its peers with. */
+export interface PeerAnswers {
+  /** Takes a peer's half of an exchange and gives this node's. */
+  readonly exchange: (message: GossipMessage) => GossipMessage
+  /** Text of the configuration in force; undefined while there is none. */
+  readonly configuration: () => string | undefined
+}
+
+const trpc = initTRPC.create()
+
+/** @internal the router's type is what clients are made from */
+export function createPeerRouter (answers: PeerAnswers) {
+  return trpc.router({
+    exchange: trpc.procedure.input(gossipMessageSchema).mutation(({ input }) => answers.exchange(input)),
+    configuration: trpc.procedure.query(() => ({ text: answers.configuration() ?? null }))
+  })
+}
+
+/** One peer as this node calls it. */
+export type PeerLink = TRPCClient<ReturnType<typeof createPeerRouter>>
+
+/** Largest message: 64 nodes of 2 KB each, several times over. */
+const LARGEST_MESSAGE = 1_048_576
+
+/**
+ * @returns a server that the owner listens with and closes
+ * @example
+ * const server = createPeerLinkServer({ exchange, configuration })
+ */
+export function createPeerLinkServer (answers: PeerAnswers): Server {
+  return createHTTPServer({ router: createPeerRouter(answers), maxBodySize: LARGEST_MESSAGE })
+}
+
+/**
+ * @returns how to reach a peer by its address
+ * @example
+ * const reply = await createPeerLinks(connections, counter)('10.1.0.16:7500').exchange.mutate(message, { signal })
+ */
+export function createPeerLinks (connections: Connections, counter: ByteCounter): (address: string) => PeerLink {
+  const links = new Map<string, PeerLink>()
+  const fetch = createLinkFetch(connections, counter)
+  return (address) => {
+    const link = links.get(address) ?? createTRPCClient<ReturnType<typeof createPeerRouter>>({ links: [httpLink({ url: `http://${address}`, fetch })] })
+    links.set(address, link)
+    return link
+  }
+}
--- /dev/null
+++ b/src/gateway/scaling-keeper.ts
@@ -0,0 +1,110 @@
+/** Orders the size of services, while this node holds the duties. */
+import type { Milliseconds } from '../clock.js'
+import { repeat } from '../repeat.js'
+import type { RouteTable, ScalingFacts, Service } from '../routing/index.js'
+import { busyEngines, createLoadFollower, createOrderBook, planPools } from '../scaling/index.js'
+import type { LoadFollower, OfferedWork, OrderAnswer, OrderBook, Pool, PoolSize } from '../scaling/index.js'
+import type { DutyHolder } from './duty-holder.js'
+import type { FollowContext } from './follow.js'
+import type { DutyCalls, DutyProof } from './ports.js'
+import type { UpstreamView } from './upstream-view.js'
+
+/** What the keeper needs. */
+export interface ScalingKeeperOptions {
+  readonly context: FollowContext
+  readonly failureDomains: readonly string[]
+  readonly table: () => RouteTable | undefined
+  readonly upstreams: UpstreamView
+  readonly duty: DutyHolder
+  readonly calls: DutyCalls
+  /** Work of all nodes, a second, by service. */
+  readonly work: () => Readonly<Record<string, OfferedWork>>
+}
+
+const PERIOD: Milliseconds = 400
+
+/** Load of a service that was never asked, as a part of the upstreams that were found: what was set up for it is its first estimate. */
+const FIRST_LOAD_PART = 0.3
+
+/**
+ * Work must be measured for this long before it replaces the first estimate: rates that have just begun are too low.
+ */
+const MEASURED_AFTER: Milliseconds = 6_000
+
+interface ScaledService {
+  readonly book: OrderBook
+  readonly load: LoadFollower
+  readonly firstLoad: number
+  firstWork: Milliseconds | undefined
+}
+
+/**
+ * @example
+ * keepScaling({ context, failureDomains, table, upstreams, duty, calls, work })
+ */
+export function keepScaling (options: ScalingKeeperOptions): void {
+  const { context, table, upstreams, duty, calls } = options
+  const { clock, log, signal } = context
+  const services = new Map<string, ScaledService>()
+  let lastFencing = 0
+
+  function stateOf (service: Service, present: number): ScaledService {
+    const known = services.get(service.name)
+    if (known !== undefined) return known
+    const created: ScaledService = { book: createOrderBook(), load: createLoadFollower(), firstLoad: present * FIRST_LOAD_PART, firstWork: undefined }
+    services.set(service.name, created)
+    return created
+  }
+
+  /** Every node follows the load, so that one that takes the duties over knows it. */
+  function observe (service: Service, scaled: ScaledService, now: Milliseconds): number {
+    const work = options.work()[service.name]
+    if (work !== undefined && scaled.firstWork === undefined) scaled.firstWork = now
+    const load = work === undefined ? 0 : busyEngines(work)
+    scaled.load.observe(load, now)
+    const measured = scaled.firstWork !== undefined && now - scaled.firstWork > MEASURED_AFTER
+    return measured ? scaled.load.value(now) : Math.max(scaled.firstLoad, scaled.load.value(now))
+  }
+
+  async function orderFor (service: Service, facts: ScalingFacts): Promise<void> {
+    const now = clock.now()
+    const present = upstreams.all().filter((upstream) => upstream.service === service.name)
+    if (present.length === 0) return
+    const scaled = stateOf(service, present.length)
+    const load = observe(service, scaled, now)
+    const proof = duty.proof()
+    if (proof === undefined) return
+    if (proof.fencing !== lastFencing) scaled.book.reset()
+    const running = (pool: Pool): number => present.filter((upstream) => isIn(pool, upstream) && !upstream.leaving).length
+    const sizes = planPools({ facts, failureDomains: options.failureDomains, present, load, refusedUntil: scaled.book.refusedUntil, now })
+    for (const size of scaled.book.due(sizes, running, now)) {
+      const answer = await order(proof, service.name, size)
+      scaled.book.answered(size, answer, clock.now())
+      log.info('upstreams-ordered', { service: service.name, failureDomain: size.failureDomain, reclaimable: size.reclaimable, desired: size.desired, running: running(size), load: Math.round(load * 100) / 100, answer: answer ?? 'none', fencing: proof.fencing })
+      if (answer === 'superseded') return duty.superseded(proof)
+    }
+  }
+
+  async function order (proof: DutyProof, service: string, { failureDomain, reclaimable, desired }: PoolSize): Promise<OrderAnswer> {
+    duty.acted()
+    try {
+      return await calls.order(proof, { service, failureDomain, reclaimable, desired }, signal)
+    } catch (error) {
+      log.info('order-unanswered', { service, failureDomain, reclaimable, desired, error: String(error) })
+      return undefined
+    }
+  }
+
+  async function act (): Promise<void> {
+    for (const service of table()?.configuration.services ?? []) {
+      if (service.scaling !== undefined) await orderFor(service, service.scaling)
+    }
+    lastFencing = duty.proof()?.fencing ?? lastFencing
+  }
+
+  repeat(context, 'scaling', PERIOD, act)
+}
+
+function isIn (pool: Pool, upstream: Pool): boolean {
+  return upstream.failureDomain === pool.failureDomain && upstream.reclaimable === pool.reclaimable
+}
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -44,6 +44,8 @@
   readonly store: HostPort
   /** Usage reports and orders; undefined where the deployment has neither. */
   readonly cloud: HostPort | undefined
+  /** The whole system starts for the first time. */
+  readonly firstStart: boolean
   readonly duties: { readonly usage: boolean, readonly scaling: boolean }
   readonly mostDescriptors: number
   readonly memoryBytes: number
--- /dev/null
+++ b/src/gateway/usage-keeper.ts
@@ -0,0 +1,147 @@
+/** Usage by organisation: each node writes its counts, the duties' holder decides a window once and reports it. */
+import { z } from 'zod'
+import { SECOND } from '../clock.js'
+import type { Milliseconds } from '../clock.js'
+import { readJson } from '../json.js'
+import { ABSENT } from '../protocols/key-value.js'
+import type { LeaseId } from '../protocols/key-value.js'
+import { repeat } from '../repeat.js'
+import { nextStep, sumCounts, usageJournalSchema, windowOf } from '../usage/index.js'
+import type { UsageCounts, UsageJournal, UsageWindows } from '../usage/index.js'
+import type { DutyHolder } from './duty-holder.js'
+import type { FollowContext } from './follow.js'
+import type { DutyCalls } from './ports.js'
+
+/** What the keeper needs. */
+export interface UsageKeeperOptions {
+  readonly context: FollowContext
+  readonly incarnation: string
+  readonly windows: UsageWindows
+  readonly windowLength: Milliseconds
+  /** Time after a window's end at which its report is due. */
+  readonly due: Milliseconds
+  readonly sharedWall: () => Milliseconds
+  readonly duty: DutyHolder
+  readonly calls: DutyCalls
+  /** Counts of one window by incarnation, as the nodes told each other. */
+  readonly heard: (window: number) => ReadonlyMap<string, UsageCounts>
+}
+
+const COUNTS_PREFIX = 'hornbeamgap-usage/'
+const JOURNAL_KEY = 'hornbeamgap-usage-journal'
+
+/** Nodes write their counts this often, so that a kill of all nodes loses at most this much of a window. */
+const WRITE_PERIOD: Milliseconds = 2_500
+
+/** Part of the due time after which the holder decides: nodes have written by then, and a lost call can be repeated. */
+const DECIDE_PART = 0.45
+
+/** Counts are of no use after a few windows; their lease takes them away. */
+const COUNTS_LIFE: Milliseconds = 120 * SECOND
+
+const STEP_PERIOD: Milliseconds = 300
+
+const countsSchema = z.record(z.string(), z.number().int().nonnegative())
+
+/**
+ * @example
+ * keepUsage({ context, incarnation, windows, windowLength, due, sharedWall, duty, calls, heard })
+ */
+export function keepUsage (options: UsageKeeperOptions): { flush: () => Promise<void> } {
+  const { context, incarnation, windows, windowLength, sharedWall, duty, calls, due } = options
+  const { store, clock, log, signal } = context
+  let lease: { readonly id: LeaseId, readonly until: Milliseconds } | undefined
+  const written = new Map<number, string>()
+
+  async function leaseFor (): Promise<LeaseId> {
+    if (lease !== undefined && clock.now() < lease.until) return lease.id
+    const id = await store.grantLease(COUNTS_LIFE, signal)
+    lease = { id, until: clock.now() + COUNTS_LIFE / 2 }
+    return id
+  }
+
+  /** Writes the counts of the present window and the one before, if they have changed. */
+  async function flush (): Promise<void> {
+    const present = windowOf(sharedWall(), windowLength)
+    for (const window of [present - 1, present]) {
+      const counts = JSON.stringify(windows.counts(window))
+      if (counts === '{}' || written.get(window) === counts) continue
+      await store.put(`${COUNTS_PREFIX}${window}/${incarnation}`, counts, { lease: await leaseFor(), signal })
+      written.set(window, counts)
+    }
+    for (const window of written.keys()) if (window < present - 1) written.delete(window)
+    windows.forgetBefore(present - 6)
+  }
+
+  async function count (window: number): Promise<UsageCounts> {
+    const prefix = `${COUNTS_PREFIX}${window}/`
+    const { entries } = await store.list(prefix, signal)
+    const byNode = new Map<string, UsageCounts>(options.heard(window))
+    for (const entry of entries) {
+      const counts = readJson(countsSchema, entry.value)
+      const name = entry.key.slice(prefix.length)
+      if (counts === undefined) log.warn('usage-counts-unreadable', { key: entry.key })
+      else byNode.set(name, larger(byNode.get(name), counts))
+    }
+    byNode.set(incarnation, larger(byNode.get(incarnation), windows.counts(window)))
+    return sumCounts([...byNode.values()])
+  }
+
+  /** One step of the holder. */
+  async function act (): Promise<void> {
+    const proof = duty.proof()
+    if (proof === undefined) return
+    const lastComplete = windowOf(sharedWall() - due * DECIDE_PART, windowLength) - 1
+    if (isDone(lastComplete)) return
+    const entry = await store.get(JOURNAL_KEY, signal)
+    const journal = entry === undefined ? undefined : readJson(usageJournalSchema, entry.value)
+    if (journal?.acknowledged === true) acknowledged = journal.window
+    const step = nextStep(journal, lastComplete)
+    switch (step.kind) {
+      case 'wait': return
+      case 'decide': {
+        const decided: UsageJournal = { window: step.window, counts: await count(step.window), acknowledged: false }
+        const swap = await store.compareAndSwap(JOURNAL_KEY, entry?.revision ?? ABSENT, JSON.stringify(decided), { signal })
+        if (swap.kind === 'conflict') return
+        log.info('usage-decided', { window: decided.window, total: Object.values(decided.counts).reduce((sum, one) => sum + one, 0), fencing: proof.fencing })
+        return report(decided, swap.revision)
+      }
+      case 'report': return report(step.journal, entry?.revision ?? ABSENT)
+    }
+  }
+
+  let acknowledged = -1
+
+  function isDone (window: number): boolean {
+    return acknowledged >= window
+  }
+
+  async function report (journal: UsageJournal, revision: number): Promise<void> {
+    const proof = duty.proof()
+    if (proof === undefined) return
+    duty.acted()
+    const outcome = await calls.reportUsage(proof, journal.window, journal.counts, signal)
+    log.info('usage-reported', { window: journal.window, outcome, fencing: proof.fencing })
+    switch (outcome) {
+      case 'superseded': return duty.superseded(proof)
+      case 'refused':
+      case 'unavailable': return
+      case 'accepted': {
+        const swap = await store.compareAndSwap(JOURNAL_KEY, revision, JSON.stringify({ ...journal, acknowledged: true }), { signal })
+        if (swap.kind === 'swapped') acknowledged = journal.window
+      }
+    }
+  }
+
+  repeat(context, 'usage-counts', WRITE_PERIOD, flush)
+  repeat(context, 'usage-report', STEP_PERIOD, act)
+  return { flush }
+}
+
+/** A node's counts only rise; whichever source has seen more of them is later. */
+function larger (left: UsageCounts | undefined, right: UsageCounts): UsageCounts {
+  if (left === undefined) return right
+  const most: Record<string, number> = { ...left }
+  for (const [organisation, count] of Object.entries(right)) most[organisation] = Math.max(most[organisation] ?? 0, count)
+  return most
+}
--- /dev/null
+++ b/src/gossip/table.ts
@@ -0,0 +1,96 @@
+/**
+ * States of all nodes as one node has heard them (push-pull anti-entropy: Demers et al., Epidemic
+ * algorithms for replicated database maintenance, 1987). Each node writes its own state only, so the
+ * highest sequence of an incarnation is the latest.
+ */
+import type { Milliseconds } from '../clock.js'
+import { SECOND } from '../clock.js'
+import type { GossipMessage, NodeState, Versions } from './types.js'
+
+/** States of nodes. */
+export interface GossipTable {
+  /** Replaces this node's own state. */
+  publish (state: NodeState): void
+  /** Takes a message in. @returns the states that were news */
+  take (message: Pick<GossipMessage, 'from' | 'versions' | 'states'>, now: Milliseconds): NodeState[]
+  /** States that a peer lacks; all, while nothing is known of it. */
+  missing (peer: string | undefined): NodeState[]
+  versions (): Versions
+  /** Other nodes that were heard of lately, directly or not. */
+  live (now: Milliseconds): NodeState[]
+  /** All other incarnations that aren't forgotten yet, dead ones included. */
+  all (): NodeState[]
+}
+
+/** A state that hasn't risen for this time is of a node that is dead or cut off. */
+export const SILENT_AFTER: Milliseconds = 3 * SECOND
+
+/** How long a dead incarnation's last words are kept: its usage goes into the report of its last window. */
+const FORGET_AFTER: Milliseconds = 30 * SECOND
+
+interface Heard {
+  readonly state: NodeState
+  readonly at: Milliseconds
+}
+
+/**
+ * @param own incarnation of this node
+ * @example
+ * const table = createGossipTable(incarnation)
+ * table.publish(state)
+ * table.take(message, clock.now())
+ */
+export function createGossipTable (own: string): GossipTable {
+  const heard = new Map<string, Heard>()
+  const known = new Map<string, Versions>()
+  let self: NodeState | undefined
+
+  function take (message: Pick<GossipMessage, 'from' | 'versions' | 'states'>, now: Milliseconds): NodeState[] {
+    known.set(message.from, message.versions)
+    const news: NodeState[] = []
+    for (const state of message.states) {
+      if (state.incarnation === own) continue
+      const last = heard.get(state.incarnation)
+      if (last !== undefined && last.state.sequence >= state.sequence) continue
+      heard.set(state.incarnation, { state, at: now })
+      news.push(state)
+    }
+    for (const [incarnation, { at }] of heard) {
+      if (now - at < FORGET_AFTER) continue
+      heard.delete(incarnation)
+      known.delete(incarnation)
+    }
+    return news
+  }
+
+  function versions (): Versions {
+    const all: Record<string, number> = {}
+    for (const [incarnation, { state }] of heard) all[incarnation] = state.sequence
+    if (self !== undefined) all[own] = self.sequence
+    return all
+  }
+
+  return {
+    publish: (state) => { self = state },
+    take,
+    missing: (peer) => {
+      const has = peer === undefined ? {} : known.get(peer) ?? {}
+      const states = [...heard.values()].map(({ state }) => state)
+      if (self !== undefined) states.push(self)
+      return states.filter((state) => state.incarnation !== peer && (has[state.incarnation] ?? -1) < state.sequence)
+    },
+    versions,
+    live: (now) => latestLives([...heard.values()].filter(({ at }) => now - at < SILENT_AFTER)),
+    all: () => [...heard.values()].map(({ state }) => state)
+  }
+}
+
+/** A node that has started again is heard of twice for a while; its latest life counts. */
+function latestLives (heard: readonly Heard[]): NodeState[] {
+  const latest = new Map<string, Heard>()
+  for (const one of heard) {
+    const other = latest.get(one.state.name)
+    if (other === undefined || other.at < one.at) latest.set(one.state.name, one)
+  }
+  return [...latest.values()].map(({ state }) => state)
+}
--- /dev/null
+++ b/src/gossip/types.ts
@@ -0,0 +1,55 @@
+/** What nodes tell each other about themselves, passed on from node to node. */
+import { z } from 'zod'
+
+const countsSchema = z.record(z.string(), z.number())
+
+/** Work of one service that a node took in, a second. */
+const workSchema = z.object({
+  requests: z.number(),
+  promptTokens: z.number(),
+  generatedTokens: z.number()
+})
+
+/** One node as it last told of itself. A higher sequence of the same incarnation replaces a lower one. */
+export const nodeStateSchema = z.object({
+  name: z.string(),
+  incarnation: z.string(),
+  /** Rises with each change and each heartbeat. */
+  sequence: z.number().int(),
+  failureDomain: z.string(),
+  /** Address for callers. */
+  front: z.string(),
+  /** Address for other nodes. */
+  peer: z.string(),
+  /** Takes new requests. */
+  ready: z.boolean(),
+  /** Version of the configuration in force there; 0 for none. */
+  configuration: z.number(),
+  /** Units a second by organisation. */
+  demand: countsSchema,
+  /** Requests in flight by upstream. */
+  inFlight: countsSchema,
+  /** Offered work by service. */
+  work: z.record(z.string(), workSchema),
+  /** Requests that began to run, by window and organisation; the latest windows only. */
+  usage: z.record(z.string(), countsSchema),
+  /** Broken runs by fingerprint of the request, of those with more than a single one at this node or any at another. */
+  crashes: countsSchema
+})
+export type NodeState = z.infer<typeof nodeStateSchema>
+
+/** Latest sequence by incarnation. */
+export type Versions = Readonly<Record<string, number>>
+
+/** One half of an exchange between two nodes. */
+export const gossipMessageSchema = z.object({
+  /** Incarnation of the sender. */
+  from: z.string(),
+  /** Wall time of the sender when it wrote this, in milliseconds. */
+  wall: z.number(),
+  /** What the sender knows. */
+  versions: z.record(z.string(), z.number()),
+  /** States that the receiver lacks, as far as the sender knows. */
+  states: z.array(nodeStateSchema)
+})
+export type GossipMessage = z.infer<typeof gossipMessageSchema>
--- a/src/peer/client.ts
+++ b/src/peer/client.ts
@@ -2,14 +2,14 @@
 import { pipeline, Transform } from 'node:stream'
 import { createTRPCClient, httpBatchLink, httpBatchStreamLink, TRPCClientError } from '@trpc/client'
 import type { TRPCClient } from '@trpc/client'
-import { request } from 'undici'
-import type { Dispatcher } from 'undici'
 import type { Milliseconds } from '../clock.js'
 import { SECOND } from '../clock.js'
 import type { Address } from '../identifiers.js'
 import { connectionFailure } from '../protocols/http.js'
 import type { Connections } from '../protocols/http.js'
 import { ServingError } from '../verdict.js'
+import { createLinkFetch, isOk, linkExchange } from './fetch.js'
+import type { ByteCounter } from './fetch.js'
 import type { PeerRouter } from './router.js'
 
 /** One peer as this node calls it. */
@@ -39,29 +39,15 @@
   const clients = new Map<Address, PeerClient>()
   const streamClients = new Map<Address, PeerClient>()
   const headers = { authorization: `Bearer ${peerKey}` }
-  let sent = 0
-  let received = 0
-
-  async function exchange (url: unknown, options: object): Promise<Dispatcher.ResponseData> {
-    const { method, headers, body, signal } = options as { method?: 'GET' | 'POST', headers?: Record<string, string>, body?: string, signal?: AbortSignal }
-    sent += body?.length ?? 0
-    return request(String(url), { dispatcher: connections, method: method ?? 'GET', headers: headers ?? {}, body: body ?? null, signal: signal ?? null })
-  }
-
-  /** The part of `fetch` that the links use; a whole one costs several times the processor time. */
-  async function fetchWhole (url: unknown, options: object = {}): Promise<any> {
-    const response = await exchange(url, options)
-    const text = await response.body.text()
-    received += text.length
-    return { ok: isOk(response), status: response.statusCode, headers: response.headers, json: async () => JSON.parse(text) }
-  }
+  const counter: ByteCounter = { sent: 0, received: 0 }
+  const fetchWhole = createLinkFetch(connections, counter)
 
   async function fetchStream (url: unknown, options: object = {}): Promise<any> {
-    const response = await exchange(url, options)
+    const response = await linkExchange(connections, counter, url, options)
     if (!isOk(response)) return { ok: false, status: response.statusCode, headers: response.headers, json: () => response.body.json() }
     const body = new Transform({
       transform: (chunk: Buffer, _encoding, done) => {
-        received += chunk.length
+        counter.received += chunk.length
         done(null, chunk)
       }
     })
@@ -80,7 +66,7 @@
   return {
     at: (address) => findOrCreate(clients, address, createClient),
     streamAt: (address) => findOrCreate(streamClients, address, createStreamClient),
-    bytes: () => ({ sent, received })
+    bytes: () => ({ ...counter })
   }
 }
 
@@ -101,7 +87,3 @@
   known.set(address, client)
   return client
 }
-
-function isOk (response: Dispatcher.ResponseData): boolean {
-  return response.statusCode >= 200 && response.statusCode < 300
-}
--- a/src/planner/lease-keeper.ts
+++ b/src/planner/lease-keeper.ts
@@ -1,5 +1,5 @@
 /**
- * The planners' lease in the key-value service. The key exists while a planner holds it; the revision
+ * A lease on a task, kept in the key-value service. The key exists while a process holds it; the revision
  * at which it was written is the fencing number, which the service only ever raises.
  */
 import type { Clock, Milliseconds } from '../clock.js'
@@ -15,11 +15,11 @@
 /** Key of the planners' lease. */
 export const PLANNER_KEY = 'hornbeamgap/planner/lease'
 
-/** The planners' lease as one of them sees it. */
+/** A lease as one of those who may hold it sees it. */
 export interface LeaseKeeper extends Leadership {
   /** Takes or renews the lease now. */
   refresh (): Promise<void>
-  /** Gives the lease up at a planned stop, so that another planner needn't wait for it to lapse. */
+  /** Gives the lease up at a planned stop, so that another needn't wait for it to lapse. */
   release (): Promise<void>
 }
 
@@ -32,15 +32,28 @@
   readonly signal: AbortSignal
   /** Name of this process's life, written into the key. */
   readonly holder: Incarnation
+  /** The planners' lease unless said otherwise. */
+  readonly terms?: LeaseTerms
+}
+
+/** Which lease, and its times. */
+export interface LeaseTerms {
+  /** Name in log lines. */
+  readonly name: string
+  readonly key: string
+  /** Time after which the service gives the lease to another. */
+  readonly time: Milliseconds
+  /** Longest pause of a holder between two renewals. */
+  readonly renewal: Milliseconds
+  /** Longest pause of those who wait between two looks at the key. */
+  readonly waiting: Milliseconds
 }
 
 /** Time after which the service gives the lease to another planner. */
 export const LEASE_TIME: Milliseconds = 15 * SECOND
 
-const RENEWAL_PERIOD: Milliseconds = 5 * SECOND
-
-/** At size, planners that wait look at the key this often; at the least, as often as they'd renew. */
-const WAITING_PERIOD: Milliseconds = 15 * SECOND
+/** At size, planners that wait look at the key as rarely as the lease lapses. */
+const PLANNER_LEASE: LeaseTerms = { name: 'planner-lease', key: PLANNER_KEY, time: LEASE_TIME, renewal: 5 * SECOND, waiting: 15 * SECOND }
 
 const VARIATION = 0.4
 
@@ -50,12 +63,23 @@
  * const held = lease.held(2 * SECOND)
  */
 export function createLeaseKeeper (options: LeaseKeeperOptions): LeaseKeeper {
-  const { keyValue, clock, random, log, signal } = options
+  const { keyValue, clock, random, log, signal, terms = PLANNER_LEASE } = options
   const holder = createLeaseHolder()
   let lease: { readonly id: LeaseId } | undefined
   let holding = false
+  let last: Promise<void> = Promise.resolve()
+
+  /**
+   * Failure guarded against: two calls at once grant two leases, and the one that isn't on the key is
+   * renewed while the key lapses under a process that takes itself for the holder. One call at a time.
+   */
+  function refresh (): Promise<void> {
+    const turn = last.then(refreshOnce, refreshOnce)
+    last = turn
+    return turn
+  }
 
-  async function refresh (): Promise<void> {
+  async function refreshOnce (): Promise<void> {
     if (lease !== undefined && holder.held(clock.now(), 0) !== undefined) await renew(lease.id)
     else await take()
     tell()
@@ -70,14 +94,14 @@
   }
 
   async function take (): Promise<void> {
-    const present = await keyValue.get(PLANNER_KEY, signal)
+    const present = await keyValue.get(terms.key, signal)
     if (present !== undefined && present.value !== valueOf(lease?.id)) return
     if (present !== undefined) return takeBack(present.revision)
     const sentAt = clock.now()
-    const id = await keyValue.grantLease(LEASE_TIME, signal)
+    const id = await keyValue.grantLease(terms.time, signal)
     lease = { id }
-    const result = await keyValue.compareAndSwap(PLANNER_KEY, ABSENT, valueOf(id), { lease: id, signal })
-    if (result.kind === 'swapped') holder.taken(result.revision, sentAt, LEASE_TIME)
+    const result = await keyValue.compareAndSwap(terms.key, ABSENT, valueOf(id), { lease: id, signal })
+    if (result.kind === 'swapped') holder.taken(result.revision, sentAt, terms.time)
   }
 
   /**
@@ -99,8 +123,8 @@
 
   function tell (): void {
     const held = holder.held(clock.now(), 0)
-    if (held !== undefined && !holding) log.info('planner-lease-taken', { fencing: held.fencing })
-    if (held === undefined && holding) log.warn('planner-lease-lost')
+    if (held !== undefined && !holding) log.info(`${terms.name}-taken`, { fencing: held.fencing })
+    if (held === undefined && holding) log.warn(`${terms.name}-lost`)
     holding = held !== undefined
   }
 
@@ -110,7 +134,7 @@
       tell()
       // A lease that may be this planner's without its knowing is looked for before it lapses.
       const soon = holding || (failed && lease !== undefined)
-      const period = soon ? RENEWAL_PERIOD : WAITING_PERIOD
+      const period = soon ? terms.renewal : terms.waiting
       await clock.sleep(period * (1 - VARIATION * random.fraction()), signal).catch(() => {})
     }
   }
--- /dev/null
+++ b/src/scaling/plan.ts
@@ -0,0 +1,64 @@
+/**
+ * How many upstreams of a service are to run where: reclaimable ones carry what may be lost for some
+ * seconds, others carry the rest and stand in while reclaimable ones are not to be had.
+ */
+import type { PoolSize, PresentUpstream, ScalingSituation } from './types.js'
+
+/** Busy engines that one engine is ordered for: above it, first tokens come late in the worst seconds. */
+const USUAL_UTILISATION = 0.5
+
+/** The same for the engines that are left when all reclaimable ones are gone at once. */
+const RECLAIMED_UTILISATION = 0.95
+
+/**
+ * Sizes of all pools of a service.
+ *
+ * Failure guarded against: reclaimable upstreams are taken back in waves, and for a while none are to be
+ * had. What runs counts, not what was ordered: the others are raised as soon as reclaimable ones leave,
+ * and lowered again only once their replacements serve.
+ *
+ * @example
+ * planPools(situation).find((pool) => pool.reclaimable)?.desired
+ */
+export function planPools (situation: ScalingSituation): PoolSize[] {
+  const { facts, failureDomains, load } = situation
+  const total = clamp(Math.ceil(load / USUAL_UTILISATION), failureDomains.length * Math.max(1, facts.least), failureDomains.length * facts.most)
+  const base = facts.reclaimablePrice === undefined ? total : clamp(Math.ceil(load / RECLAIMED_UTILISATION), 1, total)
+  const wanted = facts.reclaimablePrice === undefined ? [] : spread(total - base, failureDomains, facts.most)
+  const running = countRunning(situation.present)
+  const serving = wanted.reduce((sum, pool) => sum + Math.min(pool.count, running.get(pool.failureDomain) ?? 0), 0)
+  const cheapest = byPrice(situation)
+  const others = spread(Math.max(base, total - serving), cheapest, facts.most)
+  const sizes = wanted.map(({ failureDomain, count }): PoolSize => ({ failureDomain, reclaimable: true, desired: count }))
+  for (const { failureDomain, count } of others) {
+    const reclaimable = wanted.find((pool) => pool.failureDomain === failureDomain)?.count ?? 0
+    sizes.push({ failureDomain, reclaimable: false, desired: Math.max(count, facts.least - reclaimable) })
+  }
+  return sizes.filter((pool) => situation.now >= situation.refusedUntil(pool))
+}
+
+/** Deals a number over domains in turn, each up to a bound. */
+function spread (count: number, domains: readonly string[], most: number): { readonly failureDomain: string, readonly count: number }[] {
+  const even = Math.floor(count / domains.length)
+  const further = count % domains.length
+  return domains.map((failureDomain, index) => ({ failureDomain, count: Math.min(most, even + (index < further ? 1 : 0)) }))
+}
+
+/** Failure domains, the cheapest first. */
+function byPrice ({ facts, failureDomains }: ScalingSituation): string[] {
+  const price = (domain: string): number => facts.prices[domain] ?? Infinity
+  return [...failureDomains].sort((left, right) => price(left) - price(right))
+}
+
+function countRunning (present: readonly PresentUpstream[]): Map<string, number> {
+  const counts = new Map<string, number>()
+  for (const upstream of present) {
+    if (!upstream.reclaimable || upstream.leaving) continue
+    counts.set(upstream.failureDomain, (counts.get(upstream.failureDomain) ?? 0) + 1)
+  }
+  return counts
+}
+
+function clamp (value: number, least: number, most: number): number {
+  return Math.min(most, Math.max(least, value))
+}
