A reset connection doesn't complete an answer without a length

Ruled out: a server that ends the connection itself, which is whole. Change: the reset's code is replaced before undici's listener sees it. Before: the test gets 'half' as a whole answer; after: it is rejected.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -5,7 +5,7 @@
  * that ends early, bytes that are no answer. Undici closes it whenever an exchange ends before its
  * answer does, and does the same for an answer that ends before the request was written.
  */
-import { Pool } from 'undici'
+import { buildConnector, Pool } from 'undici'
 import type { Dispatcher } from 'undici'
 import type { Milliseconds } from '../clock.js'
 import type { UpstreamRecord } from '../placement/index.js'
@@ -65,6 +65,11 @@
 /** Most connections where a service names no limit. */
 const MOST_CONNECTIONS = 64
 
+/** Code of a reset after the connection was made. */
+const RESET = 'UPSTREAM_RESET'
+
+const connect = buildConnector({ timeout: CONNECT_TIMEOUT })
+
 const MISDIRECTED = 421
 const SERVICE_UNAVAILABLE = 503
 const TOO_MANY_REQUESTS = 429
@@ -87,7 +92,7 @@
       pipelining: 1,
       keepAliveTimeout: IDLE_TIME,
       keepAliveMaxTimeout: IDLE_TIME,
-      connect: { timeout: CONNECT_TIMEOUT },
+      connect: connectTellingResets,
       headersTimeout: 0,
       bodyTimeout: 0
     })
@@ -125,6 +130,19 @@
   }
 }
 
+/**
+ * Failure guarded against: an answer without a length ends with its connection, and undici takes one whose
+ * connection is reset for a whole one as well; the caller would get a fragment that looks complete. Undici
+ * goes by the error's code and attaches its own listener later, so that here the code is replaced first.
+ */
+function connectTellingResets (options: buildConnector.Options, done: buildConnector.Callback): void {
+  connect(options, (...result) => {
+    const [, socket] = result
+    socket?.on('error', (error: NodeJS.ErrnoException) => { if (error.code === 'ECONNRESET') error.code = RESET })
+    done(...result)
+  })
+}
+
 /**
  * Failure guarded against: an upstream sends a second answer after a complete one, and it is read as the
  * answer to the next request on that connection. The id that answers carry tells them apart; the
--- /dev/null
+++ b/test/gateway/exchange.test.ts
@@ -0,0 +1,76 @@
+import assert from 'node:assert/strict'
+import { createServer } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
+import { afterEach, describe, it } from 'node:test'
+import { createRequestFormat } from '../../platform/format.js'
+import { createUpstreamConnections } from '../../src/gateway/exchange.js'
+import type { ExchangeStart } from '../../src/gateway/exchange.js'
+
+describe('an exchange with an upstream', () => {
+  const closing: (() => Promise<unknown>)[] = []
+  afterEach(async () => { for (const close of closing.splice(0)) await close() })
+
+  // A caller gets the first half of a booking's confirmation as a complete answer: the upstream sends no
+  // length, so that the end of the connection ends the answer, and then its machine dies, which resets
+  // the connection in the middle. The HTTP client takes that for the end.
+  it('tells an answer without a length that is reset from one that ends', async () => {
+    const reset = await exchangeWith((socket) => {
+      socket.write('HTTP/1.1 200 OK\r\nX-Hornbeamgap-Request-Id: r1\r\nConnection: close\r\n\r\nhalf')
+      setImmediate(() => setImmediate(() => socket.resetAndDestroy()))
+    })
+    await assert.rejects(bodyOf(reset))
+    const ended = await exchangeWith((socket) => {
+      socket.end('HTTP/1.1 200 OK\r\nX-Hornbeamgap-Request-Id: r1\r\nConnection: close\r\n\r\nwhole')
+    })
+    assert.equal(await bodyOf(ended), 'whole')
+  })
+
+  // Two vans arrive: the upstream answers a request twice, the second copy is read as the answer to the
+  // next booking on the connection, which is told as not run and sent again.
+  it('takes an answer that names another request for none, whatever it claims', async () => {
+    const result = await exchangeWith((socket) => {
+      socket.write('HTTP/1.1 503 Service Unavailable\r\nX-Hornbeamgap-Request-Id: other\r\nX-Hornbeamgap-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n')
+    })
+    assert.equal(result.kind, 'broken')
+  })
+
+  it('tells a request as not run where no connection came about or the upstream says so', async () => {
+    const refused = await exchangeWith((socket) => {
+      socket.write('HTTP/1.1 503 Service Unavailable\r\nX-Hornbeamgap-Request-Id: r1\r\nX-Hornbeamgap-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n')
+    })
+    assert.deepEqual(refused, { kind: 'not-run', reason: 'full' })
+    const server = createServer()
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+    const { port } = server.address() as AddressInfo
+    await new Promise((resolve) => server.close(resolve))
+    assert.deepEqual(await start(port), { kind: 'not-run', reason: 'unreachable' })
+  })
+
+  it('says of a connection that is closed without an answer that the request may have run', async () => {
+    const result = await exchangeWith((socket) => { socket.end() })
+    assert.equal(result.kind, 'broken')
+  })
+
+  /** Sends one request to a server that answers its first bytes as told. */
+  async function exchangeWith (answer: (socket: Socket) => void): Promise<ExchangeStart> {
+    const server = createServer((socket) => {
+      socket.on('error', () => {})
+      socket.once('data', () => answer(socket))
+    })
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+    closing.push(() => new Promise((resolve) => server.close(resolve)))
+    return start((server.address() as AddressInfo).port)
+  }
+
+  function start (port: number): Promise<ExchangeStart> {
+    const connections = createUpstreamConnections(createRequestFormat())
+    closing.unshift(() => connections.close())
+    const upstream = { id: 'i-1', service: 's', address: `127.0.0.1:${port}`, failureDomain: 'a', slots: 1, leaving: false, leavesIn: undefined, reclaimable: false }
+    return connections.start(upstream, { id: 'r1', method: 'GET', path: '/', headers: ['x-hornbeamgap-request-id', 'r1'], body: undefined }, new AbortController().signal)
+  }
+
+  async function bodyOf (started: ExchangeStart): Promise<string> {
+    assert.equal(started.kind, 'answered')
+    return started.kind === 'answered' ? started.answer.body.text() : ''
+  }
+})
