Placement by reading time; size of services by three utilisations; quarantine of crashing requests

Cause: late answers stood behind long prompts (answer-late lines: questions of 1,000 tokens waited 1 to 2 s at engines with few requests, beside a prompt of 30,000 to 60,000 tokens), since load was a count of requests; and engines were ordered at 0.5 of a load that counted cached tokens as well. Change: load is the reading that an engine has before it, long prompts are told to peers at once; engines are ordered by 0.38 of the load while reclaimable ones are to be had, 0.65 without, 0.95 at the least.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,10 @@
 import neostandard from 'neostandard'
 
 /** Folders that hold pure decisions: they may import no I/O, no timers and no platform clients. */
-const decisionFolders = ['request', 'admission', 'upstream', 'membership', 'configuration', 'lease', 'capacity', 'report']
+const decisionFolders = [
+  'request', 'admission', 'upstream', 'membership', 'configuration', 'lease', 'capacity', 'report',
+  'routing', 'quota', 'placement', 'usage', 'scaling', 'gossip', 'quarantine'
+]
 
 /** Modules that perform I/O, or folders that do. */
 const inputOutput = [
--- a/src/gateway/configuration-keeper.ts
+++ b/src/gateway/configuration-keeper.ts
@@ -37,7 +37,7 @@
     if (!supersedes(configuration.version, inForce)) return
     table = createRouteTable(configuration)
     text = candidate
-    log.info('configuration-in-force', { version: configuration.version, before: inForce, source, routes: configuration.routes.length, organisations: configuration.organisations?.length })
+    log.info('configuration-in-force', { version: configuration.version, before: inForce, source, routes: configuration.routes.length, organisations: configuration.organisations?.length, quotaRate: configuration.organisations?.reduce((sum, { quota }) => sum + quota.rate, 0) })
     changed(configuration)
   }
 
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -1,6 +1,7 @@
 /** What the parts of a gateway node share. */
 import type { Clock, Milliseconds } from '../clock.js'
 import type { Log } from '../log.js'
+import type { Quarantine } from '../quarantine/index.js'
 import type { QuotaLimiter, RetryBudget } from '../quota/index.js'
 import type { Random } from '../random.js'
 import type { RouteTable } from '../routing/index.js'
@@ -23,10 +24,13 @@
   readonly upstreams: UpstreamView
   readonly connections: UpstreamConnections
   readonly quotas: QuotaLimiter
+  readonly quarantine: Quarantine
   readonly usage: UsageWindows
   readonly work: WorkMeter
   /** Bound on further attempts of a service. */
   readonly retryBudget: (service: string) => RetryBudget
+  /** Tells other nodes of a long prompt that was just sent to an upstream. */
+  readonly tellReading: (upstream: string, reading: Milliseconds) => void
   /** The configuration in force; undefined until the first one is known. */
   readonly table: () => RouteTable | undefined
   /** Wall time that the nodes agree on, which a step of this machine's clock doesn't move. */
--- /dev/null
+++ b/src/gateway/fleet.ts
@@ -0,0 +1,108 @@
+/** The nodes of the system as one node knows them: registered in the store, and heard of by gossip. */
+import type { Server } from 'node:http'
+import type { Milliseconds } from '../clock.js'
+import { createSharedWall } from '../gossip/index.js'
+import type { NodeState } from '../gossip/index.js'
+import { createConnections } from '../protocols/http.js'
+import type { ConfigurationKeeper } from './configuration-keeper.js'
+import type { FollowContext } from './follow.js'
+import { keepGossip } from './gossip-keeper.js'
+import { keepNodeRecords } from './node-records.js'
+import type { NodeRecord } from './node-records.js'
+import { createPeerLinks, createPeerLinkServer } from './peer-link.js'
+import type { ReadingNote } from './peer-link.js'
+
+/** What a node tells of itself, beside its record. */
+export type OwnReport = Omit<NodeState, keyof NodeRecord | 'sequence'>
+
+/** The other nodes. */
+export interface Fleet {
+  /** Nodes that were heard of within seconds. */
+  live (): NodeState[]
+  /** All that is remembered, nodes that have died lately included. */
+  remembered (): NodeState[]
+  /** Nodes that may serve, as many as either source knows of: a share that is too small breaks no bound. */
+  size (): number
+  /** Addresses of the nodes that take requests. */
+  addresses (): readonly string[]
+  /** Wall time that the nodes agree on. */
+  wall (): Milliseconds
+  tellReading (upstream: string, reading: Milliseconds): void
+  /** Leaves the records and tells some nodes at once. */
+  withdraw (): Promise<void>
+  close (): Promise<void>
+}
+
+/** What the fleet needs. */
+export interface FleetOptions {
+  readonly context: FollowContext
+  readonly self: NodeRecord
+  readonly configuration: ConfigurationKeeper
+  /** What this node tells now. */
+  readonly report: () => OwnReport
+  /** Other nodes have told something new. */
+  readonly heard: (live: readonly NodeState[]) => void
+  /** Another node has sent a long prompt. */
+  readonly reading: (note: ReadingNote) => void
+  /** A key beside the nodes' records has vanished. */
+  readonly otherGone: (key: string) => void
+}
+
+/** Connections to one other node: exchanges are short. */
+const PEER_CONNECTIONS = 2
+
+/**
+ * @returns the fleet and the server that its peers ask, which the owner listens with
+ * @example
+ * const { fleet, server } = joinFleet({ context, self, configuration, report, heard, reading, otherGone })
+ */
+export function joinFleet (options: FleetOptions): { readonly fleet: Fleet, readonly server: Server } {
+  const { context, self, configuration, report } = options
+  const { clock, random, log, signal } = context
+  const sharedWall = createSharedWall()
+  const connections = createConnections(PEER_CONNECTIONS)
+  const records = keepNodeRecords(context, self, options.otherGone)
+  const gossip = keepGossip({
+    incarnation: self.incarnation,
+    wall: sharedWall,
+    clock,
+    random,
+    log,
+    signal,
+    link: createPeerLinks(connections, { sent: 0, received: 0 }),
+    describe: () => ({ ...self, ...report(), sequence: 0 }),
+    addresses: () => records.all().map((record) => record.peer),
+    configuration: configuration.text,
+    offerConfiguration: configuration.offer,
+    heard: () => options.heard(live())
+  })
+
+  function live (): NodeState[] {
+    return gossip.table.live(clock.now())
+  }
+
+  /** Registered nodes count until they say that they aren't ready; those that only gossip knows must say that they are. */
+  function addresses (): readonly string[] {
+    const states = new Map(live().map((state) => [state.name, state]))
+    const others = records.all().filter(({ name }) => name !== self.name && states.get(name)?.ready !== false).map((record) => record.front)
+    const known = new Set(others)
+    for (const state of states.values()) if (state.ready) known.add(state.front)
+    if (report().ready) known.add(self.front)
+    return [...known]
+  }
+
+  const fleet: Fleet = {
+    live,
+    remembered: gossip.table.all,
+    size: () => Math.max(1, records.all().length, live().length + 1),
+    addresses,
+    wall: () => sharedWall.at(clock.wall(), clock.now()),
+    tellReading: gossip.tellReading,
+    withdraw: async () => {
+      gossip.spread()
+      await records.withdraw()
+    },
+    close: () => connections.destroy()
+  }
+  return { fleet, server: createPeerLinkServer({ ...gossip.answers, reading: options.reading }) }
+}
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -6,7 +6,7 @@
 import { readBody } from '../caller/http.js'
 import type { Milliseconds } from '../clock.js'
 import { chooseUpstream, ENGINE_COSTS, PLAIN_COSTS } from '../placement/index.js'
-import type { UpstreamRecord, Work } from '../placement/index.js'
+import type { Choice, UpstreamRecord, Work } from '../placement/index.js'
 import { chooseService } from '../routing/index.js'
 import { mayRepeat, ServingError, toServingError } from '../verdict.js'
 import type { Verdict } from '../verdict.js'
@@ -14,9 +14,11 @@
 import type { AcceptedRequest } from './acceptance.js'
 import { answerFailure } from './answering.js'
 import type { GatewayContext } from './context.js'
+import { fingerprintOf } from './fingerprint.js'
 import type { NotRunReason, UpstreamAnswer } from './exchange.js'
 import { relayEvents } from './stream-relay.js'
 import type { StreamProgress } from './stream-relay.js'
+import type { OpenRequest } from './upstream-view.js'
 import { abortAtEnd, createTimeLimit } from './time-limit.js'
 import type { EndReason, TimeLimit } from './time-limit.js'
 
@@ -29,9 +31,15 @@
 /** When a refused caller is to come back: a replacement of a crashed upstream is in the registry by then. */
 const NO_UPSTREAM_WAIT: Milliseconds = 300
 
+/** When a caller may try a request again that crashed upstreams: it is forgotten after twice this time without news. */
+const QUARANTINE_WAIT: Milliseconds = 30_000
+
 /** Most sends of one request that no upstream ran; each cost at most a connection's timeout. */
 const MOST_UNRUN_SENDS = 4
 
+/** Reading of a prompt from which on other nodes are told at once: it delays what they send to the same upstream noticeably. */
+const LONG_READING: Milliseconds = 150
+
 /** Urgency that an upstream assumes where none is given, and the last one that it knows. */
 const DEFAULT_URGENCY = 5
 
@@ -45,6 +53,8 @@
   readonly request: IncomingMessage
   readonly response: ServerResponse
   readonly body: Buffer | undefined
+  readonly fingerprint: string
+  readonly arrival: Milliseconds
   readonly limit: TimeLimit
   readonly signal: AbortSignal
   readonly service: string
@@ -86,11 +96,12 @@
     const limit = createTimeLimit(arrival, head.deadline, accepted.route)
     release = abortAtEnd(clock, limit, controller)
     const body = await readWholeBody(context, request, controller.signal)
+    const fingerprint = fingerprintOf(request.url ?? '/', accepted.organisation?.name, body)
+    if (context.quarantine.isRefused(fingerprint, clock.now())) throw refusal('overloaded', 'this request has crashed the upstreams that ran it', QUARANTINE_WAIT)
     const giveBack = takeQuota(context, accepted)
     const service = chooseService(accepted.route, context.random)
-    passage = { accepted, request, response, body, limit, signal: controller.signal, service: service ?? '', tried: new Set(), attempts: 0, unrun: 0, arrivals: 0, progress: { lastId: head.lastEvent, events: 0 }, counted: false }
+    passage = { accepted, request, response, body, fingerprint, arrival, limit, signal: controller.signal, service: service ?? '', tried: new Set(), attempts: 0, unrun: 0, arrivals: 0, progress: { lastId: head.lastEvent, events: 0 }, counted: false }
     context.retryBudget(passage.service).request(arrival)
-    context.work.add(passage.service, head.tokens?.prompt ?? 0, head.tokens?.generated ?? 0, arrival)
     outcome = await sendUntilDone(context, passage)
     if (passage.attempts === 0) giveBack()
   } catch (error) {
@@ -121,9 +132,9 @@
 /** Sends until an upstream has answered or nothing more may be sent. @returns how it ended */
 async function sendUntilDone (context: GatewayContext, passage: Passage): Promise<string> {
   for (;;) {
-    const upstream = await findUpstream(context, passage)
-    passage.tried.add(upstream.id)
-    const result = await sendOnce(context, passage, upstream)
+    const choice = await findUpstream(context, passage)
+    passage.tried.add(choice.upstream.id)
+    const result = await sendOnce(context, passage, choice)
     if (result.kind === 'done') return result.outcome
     if (!maySendAgain(context, passage, result.verdict)) throw result.failure
   }
@@ -139,31 +150,35 @@
 }
 
 /** Waits for a while when no upstream may take the request now. */
-async function findUpstream (context: GatewayContext, passage: Passage): Promise<UpstreamRecord> {
+async function findUpstream (context: GatewayContext, passage: Passage): Promise<Choice> {
   const { clock } = context
   const patience = Math.min(passage.limit.end, clock.now() + passage.accepted.route.target * WAITING_PART)
   for (;;) {
-    const upstream = choose(context, passage)
-    if (upstream !== undefined) return upstream
+    const choice = choose(context, passage)
+    if (choice !== undefined) {
+      if (passage.tried.size === 0) context.work.add(passage.service, choice.reading, passage.accepted.head.tokens?.generated ?? 0, clock.now())
+      return choice
+    }
     if (passage.signal.aborted) throw endFailure(passage)
     if (clock.now() >= patience) throw unsent(passage, 'no-upstream', 'no upstream may take the request now', NO_UPSTREAM_WAIT)
     await clock.sleep(WAITING_PERIOD, passage.signal).catch(() => {})
   }
 }
 
-function choose (context: GatewayContext, passage: Passage): UpstreamRecord | undefined {
+function choose (context: GatewayContext, passage: Passage): Choice | undefined {
   const now = context.clock.now()
   const { head } = passage.accepted
-  const work: Work = { service: passage.service, parts: head.parts, tokens: head.tokens === undefined ? 0 : head.tokens.prompt + head.tokens.generated }
+  const work: Work = { service: passage.service, parts: head.parts, promptTokens: head.tokens?.prompt ?? 0 }
   const isEngine = context.table()?.service(passage.service)?.engine !== undefined
   const candidates = context.upstreams.candidates(passage.service, passage.tried, now)
   return chooseUpstream(work, candidates, context.settings, isEngine ? ENGINE_COSTS : PLAIN_COSTS)
 }
 
-async function sendOnce (context: GatewayContext, passage: Passage, upstream: UpstreamRecord): Promise<SendResult> {
+async function sendOnce (context: GatewayContext, passage: Passage, { upstream, reading }: Choice): Promise<SendResult> {
   const { clock, format, upstreams, log } = context
   const { accepted, request, limit, signal } = passage
-  const end = upstreams.begin(upstream.id)
+  const open = upstreams.begin(upstream.id, reading, clock.now())
+  if (reading >= LONG_READING) context.tellReading(upstream.id, reading)
   try {
     const started = await context.connections.start(upstream, {
       id: accepted.head.id,
@@ -182,7 +197,7 @@
       case 'answered':
         passage.attempts += 1
         passage.arrivals += 1
-        return await passAnswer(context, passage, upstream, started.answer)
+        return await passAnswer(context, passage, upstream, started.answer, open)
       case 'not-run':
         passage.unrun += 1
         if (started.reason !== 'unreachable') passage.arrivals += 1
@@ -193,12 +208,12 @@
         passage.attempts += 1
         passage.arrivals += 1
         if (signal.aborted) throw endFailure(passage)
-        upstreams.health.failed(upstream.id, clock.now())
+        noteBroken(context, passage, upstream)
         log.info('attempt-broken', { request: accepted.head.id, upstream: upstream.id, reason: started.reason })
         return { kind: 'again', verdict: 'may-have-run', failure: new ServingError(started.reason, { code: 'connection-lost', verdict: 'may-have-run' }) }
     }
   } finally {
-    end()
+    open.end()
   }
 }
 
@@ -220,25 +235,27 @@
   }
 }
 
-async function passAnswer (context: GatewayContext, passage: Passage, upstream: UpstreamRecord, answer: UpstreamAnswer): Promise<SendResult> {
+async function passAnswer (context: GatewayContext, passage: Passage, upstream: UpstreamRecord, answer: UpstreamAnswer, open: OpenRequest): Promise<SendResult> {
   const isStream = passage.accepted.route.kind === 'stream' && answer.status === SUCCESS_FROM
-  return isStream ? passStream(context, passage, upstream, answer) : passWhole(context, passage, upstream, answer)
+  return isStream ? passStream(context, passage, upstream, answer, open) : passWhole(context, passage, upstream, answer)
 }
 
-async function passStream (context: GatewayContext, passage: Passage, upstream: UpstreamRecord, answer: UpstreamAnswer): Promise<SendResult> {
+async function passStream (context: GatewayContext, passage: Passage, upstream: UpstreamRecord, answer: UpstreamAnswer, open: OpenRequest): Promise<SendResult> {
   const { response, progress, signal } = passage
   const end = await relayEvents(answer, response, progress, () => {
+    open.read()
     noteBegun(context, passage)
+    noteFirst(context, passage, upstream)
     if (!response.headersSent) response.writeHead(answer.status, context.format.answerHeaders(answer.headers))
   }, signal)
   if (end.kind === 'whole' && progress.events > 0) {
-    context.upstreams.health.answered(upstream.id)
+    noteWhole(context, passage, upstream)
     response.end()
     return { kind: 'done', outcome: 'served' }
   }
   if (signal.aborted) throw endFailure(passage)
   const reason = end.kind === 'broken' ? end.reason : 'the stream had no event'
-  context.upstreams.health.failed(upstream.id, context.clock.now())
+  noteBroken(context, passage, upstream)
   context.log.info('stream-broken', { request: passage.accepted.head.id, upstream: upstream.id, events: progress.events, reason })
   return { kind: 'again', verdict: 'may-have-run', failure: new ServingError(reason, { code: 'connection-lost', verdict: 'may-have-run' }) }
 }
@@ -251,12 +268,13 @@
     body = Buffer.from(await answer.body.arrayBuffer())
   } catch (error) {
     if (signal.aborted) throw endFailure(passage)
-    context.upstreams.health.failed(upstream.id, context.clock.now())
+    noteBroken(context, passage, upstream)
     context.log.info('answer-broken', { request: passage.accepted.head.id, upstream: upstream.id, reason: String(error) })
     return { kind: 'again', verdict: 'may-have-run', failure: new ServingError('the answer broke off', { code: 'connection-lost', verdict: 'may-have-run' }) }
   }
   noteBegun(context, passage)
-  context.upstreams.health.answered(upstream.id)
+  noteFirst(context, passage, upstream)
+  noteWhole(context, passage, upstream)
   if (answer.status >= SERVER_ERROR && maySendAgain(context, passage, 'ran')) {
     return { kind: 'again', verdict: 'ran', failure: new ServingError(`upstream ${upstream.id} answered ${answer.status}`, { code: 'upstream-failed', verdict: 'ran' }) }
   }
@@ -265,6 +283,17 @@
   return { kind: 'done', outcome: answer.status < SUCCESS_BELOW ? 'served' : 'upstream-failed' }
 }
 
+function noteBroken (context: GatewayContext, passage: Passage, upstream: UpstreamRecord): void {
+  const now = context.clock.now()
+  context.upstreams.health.failed(upstream.id, now)
+  context.quarantine.broken(passage.fingerprint, now)
+}
+
+function noteWhole (context: GatewayContext, passage: Passage, upstream: UpstreamRecord): void {
+  context.upstreams.health.answered(upstream.id)
+  context.quarantine.answered(passage.fingerprint, context.clock.now())
+}
+
 /** Counts the request once among those of its organisation that began to run. */
 function noteBegun (context: GatewayContext, passage: Passage): void {
   const { organisation } = passage.accepted
@@ -273,6 +302,26 @@
   context.usage.began(organisation.name, context.sharedWall())
 }
 
+/** Tells of an answer that began after its target, with what placed it. */
+function noteFirst (context: GatewayContext, passage: Passage, upstream: UpstreamRecord): void {
+  const { accepted, arrival } = passage
+  const waited = context.clock.now() - arrival
+  context.metrics.record('first_answer', waited, { route: accepted.route.name })
+  if (waited <= accepted.route.target) return
+  const candidates = context.upstreams.candidates(passage.service, new Set(), context.clock.now())
+  context.log.info('answer-late', {
+    request: accepted.head.id,
+    route: accepted.route.name,
+    upstream: upstream.id,
+    failureDomain: upstream.failureDomain,
+    target: accepted.route.target,
+    waited: Math.round(waited),
+    sends: passage.tried.size,
+    promptTokens: accepted.head.tokens?.prompt,
+    loads: candidates.map(({ load, upstream: one }) => `${one.id === upstream.id ? '*' : ''}${load.requests}/${Math.round(load.reading)}`).join(' ')
+  })
+}
+
 /** The failure of a request whose signal was aborted. */
 function endFailure (passage: Passage): ServingError {
   const reason = passage.signal.reason as EndReason
--- a/src/gateway/gossip-keeper.ts
+++ b/src/gateway/gossip-keeper.ts
@@ -31,7 +31,9 @@
 /** States of the other nodes, kept up to date. */
 export interface GossipKeeper {
   readonly table: GossipTable
-  readonly answers: PeerAnswers
+  readonly answers: Pick<PeerAnswers, 'exchange' | 'configuration'>
+  /** Tells peers at once that a long prompt was sent. */
+  tellReading (upstream: string, reading: Milliseconds): void
   /** Tells some peers at once, at a change that can't wait. */
   spread (): void
 }
@@ -48,6 +50,12 @@
 /** Peers that are told at once of a change that can't wait. */
 const SPREAD = 3
 
+/** Peers that are told of a long prompt; with more nodes the others hear of it by the exchanges. */
+const READING_SPREAD = 8
+
+/** Bound on such a note: later it is of no use. */
+const NOTE_TIMEOUT: Milliseconds = 300
+
 /**
  * @example
  * const gossip = keepGossip({ incarnation, wall, clock, random, log, signal, link, describe, addresses, configuration, offerConfiguration, heard })
@@ -109,6 +117,7 @@
   }
 
   async function run (): Promise<void> {
+    await clock.sleep(PERIOD * random.fraction(), signal).catch(() => {})
     while (!signal.aborted) {
       publish()
       for (const address of pickPeers(1)) exchangeWith(address).catch(() => {})
@@ -130,6 +139,10 @@
       },
       configuration: options.configuration
     },
+    tellReading: (upstream, reading) => {
+      const note = { from: incarnation, upstream, reading: Math.round(reading) }
+      for (const address of pickPeers(READING_SPREAD)) link(address).reading.mutate(note, { signal: AbortSignal.timeout(NOTE_TIMEOUT) }).catch(() => {})
+    },
     spread: () => {
       publish()
       for (const address of pickPeers(SPREAD)) exchangeWith(address).catch(() => {})
--- a/src/gateway/peer-link.ts
+++ b/src/gateway/peer-link.ts
@@ -1,5 +1,6 @@
 /** The protocol between gateway nodes, by tRPC: an exchange of states, and the configuration for those behind. */
 import type { Server } from 'node:http'
+import { z } from 'zod'
 import { createTRPCClient, httpLink } from '@trpc/client'
 import type { TRPCClient } from '@trpc/client'
 import { initTRPC } from '@trpc/server'
@@ -10,10 +11,23 @@
 import type { ByteCounter } from '../peer/fetch.js'
 import type { Connections } from '../protocols/http.js'
 
+const readingNoteSchema = z.object({
+  /** Incarnation of the sender. */
+  from: z.string(),
+  upstream: z.string(),
+  /** Milliseconds that the upstream needs for it. */
+  reading: z.number()
+})
+
+/** A long prompt that was sent to an upstream. */
+export type ReadingNote = z.infer<typeof readingNoteSchema>
+
 /** What a node answers its peers with. */
 export interface PeerAnswers {
   /** Takes a peer's half of an exchange and gives this node's. */
   readonly exchange: (message: GossipMessage) => GossipMessage
+  /** A peer has just sent a long prompt to an upstream. */
+  readonly reading: (note: ReadingNote) => void
   /** Text of the configuration in force; undefined while there is none. */
   readonly configuration: () => string | undefined
 }
@@ -24,6 +38,7 @@
 export function createPeerRouter (answers: PeerAnswers) {
   return trpc.router({
     exchange: trpc.procedure.input(gossipMessageSchema).mutation(({ input }) => answers.exchange(input)),
+    reading: trpc.procedure.input(readingNoteSchema).mutation(({ input }) => answers.reading(input)),
     configuration: trpc.procedure.query(() => ({ text: answers.configuration() ?? null }))
   })
 }
--- a/src/gateway/scaling-keeper.ts
+++ b/src/gateway/scaling-keeper.ts
@@ -2,7 +2,7 @@
 import type { Milliseconds } from '../clock.js'
 import { repeat } from '../repeat.js'
 import type { RouteTable, ScalingFacts, Service } from '../routing/index.js'
-import { busyEngines, createLoadFollower, createOrderBook, planPools } from '../scaling/index.js'
+import { busyEngines, createLoadFollower, createOrderBook, expectedEngines, planPools } from '../scaling/index.js'
 import type { LoadFollower, OfferedWork, OrderAnswer, OrderBook, Pool, PoolSize } from '../scaling/index.js'
 import type { DutyHolder } from './duty-holder.js'
 import type { FollowContext } from './follow.js'
@@ -23,7 +23,7 @@
 
 const PERIOD: Milliseconds = 400
 
-/** Load of a service that was never asked, as a part of the upstreams that were found: what was set up for it is its first estimate. */
+/** Load of a service that was never asked, as a part of the upstreams that were found, where no quota tells more. */
 const FIRST_LOAD_PART = 0.3
 
 /**
@@ -31,11 +31,16 @@
  */
 const MEASURED_AFTER: Milliseconds = 6_000
 
+/** Time beyond the boot until a new upstream's record is known. */
+const BOOT_SLACK: Milliseconds = 2_000
+
 interface ScaledService {
   readonly book: OrderBook
   readonly load: LoadFollower
   readonly firstLoad: number
   firstWork: Milliseconds | undefined
+  /** When this node first planned it. */
+  readonly since: Milliseconds
 }
 
 /**
@@ -48,14 +53,24 @@
   const services = new Map<string, ScaledService>()
   let lastFencing = 0
 
-  function stateOf (service: Service, present: number): ScaledService {
+  /** @returns undefined while nothing tells how much work to expect */
+  function stateOf (service: Service, present: number): ScaledService | undefined {
     const known = services.get(service.name)
     if (known !== undefined) return known
-    const created: ScaledService = { book: createOrderBook(), load: createLoadFollower(), firstLoad: present * FIRST_LOAD_PART, firstWork: undefined }
+    const expected = expectedEngines(quotaTokens())
+    if (expected === 0 && present === 0) return undefined
+    const created: ScaledService = { book: createOrderBook(), load: createLoadFollower(), firstLoad: expected > 0 ? expected : present * FIRST_LOAD_PART, firstWork: undefined, since: clock.now() }
     services.set(service.name, created)
     return created
   }
 
+  /** Tokens a second that all organisations together may use; 0 where one may use any number. */
+  function quotaTokens (): number {
+    const quotas = (table()?.configuration.organisations ?? []).map((organisation) => organisation.quota)
+    const isBounded = quotas.every((quota) => quota.unit === 'tokens' && quota.rate > 0)
+    return isBounded ? quotas.reduce((sum, quota) => sum + quota.rate, 0) : 0
+  }
+
   /** Every node follows the load, so that one that takes the duties over knows it. */
   function observe (service: Service, scaled: ScaledService, now: Milliseconds): number {
     const work = options.work()[service.name]
@@ -69,14 +84,14 @@
   async function orderFor (service: Service, facts: ScalingFacts): Promise<void> {
     const now = clock.now()
     const present = upstreams.all().filter((upstream) => upstream.service === service.name)
-    if (present.length === 0) return
     const scaled = stateOf(service, present.length)
+    if (scaled === undefined) return
     const load = observe(service, scaled, now)
     const proof = duty.proof()
     if (proof === undefined) return
     if (proof.fencing !== lastFencing) scaled.book.reset()
     const running = (pool: Pool): number => present.filter((upstream) => isIn(pool, upstream) && !upstream.leaving).length
-    const sizes = planPools({ facts, failureDomains: options.failureDomains, present, load, refusedUntil: scaled.book.refusedUntil, now })
+    const sizes = planPools({ awaitReclaimable: now - scaled.since < facts.bootTime + BOOT_SLACK && scaled.firstWork === undefined, facts, failureDomains: options.failureDomains, present, load, refusedUntil: scaled.book.refusedUntil, now })
     for (const size of scaled.book.due(sizes, running, now)) {
       const answer = await order(proof, service.name, size)
       scaled.book.answered(size, answer, clock.now())
--- a/src/gateway/upstream-keeper.ts
+++ b/src/gateway/upstream-keeper.ts
@@ -9,10 +9,11 @@
 import type { UpstreamView } from './upstream-view.js'
 
 /**
- * Upstreams write a heartbeat each second or so. A pause between two calls reads several at once; a
- * leaving upstream must be known within two seconds, and this is a small part of it.
+ * Upstreams write a heartbeat each second or so, and each ends a waiting call. A pause between two calls
+ * reads several at once; a leaving upstream must get nothing new after two seconds, and this is a third
+ * of it.
  */
-const PAUSES: WatchPauses = { ...PROMPT_PAUSES, batch: 300 }
+const PAUSES: WatchPauses = { ...PROMPT_PAUSES, batch: 700 }
 
 /**
  * @example
--- a/src/gossip/types.ts
+++ b/src/gossip/types.ts
@@ -6,7 +6,8 @@
 /** Work of one service that a node took in, a second. */
 const workSchema = z.object({
   requests: z.number(),
-  promptTokens: z.number(),
+  /** Milliseconds of reading. */
+  reading: z.number(),
   generatedTokens: z.number()
 })
 
@@ -27,13 +28,13 @@
   configuration: z.number(),
   /** Units a second by organisation. */
   demand: countsSchema,
-  /** Requests in flight by upstream. */
-  inFlight: countsSchema,
+  /** Requests in flight by upstream, and the reading of prompts that they still need, in milliseconds. */
+  inFlight: z.record(z.string(), z.object({ requests: z.number(), reading: z.number() })),
   /** Offered work by service. */
   work: z.record(z.string(), workSchema),
   /** Requests that began to run, by window and organisation; the latest windows only. */
   usage: z.record(z.string(), countsSchema),
-  /** Broken runs by fingerprint of the request, of those with more than a single one at this node or any at another. */
+  /** Broken runs by fingerprint of the request; -1 for one that was answered whole since. */
   crashes: countsSchema
 })
 export type NodeState = z.infer<typeof nodeStateSchema>
--- a/src/placement/choose.ts
+++ b/src/placement/choose.ts
@@ -2,18 +2,27 @@
  * Choice of an upstream for one request: where its prompt is cached, how busy each is, and how near.
  *
  * Requests about one subject share all parts of the prompt but the last. Rendezvous hashing of the last
- * shared part gives all nodes the same ranking without a word between them; the first two of it and the
- * least loaded one are weighed by what they cost the request in time.
+ * shared part gives all nodes the same home without a word between them; there the shared parts need no
+ * reading. What remains to be read there and what is already waiting decide, as the request's own time.
  */
 import type { Milliseconds } from '../clock.js'
 import { score } from '../membership/rendezvous.js'
-import type { PromptPart, UpstreamRecord, Work } from './types.js'
+import { readingTime, sharedTokens } from './reading.js'
+import type { NodeLoad, UpstreamRecord, Work } from './types.js'
 
 /** One upstream that may take the request. */
 export interface Candidate {
   readonly upstream: UpstreamRecord
-  /** Requests in flight there from all nodes, as far as known. */
-  readonly load: number
+  /** What all nodes have in flight there, as far as known. */
+  readonly load: NodeLoad
+}
+
+/** Costs in milliseconds of the request's time. */
+export interface PlacementCosts {
+  /** Each request that runs there already. */
+  readonly perRequest: Milliseconds
+  /** An upstream in another failure domain. */
+  readonly otherDomain: Milliseconds
 }
 
 /** The node that chooses. */
@@ -22,42 +31,40 @@
   readonly failureDomain: string
 }
 
-/** Costs in milliseconds of the request's time, unless said otherwise. */
-export interface PlacementCosts {
-  /** Reading a token that isn't cached. */
-  readonly perTokenRead: Milliseconds
-  /** Each request that runs there already. */
-  readonly perRequest: Milliseconds
-  /** An upstream in another failure domain. */
-  readonly otherDomain: Milliseconds
+/** An upstream, and the reading that the request causes there. */
+export interface Choice {
+  readonly upstream: UpstreamRecord
+  readonly reading: Milliseconds
 }
 
-/** Engines read 61.8 tokens a millisecond; a running request adds 0.0165 ms to each of some 400 steps and reads beside it. */
-export const ENGINE_COSTS: PlacementCosts = { perTokenRead: 1 / 61.8, perRequest: 14, otherDomain: 2 }
+/** A running request of an engine delays each step of the others by 0.0165 ms, some 100 of them before the first token at the worst. */
+export const ENGINE_COSTS: PlacementCosts = { perRequest: 2, otherDomain: 2 }
 
 /** A plain request holds one of six slots for some 30 ms. */
-export const PLAIN_COSTS: PlacementCosts = { perTokenRead: 0, perRequest: 15, otherDomain: 5 }
+export const PLAIN_COSTS: PlacementCosts = { perRequest: 15, otherDomain: 5 }
 
 /**
  * @param candidates upstreams that may take the request; their order doesn't matter
  * @returns undefined when there are none
  * @example
- * chooseUpstream(work, candidates, { name: 'entry-1', failureDomain: 'lisbon-a' }, ENGINE_COSTS)?.id
+ * chooseUpstream(work, candidates, { name: 'entry-1', failureDomain: 'lisbon-a' }, ENGINE_COSTS)?.upstream.id
  */
-export function chooseUpstream (work: Work, candidates: readonly Candidate[], node: PlacingNode, costs: PlacementCosts): UpstreamRecord | undefined {
-  const shared = work.parts.slice(0, -1)
-  const home = shared.at(-1)?.id
+export function chooseUpstream (work: Work, candidates: readonly Candidate[], node: PlacingNode, costs: PlacementCosts): Choice | undefined {
+  const shared = sharedTokens(work.parts)
+  const home = work.parts.at(-2)?.id
   const preferred = home === undefined ? undefined : firstByRendezvous(home, candidates)
-  let best: UpstreamRecord | undefined
+  const whole = readingTime(work.promptTokens, 0)
+  const rest = readingTime(Math.max(0, work.promptTokens - shared), shared)
+  let best: Choice | undefined
   let lowest = Infinity
   for (const { upstream, load } of candidates) {
-    const cost = load * costs.perRequest +
+    const reading = upstream === preferred ? rest : whole
+    const cost = load.reading + reading + load.requests * costs.perRequest +
       (upstream.failureDomain === node.failureDomain ? 0 : costs.otherDomain) +
-      (upstream === preferred ? 0 : tokensOf(shared) * costs.perTokenRead) +
       tieBreak(node.name, upstream.id)
     if (cost < lowest) {
       lowest = cost
-      best = upstream
+      best = { upstream, reading }
     }
   }
   return best
@@ -76,10 +83,6 @@
   return first
 }
 
-function tokensOf (parts: readonly PromptPart[]): number {
-  return parts.reduce((sum, part) => sum + part.tokens, 0)
-}
-
 /** Below a millisecond. Each node has an order of its own, so that equal upstreams don't get all nodes' requests in turn. */
 function tieBreak (node: string, id: string): Milliseconds {
   return score(node, id) / 2 ** 32
--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -1,6 +1,7 @@
 /** Choice of upstreams for forwarded requests. */
-export type { InFlight, PromptPart, UpstreamRecord, Work } from './types.js'
+export type { InFlight, NodeLoad, PromptPart, UpstreamRecord, Work } from './types.js'
 export { chooseUpstream, ENGINE_COSTS, PLAIN_COSTS } from './choose.js'
-export type { Candidate, PlacementCosts, PlacingNode } from './choose.js'
+export type { Candidate, Choice, PlacementCosts, PlacingNode } from './choose.js'
+export { readingTime, sharedTokens } from './reading.js'
 export { createUpstreamHealth } from './health.js'
 export type { UpstreamHealth } from './health.js'
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -28,9 +28,16 @@
 export interface Work {
   readonly service: string
   readonly parts: readonly PromptPart[]
-  /** Tokens that it reads and may generate. */
-  readonly tokens: number
+  /** Tokens of the whole prompt. */
+  readonly promptTokens: number
+}
+
+/** What one node has in flight at one upstream. */
+export interface NodeLoad {
+  readonly requests: number
+  /** Reading of prompts that it has still to do before it can answer new ones. */
+  readonly reading: Milliseconds
 }
 
-/** Requests in flight, by upstream id. */
-export type InFlight = Readonly<Record<string, number>>
+/** Loads by upstream id. */
+export type InFlight = Readonly<Record<string, NodeLoad>>
--- a/src/scaling/index.ts
+++ b/src/scaling/index.ts
@@ -1,6 +1,6 @@
 /** Size of services whose upstreams the system orders: how many, where, reclaimable or not. */
 export type { OfferedWork, Pool, PoolSize, PresentUpstream, ScalingSituation } from './types.js'
-export { busyEngines, createLoadFollower, sumWork } from './load.js'
+export { busyEngines, expectedEngines, createLoadFollower, sumWork } from './load.js'
 export type { LoadFollower } from './load.js'
 export { planPools } from './plan.js'
 export { createOrderBook } from './orders.js'
--- a/src/scaling/load.ts
+++ b/src/scaling/load.ts
@@ -4,13 +4,10 @@
 import type { OfferedWork } from './types.js'
 
 /**
- * Processor time of an engine for a token of a prompt, in milliseconds: 61.8 tokens a millisecond for those
- * that aren't cached, of which there are some 0.75 of all, and attention that grows with the prompt.
+ * An engine's time for a generated token: a step of 3.09 ms serves all requests of a batch, some sixteen of
+ * them while the engine reads prompts in between.
  */
-const PER_PROMPT_TOKEN: Milliseconds = 0.75 / 61.8 * 1.15
-
-/** An engine's time for a generated token: a step of 3.09 ms serves all requests of a batch, some eight at usual load. */
-const PER_GENERATED_TOKEN: Milliseconds = 3.09 / 8
+const PER_GENERATED_TOKEN: Milliseconds = 3.09 / 16
 
 /** Part of a request's most generated tokens that is generated on average. */
 const GENERATED_PART = 0.6
@@ -19,10 +16,27 @@
  * Engines that the work keeps busy all the time.
  *
  * @example
- * busyEngines({ requests: 40, promptTokens: 200_000, generatedTokens: 5_000 }) // 4
+ * busyEngines({ requests: 40, reading: 2_900, generatedTokens: 5_000 }) // 3.5
  */
 export function busyEngines (work: OfferedWork): number {
-  return (work.promptTokens * PER_PROMPT_TOKEN + work.generatedTokens * GENERATED_PART * PER_GENERATED_TOKEN) / SECOND
+  return (work.reading + work.generatedTokens * GENERATED_PART * PER_GENERATED_TOKEN) / SECOND
+}
+
+/** Part of their quotas that organisations use together on a usual day. */
+const USED_QUOTA_PART = 0.45
+
+/** Reading of a token, with what attention adds to it; see {@link readingTime}. */
+const PER_QUOTA_TOKEN: Milliseconds = 1.2 / 61.8
+
+/**
+ * Engines that will be busy by what operators allow their organisations, before any work has come.
+ *
+ * @param tokens a second that all quotas allow together
+ * @example
+ * expectedEngines(498_000) // 5.3
+ */
+export function expectedEngines (tokens: number): number {
+  return tokens * USED_QUOTA_PART * PER_QUOTA_TOKEN / SECOND
 }
 
 /**
@@ -35,10 +49,10 @@
   const sum: Record<string, OfferedWork> = {}
   for (const part of parts) {
     for (const [service, work] of Object.entries(part)) {
-      const known = sum[service] ?? { requests: 0, promptTokens: 0, generatedTokens: 0 }
+      const known = sum[service] ?? { requests: 0, reading: 0, generatedTokens: 0 }
       sum[service] = {
         requests: known.requests + work.requests,
-        promptTokens: known.promptTokens + work.promptTokens,
+        reading: known.reading + work.reading,
         generatedTokens: known.generatedTokens + work.generatedTokens
       }
     }
--- a/src/scaling/plan.ts
+++ b/src/scaling/plan.ts
@@ -4,10 +4,13 @@
  */
 import type { PoolSize, PresentUpstream, ScalingSituation } from './types.js'
 
-/** Busy engines that one engine is ordered for: above it, first tokens come late in the worst seconds. */
-const USUAL_UTILISATION = 0.5
+/** Busy upstreams for each one that runs while reclaimable ones are to be had; they are cheap, and idle ones answer sooner. */
+const USUAL_UTILISATION = 0.38
 
-/** The same for the engines that are left when all reclaimable ones are gone at once. */
+/** The same while reclaimable ones are missing and others stand in for them. */
+const SHORT_UTILISATION = 0.65
+
+/** The same for the moment after all reclaimable ones were taken back at once, until others have booted. */
 const RECLAIMED_UTILISATION = 0.95
 
 /**
@@ -24,11 +27,12 @@
   const { facts, failureDomains, load } = situation
   const total = clamp(Math.ceil(load / USUAL_UTILISATION), failureDomains.length * Math.max(1, facts.least), failureDomains.length * facts.most)
   const base = facts.reclaimablePrice === undefined ? total : clamp(Math.ceil(load / RECLAIMED_UTILISATION), 1, total)
+  const least = facts.reclaimablePrice === undefined ? total : clamp(Math.ceil(load / SHORT_UTILISATION), base, total)
   const wanted = facts.reclaimablePrice === undefined ? [] : spread(total - base, failureDomains, facts.most)
   const running = countRunning(situation.present)
-  const serving = wanted.reduce((sum, pool) => sum + Math.min(pool.count, running.get(pool.failureDomain) ?? 0), 0)
+  const serving = wanted.reduce((sum, pool) => sum + Math.min(pool.count, situation.awaitReclaimable ? pool.count : running.get(pool.failureDomain) ?? 0), 0)
   const cheapest = byPrice(situation)
-  const others = spread(Math.max(base, total - serving), cheapest, facts.most)
+  const others = spread(Math.max(base, least - serving), cheapest, facts.most)
   const sizes = wanted.map(({ failureDomain, count }): PoolSize => ({ failureDomain, reclaimable: true, desired: count }))
   for (const { failureDomain, count } of others) {
     const reclaimable = wanted.find((pool) => pool.failureDomain === failureDomain)?.count ?? 0
--- a/src/scaling/types.ts
+++ b/src/scaling/types.ts
@@ -5,7 +5,9 @@
 /** Offered work of one service, a second, over all nodes. */
 export interface OfferedWork {
   readonly requests: number
-  readonly promptTokens: number
+  /** Milliseconds that upstreams read prompts. */
+  readonly reading: Milliseconds
+  /** Most tokens that may be generated. */
   readonly generatedTokens: number
 }
 
@@ -35,6 +37,8 @@
   readonly present: readonly PresentUpstream[]
   /** Upstreams that the offered work keeps busy all the time. */
   readonly load: number
+  /** Nothing is asked yet: reclaimable upstreams that boot count as running, so that nothing else is kept in their place. */
+  readonly awaitReclaimable: boolean
   /** Pools that gave nothing lately, until when they are not asked. */
   readonly refusedUntil: (pool: Pool) => Milliseconds
   readonly now: Milliseconds
--- a/src/scaling/work-meter.ts
+++ b/src/scaling/work-meter.ts
@@ -5,14 +5,14 @@
 
 /** Rates of work. */
 export interface WorkMeter {
-  add (service: string, promptTokens: number, generatedTokens: number, now: Milliseconds): void
+  add (service: string, reading: Milliseconds, generatedTokens: number, now: Milliseconds): void
   /** Work a second by service. */
   rates (now: Milliseconds): Record<string, OfferedWork>
 }
 
 interface Meter {
   requests: number
-  promptTokens: number
+  reading: Milliseconds
   generatedTokens: number
   at: Milliseconds
 }
@@ -28,22 +28,22 @@
 /**
  * @example
  * const meter = createWorkMeter()
- * meter.add('plans', 6_600, 380, clock.now())
+ * meter.add('plans', 120, 380, clock.now())
  */
 export function createWorkMeter (): WorkMeter {
   const meters = new Map<string, Meter>()
 
   function aged (meter: Meter, now: Milliseconds): Meter {
     const factor = Math.exp(-(now - meter.at) / MEAN_AGE)
-    return { requests: meter.requests * factor, promptTokens: meter.promptTokens * factor, generatedTokens: meter.generatedTokens * factor, at: now }
+    return { requests: meter.requests * factor, reading: meter.reading * factor, generatedTokens: meter.generatedTokens * factor, at: now }
   }
 
   return {
-    add: (service, promptTokens, generatedTokens, now) => {
-      const meter = aged(meters.get(service) ?? { requests: 0, promptTokens: 0, generatedTokens: 0, at: now }, now)
+    add: (service, reading, generatedTokens, now) => {
+      const meter = aged(meters.get(service) ?? { requests: 0, reading: 0, generatedTokens: 0, at: now }, now)
       meters.set(service, {
         requests: meter.requests + PER_SECOND,
-        promptTokens: meter.promptTokens + promptTokens * PER_SECOND,
+        reading: meter.reading + reading * PER_SECOND,
         generatedTokens: meter.generatedTokens + generatedTokens * PER_SECOND,
         at: now
       })
@@ -51,8 +51,8 @@
     rates: (now) => {
       const rates: Record<string, OfferedWork> = {}
       for (const [service, meter] of meters) {
-        const { requests, promptTokens, generatedTokens } = aged(meter, now)
-        if (requests >= NEGLIGIBLE) rates[service] = { requests: round(requests), promptTokens: round(promptTokens), generatedTokens: round(generatedTokens) }
+        const { requests, reading, generatedTokens } = aged(meter, now)
+        if (requests >= NEGLIGIBLE) rates[service] = { requests: round(requests), reading: round(reading), generatedTokens: round(generatedTokens) }
       }
       return rates
     }
