--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -13,6 +13,14 @@
 import type { GatewaySettings } from './settings.js'
 import type { UpstreamView } from './upstream-view.js'
 
+/** Times of a planned stop. */
+export interface StopTimes {
+  /** Time of the request to stop. */
+  readonly since: Milliseconds
+  /** Time at which what still runs is cut off. */
+  readonly cutOff: Milliseconds
+}
+
 /** Shared by all requests of a node. */
 export interface GatewayContext {
   readonly settings: GatewaySettings
@@ -35,6 +43,6 @@
   readonly table: () => RouteTable | undefined
   /** Wall time that the nodes agree on, which a step of this machine's clock doesn't move. */
   readonly sharedWall: () => Milliseconds
-  /** Undefined while the node serves; once it stops, the time by which all requests must have ended. */
-  readonly stopBy: () => Milliseconds | undefined
+  /** Undefined while the node serves. */
+  readonly stop: () => StopTimes | undefined
 }
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -6,21 +6,19 @@
 import { readBody } from '../caller/http.js'
 import type { Milliseconds } from '../clock.js'
 import { chooseUpstream, ENGINE_COSTS, PLAIN_COSTS } from '../placement/index.js'
-import type { Choice, UpstreamRecord, Work } from '../placement/index.js'
+import type { Choice, Work } from '../placement/index.js'
 import { chooseService } from '../routing/index.js'
-import { mayRepeat, ServingError, toServingError } from '../verdict.js'
-import type { Verdict } from '../verdict.js'
+import { toServingError } from '../verdict.js'
 import { acceptHead, refusal, takeQuota } from './acceptance.js'
-import type { AcceptedRequest } from './acceptance.js'
 import { answerFailure } from './answering.js'
 import type { GatewayContext } from './context.js'
 import { fingerprintOf } from './fingerprint.js'
-import type { NotRunReason, UpstreamAnswer } from './exchange.js'
-import { relayEvents } from './stream-relay.js'
-import type { StreamProgress } from './stream-relay.js'
-import type { OpenRequest } from './upstream-view.js'
+import { endFailure, maySendAgain, unsent } from './passage.js'
+import type { Passage } from './passage.js'
+import { sendOnce } from './sending.js'
+import { mayBegin } from './stopping-rule.js'
 import { abortAtEnd, createTimeLimit } from './time-limit.js'
-import type { EndReason, TimeLimit } from './time-limit.js'
+import type { EndReason } from './time-limit.js'
 
 /** Part of the target for which a request waits for an upstream to get free before it is refused. */
 const WAITING_PART = 1 / 8
@@ -28,52 +26,11 @@
 /** Pause between two looks for a free upstream. */
 const WAITING_PERIOD: Milliseconds = 10
 
-/** When a refused caller is to come back: a replacement of a crashed upstream is in the registry by then. */
-const NO_UPSTREAM_WAIT: Milliseconds = 300
-
 /** When a caller may try a request again that crashed upstreams: it is forgotten after twice this time without news. */
 const QUARANTINE_WAIT: Milliseconds = 30_000
 
-/** Most sends of one request that no upstream ran; each cost at most a connection's timeout. */
-const MOST_UNRUN_SENDS = 4
-
-/** Reading of a prompt from which on other nodes are told at once: it delays what they send to the same upstream noticeably. */
-const LONG_READING: Milliseconds = 150
-
-/** Urgency that an upstream assumes where none is given, and the last one that it knows. */
-const DEFAULT_URGENCY = 5
-
-const SUCCESS_FROM = 200
-const SUCCESS_BELOW = 300
-const SERVER_ERROR = 500
-
-/** State of one request on its way. */
-interface Passage {
-  readonly accepted: AcceptedRequest
-  readonly request: IncomingMessage
-  readonly response: ServerResponse
-  readonly body: Buffer | undefined
-  readonly fingerprint: string
-  readonly arrival: Milliseconds
-  readonly limit: TimeLimit
-  readonly signal: AbortSignal
-  readonly service: string
-  readonly tried: Set<string>
-  /** Sends that an upstream may have begun to run. */
-  attempts: number
-  /** Sends that were not run. */
-  unrun: number
-  /** Sends that arrived at an upstream, run or not. */
-  arrivals: number
-  readonly progress: StreamProgress
-  counted: boolean
-}
-
-/** What a send came to. */
-type SendResult =
-  | { readonly kind: 'done', readonly outcome: string }
-  /** Worth another send; `verdict` says whether this one may have run. */
-  | { readonly kind: 'again', readonly verdict: Verdict, readonly failure: ServingError }
+/** A caller that is turned away by a stopping node asks another one at once. */
+const STOPPING_WAIT: Milliseconds = 10
 
 /**
  * Handles one request of a caller. Never rejects.
@@ -93,6 +50,8 @@
   try {
     checkHeadSize(context, request)
     const accepted = acceptHead(context.table(), head, request.headers.host, request.url ?? '/')
+    const stop = context.stop()
+    if (stop !== undefined && !mayBegin({ now: arrival, ...stop }, accepted.route, head)) throw refusal('stopping', 'this node stops before the request would end', STOPPING_WAIT)
     const limit = createTimeLimit(arrival, head.deadline, accepted.route)
     release = abortAtEnd(clock, limit, controller)
     const body = await readWholeBody(context, request, controller.signal)
@@ -135,20 +94,14 @@
     const choice = await findUpstream(context, passage)
     passage.tried.add(choice.upstream.id)
     const result = await sendOnce(context, passage, choice)
-    if (result.kind === 'done') return result.outcome
-    if (!maySendAgain(context, passage, result.verdict)) throw result.failure
+    switch (result.kind) {
+      case 'done': return result.outcome
+      case 'granted': break
+      case 'again': if (!maySendAgain(context, passage, result.verdict)) throw result.failure
+    }
   }
 }
 
-function maySendAgain (context: GatewayContext, passage: Passage, verdict: Verdict): boolean {
-  const { route } = passage.accepted
-  if (passage.signal.aborted || passage.unrun >= MOST_UNRUN_SENDS) return false
-  // A stream goes on after the last event that was passed on; before the first one it begins anew.
-  const repeatable = route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable)
-  if (!mayRepeat(verdict, repeatable) || passage.attempts >= route.mostAttempts) return false
-  return passage.arrivals === 0 || context.retryBudget(passage.service).take(context.clock.now())
-}
-
 /** Waits for a while when no upstream may take the request now. */
 async function findUpstream (context: GatewayContext, passage: Passage): Promise<Choice> {
   const { clock } = context
@@ -160,7 +113,7 @@
       return choice
     }
     if (passage.signal.aborted) throw endFailure(passage)
-    if (clock.now() >= patience) throw unsent(passage, 'no-upstream', 'no upstream may take the request now', NO_UPSTREAM_WAIT)
+    if (clock.now() >= patience) throw unsent(passage, 'no-upstream', 'no upstream may take the request now')
     await clock.sleep(WAITING_PERIOD, passage.signal).catch(() => {})
   }
 }
@@ -174,171 +127,6 @@
   return chooseUpstream(work, candidates, context.settings, isEngine ? ENGINE_COSTS : PLAIN_COSTS)
 }
 
-async function sendOnce (context: GatewayContext, passage: Passage, { upstream, reading }: Choice): Promise<SendResult> {
-  const { clock, format, upstreams, log } = context
-  const { accepted, request, limit, signal } = passage
-  const open = upstreams.begin(upstream.id, reading, clock.now())
-  if (reading >= LONG_READING) context.tellReading(upstream.id, reading)
-  try {
-    const started = await context.connections.start(upstream, {
-      id: accepted.head.id,
-      method: request.method ?? 'GET',
-      path: request.url ?? '/',
-      headers: format.upstreamHeaders(request.rawHeaders, {
-        deadline: limit.left(clock.now()),
-        upstream: upstream.id,
-        organisation: accepted.organisation?.name,
-        urgency: Math.min(accepted.priority, DEFAULT_URGENCY),
-        lastEvent: passage.progress.lastId
-      }),
-      body: passage.body
-    }, signal)
-    switch (started.kind) {
-      case 'answered':
-        passage.attempts += 1
-        passage.arrivals += 1
-        return await passAnswer(context, passage, upstream, started.answer, open)
-      case 'not-run':
-        passage.unrun += 1
-        if (started.reason !== 'unreachable') passage.arrivals += 1
-        noteUnrun(context, upstream, started.reason)
-        if (signal.aborted) throw endFailure(passage)
-        return { kind: 'again', verdict: 'not-run', failure: unsent(passage, 'overloaded', `upstream ${upstream.id}: ${started.reason}`, NO_UPSTREAM_WAIT) }
-      case 'broken':
-        passage.attempts += 1
-        passage.arrivals += 1
-        if (signal.aborted) throw endFailure(passage)
-        noteBroken(context, passage, upstream)
-        log.info('attempt-broken', { request: accepted.head.id, upstream: upstream.id, reason: started.reason })
-        return { kind: 'again', verdict: 'may-have-run', failure: new ServingError(started.reason, { code: 'connection-lost', verdict: 'may-have-run' }) }
-    }
-  } finally {
-    open.end()
-  }
-}
-
-function noteUnrun (context: GatewayContext, upstream: UpstreamRecord, reason: NotRunReason): void {
-  const { clock, upstreams, metrics } = context
-  metrics.count('sends_not_run', { reason })
-  switch (reason) {
-    case 'unreachable':
-      upstreams.health.failed(upstream.id, clock.now())
-      return
-    case 'full':
-      upstreams.health.full(upstream.id, clock.now())
-      return
-    case 'another-upstream':
-      // The address is another's now; the registry will say so as well.
-      upstreams.remove(upstream.id)
-      break
-    case 'refused':
-  }
-}
-
-async function passAnswer (context: GatewayContext, passage: Passage, upstream: UpstreamRecord, answer: UpstreamAnswer, open: OpenRequest): Promise<SendResult> {
-  const isStream = passage.accepted.route.kind === 'stream' && answer.status === SUCCESS_FROM
-  return isStream ? passStream(context, passage, upstream, answer, open) : passWhole(context, passage, upstream, answer)
-}
-
-async function passStream (context: GatewayContext, passage: Passage, upstream: UpstreamRecord, answer: UpstreamAnswer, open: OpenRequest): Promise<SendResult> {
-  const { response, progress, signal } = passage
-  const end = await relayEvents(answer, response, progress, () => {
-    open.read()
-    noteBegun(context, passage)
-    noteFirst(context, passage, upstream)
-    if (!response.headersSent) response.writeHead(answer.status, context.format.answerHeaders(answer.headers))
-  }, signal)
-  if (end.kind === 'whole' && progress.events > 0) {
-    noteWhole(context, passage, upstream)
-    response.end()
-    return { kind: 'done', outcome: 'served' }
-  }
-  if (signal.aborted) throw endFailure(passage)
-  const reason = end.kind === 'broken' ? end.reason : 'the stream had no event'
-  noteBroken(context, passage, upstream)
-  context.log.info('stream-broken', { request: passage.accepted.head.id, upstream: upstream.id, events: progress.events, reason })
-  return { kind: 'again', verdict: 'may-have-run', failure: new ServingError(reason, { code: 'connection-lost', verdict: 'may-have-run' }) }
-}
-
-/** Reads an answer to its end before a byte is passed on, so that a torn one can be tried again or told as a failure. */
-async function passWhole (context: GatewayContext, passage: Passage, upstream: UpstreamRecord, answer: UpstreamAnswer): Promise<SendResult> {
-  const { response, signal } = passage
-  let body: Buffer
-  try {
-    body = Buffer.from(await answer.body.arrayBuffer())
-  } catch (error) {
-    if (signal.aborted) throw endFailure(passage)
-    noteBroken(context, passage, upstream)
-    context.log.info('answer-broken', { request: passage.accepted.head.id, upstream: upstream.id, reason: String(error) })
-    return { kind: 'again', verdict: 'may-have-run', failure: new ServingError('the answer broke off', { code: 'connection-lost', verdict: 'may-have-run' }) }
-  }
-  noteBegun(context, passage)
-  noteFirst(context, passage, upstream)
-  noteWhole(context, passage, upstream)
-  if (answer.status >= SERVER_ERROR && maySendAgain(context, passage, 'ran')) {
-    return { kind: 'again', verdict: 'ran', failure: new ServingError(`upstream ${upstream.id} answered ${answer.status}`, { code: 'upstream-failed', verdict: 'ran' }) }
-  }
-  response.writeHead(answer.status, [...context.format.answerHeaders(answer.headers), 'content-length', String(body.length)])
-  response.end(body)
-  return { kind: 'done', outcome: answer.status < SUCCESS_BELOW ? 'served' : 'upstream-failed' }
-}
-
-function noteBroken (context: GatewayContext, passage: Passage, upstream: UpstreamRecord): void {
-  const now = context.clock.now()
-  context.upstreams.health.failed(upstream.id, now)
-  context.quarantine.broken(passage.fingerprint, now)
-}
-
-function noteWhole (context: GatewayContext, passage: Passage, upstream: UpstreamRecord): void {
-  context.upstreams.health.answered(upstream.id)
-  context.quarantine.answered(passage.fingerprint, context.clock.now())
-}
-
-/** Counts the request once among those of its organisation that began to run. */
-function noteBegun (context: GatewayContext, passage: Passage): void {
-  const { organisation } = passage.accepted
-  if (passage.counted || organisation === undefined) return
-  passage.counted = true
-  context.usage.began(organisation.name, context.sharedWall())
-}
-
-/** Tells of an answer that began after its target, with what placed it. */
-function noteFirst (context: GatewayContext, passage: Passage, upstream: UpstreamRecord): void {
-  const { accepted, arrival } = passage
-  const waited = context.clock.now() - arrival
-  context.metrics.record('first_answer', waited, { route: accepted.route.name })
-  if (waited <= accepted.route.target) return
-  const candidates = context.upstreams.candidates(passage.service, new Set(), context.clock.now())
-  context.log.info('answer-late', {
-    request: accepted.head.id,
-    route: accepted.route.name,
-    upstream: upstream.id,
-    failureDomain: upstream.failureDomain,
-    target: accepted.route.target,
-    waited: Math.round(waited),
-    sends: passage.tried.size,
-    promptTokens: accepted.head.tokens?.prompt,
-    loads: candidates.map(({ load, upstream: one }) => `${one.id === upstream.id ? '*' : ''}${load.requests}/${Math.round(load.reading)}`).join(' ')
-  })
-}
-
-/** The failure of a request whose signal was aborted. */
-function endFailure (passage: Passage): ServingError {
-  const reason = passage.signal.reason as EndReason
-  const verdict: Verdict = passage.attempts > 0 ? 'may-have-run' : 'not-run'
-  switch (reason) {
-    case 'time-limit': return new ServingError('the time limit was reached', { code: 'timeout', verdict, ...(verdict === 'not-run' ? { retryAfter: NO_UPSTREAM_WAIT } : {}) })
-    case 'caller-gone': return new ServingError('the caller has left', { code: 'cancelled', verdict })
-    case 'stopped': return new ServingError('the node stops', { code: 'stopping', verdict })
-  }
-}
-
-/** A request that can't be sent now: not run, unless an earlier send of it may have. */
-function unsent (passage: Passage, code: 'no-upstream' | 'overloaded', message: string, retryAfter: Milliseconds): ServingError {
-  if (passage.attempts > 0) return new ServingError(message, { code: 'upstream-failed', verdict: 'may-have-run' })
-  return refusal(code, message, retryAfter)
-}
-
 function checkHeadSize (context: GatewayContext, request: IncomingMessage): void {
   const limits = context.table()?.configuration.limits
   if (limits === undefined) return
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -14,7 +14,7 @@
 import { createWorkMeter } from '../scaling/index.js'
 import { createUsageWindows, windowOf } from '../usage/index.js'
 import { createConfigurationKeeper } from './configuration-keeper.js'
-import type { GatewayContext } from './context.js'
+import type { GatewayContext, StopTimes } from './context.js'
 import { keepDuties } from './duties.js'
 import { createDutyHolder, DUTY_KEY } from './duty-holder.js'
 import { createUpstreamConnections } from './exchange.js'
@@ -28,7 +28,7 @@
 import { createServicePaths } from './service-paths.js'
 import { addressOf } from './settings.js'
 import type { GatewaySettings, HostPort } from './settings.js'
-import { stopNode } from './stopping.js'
+import { STOP_MARGIN, stopNode } from './stopping.js'
 import { keepUpstreams } from './upstream-keeper.js'
 import { createUpstreamView } from './upstream-view.js'
 
@@ -81,11 +81,11 @@
   const work = createWorkMeter()
   const budgets = new Map<string, RetryBudget>()
   let inFlight = 0
-  let stopBy: Milliseconds | undefined
+  let stopping: StopTimes | undefined
 
   const server = createCallerServer((request, response) => {
     inFlight += 1
-    if (stopBy !== undefined) response.setHeader('connection', 'close')
+    if (stopping !== undefined) response.setHeader('connection', 'close')
     forwardRequest(context, request, response)
       .catch((error) => log.error('request-handler-failed', { error: String(error) }))
       .finally(() => { inFlight -= 1 })
@@ -120,7 +120,7 @@
     tellReading: fleet.tellReading,
     table: configuration.table,
     sharedWall: fleet.wall,
-    stopBy: () => stopBy
+    stop: () => stopping
   }
   keepUpstreams(follows, platform.registry, upstreams, connections)
   const duties = platform.duties && keepDuties({ context: follows, settings, incarnation, calls: platform.duties, holder, fleet, usage, work, upstreams, table: configuration.table })
@@ -144,7 +144,7 @@
   }
 
   function isReady (): boolean {
-    return stopBy === undefined && configuration.table() !== undefined
+    return stopping === undefined && configuration.table() !== undefined
   }
 
   /** What the other nodes are told. */
@@ -184,9 +184,10 @@
   return {
     addresses: { front, ready, directory },
     stop: async () => {
-      if (stopBy !== undefined) return
-      stopBy = clock.now() + bounds.grace
-      await stopNode({ clock, log, server, stopBy, inFlight: () => inFlight, withdraw: async () => { await Promise.allSettled([fleet.withdraw(), duties?.release()]) } })
+      if (stopping !== undefined) return
+      const now = clock.now()
+      stopping = { since: now, cutOff: now + bounds.grace - STOP_MARGIN }
+      await stopNode({ clock, log, server, cutOff: stopping.cutOff, inFlight: () => inFlight, withdraw: async () => { await Promise.allSettled([fleet.withdraw(), duties?.release()]) } })
       ending.abort()
       for (const one of servers) {
         one.close()
--- /dev/null
+++ b/src/gateway/notes.ts
@@ -0,0 +1,96 @@
+/** What one request's sends teach the node: health of upstreams, usage, broken runs, and lines for the log. */
+import type { Milliseconds } from '../clock.js'
+import type { UpstreamRecord } from '../placement/index.js'
+import type { GatewayContext } from './context.js'
+import type { NotRunReason } from './exchange.js'
+import type { Passage } from './passage.js'
+
+/**
+ * A send was not run by the upstream.
+ *
+ * @example
+ * noteUnrun(context, upstream, 'full')
+ */
+export function noteUnrun (context: GatewayContext, upstream: UpstreamRecord, reason: NotRunReason): void {
+  const { clock, upstreams, metrics } = context
+  metrics.count('sends_not_run', { reason })
+  switch (reason) {
+    case 'unreachable':
+      upstreams.health.failed(upstream.id, clock.now())
+      return
+    case 'full':
+      upstreams.health.full(upstream.id, clock.now())
+      return
+    case 'another-upstream':
+      // The address is another's now; the registry will say so as well.
+      upstreams.remove(upstream.id)
+      break
+    case 'refused':
+  }
+}
+
+/**
+ * A run broke off or went silent.
+ *
+ * @example
+ * noteBroken(context, passage, upstream, 'other side closed')
+ */
+export function noteBroken (context: GatewayContext, passage: Passage, upstream: UpstreamRecord, reason: string): void {
+  const now = context.clock.now()
+  context.upstreams.health.failed(upstream.id, now)
+  context.quarantine.broken(passage.fingerprint, now)
+  context.log.info('attempt-broken', {
+    request: passage.accepted.head.id,
+    upstream: upstream.id,
+    events: passage.progress.events,
+    attempts: passage.attempts,
+    after: Math.round(now - passage.arrival),
+    reason
+  })
+}
+
+/**
+ * An upstream gave a whole answer.
+ *
+ * @example
+ * noteWhole(context, passage, upstream)
+ */
+export function noteWhole (context: GatewayContext, passage: Passage, upstream: UpstreamRecord): void {
+  context.upstreams.health.answered(upstream.id)
+  context.quarantine.answered(passage.fingerprint, context.clock.now())
+}
+
+/**
+ * An answer begins: the request has run. Counts it once among those of its organisation, and tells of one
+ * that begins after its target, with what placed it.
+ *
+ * @example
+ * noteBegun(context, passage, upstream)
+ */
+export function noteBegun (context: GatewayContext, passage: Passage, upstream: UpstreamRecord): void {
+  const { organisation } = passage.accepted
+  if (!passage.counted && organisation !== undefined) {
+    passage.counted = true
+    context.usage.began(organisation.name, context.sharedWall())
+  }
+  const waited = context.clock.now() - passage.arrival
+  context.metrics.record('first_answer', waited, { route: passage.accepted.route.name })
+  if (waited > passage.accepted.route.target) tellLate(context, passage, upstream, waited)
+}
+
+function tellLate (context: GatewayContext, passage: Passage, upstream: UpstreamRecord, waited: Milliseconds): void {
+  const { accepted } = passage
+  const candidates = context.upstreams.candidates(passage.service, new Set(), context.clock.now())
+  context.log.info('answer-late', {
+    request: accepted.head.id,
+    route: accepted.route.name,
+    upstream: upstream.id,
+    failureDomain: upstream.failureDomain,
+    target: accepted.route.target,
+    waited: Math.round(waited),
+    sends: passage.tried.size,
+    promptTokens: accepted.head.tokens?.prompt,
+    // Requests and milliseconds of reading at each upstream; the one that answers is marked.
+    loads: candidates.map(({ load, upstream: one }) => `${one.id === upstream.id ? '*' : ''}${load.requests}/${Math.round(load.reading)}`).join(' ')
+  })
+}
--- /dev/null
+++ b/src/gateway/passage.ts
@@ -0,0 +1,84 @@
+/** One request on its way, and the rules of when it may be sent again. */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Milliseconds } from '../clock.js'
+import { mayRepeat, ServingError } from '../verdict.js'
+import type { FailureCode, Verdict } from '../verdict.js'
+import { refusal } from './acceptance.js'
+import type { AcceptedRequest } from './acceptance.js'
+import type { GatewayContext } from './context.js'
+import type { StreamProgress } from './stream-relay.js'
+import type { EndReason, TimeLimit } from './time-limit.js'
+
+/** State of one request. */
+export interface Passage {
+  readonly accepted: AcceptedRequest
+  readonly request: IncomingMessage
+  readonly response: ServerResponse
+  readonly body: Buffer | undefined
+  readonly fingerprint: string
+  readonly arrival: Milliseconds
+  readonly limit: TimeLimit
+  /** Aborts with an {@link EndReason}. */
+  readonly signal: AbortSignal
+  readonly service: string
+  /** Upstreams that it was sent to. */
+  readonly tried: Set<string>
+  /** Sends that an upstream may have begun to run. */
+  attempts: number
+  /** Sends that were not run. */
+  unrun: number
+  /** Sends that arrived at an upstream, run or not. */
+  arrivals: number
+  readonly progress: StreamProgress
+  /** It stands in the usage of its organisation. */
+  counted: boolean
+}
+
+/** When a refused caller is to come back: a replacement of a crashed upstream is in the registry by then. */
+export const NO_UPSTREAM_WAIT: Milliseconds = 300
+
+/** Most sends of one request that no upstream ran; each cost at most a connection's timeout. */
+const MOST_UNRUN_SENDS = 4
+
+/**
+ * Whether a request may be sent once more after a send with this verdict. Takes from the retry budget where
+ * upstreams will see it more than once.
+ *
+ * @example
+ * if (!maySendAgain(context, passage, 'may-have-run')) throw failure
+ */
+export function maySendAgain (context: GatewayContext, passage: Passage, verdict: Verdict): boolean {
+  const { route } = passage.accepted
+  if (passage.signal.aborted || passage.unrun >= MOST_UNRUN_SENDS) return false
+  // A stream goes on after the last event that was passed on; before the first one it begins anew.
+  const repeatable = route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable)
+  if (!mayRepeat(verdict, repeatable) || passage.attempts >= route.mostAttempts) return false
+  return passage.arrivals === 0 || context.retryBudget(passage.service).take(context.clock.now())
+}
+
+/**
+ * The failure of a request whose signal was aborted.
+ *
+ * @example
+ * if (passage.signal.aborted) throw endFailure(passage)
+ */
+export function endFailure (passage: Passage): ServingError {
+  const reason = passage.signal.reason as EndReason
+  const verdict: Verdict = passage.attempts > 0 ? 'may-have-run' : 'not-run'
+  switch (reason) {
+    case 'time-limit': return new ServingError('the time limit was reached', { code: 'timeout', verdict, ...(verdict === 'not-run' ? { retryAfter: NO_UPSTREAM_WAIT } : {}) })
+    case 'caller-gone': return new ServingError('the caller has left', { code: 'cancelled', verdict })
+    case 'stopped': return new ServingError('the node stops', { code: 'stopping', verdict })
+  }
+}
+
+/**
+ * The failure of a request that can't be sent now: not run, unless an earlier send of it may have.
+ *
+ * @example
+ * throw unsent(passage, 'no-upstream', 'no upstream may take the request now')
+ */
+export function unsent (passage: Passage, code: FailureCode, message: string): ServingError {
+  if (passage.attempts > 0) return new ServingError(message, { code: 'upstream-failed', verdict: 'may-have-run' })
+  return refusal(code, message, NO_UPSTREAM_WAIT)
+}
--- /dev/null
+++ b/src/gateway/sending.ts
@@ -0,0 +1,153 @@
+/** One send of a request to one upstream, and the passing on of its answer. */
+import type { Milliseconds } from '../clock.js'
+import type { Choice, UpstreamRecord } from '../placement/index.js'
+import { ServingError } from '../verdict.js'
+import type { Verdict } from '../verdict.js'
+import type { GatewayContext } from './context.js'
+import type { ExchangeStart, UpstreamAnswer } from './exchange.js'
+import { noteBegun, noteBroken, noteUnrun, noteWhole } from './notes.js'
+import { endFailure, maySendAgain, unsent } from './passage.js'
+import type { Passage } from './passage.js'
+import { EVENT_PAUSE, firstAnswerBound, watchSilence } from './silence.js'
+import type { SilenceWatch } from './silence.js'
+import { relayEvents } from './stream-relay.js'
+import type { OpenRequest } from './upstream-view.js'
+
+/** What a send came to. */
+export type SendResult =
+  | { readonly kind: 'done', readonly outcome: string }
+  /** It wasn't answered; `verdict` says whether it may have run. */
+  | { readonly kind: 'again', readonly verdict: Verdict, readonly failure: ServingError }
+  /** The upstream was silent for too long; another send is granted already. */
+  | { readonly kind: 'granted' }
+
+/** One send. */
+interface Attempt {
+  readonly upstream: UpstreamRecord
+  readonly open: OpenRequest
+  /** Aborts with the request, or when the upstream is silent and another send was granted. */
+  readonly signal: AbortSignal
+  readonly silence: SilenceWatch
+  readonly isSilent: () => boolean
+}
+
+/** Reading of a prompt from which on other nodes are told at once: it delays what they send to the same upstream noticeably. */
+const LONG_READING: Milliseconds = 150
+
+/** Urgency that an upstream assumes where none is given; ranks beyond it are not told apart. */
+const DEFAULT_URGENCY = 5
+
+const SUCCESS = 200
+const REDIRECTION = 300
+const SERVER_ERROR = 500
+
+/**
+ * Sends a request to an upstream and passes its answer on.
+ *
+ * @throws ServingError when the request's time is up or its caller has left
+ * @example
+ * const result = await sendOnce(context, passage, choice)
+ */
+export async function sendOnce (context: GatewayContext, passage: Passage, choice: Choice): Promise<SendResult> {
+  const attempt = beginAttempt(context, passage, choice)
+  passage.attempts += 1
+  passage.arrivals += 1
+  try {
+    const started = await context.connections.start(attempt.upstream, upstreamRequest(context, passage, attempt.upstream), attempt.signal)
+    return await settle(context, passage, attempt, started)
+  } finally {
+    attempt.silence.stop()
+    attempt.open.end()
+  }
+}
+
+function beginAttempt (context: GatewayContext, passage: Passage, { upstream, reading, waiting }: Choice): Attempt {
+  const controller = new AbortController()
+  const open = context.upstreams.begin(upstream.id, reading, context.clock.now())
+  if (reading >= LONG_READING) context.tellReading(upstream.id, reading)
+  const silence = watchSilence(context.clock, firstAnswerBound(passage.accepted.route, waiting + reading), () => {
+    if (maySendAgain(context, passage, 'may-have-run')) controller.abort()
+  })
+  return { upstream, open, signal: AbortSignal.any([passage.signal, controller.signal]), silence, isSilent: () => controller.signal.aborted }
+}
+
+function upstreamRequest (context: GatewayContext, passage: Passage, upstream: UpstreamRecord): Parameters<GatewayContext['connections']['start']>[1] {
+  const { accepted, request, limit } = passage
+  return {
+    id: accepted.head.id,
+    method: request.method ?? 'GET',
+    path: request.url ?? '/',
+    headers: context.format.upstreamHeaders(request.rawHeaders, {
+      deadline: limit.left(context.clock.now()),
+      upstream: upstream.id,
+      organisation: accepted.organisation?.name,
+      urgency: Math.min(accepted.priority, DEFAULT_URGENCY),
+      lastEvent: passage.progress.lastId
+    }),
+    body: passage.body
+  }
+}
+
+async function settle (context: GatewayContext, passage: Passage, attempt: Attempt, started: ExchangeStart): Promise<SendResult> {
+  switch (started.kind) {
+    case 'answered': {
+      const isStream = passage.accepted.route.kind === 'stream' && started.answer.status === SUCCESS
+      return isStream ? passStream(context, passage, attempt, started.answer) : passWhole(context, passage, attempt, started.answer)
+    }
+    case 'not-run':
+      passage.attempts -= 1
+      passage.unrun += 1
+      if (started.reason === 'unreachable') passage.arrivals -= 1
+      noteUnrun(context, attempt.upstream, started.reason)
+      if (passage.signal.aborted) throw endFailure(passage)
+      return { kind: 'again', verdict: 'not-run', failure: unsent(passage, 'overloaded', `upstream ${attempt.upstream.id}: ${started.reason}`) }
+    case 'broken':
+      return brokenOff(context, passage, attempt, started.reason)
+  }
+}
+
+function brokenOff (context: GatewayContext, passage: Passage, attempt: Attempt, reason: string): SendResult {
+  if (passage.signal.aborted) throw endFailure(passage)
+  noteBroken(context, passage, attempt.upstream, attempt.isSilent() ? 'silent' : reason)
+  if (attempt.isSilent()) return { kind: 'granted' }
+  return { kind: 'again', verdict: 'may-have-run', failure: new ServingError(reason, { code: 'connection-lost', verdict: 'may-have-run' }) }
+}
+
+async function passStream (context: GatewayContext, passage: Passage, attempt: Attempt, answer: UpstreamAnswer): Promise<SendResult> {
+  const { response, progress } = passage
+  let events = 0
+  const end = await relayEvents(answer, response, progress, (count) => {
+    attempt.silence.heard(EVENT_PAUSE)
+    if (events === 0) attempt.open.read()
+    if (!response.headersSent) {
+      noteBegun(context, passage, attempt.upstream)
+      response.writeHead(answer.status, context.format.answerHeaders(answer.headers))
+    }
+    events += count
+  }, attempt.signal)
+  if (end.kind === 'broken') return brokenOff(context, passage, attempt, end.reason)
+  if (progress.events === 0) return brokenOff(context, passage, attempt, 'the stream had no event')
+  noteWhole(context, passage, attempt.upstream)
+  response.end()
+  return { kind: 'done', outcome: 'served' }
+}
+
+/** Reads an answer to its end before a byte is passed on, so that a torn one can be tried again or told as a failure. */
+async function passWhole (context: GatewayContext, passage: Passage, attempt: Attempt, answer: UpstreamAnswer): Promise<SendResult> {
+  const { response } = passage
+  let body: Buffer
+  try {
+    body = Buffer.from(await answer.body.arrayBuffer())
+  } catch (error) {
+    return brokenOff(context, passage, attempt, `the answer broke off: ${String(error)}`)
+  }
+  attempt.silence.stop()
+  noteBegun(context, passage, attempt.upstream)
+  noteWhole(context, passage, attempt.upstream)
+  if (answer.status >= SERVER_ERROR && maySendAgain(context, passage, 'ran')) {
+    return { kind: 'granted' }
+  }
+  response.writeHead(answer.status, [...context.format.answerHeaders(answer.headers), 'content-length', String(body.length)])
+  response.end(body)
+  return { kind: 'done', outcome: answer.status < REDIRECTION ? 'served' : 'upstream-failed' }
+}
--- /dev/null
+++ b/src/gateway/silence.ts
@@ -0,0 +1,60 @@
+/** Watches one exchange for silence. */
+import type { Clock, Milliseconds } from '../clock.js'
+import type { Route } from '../routing/index.js'
+
+/** A watch over one exchange. */
+export interface SilenceWatch {
+  /** Something came; the next piece is due within `bound`. */
+  heard (bound: Milliseconds): void
+  stop (): void
+}
+
+/** Part of the target after which an answer that isn't a stream is late enough to ask another upstream: 95 in 100 have come by then. */
+const PLAIN_PART = 0.6
+
+/** Part of the target that a stream's first event may take in any case. */
+const FIRST_EVENT_PART = 0.3
+
+/** An upstream may take this many times as long as its known reading before it counts as silent. */
+const READING_FACTOR = 2.5
+
+/** Longest pause between two events of a stream that goes on: prompts of others are read in chunks of some 70 ms in between. */
+export const EVENT_PAUSE: Milliseconds = 600
+
+/**
+ * Time that an upstream has for the beginning of its answer, before another one is asked as well.
+ *
+ * Failure guarded against: an upstream has run a request and its answer is lost, or it hangs; the caller
+ * would wait until its deadline. What may run again is sent to another upstream while the answer can
+ * still be on time.
+ *
+ * @param reading that the upstream has before it and for this request
+ * @example
+ * firstAnswerBound(route, 40) // 340 for a stream with a target of 800
+ */
+export function firstAnswerBound (route: Route, reading: Milliseconds): Milliseconds {
+  if (route.kind !== 'stream') return route.target * PLAIN_PART
+  return route.target * FIRST_EVENT_PART + reading * READING_FACTOR
+}
+
+/**
+ * Calls `silent` once, when nothing was heard for the bound.
+ *
+ * @example
+ * const watch = watchSilence(clock, firstAnswerBound(route, reading), () => attempt.abort('silent'))
+ */
+export function watchSilence (clock: Clock, first: Milliseconds, silent: () => void): SilenceWatch {
+  const owner = new AbortController()
+  let due = clock.now() + first
+
+  async function run (): Promise<void> {
+    while (clock.now() < due) await clock.sleep(due - clock.now(), owner.signal)
+    silent()
+  }
+
+  run().catch(() => {})
+  return {
+    heard: (bound) => { due = clock.now() + bound },
+    stop: () => owner.abort()
+  }
+}
--- a/src/gateway/stopping.ts
+++ b/src/gateway/stopping.ts
@@ -11,15 +11,15 @@
   readonly clock: Clock
   readonly log: Log
   readonly server: Server
-  /** Time of the kill. */
-  readonly stopBy: Milliseconds
+  /** Time at which what still runs is cut off. */
+  readonly cutOff: Milliseconds
   readonly inFlight: () => number
   /** Takes the node out of the store's records. */
   readonly withdraw: () => Promise<void>
 }
 
 /** Time before the kill at which what still runs is cut off, so that the process ends by itself. */
-const MARGIN: Milliseconds = 400
+export const STOP_MARGIN: Milliseconds = 400
 
 /** How long callers that hold an old address answer are served: its lifetime, and three times that for some. */
 const SERVE_ON: Milliseconds = 6_000
@@ -32,20 +32,19 @@
  * Failure guarded against: the store is away and the withdrawal never returns; the stop doesn't wait for it.
  *
  * @example
- * await stopNode({ clock, log, server, stopBy, inFlight, withdraw })
+ * await stopNode({ clock, log, server, cutOff, inFlight, withdraw })
  */
 export async function stopNode (options: StopOptions): Promise<void> {
-  const { clock, log, server, stopBy, inFlight, withdraw } = options
-  const last = stopBy - MARGIN
-  const servedUntil = Math.min(last, clock.now() + SERVE_ON)
-  log.info('node-stopping', { inFlight: inFlight(), grace: Math.round(stopBy - clock.now()) })
+  const { clock, log, server, cutOff, inFlight, withdraw } = options
+  const servedUntil = Math.min(cutOff, clock.now() + SERVE_ON)
+  log.info('node-stopping', { inFlight: inFlight(), grace: Math.round(cutOff - clock.now()) })
   withdraw().catch((error) => log.warn('withdrawal-failed', { error: String(error) }))
   while (clock.now() < servedUntil) {
     server.closeIdleConnections()
     await clock.sleep(POLL)
   }
   server.close()
-  while (clock.now() < last && inFlight() > 0) {
+  while (clock.now() < cutOff && inFlight() > 0) {
     server.closeIdleConnections()
     await clock.sleep(POLL)
   }
--- a/src/gateway/stream-relay.ts
+++ b/src/gateway/stream-relay.ts
@@ -19,18 +19,18 @@
 
 /**
  * @param progress is moved on with each event
- * @param first called before the first event is passed on
+ * @param arrived called before whole events are passed on, with their number
  * @param gone aborts when the caller has left or the time is up
  * @example
  * const end = await relayEvents(answer, response, progress, () => writeHead(answer), signal)
  */
-export async function relayEvents (answer: UpstreamAnswer, response: ServerResponse, progress: StreamProgress, first: () => void, gone: AbortSignal): Promise<RelayEnd> {
+export async function relayEvents (answer: UpstreamAnswer, response: ServerResponse, progress: StreamProgress, arrived: (events: number) => void, gone: AbortSignal): Promise<RelayEnd> {
   const cutter = createEventCutter()
   try {
     for await (const piece of answer.body) {
       const events = cutter.push(piece as Buffer)
       if (events.count === 0) continue
-      if (progress.events === 0) first()
+      arrived(events.count)
       progress.events += events.count
       progress.lastId = events.lastId ?? progress.lastId
       await writeSlowly(response, events.bytes, gone)
--- a/src/placement/choose.ts
+++ b/src/placement/choose.ts
@@ -35,6 +35,8 @@
 export interface Choice {
   readonly upstream: UpstreamRecord
   readonly reading: Milliseconds
+  /** Reading that the upstream has to do before. */
+  readonly waiting: Milliseconds
 }
 
 /** A running request of an engine delays each step of the others by 0.0165 ms, some 100 of them before the first token at the worst. */
@@ -64,7 +66,7 @@
       tieBreak(node.name, upstream.id)
     if (cost < lowest) {
       lowest = cost
-      best = { upstream, reading }
+      best = { upstream, reading, waiting: load.reading }
     }
   }
   return best
