--- a/eslint.config.js
+++ b/eslint.config.js
@@ -12,8 +12,11 @@
   '**/protocols/**', '**/platform/**', '**/caller/**', '**/operator/**', '**/peer/**', '**/entry/**', '**/planner/**', '**/bin/**', '**/stand-ins/**'
 ]
 
+/** Names on the wire of the users' platform. */
+const WIRE_NAMES = '/^(x-hornbeamgap-|kv-|api-key$|windowSeq$|fencingToken$|op\\/|servers\\/)/i'
+
 export default [
-  ...neostandard({ ts: true, ignores: ['dist', 'node_modules'] }),
+  ...neostandard({ ts: true, ignores: ['dist', 'target', 'node_modules'] }),
   {
     // A type and the schema or class beside it share their name.
     rules: { '@typescript-eslint/no-redeclare': 'off', 'no-redeclare': 'off' }
@@ -29,5 +32,27 @@
         { object: 'Date', property: 'now', message: 'time is passed in' },
         { object: 'Math', property: 'random', message: 'randomness is passed in' }]
     }
+  },
+  {
+    // The adapter's names stay in the adapter: product code neither imports it nor spells them.
+    files: ['src/**/*.ts'],
+    ignores: ['src/bin/hornbeamgap-gateway.ts'],
+    rules: {
+      'no-restricted-syntax': ['error',
+        { selector: `Literal[value=${WIRE_NAMES}]`, message: 'names of the wire belong to platform/' },
+        { selector: 'ImportDeclaration[source.value=/(\\.\\.\\/)+platform\\//]', message: 'product code does not import the adapter' }]
+    }
+  },
+  {
+    // The adapter translates: it may know interfaces and clients of the product, but none of its decisions.
+    files: ['platform/**/*.ts'],
+    rules: {
+      'no-restricted-imports': ['error', {
+        patterns: [{
+          group: [...decisionFolders.map((folder) => `**/src/${folder}/**`), '!**/src/*/index.js', '**/src/entry/**', '**/src/planner/**'],
+          message: 'the adapter decides nothing'
+        }]
+      }]
+    }
   }
 ]
--- a/src/bin/command-line.ts
+++ b/src/bin/command-line.ts
@@ -25,11 +25,11 @@
   readonly description: string
   readonly schema: z.ZodType<Settings>
   /** Settings file where the command line names none. */
-  readonly defaultSettings?: string
+  readonly defaultSettings?: string | undefined
   /** Adds options beside `--settings` and `--check`. */
   readonly addOptions?: (command: Command) => void
-  /** Starts the process. @returns how to stop it */
-  readonly start: (settings: Settings, options: ServerCommandOptions) => Promise<() => Promise<void>>
+  /** Starts the process; `path` is where its settings stand. @returns how to stop it */
+  readonly start: (settings: Settings, options: ServerCommandOptions, path: string) => Promise<() => Promise<void>>
 }
 
 /** Options from the command line; those of {@link ServerCommand.addOptions} by their name. */
@@ -69,7 +69,7 @@
     if (path === undefined) throw new ServingError('--settings <file> is required', { code: 'invalid-request', verdict: 'not-run' })
     const settings = loadSettings(schema, path)
     if (options.check) return
-    onStopSignal(await start(settings, options))
+    onStopSignal(await start(settings, options, path))
   }
 }
 
--- a/src/bin/hornbeamgap-gateway.ts
+++ b/src/bin/hornbeamgap-gateway.ts
@@ -3,9 +3,11 @@
 import { createPlatform, machineSettingsSchema, SETTINGS_VARIABLE } from '../../platform/index.js'
 import { createSystemClock } from '../clock.js'
 import { startGatewayNode } from '../gateway/node.js'
+import { keepSettings } from '../gateway/settings-reload.js'
 import { createLog } from '../log.js'
 import { createConnections } from '../protocols/http.js'
 import { createRandom } from '../random.js'
+import { loadSettings } from '../settings.js'
 import { runServer } from './command-line.js'
 
 /** Connections to the store and the platform's API: watches wait on theirs. */
@@ -15,15 +17,19 @@
   name: 'hornbeamgap-gateway',
   description: 'Run a gateway node',
   schema: machineSettingsSchema,
-  ...(process.env[SETTINGS_VARIABLE] === undefined ? {} : { defaultSettings: process.env[SETTINGS_VARIABLE] }),
-  start: async (settings) => {
+  defaultSettings: process.env[SETTINGS_VARIABLE],
+  start: async (initial, _options, path) => {
     const clock = createSystemClock()
-    const log = createLog(settings.name, 'info', clock.wall, (line) => { process.stdout.write(line + '\n') })
+    const ending = new AbortController()
+    const log = createLog(initial.name, 'info', clock.wall, (line) => { process.stdout.write(line + '\n') })
+    const settings = keepSettings({ initial, read: () => loadSettings(machineSettingsSchema, path), clock, log, signal: ending.signal })
+    process.on('SIGHUP', () => settings.reload('signal'))
     const connections = createConnections(PLATFORM_CONNECTIONS)
-    const platform = createPlatform(settings, connections)
-    const node = await startGatewayNode({ settings, platform, clock, random: createRandom(process.pid ^ clock.wall()), log })
+    const platform = createPlatform(settings.current, connections)
+    const node = await startGatewayNode({ settings: initial, platform, clock, random: createRandom(process.pid ^ clock.wall()), log })
     return async () => {
       await node.stop()
+      ending.abort()
       await connections.destroy()
     }
   }
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -5,7 +5,7 @@
  * that ends early, bytes that are no answer. Undici closes it whenever an exchange ends before its
  * answer does, and does the same for an answer that ends before the request was written.
  */
-import { buildConnector, Pool } from 'undici'
+import { Pool } from 'undici'
 import type { Dispatcher } from 'undici'
 import type { Milliseconds } from '../clock.js'
 import type { UpstreamRecord } from '../placement/index.js'
@@ -65,11 +65,8 @@
 /** Most connections where a service names no limit. */
 const MOST_CONNECTIONS = 64
 
-/** Code of a reset after the connection was made. */
-const RESET = 'UPSTREAM_RESET'
-
-const connect = buildConnector({ timeout: CONNECT_TIMEOUT })
-
+const NO_CONTENT = 204
+const NOT_MODIFIED = 304
 const MISDIRECTED = 421
 const SERVICE_UNAVAILABLE = 503
 const TOO_MANY_REQUESTS = 429
@@ -92,7 +89,7 @@
       pipelining: 1,
       keepAliveTimeout: IDLE_TIME,
       keepAliveMaxTimeout: IDLE_TIME,
-      connect: connectTellingResets,
+      connect: { timeout: CONNECT_TIMEOUT },
       headersTimeout: 0,
       bodyTimeout: 0
     })
@@ -130,19 +127,6 @@
   }
 }
 
-/**
- * Failure guarded against: an answer without a length ends with its connection, and undici takes one whose
- * connection is reset for a whole one as well; the caller would get a fragment that looks complete. Undici
- * goes by the error's code and attaches its own listener later, so that here the code is replaced first.
- */
-function connectTellingResets (options: buildConnector.Options, done: buildConnector.Callback): void {
-  connect(options, (...result) => {
-    const [, socket] = result
-    socket?.on('error', (error: NodeJS.ErrnoException) => { if (error.code === 'ECONNRESET') error.code = RESET })
-    done(...result)
-  })
-}
-
 /**
  * Failure guarded against: an upstream sends a second answer after a complete one, and it is read as the
  * answer to the next request on that connection. The id that answers carry tells them apart; the
@@ -152,9 +136,20 @@
   if (head.id !== undefined && head.id !== id) return discard(answer, { kind: 'broken', reason: 'the answer belongs to another request' })
   if (head.notRun) return drain(answer, { kind: 'not-run', reason: reasonOf(answer.status) })
   if (head.id === undefined) return discard(answer, { kind: 'broken', reason: 'the answer names no request' })
+  if (!isFramed(answer)) return discard(answer, { kind: 'broken', reason: 'the answer has no length' })
   return { kind: 'answered', answer }
 }
 
+/**
+ * Failure guarded against: an answer without a length ends with its connection, and an upstream that
+ * crashes ends its connections as one that has said everything does; the caller would get a fragment that
+ * looks complete. What can't be told from a fragment isn't passed on.
+ */
+function isFramed ({ status, headers }: UpstreamAnswer): boolean {
+  if (status === NO_CONTENT || status === NOT_MODIFIED) return true
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+}
+
 function reasonOf (status: number): NotRunReason {
   switch (status) {
     case MISDIRECTED: return 'another-upstream'
--- a/src/gateway/gossip-keeper.ts
+++ b/src/gateway/gossip-keeper.ts
@@ -73,7 +73,7 @@
   }
 
   function messageFor (peer: string | undefined): GossipMessage {
-    return { from: incarnation, wall: clock.wall(), versions: table.versions(), states: table.missing(peer) }
+    return { from: incarnation, wall: clock.wall(), versions: table.versions(), ...table.missing(peer, clock.now()) }
   }
 
   function take (message: GossipMessage): void {
--- a/src/gossip/index.ts
+++ b/src/gossip/index.ts
@@ -2,6 +2,6 @@
 export { gossipMessageSchema, nodeStateSchema } from './types.js'
 export type { GossipMessage, NodeState, Versions } from './types.js'
 export { createGossipTable, SILENT_AFTER } from './table.js'
-export type { GossipTable } from './table.js'
+export type { GossipPart, GossipTable } from './table.js'
 export { createSharedWall } from './shared-wall.js'
 export type { SharedWall } from './shared-wall.js'
--- a/src/gossip/table.ts
+++ b/src/gossip/table.ts
@@ -12,9 +12,9 @@
   /** Replaces this node's own state. */
   publish (state: NodeState): void
   /** Takes a message in. @returns the states that were news */
-  take (message: Pick<GossipMessage, 'from' | 'versions' | 'states'>, now: Milliseconds): NodeState[]
-  /** States that a peer lacks; all, while nothing is known of it. */
-  missing (peer: string | undefined): NodeState[]
+  take (message: GossipPart, now: Milliseconds): NodeState[]
+  /** States that a peer lacks, with their ages; all, while nothing is known of it. */
+  missing (peer: string | undefined, now: Milliseconds): Pick<GossipMessage, 'states' | 'ages'>
   versions (): Versions
   /** Other nodes that were heard of lately, directly or not. */
   live (now: Milliseconds): NodeState[]
@@ -22,12 +22,18 @@
   all (): NodeState[]
 }
 
+/** What the table takes of a message. */
+export type GossipPart = Pick<GossipMessage, 'from' | 'versions' | 'states' | 'ages'>
+
 /** A state that hasn't risen for this time is of a node that is dead or cut off. */
 export const SILENT_AFTER: Milliseconds = 3 * SECOND
 
 /** How long a dead incarnation's last words are kept: its usage goes into the report of its last window. */
 const FORGET_AFTER: Milliseconds = 30 * SECOND
 
+/** A dead incarnation's last words aren't passed on after this time: long before any node forgets it. */
+const PASSED_ON: Milliseconds = 12 * SECOND
+
 interface Heard {
   readonly state: NodeState
   readonly at: Milliseconds
@@ -45,14 +51,20 @@
   const known = new Map<string, Versions>()
   let self: NodeState | undefined
 
-  function take (message: Pick<GossipMessage, 'from' | 'versions' | 'states'>, now: Milliseconds): NodeState[] {
+  /**
+   * Failure guarded against: a node that has forgotten a dead one hears of it again from one that hasn't
+   * yet, takes it for news, and callers are sent to its address for another while. A state keeps the age
+   * that it had at its sender, and one that is too old to be passed on isn't taken either.
+   */
+  function take (message: GossipPart, now: Milliseconds): NodeState[] {
     known.set(message.from, message.versions)
     const news: NodeState[] = []
     for (const state of message.states) {
-      if (state.incarnation === own) continue
+      const at = now - (message.ages[state.incarnation] ?? 0)
+      if (state.incarnation === own || now - at > PASSED_ON) continue
       const last = heard.get(state.incarnation)
       if (last !== undefined && last.state.sequence >= state.sequence) continue
-      heard.set(state.incarnation, { state, at: now })
+      heard.set(state.incarnation, { state, at })
       news.push(state)
     }
     for (const [incarnation, { at }] of heard) {
@@ -73,11 +85,15 @@
   return {
     publish: (state) => { self = state },
     take,
-    missing: (peer) => {
+    missing: (peer, now) => {
       const has = peer === undefined ? {} : known.get(peer) ?? {}
-      const states = [...heard.values()].map(({ state }) => state)
-      if (self !== undefined) states.push(self)
-      return states.filter((state) => state.incarnation !== peer && (has[state.incarnation] ?? -1) < state.sequence)
+      const passed = [...heard.values()].filter(({ at }) => now - at < PASSED_ON)
+      if (self !== undefined) passed.push({ state: self, at: now })
+      const lacking = passed.filter(({ state }) => state.incarnation !== peer && (has[state.incarnation] ?? -1) < state.sequence)
+      return {
+        states: lacking.map(({ state }) => state),
+        ages: Object.fromEntries(lacking.map(({ state, at }) => [state.incarnation, Math.round(now - at)]))
+      }
     },
     versions,
     live: (now) => latestLives([...heard.values()].filter(({ at }) => now - at < SILENT_AFTER)),
--- a/src/gossip/types.ts
+++ b/src/gossip/types.ts
@@ -51,6 +51,8 @@
   /** What the sender knows. */
   versions: z.record(z.string(), z.number()),
   /** States that the receiver lacks, as far as the sender knows. */
-  states: z.array(nodeStateSchema)
+  states: z.array(nodeStateSchema),
+  /** How long ago the sender first heard each of these, in milliseconds; its own is new. */
+  ages: z.record(z.string(), z.number())
 })
 export type GossipMessage = z.infer<typeof gossipMessageSchema>
--- /dev/null
+++ b/stand-ins/machines/deployment.ts
@@ -0,0 +1,103 @@
+/** A deployment on the users' machines in one process: store, API, upstreams and gateway nodes. */
+import { createPlatform, machineSettingsSchema } from '../../platform/index.js'
+import { STORE_KEY } from '../../platform/names.js'
+import type { Clock } from '../../src/clock.js'
+import { startGatewayNode } from '../../src/gateway/node.js'
+import type { GatewayNode } from '../../src/gateway/node.js'
+import type { GatewaySettings } from '../../src/gateway/settings.js'
+import { createLog } from '../../src/log.js'
+import { createConnections } from '../../src/protocols/http.js'
+import { createRandom } from '../../src/random.js'
+import { serveDutyApi } from './duty-api.js'
+import type { DutyApiStandIn } from './duty-api.js'
+import { serveMetadataStore } from './metadata-store.js'
+import type { MetadataStoreStandIn } from './metadata-store.js'
+import type { UpstreamStandIn } from './upstream.js'
+
+/** A running deployment. */
+export interface MachineDeployment {
+  readonly store: MetadataStoreStandIn
+  readonly api: DutyApiStandIn
+  /** Lines that the nodes wrote. */
+  readonly lines: readonly Record<string, unknown>[]
+  /** Writes a configuration as the operator does. */
+  configure (configuration: object): void
+  /** Registers an upstream, or changes its record. */
+  register (upstream: UpstreamStandIn, record?: object): void
+  unregister (upstream: UpstreamStandIn): void
+  startNode (name: string): Promise<GatewayNode>
+  close (): Promise<void>
+}
+
+/** Connections of a node to the store and the API. */
+const CONNECTIONS = 16
+
+/**
+ * @example
+ * const deployment = await createMachineDeployment(clock)
+ * deployment.configure(configuration)
+ */
+export async function createMachineDeployment (clock: Clock): Promise<MachineDeployment> {
+  const store = await serveMetadataStore(clock, createRandom(1))
+  const api = await serveDutyApi(clock, createRandom(2))
+  const lines: Record<string, unknown>[] = []
+  const closing: (() => Promise<unknown>)[] = []
+  let ports = 0
+
+  function settingsOf (name: string): GatewaySettings {
+    ports += 1
+    return machineSettingsSchema.parse({
+      nodeName: name,
+      ip: `127.0.0.${ports}`,
+      zone: 'zone-a',
+      internalPorts: [PEER_PORT + process.pid % PORT_SPREAD, PEER_PORT + process.pid % PORT_SPREAD],
+      bootstrap: true,
+      zones: { 'zone-a': 'region' },
+      listen: { front: '127.0.0.1:0', ready: '127.0.0.1:0', directory: '127.0.0.1:0' },
+      limits: { memoryMb: 350, maxFds: 4_100 },
+      bounds: { graceS: 2, leaseMs: 1_000 },
+      platform: { address: store.address },
+      cloudApi: { address: api.address, duties: ['usage', 'autoscale'] }
+    })
+  }
+
+  async function startNode (name: string): Promise<GatewayNode> {
+    const settings = settingsOf(name)
+    const connections = createConnections(CONNECTIONS)
+    const node = await startGatewayNode({
+      settings,
+      platform: createPlatform(() => settings, connections),
+      clock,
+      random: createRandom(ports),
+      log: createLog(name, 'info', clock.wall, (line) => { lines.push(JSON.parse(line)) })
+    })
+    closing.unshift(async () => {
+      await node.stop()
+      await connections.destroy()
+    })
+    return node
+  }
+
+  return {
+    store,
+    api,
+    lines,
+    configure: (configuration) => { store.store.put(STORE_KEY.configuration, JSON.stringify(configuration)) },
+    register: (upstream, record = {}) => {
+      store.store.put(STORE_KEY.upstreams + upstream.id, JSON.stringify({ service: 'plain', address: upstream.address, zone: 'zone-a', slots: 6, state: 'ready', sequence: 1, ...record }))
+    },
+    unregister: (upstream) => {
+      const entry = store.store.get(STORE_KEY.upstreams + upstream.id)
+      if (entry !== undefined) store.store.compareAndDelete(entry.key, entry.revision)
+    },
+    startNode,
+    close: async () => {
+      await Promise.all(closing.map((close) => close()))
+      await Promise.all([store.kill(), api.kill()])
+    }
+  }
+}
+
+/** Each node has a loopback address of its own, so that all may use one port, as on the machines. */
+const PEER_PORT = 30_000
+const PORT_SPREAD = 20_000
--- /dev/null
+++ b/stand-ins/machines/metadata-store.ts
@@ -0,0 +1,122 @@
+/** HTTP face of the key-value stand-in in the calls of the users' metadata store. */
+import { STORE_PATH } from '../../platform/names.js'
+import type { Clock } from '../../src/clock.js'
+import { parseJson } from '../../src/json.js'
+import { ABSENT } from '../../src/protocols/key-value.js'
+import type { KeyValueChange, KeyValueEntry } from '../../src/protocols/key-value.js'
+import type { Random } from '../../src/random.js'
+import { createFaultSwitch } from '../faults.js'
+import type { FaultSwitch } from '../faults.js'
+import { serveStandIn, StandInFailure } from '../http-server.js'
+import type { StandInCall, StandInServer } from '../http-server.js'
+import { createKeyValueStore } from '../key-value-store.js'
+import type { KeyValueStore } from '../key-value-store.js'
+
+/** A running stand-in of the metadata store. */
+export interface MetadataStoreStandIn extends StandInServer {
+  readonly store: KeyValueStore
+  readonly faultSwitch: FaultSwitch
+}
+
+/** Items of one page. */
+const PAGE = 500
+
+/** Follows every key of a prefix in the order of keys. */
+const LAST = '\uffff'
+
+/**
+ * @example
+ * const store = await serveMetadataStore(clock, random)
+ */
+export async function serveMetadataStore (clock: Clock, random: Random): Promise<MetadataStoreStandIn> {
+  const store = createKeyValueStore(clock)
+  const faultSwitch = createFaultSwitch(clock, random)
+  const server = await serveStandIn(0, clock, faultSwitch, (call) => handle(store, clock, call))
+  return { ...server, store, faultSwitch }
+}
+
+function handle (store: KeyValueStore, clock: Clock, call: StandInCall): unknown {
+  const { path, query, method } = call
+  switch (path) {
+    case STORE_PATH.key: return getKey(store, query.get('key') ?? '')
+    case STORE_PATH.range: return getRange(store, query)
+    case STORE_PATH.watch: return watch(store, clock, query)
+    case STORE_PATH.transaction: return transact(store, parseJson(call.body.toString('utf8')) as Transaction)
+    case STORE_PATH.lease: return grant(store, parseJson(call.body.toString('utf8')) as { ttlMs: number })
+  }
+  if (path.startsWith(STORE_PATH.keepLease) && method === 'POST') return keep(store, path.slice(STORE_PATH.keepLease.length))
+  if (path.startsWith(STORE_PATH.endLease) && method === 'DELETE') {
+    store.revokeLease(path.slice(STORE_PATH.endLease.length))
+    return {}
+  }
+  throw new StandInFailure(404, { error: 'no such call' })
+}
+
+interface Transaction {
+  readonly expectedRevision: readonly { key: string, revision: number }[]
+  readonly writes: readonly { key: string, value: string, lease: number }[]
+  readonly remove: readonly string[]
+}
+
+function getKey (store: KeyValueStore, key: string): object {
+  const entry = store.get(key)
+  if (entry === undefined) throw new StandInFailure(404, { asOf: store.revision() })
+  return { ...toItem(entry), asOf: store.revision() }
+}
+
+function getRange (store: KeyValueStore, query: URLSearchParams): object {
+  const prefix = query.get('prefix') ?? ''
+  const after = query.get('after') ?? ''
+  const { entries, revision } = store.list(prefix, prefix + LAST)
+  const left = entries.filter((entry) => entry.key > after)
+  return { items: left.slice(0, PAGE).map(toItem), morePages: left.length > PAGE, asOf: revision }
+}
+
+/** Answers as soon as there is a change after the revision, or when the wait is over. */
+function watch (store: KeyValueStore, clock: Clock, query: URLSearchParams): Promise<object> {
+  const prefix = query.get('prefix') ?? ''
+  return new Promise((resolve) => {
+    const owner = new AbortController()
+    const answer = (changes: readonly KeyValueChange[]): void => {
+      if (owner.signal.aborted) return
+      owner.abort()
+      setImmediate(() => end())
+      resolve({ events: changes.map(toEvent), asOf: store.revision() })
+    }
+    const end = store.subscribe(prefix, prefix + LAST, Number(query.get('after')) + 1, (changes) => { if (changes.length > 0) answer(changes) })
+    clock.sleep(Number(query.get('waitMs')), owner.signal).then(() => answer([]), () => {})
+  })
+}
+
+/** Conditions on and changes of a single key, which is all that the product uses. */
+function transact (store: KeyValueStore, { expectedRevision, writes, remove }: Transaction): object {
+  const [condition] = expectedRevision
+  const [write] = writes
+  const key = condition?.key ?? write?.key ?? remove[0] ?? ''
+  const value = write === undefined ? undefined : Buffer.from(write.value, 'base64').toString('utf8')
+  const lease = write === undefined || write.lease === 0 ? undefined : String(write.lease)
+  if (lease !== undefined && store.keepAlive(lease) === 0) throw new StandInFailure(404, { error: 'no such lease' })
+  if (condition === undefined && value !== undefined) return { revision: store.put(key, value, lease) }
+  const expected = condition?.revision ?? store.get(key)?.revision ?? ABSENT
+  const result = value === undefined ? store.compareAndDelete(key, expected) : store.compareAndSwap(key, expected, value, lease)
+  if (result.kind === 'swapped') return { revision: result.revision }
+  throw new StandInFailure(412, { items: [result.current === undefined ? { key, value: '', revision: 0 } : toItem(result.current)] })
+}
+
+function grant (store: KeyValueStore, { ttlMs }: { ttlMs: number }): object {
+  return { lease: Number(store.grantLease(ttlMs)), ttlMs }
+}
+
+function keep (store: KeyValueStore, lease: string): object {
+  const left = store.keepAlive(lease)
+  if (left === 0) throw new StandInFailure(404, { error: 'no such lease' })
+  return { ttlMs: left }
+}
+
+function toItem (entry: KeyValueEntry): object {
+  return { key: entry.key, value: Buffer.from(entry.value, 'utf8').toString('base64'), revision: entry.revision, created: entry.revision, lease: 0 }
+}
+
+function toEvent (change: KeyValueChange): object {
+  return change.kind === 'put' ? toItem(change.entry) : { key: change.key, revision: change.revision, deleted: true }
+}
--- /dev/null
+++ b/stand-ins/machines/upstream.ts
@@ -0,0 +1,128 @@
+/** An upstream of the users' machines: plain answers and streams of events, with faults. */
+import { createServer } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { HEADER } from '../../platform/names.js'
+import type { Clock, Milliseconds } from '../../src/clock.js'
+
+/** One run of a request. */
+export interface Run {
+  readonly id: string
+  readonly method: string
+  readonly path: string
+  readonly headers: IncomingMessage['headers']
+  readonly body: string
+}
+
+/**
+ * What an upstream does with the next request.
+ *
+ * - `answer`: answers it, as a stream if it accepts one
+ * - `full`: refuses it without running it
+ * - `error`: runs it and answers 500
+ * - `lose`: runs it and closes the connection
+ * - `hang`: runs it and says nothing
+ * - `break`: runs it and closes the connection in the middle of an event
+ */
+export type Behaviour = 'answer' | 'full' | 'error' | 'lose' | 'hang' | 'break'
+
+/** A running upstream. */
+export interface UpstreamStandIn {
+  readonly id: string
+  readonly address: string
+  readonly runs: readonly Run[]
+  /** Requests that it still works on. */
+  working (): number
+  /** Decides on each request; the last entry stands for all that follow. */
+  behave (...behaviours: Behaviour[]): void
+  close (): Promise<void>
+}
+
+/** How an upstream answers. */
+export interface UpstreamStandInOptions {
+  readonly id: string
+  readonly clock: Clock
+  /** Events of a stream. */
+  readonly events?: number
+  /** Pause before each event. */
+  readonly pause?: Milliseconds
+}
+
+/** Events that a broken stream has sent whole. */
+const EVENTS_BEFORE_BREAK = 2
+
+/**
+ * @example
+ * const upstream = await serveUpstream({ id: 'i-1', clock })
+ */
+export async function serveUpstream ({ id, clock, events = 5, pause = 0 }: UpstreamStandInOptions): Promise<UpstreamStandIn> {
+  const runs: Run[] = []
+  let behaviours: Behaviour[] = ['answer']
+  let working = 0
+
+  async function handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const chunks: Buffer[] = []
+    for await (const chunk of request) chunks.push(chunk as Buffer)
+    const { headers } = request
+    const requestId = String(headers[HEADER.requestId])
+    response.setHeader(HEADER.requestId, requestId)
+    if (headers[HEADER.expectUpstream] !== undefined && headers[HEADER.expectUpstream] !== id) return refuse(response, 421)
+    const behaviour = behaviours.length > 1 ? behaviours.shift()! : behaviours[0]!
+    if (behaviour === 'full') return refuse(response, 503)
+    runs.push({ id: requestId, method: request.method ?? '', path: request.url ?? '', headers, body: Buffer.concat(chunks).toString('utf8') })
+    working += 1
+    response.on('close', () => { working -= 1 })
+    response.setHeader('x-hornbeamgap-server-stamp', id)
+    switch (behaviour) {
+      case 'hang': return
+      case 'lose':
+        response.socket?.destroy()
+        return
+      case 'error':
+        response.statusCode = 500
+        response.end('failed')
+        return
+      case 'answer':
+      case 'break':
+        if (headers[HEADER.tokenUsage] === undefined) response.end(`answer of ${id}`)
+        else await stream(response, Number(headers[HEADER.lastEventId] ?? 0), behaviour === 'break')
+    }
+  }
+
+  async function stream (response: ServerResponse, after: number, breaks: boolean): Promise<void> {
+    response.setHeader('content-type', 'text/event-stream')
+    for (let event = after + 1; event <= events; event += 1) {
+      if (pause > 0) await clock.sleep(pause)
+      if (breaks && event - after > EVENTS_BEFORE_BREAK) {
+        response.write(`id: ${event}\nda`, () => response.socket?.destroy())
+        return
+      }
+      response.write(`id: ${event}\ndata: token ${event}\n\n`)
+    }
+    response.end()
+  }
+
+  const server = createServer((request, response) => {
+    handle(request, response).catch(() => response.destroy())
+  })
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  return {
+    id,
+    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    runs,
+    working: () => working,
+    behave: (...next) => { behaviours = next },
+    close: () => closeServer(server)
+  }
+}
+
+function refuse (response: ServerResponse, status: number): void {
+  response.statusCode = status
+  response.setHeader(HEADER.notExecuted, '1')
+  response.end()
+}
+
+function closeServer (server: Server): Promise<void> {
+  server.closeAllConnections()
+  return new Promise((resolve) => server.close(() => resolve()))
+}
--- a/test/gateway/exchange.test.ts
+++ b/test/gateway/exchange.test.ts
@@ -11,18 +11,26 @@
   afterEach(async () => { for (const close of closing.splice(0)) await close() })
 
   // A caller gets the first half of a booking's confirmation as a complete answer: the upstream sends no
-  // length, so that the end of the connection ends the answer, and then its machine dies, which resets
-  // the connection in the middle. The HTTP client takes that for the end.
-  it('tells an answer without a length that is reset from one that ends', async () => {
+  // length, so that the end of the connection ends the answer, and then its process dies, which ends the
+  // connection as well, by a reset or in the same way as one that has said everything.
+  it('takes no answer without a length, whether its connection ends or is reset', async () => {
+    const head = 'HTTP/1.1 200 OK\r\nX-Hornbeamgap-Request-Id: r1\r\nConnection: close\r\n\r\nhalf'
     const reset = await exchangeWith((socket) => {
-      socket.write('HTTP/1.1 200 OK\r\nX-Hornbeamgap-Request-Id: r1\r\nConnection: close\r\n\r\nhalf')
+      socket.write(head)
       setImmediate(() => setImmediate(() => socket.resetAndDestroy()))
     })
-    await assert.rejects(bodyOf(reset))
-    const ended = await exchangeWith((socket) => {
-      socket.end('HTTP/1.1 200 OK\r\nX-Hornbeamgap-Request-Id: r1\r\nConnection: close\r\n\r\nwhole')
-    })
-    assert.equal(await bodyOf(ended), 'whole')
+    assert.equal(reset.kind, 'broken')
+    const ended = await exchangeWith((socket) => { socket.end(head) })
+    assert.equal(ended.kind, 'broken')
+  })
+
+  it('passes an answer on that ends where its length says, and none that ends before', async () => {
+    const whole = await exchangeWith((socket) => { socket.end('HTTP/1.1 200 OK\r\nX-Hornbeamgap-Request-Id: r1\r\nContent-Length: 5\r\n\r\nwhole') })
+    assert.equal(await bodyOf(whole), 'whole')
+    const torn = await exchangeWith((socket) => { socket.end('HTTP/1.1 200 OK\r\nX-Hornbeamgap-Request-Id: r1\r\nContent-Length: 5\r\n\r\nwho') })
+    await assert.rejects(bodyOf(torn))
+    const chunks = await exchangeWith((socket) => { socket.end('HTTP/1.1 200 OK\r\nX-Hornbeamgap-Request-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n') })
+    await assert.rejects(bodyOf(chunks))
   })
 
   // Two vans arrive: the upstream answers a request twice, the second copy is read as the answer to the
--- /dev/null
+++ b/test/quota/quota.test.ts
@@ -0,0 +1,116 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import fc from 'fast-check'
+import { SECOND } from '../../src/clock.js'
+import { createQuotaLimiter, createRetryBudget, createTokenBucket, shareOf } from '../../src/quota/index.js'
+import type { Organisation } from '../../src/routing/index.js'
+
+const organisation = (rate: number, burst: number): Organisation => ({
+  name: 'tejo', keys: [], priority: undefined, quota: { unit: 'tokens', rate, burst, plainCost: 200 }
+})
+
+describe('shares of a quota', () => {
+  it('add up to one over all nodes, whatever their demands', () => {
+    fc.assert(fc.property(fc.array(fc.nat(10_000), { minLength: 1, maxLength: 64 }), (demands) => {
+      const sum = demands.reduce((total, own, index) => total + shareOf(own, demands.filter((_, other) => other !== index), demands.length), 0)
+      assert.ok(Math.abs(sum - 1) < 1e-9, `${sum}`)
+    }))
+  })
+})
+
+describe('a token bucket', () => {
+  it('lets no more through than rate, size and one request in any time', () => {
+    const request = fc.record({ after: fc.nat(400), cost: fc.integer({ min: 1, max: 2_000 }) })
+    fc.assert(fc.property(fc.array(request, { maxLength: 60 }), (requests) => {
+      const bucket = createTokenBucket(1_000, 500, 0)
+      let now = 0
+      let taken = 0
+      let largest = 0
+      for (const { after, cost } of requests) {
+        now += after
+        largest = Math.max(largest, cost)
+        if (bucket.take(cost, now)) taken += cost
+        assert.ok(taken <= 500 + now + largest, `${taken} by ${now}`)
+      }
+    }))
+  })
+
+  it('says when it lets the next request through', () => {
+    const bucket = createTokenBucket(1_000, 500, 0)
+    assert.ok(bucket.take(1_500, 0))
+    assert.equal(bucket.take(1, 0), false)
+    const wait = bucket.wait(0)
+    assert.equal(bucket.take(1, wait - 2), false)
+    assert.ok(bucket.take(1, wait + 1))
+  })
+})
+
+describe('a quota over several nodes', () => {
+  // One organisation sends four times its rate to all nodes; each node that let it use the whole rate
+  // would let nine times as much through, at the others' expense.
+  it('is kept by the sum of all nodes that hear each other, in every window', () => {
+    const limiters = Array.from({ length: 9 }, () => createQuotaLimiter())
+    const granted: { at: number, cost: number }[] = []
+    const tejo = organisation(100_000, 100_000)
+    for (let now = 0; now < 20 * SECOND; now += 20) {
+      if (now % 400 === 0) {
+        const demands = limiters.map((limiter) => limiter.demand(now))
+        limiters.forEach((limiter, index) => limiter.observe(demands.filter((_, other) => other !== index), 9))
+      }
+      const limiter = limiters[(now / 20) % 9]!
+      if (limiter.take(tejo, 8_000, now).kind === 'granted') granted.push({ at: now, cost: 8_000 })
+    }
+    for (const { at } of granted) {
+      const window = granted.filter((one) => one.at >= at && one.at < at + 8 * SECOND).reduce((sum, one) => sum + one.cost, 0)
+      assert.ok(window <= (100_000 * 8 + 100_000) * 1.1 + 140_000, `${window} from ${at}`)
+    }
+    const total = granted.reduce((sum, one) => sum + one.cost, 0)
+    assert.ok(total >= 0.85 * 100_000 * 20, `${total}`)
+  })
+
+  it('gives a node that hears nobody an even share', () => {
+    const limiter = createQuotaLimiter()
+    limiter.observe([], 9)
+    const tejo = organisation(90_000, 9_000)
+    let taken = 0
+    for (let now = 0; now < 10 * SECOND; now += 10) if (limiter.take(tejo, 500, now).kind === 'granted') taken += 500
+    assert.ok(taken <= 90_000 * 10 * shareOf(1, [], 9) + 9_000, `${taken}`)
+  })
+
+  it('has no limit at a rate of 0', () => {
+    const limiter = createQuotaLimiter()
+    for (let now = 0; now < 100; now += 1) assert.equal(limiter.take(organisation(0, 0), 1e6, now).kind, 'granted')
+  })
+
+  it('gives back what did not run', () => {
+    const limiter = createQuotaLimiter()
+    const tejo = organisation(10, 1_000)
+    while (limiter.take(tejo, 400, 0).kind === 'granted');
+    assert.equal(limiter.take(tejo, 400, 0).kind, 'over')
+    limiter.giveBack(tejo, 400)
+    limiter.giveBack(tejo, 400)
+    assert.equal(limiter.take(tejo, 400, 0).kind, 'granted')
+  })
+})
+
+describe('the retry budget', () => {
+  it('keeps the sum of all nodes below ratio and extra in every window', () => {
+    const step = fc.record({ node: fc.nat(4), after: fc.nat(300), retries: fc.nat(4) })
+    fc.assert(fc.property(fc.array(step, { maxLength: 200 }), (steps) => {
+      const budgets = Array.from({ length: 5 }, () => createRetryBudget({ ratio: 0.2, extra: 20, window: 10 * SECOND }))
+      for (const budget of budgets) budget.share(5)
+      const requests: number[] = []
+      const retries: number[] = []
+      let now = 0
+      for (const { node, after, retries: wanted } of steps) {
+        now += after
+        budgets[node]!.request(now)
+        requests.push(now)
+        for (let count = 0; count < wanted; count += 1) if (budgets[node]!.take(now)) retries.push(now)
+        const from = now - 10 * SECOND
+        const seen = retries.filter((at) => at >= from).length
+        assert.ok(seen <= 0.2 * requests.filter((at) => at >= from).length + 20, `${seen} at ${now}`)
+      }
+    }))
+  })
+})
