Signals that bound a wait fire also after a garbage collection; tests of a whole node

Cause: a stopped entry with the store gone ran on for minutes. Its last report was bounded by a joint signal of AbortSignal.timeout, which Node.js 20 holds weakly: with the garbage collector run every 100 ms it hadn't aborted after 1,600 ms of 500. Ruled out: a controller of its own in the joint signal, which aborts. Also: where all upstreams of a service have failed lately, one of them is asked instead of a refusal.

--- a/src/gateway/gossip-keeper.ts
+++ b/src/gateway/gossip-keeper.ts
@@ -1,4 +1,5 @@
 /** Exchanges states with other nodes: a few at a time, each a push and a pull. */
+import { boundSignal } from '../bound-signal.js'
 import type { Clock, Milliseconds } from '../clock.js'
 import { createGossipTable } from '../gossip/index.js'
 import type { GossipMessage, GossipTable, NodeState, SharedWall } from '../gossip/index.js'
@@ -83,7 +84,7 @@
   }
 
   async function exchangeWith (address: string): Promise<void> {
-    const bound = AbortSignal.any([signal, AbortSignal.timeout(EXCHANGE_TIMEOUT)])
+    const bound = boundSignal(EXCHANGE_TIMEOUT, signal)
     try {
       const reply = await link(address).exchange.mutate(messageFor(incarnations.get(address)), { signal: bound })
       incarnations.set(address, reply.from)
@@ -134,14 +135,14 @@
         take(message)
         publish()
         const sender = message.states.find((state) => state.incarnation === message.from)
-        if (sender !== undefined) fetchNewerConfiguration(sender.peer, message, AbortSignal.any([signal, AbortSignal.timeout(EXCHANGE_TIMEOUT)])).catch(() => {})
+        if (sender !== undefined) fetchNewerConfiguration(sender.peer, message, boundSignal(EXCHANGE_TIMEOUT, signal)).catch(() => {})
         return messageFor(message.from)
       },
       configuration: options.configuration
     },
     tellReading: (upstream, reading) => {
       const note = { from: incarnation, upstream, reading: Math.round(reading) }
-      for (const address of pickPeers(READING_SPREAD)) link(address).reading.mutate(note, { signal: AbortSignal.timeout(NOTE_TIMEOUT) }).catch(() => {})
+      for (const address of pickPeers(READING_SPREAD)) link(address).reading.mutate(note, { signal: boundSignal(NOTE_TIMEOUT) }).catch(() => {})
     },
     spread: () => {
       publish()
--- a/src/gateway/upstream-view.ts
+++ b/src/gateway/upstream-view.ts
@@ -21,7 +21,7 @@
   /** Replaces all records by a complete reading. @returns the ids that are gone */
   replace (records: readonly UpstreamRecord[]): readonly string[]
   all (): readonly UpstreamRecord[]
-  /** Upstreams of a service that may take a request now, with their load. */
+  /** Upstreams of a service that may take a request now, with their load; those that failed lately only where there are no others. */
   candidates (service: string, excluded: ReadonlySet<string>, now: Milliseconds): Candidate[]
   /** A request begins at an upstream, which has to read for so long before it answers. */
   begin (id: string, reading: Milliseconds, now: Milliseconds): OpenRequest
@@ -108,12 +108,10 @@
     },
     all: () => [...records.values()],
     candidates: (service, excluded, now) => {
-      const candidates: Candidate[] = []
-      for (const upstream of records.values()) {
-        if (upstream.service !== service || upstream.leaving || excluded.has(upstream.id) || !health.usable(upstream.id, now)) continue
-        candidates.push({ upstream, load: loadOf(upstream.id, now) })
-      }
-      return candidates
+      const present = [...records.values()].filter((upstream) => upstream.service === service && !upstream.leaving && !excluded.has(upstream.id))
+      const usable = present.filter((upstream) => health.usable(upstream.id, now))
+      // Where all have failed lately, asking one of them is better than refusing for certain.
+      return (usable.length > 0 ? usable : present).map((upstream): Candidate => ({ upstream, load: loadOf(upstream.id, now) }))
     },
     begin: (id, reading, now) => {
       const request: OwnRequest = { reading, since: now }
--- a/src/planner/planner.ts
+++ b/src/planner/planner.ts
@@ -1,4 +1,5 @@
 /** A planner: runs beside an entry node on every instance, and acts only while it holds the lease. */
+import { boundSignal } from '../bound-signal.js'
 import { randomBytes } from 'node:crypto'
 import { setMaxListeners } from 'node:events'
 import type { Clock, Milliseconds } from '../clock.js'
@@ -103,7 +104,7 @@
     kill: end,
     stop: async () => {
       await leadership.release().catch(() => {})
-      await reports.finish(AbortSignal.timeout(STOP_BOUND)).catch(() => false)
+      await reports.finish(boundSignal(STOP_BOUND)).catch(() => false)
       await end()
     }
   }
--- a/stand-ins/machines/deployment.ts
+++ b/stand-ins/machines/deployment.ts
@@ -55,7 +55,7 @@
       zones: { 'zone-a': 'region' },
       listen: { front: '127.0.0.1:0', ready: '127.0.0.1:0', directory: '127.0.0.1:0' },
       limits: { memoryMb: 350, maxFds: 4_100 },
-      bounds: { graceS: 2, leaseMs: 1_000 },
+      bounds: { graceS: 2, leaseMs: 1_000, retryBudgetRatio: 0.2, budgetExtra: 50 },
       platform: { address: store.address },
       cloudApi: { address: api.address, duties: ['usage', 'autoscale'] }
     })
--- a/stand-ins/machines/upstream.ts
+++ b/stand-ins/machines/upstream.ts
@@ -33,8 +33,8 @@
   readonly runs: readonly Run[]
   /** Requests that it still works on. */
   working (): number
-  /** Decides on each request; the last entry stands for all that follow. */
-  behave (...behaviours: Behaviour[]): void
+  /** Decides on each request from now on. */
+  behave (decide: () => Behaviour): void
   close (): Promise<void>
 }
 
@@ -57,7 +57,7 @@
  */
 export async function serveUpstream ({ id, clock, events = 5, pause = 0 }: UpstreamStandInOptions): Promise<UpstreamStandIn> {
   const runs: Run[] = []
-  let behaviours: Behaviour[] = ['answer']
+  let decide = (): Behaviour => 'answer'
   let working = 0
 
   async function handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -67,7 +67,7 @@
     const requestId = String(headers[HEADER.requestId])
     response.setHeader(HEADER.requestId, requestId)
     if (headers[HEADER.expectUpstream] !== undefined && headers[HEADER.expectUpstream] !== id) return refuse(response, 421)
-    const behaviour = behaviours.length > 1 ? behaviours.shift()! : behaviours[0]!
+    const behaviour = decide()
     if (behaviour === 'full') return refuse(response, 503)
     runs.push({ id: requestId, method: request.method ?? '', path: request.url ?? '', headers, body: Buffer.concat(chunks).toString('utf8') })
     working += 1
@@ -111,7 +111,7 @@
     address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
     runs,
     working: () => working,
-    behave: (...next) => { behaviours = next },
+    behave: (next) => { decide = next },
     close: () => closeServer(server)
   }
 }
--- /dev/null
+++ b/test/platform/platform.test.ts
@@ -0,0 +1,165 @@
+import assert from 'node:assert/strict'
+import { afterEach, beforeEach, describe, it } from 'node:test'
+import { createRequestFormat } from '../../platform/format.js'
+import { createRegistry } from '../../platform/registry.js'
+import { machineSettingsSchema } from '../../platform/settings.js'
+import { createStore } from '../../platform/store.js'
+import { createSystemClock } from '../../src/clock.js'
+import { createConnections } from '../../src/protocols/http.js'
+import type { Connections } from '../../src/protocols/http.js'
+import { ABSENT } from '../../src/protocols/key-value.js'
+import type { KeyValue } from '../../src/protocols/key-value.js'
+import { createRandom } from '../../src/random.js'
+import { parseSettings } from '../../src/settings.js'
+import { ServingError } from '../../src/verdict.js'
+import { serveMetadataStore } from '../../stand-ins/machines/metadata-store.js'
+import type { MetadataStoreStandIn } from '../../stand-ins/machines/metadata-store.js'
+
+describe('the metadata store behind the product\'s interface', () => {
+  let server: MetadataStoreStandIn
+  let connections: Connections
+  let store: KeyValue
+
+  beforeEach(async () => {
+    server = await serveMetadataStore(createSystemClock(), createRandom(1))
+    connections = createConnections(4)
+    store = createStore(connections, () => server.address)
+  })
+
+  afterEach(async () => {
+    await connections.destroy()
+    await server.kill()
+  })
+
+  it('reads, writes and swaps under a condition', async () => {
+    assert.equal(await store.get('a'), undefined)
+    const created = await store.compareAndSwap('a', ABSENT, 'café')
+    assert.equal(created.kind, 'swapped')
+    assert.equal((await store.get('a'))?.value, 'café')
+    const conflict = await store.compareAndSwap('a', ABSENT, 'other')
+    assert.deepEqual([conflict.kind, conflict.kind === 'conflict' && conflict.current?.value], ['conflict', 'café'])
+    const removed = await store.compareAndDelete('a', (await store.get('a'))!.revision)
+    assert.equal(removed.kind, 'swapped')
+    assert.equal(await store.get('a'), undefined)
+  })
+
+  it('lists a prefix over several pages', async () => {
+    for (let index = 0; index < 1_234; index += 1) server.store.put(`p/${String(index).padStart(4, '0')}`, 'x')
+    server.store.put('q', 'x')
+    const { entries, revision } = await store.list('p/')
+    assert.equal(entries.length, 1_234)
+    assert.equal(revision, server.store.revision())
+  })
+
+  it('watches from a revision and goes on', async () => {
+    const { revision } = await store.list('p/')
+    const ending = new AbortController()
+    const seen: string[] = []
+    server.store.put('p/1', 'before')
+    for await (const changes of store.watch('p/', revision + 1, ending.signal)) {
+      for (const change of changes) seen.push(change.kind === 'put' ? change.entry.value : `deleted ${change.key}`)
+      if (seen.length === 1) server.store.put('p/1', 'after')
+      if (seen.length === 2) server.store.compareAndDelete('p/1', server.store.get('p/1')!.revision)
+      if (seen.length === 3) break
+    }
+    assert.deepEqual(seen, ['before', 'after', 'deleted p/1'])
+  })
+
+  it('keeps keys for as long as their lease, and says when it is gone', async () => {
+    const lease = await store.grantLease(60_000)
+    await store.put('leased', 'x', { lease })
+    assert.ok(await store.keepAlive(lease) > 0)
+    await store.revokeLease(lease)
+    assert.equal(await store.get('leased'), undefined)
+    assert.equal(await store.keepAlive(lease), 0)
+  })
+
+  it('tells a refused call from one whose answer is lost', async () => {
+    server.faultSwitch.faults.down = true
+    await assert.rejects(store.put('a', 'x'), (error: ServingError) => error.verdict === 'not-run')
+    server.faultSwitch.faults.down = false
+    server.faultSwitch.faults.lostReplies = 1
+    await assert.rejects(store.put('a', 'x'), (error: ServingError) => error.verdict === 'may-have-run')
+    server.faultSwitch.faults.lostReplies = 0
+    assert.equal((await store.get('a'))?.value, 'x')
+  })
+})
+
+describe('headers of a request', () => {
+  it('go on to an upstream but for those of one connection and those that only the system sets', () => {
+    const raw = ['Host', 'a.example', 'Connection', 'X-Private, Host', 'X-Private', '1', 'X-Other', '2', 'Api-Key', 'k', 'Transfer-Encoding', 'chunked', 'X-Hornbeamgap-Tenant', 'forged', 'Kv-Fetch', '1.2.3.4:5']
+    const headers = createRequestFormat().upstreamHeaders(raw, { deadline: 1_234.5, upstream: 'i-1', organisation: undefined, urgency: undefined, lastEvent: '7' })
+    assert.deepEqual(headers, ['Host', 'a.example', 'X-Other', '2', 'x-hornbeamgap-deadline-ms', '1234', 'x-hornbeamgap-expect-instance', 'i-1', 'last-event-id', '7'])
+  })
+
+  it('are read into what they say, and malformed ones into nothing', () => {
+    const { readRequest } = createRequestFormat()
+    const head = readRequest({ 'x-hornbeamgap-token-usage': '1460,80', 'x-hornbeamgap-prompt-prefix': '5c1e07a2:800, 91bd3f06:410', 'x-hornbeamgap-deadline-ms': '15000' })
+    assert.deepEqual([head.tokens, head.parts.length, head.deadline, head.id], [{ prompt: 1_460, generated: 80 }, 2, 15_000, undefined])
+    const odd = readRequest({ 'x-hornbeamgap-token-usage': '1460', 'x-hornbeamgap-prompt-prefix': 'zz:1,aa:2', 'x-hornbeamgap-deadline-ms': '-1' })
+    assert.deepEqual([odd.tokens, odd.parts, odd.deadline], [undefined, [], undefined])
+  })
+})
+
+describe('records of the operator and of upstreams', () => {
+  const registry = createRegistry()
+
+  it('are read into the product\'s own terms, with what they leave out', () => {
+    const read = registry.readConfiguration(JSON.stringify({
+      version: 7,
+      routes: [{ name: 'r', host: 'A.example', prefix: '/p/', kind: 'streaming', timeoutMs: 3_000, targetLatencyMs: 800, service: 's', unheardOf: 1 }],
+      services: [{ name: 's', maxConns: 370, scaling: { minReplicas: 1, maxReplicas: 8, bootTimeS: 4, spotPrice: 0.18, zonePrices: { a: 0.85 } } }],
+      tenants: [{ name: 'o', apiKeys: ['k'], unit: 'tokens', plainTokens: 200, ratePerS: 5, burst: 6 }]
+    }))
+    assert.deepEqual(read.routes[0], {
+      name: 'r', host: 'a.example', prefix: '/p/', kind: 'stream', resumable: false, timeLimit: 3_000, target: 800, mostAttempts: 1, priority: 0, anonymous: false, cachesPrompts: false, destinations: [{ service: 's', weight: 1 }]
+    })
+    assert.deepEqual(read.services[0]?.scaling, { least: 1, most: 8, bootTime: 4_000, reclaimablePrice: 0.18, prices: { a: 0.85 } })
+    assert.deepEqual(read.organisations?.[0]?.quota, { unit: 'tokens', rate: 5, burst: 6, plainCost: 200 })
+    assert.equal(read.limits.headerBytes, 16_384)
+  })
+
+  it('are refused when they make no sense', () => {
+    assert.throws(() => registry.readConfiguration('{'))
+    assert.throws(() => registry.readConfiguration('{"version":"1","routes":[],"services":[]}'))
+    assert.throws(() => registry.readUpstream('i', '{"service":1}'))
+  })
+
+  it('say of an upstream that it leaves whatever state it names but ready', () => {
+    const record = (state: string) => registry.readUpstream('i', JSON.stringify({ service: 's', address: '1.2.3.4:5', zone: 'z', state, spot: true, leaves_ms: 2_000 }))
+    assert.equal(record('ready').leaving, false)
+    assert.equal(record('draining').leaving, true)
+    assert.deepEqual([record('other').leaving, record('other').leavesIn, record('other').reclaimable], [true, 2_000, true])
+  })
+})
+
+describe('the platform\'s settings file', () => {
+  const text = `
+nodeName = "front-a-1"
+ip = "10.1.0.16"
+zone = "a"
+internalPorts = [7500, 7515]
+newField = "ignored"
+[listen]
+front = "10.1.0.16:8360"
+ready = "10.1.0.16:8365"
+[limits]
+memoryMb = 350
+maxFds = 4100
+[platform]
+address = "10.200.1.7:8361"
+`
+
+  it('is read with defaults for what it leaves out', () => {
+    const settings = parseSettings(machineSettingsSchema, text, 'boot.toml')
+    assert.deepEqual(settings.front, { host: '10.1.0.16', port: 8360 })
+    assert.deepEqual([settings.firstStart, settings.bounds.grace, settings.cloud], [false, 8_000, undefined])
+  })
+
+  it('names the key that is missing or wrong', () => {
+    const read = (from: string, to: string) => () => parseSettings(machineSettingsSchema, text.replace(from, to), 'boot.toml')
+    assert.throws(read('nodeName = "front-a-1"', ''), /boot\.toml: nodeName: /)
+    assert.throws(read('"10.1.0.16:8360"', '"10.1.0.16"'), /listen\.front: must be an IP number and a port/)
+    assert.throws(read('maxFds = 4100', 'maxFds = "many"'), /limits\.maxFds: /)
+  })
+})
