--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -1,6 +1,7 @@
 /** A gateway node put together. */
 import type { Server } from 'node:http'
 import { randomBytes } from 'node:crypto'
+import { setMaxListeners } from 'node:events'
 import { listen } from '../entry/listener.js'
 import { addressSchema } from '../identifiers.js'
 import type { Clock, Milliseconds } from '../clock.js'
@@ -71,6 +72,8 @@
   const { bounds } = settings
   const incarnation = `${settings.name}-${randomBytes(4).toString('hex')}`
   const ending = new AbortController()
+  // Each call to the store and each sleeper listens to it; the default of ten would be taken for a leak.
+  setMaxListeners(0, ending.signal)
   const follows: FollowContext = { store: platform.store, clock, random, log, signal: ending.signal }
   const metrics = createGatewayMetrics()
   const upstreams = createUpstreamView()
--- a/test/gateway/node.test.ts
+++ b/test/gateway/node.test.ts
@@ -205,7 +205,7 @@
     plain[0] = replacement
     deployment.register(replacement)
     await until(async () => {
-      await ask('lookup')
+      await Promise.all([1, 2, 3, 4].map(() => ask('lookup')))
       return replacement.runs.length > 0
     })
   })
