--- a/src/bin/hornbeamgap-gateway.ts
+++ b/src/bin/hornbeamgap-gateway.ts
@@ -1,6 +1,7 @@
 #!/usr/bin/env node
 /** `hornbeamgap-gateway`: a gateway node on the users' machines. */
 import { createPlatform, machineSettingsSchema, SETTINGS_VARIABLE } from '../../platform/index.js'
+import { createBoundedLines } from '../bounded-lines.js'
 import { createSystemClock } from '../clock.js'
 import { startGatewayNode } from '../gateway/node.js'
 import { keepSettings } from '../gateway/settings-reload.js'
@@ -21,7 +22,8 @@
   start: async (initial, _options, path) => {
     const clock = createSystemClock()
     const ending = new AbortController()
-    const log = createLog(initial.name, 'info', clock.wall, (line) => { process.stdout.write(line + '\n') })
+    const lines = createBoundedLines(process.stdout, clock, (leftOut) => JSON.stringify({ time: new Date(clock.wall()).toISOString(), level: 'warn', process: initial.name, event: 'lines-left-out', ...leftOut }))
+    const log = createLog(initial.name, 'info', clock.wall, lines)
     const settings = keepSettings({ initial, read: () => loadSettings(machineSettingsSchema, path), clock, log, signal: ending.signal })
     process.on('SIGHUP', () => settings.reload('signal'))
     const connections = createConnections(PLATFORM_CONNECTIONS)
--- a/src/log.ts
+++ b/src/log.ts
@@ -18,15 +18,15 @@
  * @param processName name of the process, written into each line
  * @param level least severe level that is written; `silent` for none
  * @param wall wall clock for the time stamp
- * @param write sink for one line; standard error by default
+ * @param write sink for one line of an event; standard error by default
  * @example
  * const log = createLog('entry-1', 'info', clock.wall)
  * log.info('upstream-leaving', { upstream: 'engine-4', source: 'cloud' })
  */
-export function createLog (processName: string, level: LogLevelDesc, wall: () => number, write: (line: string) => void = toStandardError): Log {
+export function createLog (processName: string, level: LogLevelDesc, wall: () => number, write: (line: string, event: string) => void = toStandardError): Log {
   const logger = loglevel.getLogger(`hornbeamgap/${processName}`)
   logger.methodFactory = (method) => (event: string, facts: LogFacts = {}) => {
-    write(JSON.stringify({ time: new Date(wall()).toISOString(), level: method, process: processName, event, ...facts }))
+    write(JSON.stringify({ time: new Date(wall()).toISOString(), level: method, process: processName, event, ...facts }), event)
   }
   logger.setLevel(level, false)
   return {
