Nodes listen for peers on any port, so that tests never meet a taken one

Its peers' port came from the process id and lay among the ephemeral ports; a taken one makes the start fail, and the stand-ins that were open kept the process from ending. Change: the fleet listens first and registers the address that it got; a request that comes before the node is put together gets 503 with Retry-After; the clean-up of the test doesn't hang on a start that failed.

--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -36,7 +36,10 @@
 /** What the fleet needs. */
 export interface FleetOptions {
   readonly context: FollowContext
-  readonly self: NodeRecord
+  /** This node's record but for the address for other nodes, which is known once it listens. */
+  readonly self: Omit<NodeRecord, 'peer'>
+  /** Listens with the server that other nodes ask. @returns its address */
+  readonly listen: (server: Server) => Promise<string>
   readonly configuration: ConfigurationKeeper
   /** What this node tells now. */
   readonly report: () => OwnReport
@@ -52,13 +55,21 @@
 const PEER_CONNECTIONS = 2
 
 /**
- * @returns the fleet and the server that its peers ask, which the owner listens with
+ * Listens for other nodes, registers this one and begins to exchange states.
+ *
+ * @throws when the address for other nodes can't be listened on
  * @example
- * const { fleet, server } = joinFleet({ context, self, configuration, report, heard, reading, otherGone })
+ * const fleet = await joinFleet({ context, self, listen, configuration, report, heard, reading, otherGone })
  */
-export function joinFleet (options: FleetOptions): { readonly fleet: Fleet, readonly server: Server } {
-  const { context, self, configuration, report } = options
+export async function joinFleet (options: FleetOptions): Promise<Fleet> {
+  const { context, configuration, report } = options
   const { clock, random, log, signal } = context
+  const peer = await options.listen(createPeerLinkServer({
+    exchange: (message) => gossip.answers.exchange(message),
+    configuration: () => gossip.answers.configuration(),
+    reading: options.reading
+  }))
+  const self: NodeRecord = { ...options.self, peer }
   const sharedWall = createSharedWall()
   const connections = createConnections(PEER_CONNECTIONS)
   const records = keepNodeRecords(context, self, options.otherGone)
@@ -91,7 +102,7 @@
     return [...known]
   }
 
-  const fleet: Fleet = {
+  return {
     live,
     remembered: gossip.table.all,
     size: () => Math.max(1, records.all().length, live().length + 1),
@@ -104,5 +115,4 @@
     },
     close: () => connections.destroy()
   }
-  return { fleet, server: createPeerLinkServer({ ...gossip.answers, reading: options.reading }) }
 }
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -15,6 +15,8 @@
 import type { RoutingConfiguration } from '../routing/index.js'
 import { createWorkMeter } from '../scaling/index.js'
 import { createUsageWindows, windowOf } from '../usage/index.js'
+import { refusal } from './acceptance.js'
+import { answerFailure } from './answering.js'
 import { createConfigurationKeeper } from './configuration-keeper.js'
 import type { GatewayContext, StopTimes } from './context.js'
 import { keepDuties } from './duties.js'
@@ -60,6 +62,9 @@
 /** Lifetime of an address answer: an address that is gone is left by callers after this time. */
 const ADDRESS_LIFETIME: Milliseconds = 2_000
 
+/** A caller that meets a node in the moment of its start may ask again at once. */
+const START_WAIT: Milliseconds = 50
+
 /** Time after the start at which histograms are loaded: the first requests of a restarted node go first. */
 const METRICS_AFTER: Milliseconds = 3_000
 
@@ -91,9 +96,12 @@
   const work = createWorkMeter()
   const budgets = new Map<string, RetryBudget>()
   let inFlight = 0
+  let context = undefined as GatewayContext | undefined
   let stopping: StopTimes | undefined
 
   const server = createCallerServer((request, response) => {
+    // The address must be known before the node can register, and is listened on by then.
+    if (context === undefined) return answerFailure(response, platform.format, undefined, refusal('no-configuration', 'the node starts', START_WAIT))
     inFlight += 1
     if (stopping !== undefined) response.setHeader('connection', 'close')
     forwardRequest(context, request, response)
@@ -104,16 +112,21 @@
 
   const configuration = createConfigurationKeeper(follows, platform.registry, applyLimits)
   const holder = createDutyHolder({ context: follows, node: settings.name, incarnation, leaseTime: bounds.lease, firstStart: settings.firstStart })
-  const { fleet, server: peerServer } = joinFleet({
+  const servers: Server[] = [server]
+  const fleet = await joinFleet({
     context: follows,
-    self: { name: settings.name, incarnation, failureDomain: settings.failureDomain, front, peer: addressOf(settings.peers) },
+    self: { name: settings.name, incarnation, failureDomain: settings.failureDomain, front },
+    listen: (peerServer) => {
+      servers.push(peerServer)
+      return listenAt(peerServer, settings.peers)
+    },
     configuration,
     report,
     heard,
     reading: (note) => upstreams.noteReading(note.from, note.upstream, note.reading, clock.now()),
     otherGone: (key) => { if (key === DUTY_KEY) holder.vacant() }
   })
-  const context: GatewayContext = {
+  context = {
     settings,
     clock,
     random,
@@ -143,8 +156,6 @@
   metrics.gauge('upstreams_known', () => upstreams.all().length)
   metrics.gauge('resident_bytes', () => process.memoryUsage.rss())
 
-  const servers: Server[] = [server, peerServer]
-  await listenAt(peerServer, settings.peers)
   const ready = await servePaths(settings.ready)
   const directory = settings.directory === undefined ? undefined : await servePaths(settings.directory)
   clock.sleep(METRICS_AFTER, ending.signal).then(metrics.load).catch((error) => { if (!ending.signal.aborted) log.warn('histograms-not-loaded', { error: String(error) }) })
--- a/stand-ins/machines/deployment.ts
+++ b/stand-ins/machines/deployment.ts
@@ -42,15 +42,15 @@
   const api = await serveDutyApi(clock, createRandom(2))
   const lines: Record<string, unknown>[] = []
   const closing: (() => Promise<unknown>)[] = []
-  let ports = 0
+  let nodes = 0
 
   function settingsOf (name: string): GatewaySettings {
-    ports += 1
+    nodes += 1
     return machineSettingsSchema.parse({
       nodeName: name,
-      ip: `127.0.0.${ports}`,
+      ip: '127.0.0.1',
       zone: 'zone-a',
-      internalPorts: [PEER_PORT + process.pid % PORT_SPREAD, PEER_PORT + process.pid % PORT_SPREAD],
+      internalPorts: [0, 0],
       bootstrap: true,
       zones: { 'zone-a': 'region' },
       listen: { front: '127.0.0.1:0', ready: '127.0.0.1:0', directory: '127.0.0.1:0' },
@@ -68,7 +68,7 @@
       settings,
       platform: createPlatform(() => settings, connections),
       clock,
-      random: createRandom(ports),
+      random: createRandom(nodes),
       log: createLog(name, 'info', clock.wall, (line) => { lines.push(JSON.parse(line)) })
     })
     closing.unshift(async () => {
@@ -97,7 +97,3 @@
     }
   }
 }
-
-/** Each node has a loopback address of its own, so that all may use one port, as on the machines. */
-const PEER_PORT = 30_000
-const PORT_SPREAD = 20_000
--- a/test/gateway/node.test.ts
+++ b/test/gateway/node.test.ts
@@ -65,8 +65,8 @@
   })
 
   after(async () => {
-    await deployment.close()
-    await Promise.all([...plain, ...models].map((upstream) => upstream.close()))
+    await deployment?.close()
+    await Promise.all([...plain ?? [], ...models ?? []].map((upstream) => upstream.close()))
   })
 
   async function ask (name: string, options: { method?: string, headers?: Record<string, string>, body?: string, tokens?: boolean, id?: string } = {}): Promise<Answer> {
