A test closes the upstream that it replaces: the unit tests end again

Cause: test/gateway/node.test.ts passed and its process never ended, since a stand-in that the test had taken out of its list still listened; the runner waited for it until the bound of 240 s, and counted nothing. Ruled out: handles of the node; with the stand-in closed the file ends after 6.8 s.

--- a/test/gateway/node.test.ts
+++ b/test/gateway/node.test.ts
@@ -201,6 +201,7 @@
     assert.equal(plain[0]!.runs.length, before)
     deployment.unregister(plain[0]!)
     await until(() => deployment.lines.some((line) => line.event === 'upstream-gone' && line.upstream === 'p-1'))
+    await plain[0]!.close()
     const replacement = await serveUpstream({ id: 'p-3', clock })
     plain[0] = replacement
     deployment.register(replacement)
