--- a/test/entry/stop.test.ts
+++ b/test/entry/stop.test.ts
@@ -1,6 +1,8 @@
 /** The end of an entry node, seen by callers whose requests are open. */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { setFlagsFromString } from 'node:v8'
+import { runInNewContext } from 'node:vm'
 import { createClient } from '../../src/client/index.js'
 import type { ChatAnswer, Client } from '../../src/client/index.js'
 import { createSystemClock } from '../../src/clock.js'
@@ -8,6 +10,8 @@
 import type { Deployment } from '../../stand-ins/deployment.js'
 import { answerWords } from '../../stand-ins/engine.js'
 
+setFlagsFromString('--expose-gc')
+const collect = runInNewContext('gc') as () => void
 const clock = createSystemClock()
 const TOKENS = 300
 const LIFETIME = 500
@@ -130,6 +134,24 @@
   }
 })
 
+test('a stop ends within its grace also while the key-value service is away', async () => {
+  // An operator stops a node during an outage of the key-value service. Minutes later its process still runs
+  // and warns that its last report isn't written: the signal that bounds the report was collected as
+  // garbage, together with its timer, and never aborted.
+  const deployment = await startDeployment({ clock, seed: 5, entries: 1, engines: 1, logLevel: 'silent' })
+  const client = createClient({ addresses: deployment.addresses, key: deployment.key })
+  const collecting = setInterval(collect, 50)
+  try {
+    await client.chat({ class: 'short-question', messages: [{ role: 'user', content: 'Which resin?' }], maxTokens: 5 })
+    deployment.keyValue.faultSwitch.faults.silent = true
+    await deployment.entries[0]!.stop(clock.now() + 1_500)
+  } finally {
+    clearInterval(collecting)
+    await client.close()
+    await deployment.kill()
+  }
+})
+
 function book (address: string, key: string, reference: string): Promise<Response> {
   return fetch(`http://${address}/v1/services/booking/bookings`, {
     method: 'POST',
