--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -107,12 +107,6 @@
   writeAddresses (addresses: readonly string[], lifetime: Milliseconds): unknown
 }
 
-/** Load of one engine as it reports it, some hundred milliseconds old. */
-export interface EngineLoad {
-  readonly waiting: number
-  readonly running: number
-}
-
 /** A platform as a gateway node sees it. */
 export interface Platform {
   readonly format: RequestFormat
