Gateway: errors between nodes are told, a withdrawal that meets a registration ends it, unread settings go

Change: one line for a peer until it answers again, which notes pass over meanwhile; the own address and version are passed to the gossip keeper; the lease of a late registration is ended; the unread fields are gone, and with them what a configuration had to name for them; the node's own failure domain stands in; 0.7 of the descriptors are for callers. test/gateway/settings-reload.test.ts names failure domains now, since the default follows the node's own.

--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -41,6 +41,8 @@
   /** Listens with the server that other nodes ask. @returns its address */
   readonly listen: (server: Server) => Promise<string>
   readonly configuration: ConfigurationKeeper
+  /** This node takes requests. */
+  readonly isReady: () => boolean
   /** What this node tells now. */
   readonly report: () => OwnReport
   /** Other nodes have told something new. */
@@ -82,6 +84,8 @@
     signal,
     link: createPeerLinks(connections, { sent: 0, received: 0 }),
     describe: () => ({ ...self, ...report(), sequence: 0 }),
+    ownAddress: peer,
+    ownConfiguration: () => configuration.table()?.configuration.version ?? 0,
     addresses: () => records.all().map((record) => record.peer),
     configuration: configuration.text,
     offerConfiguration: configuration.offer,
@@ -98,7 +102,7 @@
     const others = records.all().filter(({ name }) => name !== self.name && states.get(name)?.ready !== false).map((record) => record.front)
     const known = new Set(others)
     for (const state of states.values()) if (state.ready) known.add(state.front)
-    if (report().ready) known.add(self.front)
+    if (options.isReady()) known.add(self.front)
     return [...known]
   }
 
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -122,9 +122,9 @@
   const now = context.clock.now()
   const { head } = passage.accepted
   const work: Work = { service: passage.service, parts: head.parts, promptTokens: head.tokens?.prompt ?? 0 }
-  const isEngine = context.table()?.service(passage.service)?.engine !== undefined
+  const hasEngines = context.table()?.service(passage.service)?.hasEngines === true
   const candidates = context.upstreams.candidates(passage.service, passage.tried, now)
-  return chooseUpstream(work, candidates, context.settings, isEngine ? ENGINE_COSTS : PLAIN_COSTS)
+  return chooseUpstream(work, candidates, context.settings, hasEngines ? ENGINE_COSTS : PLAIN_COSTS)
 }
 
 function checkHeadSize (context: GatewayContext, request: IncomingMessage): void {
--- a/src/gateway/gossip-keeper.ts
+++ b/src/gateway/gossip-keeper.ts
@@ -19,6 +19,10 @@
   readonly link: (address: string) => PeerLink
   /** This node's state now; its sequence is set here. */
   readonly describe: () => NodeState
+  /** This node's address for other nodes, which it doesn't exchange with. */
+  readonly ownAddress: string
+  /** Version of the configuration in force here; 0 for none. */
+  readonly ownConfiguration: () => number
   /** Peer addresses that the store knows. */
   readonly addresses: () => readonly string[]
   /** Text of the configuration in force. */
@@ -57,6 +61,9 @@
 /** Bound on such a note: later it is of no use. */
 const NOTE_TIMEOUT: Milliseconds = 300
 
+/** Characters of an error's text in a line of the log. */
+const ERROR_LENGTH = 200
+
 /**
  * @example
  * const gossip = keepGossip({ incarnation, wall, clock, random, log, signal, link, describe, addresses, configuration, offerConfiguration, heard })
@@ -89,39 +96,51 @@
       const reply = await link(address).exchange.mutate(messageFor(incarnations.get(address)), { signal: bound })
       incarnations.set(address, reply.from)
       take(reply)
-      if (unreachable.delete(address)) log.info('peer-regained', { peer: address })
+      regained(address)
       await fetchNewerConfiguration(address, reply, bound)
     } catch (error) {
       incarnations.delete(address)
-      if (signal.aborted || unreachable.has(address)) return
-      unreachable.add(address)
-      log.info('peer-lost', { peer: address, error: String(error).slice(0, 200) })
+      lost(address, error)
     }
   }
 
+  /** One line for each peer until it answers again. */
+  function lost (address: string, error: unknown): void {
+    if (signal.aborted || unreachable.has(address)) return
+    unreachable.add(address)
+    log.info('peer-lost', { peer: address, error: String(error).slice(0, ERROR_LENGTH) })
+  }
+
+  function regained (address: string): void {
+    if (unreachable.delete(address)) log.info('peer-regained', { peer: address })
+  }
+
   /** A node that the store turns away learns of new versions here. */
   async function fetchNewerConfiguration (address: string, reply: GossipMessage, bound: AbortSignal): Promise<void> {
     const theirs = reply.states.find((state) => state.incarnation === reply.from)?.configuration ?? 0
-    if (theirs <= options.describe().configuration) return
+    if (theirs <= options.ownConfiguration()) return
     const { text } = await link(address).configuration.query(undefined, { signal: bound })
     if (text !== null) options.offerConfiguration(text, address)
   }
 
   function pickPeers (count: number): string[] {
-    const own = options.describe().peer
     const known = new Set([...options.addresses(), ...table.live(clock.now()).map((state) => state.peer)])
-    known.delete(own)
+    known.delete(options.ownAddress)
     const left = [...known]
     const picked: string[] = []
     while (picked.length < count && left.length > 0) picked.push(...left.splice(random.integer(left.length), 1))
     return picked
   }
 
+  function exchange (address: string): void {
+    exchangeWith(address).catch((error) => log.error('exchange-failed-unexpectedly', { peer: address, error: String(error) }))
+  }
+
   async function run (): Promise<void> {
     await clock.sleep(PERIOD * random.fraction(), signal).catch(() => {})
     while (!signal.aborted) {
       publish()
-      for (const address of pickPeers(1)) exchangeWith(address).catch(() => {})
+      for (const address of pickPeers(1)) exchange(address)
       await clock.sleep(PERIOD * (0.75 + 0.5 * random.fraction()), signal).catch(() => {})
     }
   }
@@ -135,18 +154,24 @@
         take(message)
         publish()
         const sender = message.states.find((state) => state.incarnation === message.from)
-        if (sender !== undefined) fetchNewerConfiguration(sender.peer, message, boundSignal(EXCHANGE_TIMEOUT, signal)).catch(() => {})
+        if (sender !== undefined) {
+          regained(sender.peer)
+          fetchNewerConfiguration(sender.peer, message, boundSignal(EXCHANGE_TIMEOUT, signal)).catch((error) => lost(sender.peer, error))
+        }
         return messageFor(message.from)
       },
       configuration: options.configuration
     },
     tellReading: (upstream, reading) => {
       const note = { from: incarnation, upstream, reading: Math.round(reading) }
-      for (const address of pickPeers(READING_SPREAD)) link(address).reading.mutate(note, { signal: boundSignal(NOTE_TIMEOUT) }).catch(() => {})
+      // The exchanges go on asking a peer that is lost; a note to it would only wait.
+      for (const address of pickPeers(READING_SPREAD)) {
+        if (!unreachable.has(address)) link(address).reading.mutate(note, { signal: boundSignal(NOTE_TIMEOUT) }).catch((error) => lost(address, error))
+      }
     },
     spread: () => {
       publish()
-      for (const address of pickPeers(SPREAD)) exchangeWith(address).catch(() => {})
+      for (const address of pickPeers(SPREAD)) exchange(address)
     }
   }
 }
--- a/src/gateway/listener.ts
+++ b/src/gateway/listener.ts
@@ -13,6 +13,12 @@
 /** Milliseconds beyond the idle limit for which a connection is kept, so that a request that crosses the limit is served. */
 const IDLE_SLACK = 1_000
 
+/** Descriptors of a process that its files and the connections between nodes take. */
+const RESERVED_DESCRIPTORS = 300
+
+/** Part of the other descriptors that callers may take; the rest is for upstreams. */
+const CALLERS_PART = 0.7
+
 /** Status of an error that the parser raises; anything else is a malformed request. */
 const PARSER_STATUS: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
@@ -54,6 +60,19 @@
   server.keepAliveTimeout = limits.idleTime + IDLE_SLACK
 }
 
+/**
+ * Failure guarded against: callers open so many connections that none is left for upstreams, and every
+ * request is refused. Connections beyond this part are closed before a byte of them is read, and their
+ * callers choose another node.
+ *
+ * @param descriptors most open descriptors of this process
+ * @example
+ * server.maxConnections = callerConnections(4_100) // 2_660
+ */
+export function callerConnections (descriptors: number): number {
+  return Math.max(1, Math.floor((descriptors - RESERVED_DESCRIPTORS) * CALLERS_PART))
+}
+
 function isAnswering (socket: Socket): boolean {
   // node:http keeps the answer that is being written here; there is no public way to ask.
   const { _httpMessage: answer } = socket as Socket & { _httpMessage?: ServerResponse | null }
--- a/src/gateway/node-records.ts
+++ b/src/gateway/node-records.ts
@@ -57,6 +57,8 @@
     const granted = await store.grantLease(REGISTRATION_TIME, signal)
     if (withdrawal.signal.aborted) return
     await store.put(NODE_PREFIX + own.name, JSON.stringify(own), { lease: granted, signal })
+    // Failure guarded against: the withdrawal came while the store took the record in, and found no lease to end.
+    if (withdrawal.signal.aborted) return store.revokeLease(granted, signal)
     lease = granted
     log.info('node-registered', { lease: granted })
   }
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -26,7 +26,7 @@
 import type { Fleet, OwnReport } from './fleet.js'
 import type { FollowContext } from './follow.js'
 import { forwardRequest } from './forwarding.js'
-import { createCallerServer, limitCallers } from './listener.js'
+import { callerConnections, createCallerServer, limitCallers } from './listener.js'
 import { createGatewayMetrics } from './metrics.js'
 import type { Platform } from './ports.js'
 import { createServicePaths } from './service-paths.js'
@@ -108,6 +108,7 @@
       .catch((error) => log.error('request-handler-failed', { error: String(error) }))
       .finally(() => { inFlight -= 1 })
   }, (code) => metrics.count('malformed_requests', { code }))
+  server.maxConnections = callerConnections(settings.mostDescriptors)
   const front = await listenAt(server, settings.front)
 
   const configuration = createConfigurationKeeper(follows, platform.registry, applyLimits)
@@ -121,6 +122,7 @@
       return listenAt(peerServer, settings.peers)
     },
     configuration,
+    isReady,
     report,
     heard,
     reading: (note) => upstreams.noteReading(note.from, note.upstream, note.reading, clock.now()),
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -10,8 +10,6 @@
 
 /** Bounds of the deployment that the node keeps to. */
 export interface GatewayBounds {
-  /** A leaving upstream gets nothing later than this after the store has taken its notice. */
-  readonly upstreamDrain: Milliseconds
   /** Time between the request to stop and the kill. */
   readonly grace: Milliseconds
   readonly retryBudget: RetryBudgetOptions
@@ -23,7 +21,6 @@
   readonly usageDue: Milliseconds
   /** Longest time for which callers may keep an address answer. */
   readonly addressLifetime: Milliseconds
-  readonly heartbeat: Milliseconds
 }
 
 /** Settings of a gateway node. */
@@ -47,8 +44,8 @@
   /** The whole system starts for the first time. */
   readonly firstStart: boolean
   readonly duties: { readonly usage: boolean, readonly scaling: boolean }
+  /** Most open descriptors of this process. */
   readonly mostDescriptors: number
-  readonly memoryBytes: number
   readonly bounds: GatewayBounds
 }
 
--- a/src/gateway/upstream-view.ts
+++ b/src/gateway/upstream-view.ts
@@ -131,10 +131,14 @@
       return [id, { requests, reading: Math.round(reading) }]
     })),
     observe: (others, now) => {
-      for (const incarnation of told.keys()) if (!others.has(incarnation)) told.delete(incarnation)
+      for (const incarnation of told.keys()) {
+        if (others.has(incarnation)) continue
+        told.delete(incarnation)
+        sources.delete(incarnation)
+      }
       for (const [incarnation, loads] of others) {
         // What was taken in before goes on being read meanwhile; only news starts anew.
-        if (sources.get(incarnation) === loads && told.has(incarnation)) continue
+        if (sources.get(incarnation) === loads) continue
         sources.set(incarnation, loads)
         told.set(incarnation, new Map(Object.entries(loads).map(([id, load]) => [id, { load, at: now }])))
       }
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -36,21 +36,9 @@
   readonly priority: number
   /** Needs no key. */
   readonly anonymous: boolean
-  /** Requests carry the parts of their prompt, which upstreams cache. */
-  readonly cachesPrompts: boolean
   readonly destinations: readonly Destination[]
 }
 
-/** What a model engine's service tells of its engines. */
-export interface EngineFacts {
-  readonly slots: number
-  readonly memoryTokens: number
-  /** Most calls that wait for cache events at one engine. */
-  readonly mostEventCalls: number
-  /** Memory of a run can be copied to another engine while it grows. */
-  readonly backups: boolean
-}
-
 /** Bounds and prices of a service whose size the system orders. */
 export interface ScalingFacts {
   /** Fewest and most upstreams in a failure domain, both kinds together. */
@@ -66,10 +54,10 @@
 /** One service. */
 export interface Service {
   readonly name: string
-  readonly healthPath: string
   /** Most connections that one upstream accepts from all callers together. */
   readonly mostConnections: number
-  readonly engine: EngineFacts | undefined
+  /** Its upstreams are model engines, which read prompts before they answer. */
+  readonly hasEngines: boolean
   readonly scaling: ScalingFacts | undefined
 }
 
--- a/test/gateway/listener.test.ts
+++ b/test/gateway/listener.test.ts
@@ -2,7 +2,7 @@
 import { connect } from 'node:net'
 import type { AddressInfo } from 'node:net'
 import { after, before, describe, it } from 'node:test'
-import { createCallerServer, limitCallers } from '../../src/gateway/listener.js'
+import { callerConnections, createCallerServer, limitCallers } from '../../src/gateway/listener.js'
 
 describe('the callers\' listener', () => {
   const handled: string[] = []
@@ -58,4 +58,11 @@
   it('writes no error where another answer is due', async () => {
     assert.equal(await exchange('GET /held HTTP/1.1\r\nHost: a\r\n\r\n', 'no request at all\r\n\r\n'), '')
   })
+
+  // Every request is refused though upstreams are idle: callers hold all descriptors of the process, and no
+  // connection to an upstream can be opened.
+  it('leave descriptors for upstreams', () => {
+    assert.equal(callerConnections(4_100), 2_660)
+    assert.equal(callerConnections(100), 1, 'a node with few descriptors still listens')
+  })
 })
--- a/test/gateway/settings-reload.test.ts
+++ b/test/gateway/settings-reload.test.ts
@@ -7,7 +7,7 @@
 import { createManualClock } from '../../stand-ins/manual-clock.js'
 
 const settings = (more: object = {}): GatewaySettings => machineSettingsSchema.parse({
-  nodeName: 'n', ip: '127.0.0.1', zone: 'a', internalPorts: [1, 2], listen: { front: '127.0.0.1:1', ready: '127.0.0.1:2' }, limits: { memoryMb: 1, maxFds: 1 }, platform: { address: '127.0.0.1:3' }, ...more
+  nodeName: 'n', ip: '127.0.0.1', zone: 'a', zones: { a: 'r', b: 'r' }, internalPorts: [1, 2], listen: { front: '127.0.0.1:1', ready: '127.0.0.1:2' }, limits: { memoryMb: 1, maxFds: 1 }, platform: { address: '127.0.0.1:3' }, ...more
 })
 
 describe('settings of a running node', () => {
--- a/test/gateway/stopping-rule.test.ts
+++ b/test/gateway/stopping-rule.test.ts
@@ -5,7 +5,7 @@
 import type { Route } from '../../src/routing/index.js'
 
 const route = (kind: Route['kind'], target: number): Route => ({
-  name: 'r', host: 'h', prefix: '/', kind, resumable: false, timeLimit: 15_000, target, mostAttempts: 1, priority: 0, anonymous: false, cachesPrompts: true, destinations: []
+  name: 'r', host: 'h', prefix: '/', kind, resumable: false, timeLimit: 15_000, target, mostAttempts: 1, priority: 0, anonymous: false, destinations: []
 })
 
 const head = (prompt: number, generated: number): RequestHead => ({ id: 'r', deadline: 15_000, key: undefined, tokens: { prompt, generated }, parts: [], lastEvent: undefined })
--- a/test/platform/platform.test.ts
+++ b/test/platform/platform.test.ts
@@ -112,7 +112,7 @@
       tenants: [{ name: 'o', apiKeys: ['k'], unit: 'tokens', plainTokens: 200, ratePerS: 5, burst: 6 }]
     }))
     assert.deepEqual(read.routes[0], {
-      name: 'r', host: 'a.example', prefix: '/p/', kind: 'stream', resumable: false, timeLimit: 3_000, target: 800, mostAttempts: 1, priority: 0, anonymous: false, cachesPrompts: false, destinations: [{ service: 's', weight: 1 }]
+      name: 'r', host: 'a.example', prefix: '/p/', kind: 'stream', resumable: false, timeLimit: 3_000, target: 800, mostAttempts: 1, priority: 0, anonymous: false, destinations: [{ service: 's', weight: 1 }]
     })
     assert.deepEqual(read.services[0]?.scaling, { least: 1, most: 8, bootTime: 4_000, reclaimablePrice: 0.18, prices: { a: 0.85 } })
     assert.deepEqual(read.organisations?.[0]?.quota, { unit: 'tokens', rate: 5, burst: 6, plainCost: 200 })
@@ -154,6 +154,7 @@
     const settings = parseSettings(machineSettingsSchema, text, 'boot.toml')
     assert.deepEqual(settings.front, { host: '10.1.0.16', port: 8360 })
     assert.deepEqual([settings.firstStart, settings.bounds.grace, settings.cloud], [false, 8_000, undefined])
+    assert.deepEqual(settings.failureDomains, ['a'], 'orders go at least to the domain of this node')
   })
 
   it('names the key that is missing or wrong', () => {
--- a/test/routing/table.test.ts
+++ b/test/routing/table.test.ts
@@ -6,7 +6,7 @@
 import type { Route, RoutingConfiguration } from '../../src/routing/index.js'
 
 const route = (name: string, prefix: string, more: Partial<Route> = {}): Route => ({
-  name, host: 'api.example', prefix, kind: 'once', resumable: false, timeLimit: 1_000, target: 200, mostAttempts: 1, priority: 0, anonymous: false, cachesPrompts: false, destinations: [{ service: 's', weight: 1 }], ...more
+  name, host: 'api.example', prefix, kind: 'once', resumable: false, timeLimit: 1_000, target: 200, mostAttempts: 1, priority: 0, anonymous: false, destinations: [{ service: 's', weight: 1 }], ...more
 })
 
 const configuration = (routes: Route[], more: Partial<RoutingConfiguration> = {}): RoutingConfiguration => ({
