--- a/src/bin/hornbeamgap.ts
+++ b/src/bin/hornbeamgap.ts
@@ -9,6 +9,8 @@
 import { createOperatorClient, resolveSettings } from '../operator/command/connection.js'
 import type { ConnectionOptions, OperatorClient } from '../operator/command/connection.js'
 import { explainCommand, plannerCommand, statusCommand } from '../operator/command/look.js'
+import { dayFromLogs, explainFromLogs, readLogs } from '../operator/command/logs.js'
+import type { DayCommandOptions } from '../operator/command/logs.js'
 import { createProcessOutput } from '../operator/command/output.js'
 import { reportCommand } from '../operator/command/report.js'
 import type { ReportCommandOptions } from '../operator/command/report.js'
@@ -41,8 +43,15 @@
     .option('--csv', 'Write comma-separated values')
     .option('--html <file>', 'Write a page with plots')
     .action((options: Options & ReportCommandOptions) => connected(options, (client) => reportCommand(client, output, options, createSystemClock().wall())))
-  withConnection(program.command('explain <id>', 'Tell what happened to one request, and why'))
-    .action((id: string, options: Options) => connected(options, (client) => explainCommand(client, output, id, options)))
+  withConnection(program.command('explain <id> [...logs]', 'Tell what happened to one request, and why: from the nodes, or from files of their lines (- for standard input)'))
+    .action((id: string, logs: string[], options: Options) => logs.length > 0
+      ? explainFromLogs(readLogs(logs), output, id, options)
+      : connected(options, (client) => explainCommand(client, output, id, options)))
+  program.command('day <...logs>', 'Tell what became of requests over time, from files of nodes\' lines (- for standard input)')
+    .option('--json', 'Write JSON')
+    .option('--html <file>', 'Write a page with a plot')
+    .option('--step <seconds>', 'Length of a part')
+    .action((logs: string[], options: DayCommandOptions) => dayFromLogs(readLogs(logs), output, options))
   withConnection(program.command('planner', 'Tell what the planner did, and why'))
     .action((options: Options) => connected(options, (client) => plannerCommand(client, output, options)))
   program.help()
--- /dev/null
+++ b/src/events/catalogue.ts
@@ -0,0 +1,110 @@
+/**
+ * Every line that a gateway node writes: its event, the facts that go with it, and what it says. Units are
+ * milliseconds where a fact names a time. The node only takes the types from here, so that a start
+ * doesn't pay for the schemas; readers of logs and tests check lines against them.
+ */
+import * as z from 'zod'
+
+const error = z.string()
+const count = z.number().int().nonnegative()
+const duration = z.number().nonnegative()
+const request = z.string().optional()
+
+const upstreamFacts = {
+  upstream: z.string(),
+  service: z.string(),
+  address: z.string(),
+  failureDomain: z.string(),
+  reclaimable: z.boolean(),
+  leavesIn: duration.optional(),
+  source: z.enum(['watch', 'listing'])
+}
+
+const orderFacts = { service: z.string(), failureDomain: z.string(), reclaimable: z.boolean(), desired: count }
+
+const taskFailing = z.strictObject({ error })
+const nothing = z.strictObject({})
+
+/** How old what a node goes by is: the configuration, the view of upstreams, and the nodes that it knows. */
+const sources = { configuration: count.optional(), configurationAge: duration.optional(), upstreamsAge: duration.optional(), nodes: count }
+
+/** Schemas of all events by name; the description says what the line means. */
+export const EVENTS = {
+  'node-started': z.strictObject({ incarnation: z.string(), failureDomain: z.string(), front: z.string() }).describe('the process listens; `incarnation` is new with each start'),
+  'node-stopping': z.strictObject({ inFlight: count, grace: duration }).describe('asked to stop; `grace` is left until what still runs is cut off'),
+  'requests-cut-off': z.strictObject({ inFlight: count }).describe('the grace ended before these requests did'),
+  'node-stopped': nothing.describe('the last line of a planned stop'),
+  'withdrawal-failed': z.strictObject({ error }).describe('the record of a stopping node stands until its lease ends'),
+  'settings-reloaded': z.strictObject({ reason: z.string(), changed: z.string(), afterRestart: z.string() }).describe('new settings; `afterRestart` names those that wait for the next start'),
+  'settings-unchanged': z.strictObject({ reason: z.string() }).describe('a signal to reload, and nothing new'),
+  'settings-refused': z.strictObject({ reason: z.string(), error }).describe('the settings file is wrong; those in force stay'),
+  'histograms-not-loaded': z.strictObject({ error }).describe('the metrics page has no durations'),
+  'store-lost': z.strictObject({ prefix: z.string(), error, silentFor: duration.optional() }).describe('keys under the prefix are not followed any more'),
+  'store-regained': z.strictObject({ prefix: z.string() }).describe('they are followed again'),
+  'following-ended': z.strictObject({ prefix: z.string(), error }).describe('a fault of the program: keys are not followed for good'),
+  'peer-lost': z.strictObject({ peer: z.string(), error }).describe('another node does not answer; told once until it does'),
+  'peer-regained': z.strictObject({ peer: z.string() }).describe('it answers again'),
+  'gossip-ended': z.strictObject({ error }).describe('a fault of the program: no exchange with other nodes for good'),
+  'exchange-failed-unexpectedly': z.strictObject({ peer: z.string(), error }).describe('a fault of the program in one exchange with another node'),
+  'configuration-in-force': z.strictObject({ version: z.number(), before: z.number().optional(), source: z.string(), routes: count, organisations: count.optional(), quotaRate: z.number().optional() }).describe('requests that come from now on are handled by this version; `source` is the store or a peer'),
+  'configuration-unreadable': z.strictObject({ source: z.string(), error }).describe('a version was not taken; the one in force stays'),
+  'configuration-removed': z.strictObject({ key: z.string() }).describe('the key is gone; the version in force stays'),
+  'upstream-new': z.strictObject(upstreamFacts).describe('it gets requests from now on'),
+  'upstream-leaving': z.strictObject(upstreamFacts).describe('it gets nothing new; `leavesIn` where the platform said when it is gone'),
+  'upstream-changed': z.strictObject(upstreamFacts).describe('another address under the same id'),
+  'upstream-gone': z.strictObject({ upstream: z.string(), service: z.string().optional(), source: z.enum(['watch', 'listing']) }).describe('its record is gone'),
+  'upstream-paused': z.strictObject({ upstream: z.string(), reason: z.string() }).describe('it failed; others go first until it answers or the pause of 0.4 to 3 s ends'),
+  'upstream-record-unreadable': z.strictObject({ key: z.string(), error }).describe('a record was passed over'),
+  'node-registered': z.strictObject({ lease: z.string() }).describe('other nodes and callers find this one in the store'),
+  'node-registration-lapsed': z.strictObject({ lease: z.string() }).describe('the lease ended before it was renewed; it registers anew'),
+  'node-registration-failed': z.strictObject({ error }).describe('the store did not take the record or its renewal; tried again within 0.5 s'),
+  'node-registration-ended': z.strictObject({ error }).describe('a fault of the program: not registered for good'),
+  'node-known': z.strictObject({ node: z.string(), incarnation: z.string(), front: z.string() }).describe('another node has registered'),
+  'node-gone': z.strictObject({ node: z.string() }).describe('its record is gone'),
+  'node-record-unreadable': z.strictObject({ key: z.string(), value: z.string() }).describe('a record was passed over'),
+  'shares-dealt': z.strictObject({ nodes: count, heard: count }).describe('quotas and retry budgets are dealt to so many nodes from now on, of which `heard` tell their demand'),
+  'duty-taken': z.strictObject({ fencing: count }).describe('this node reports usage and orders upstreams'),
+  'duty-lost': nothing.describe('it does not any more'),
+  'duty-superseded': z.strictObject({ fencing: count }).describe('the platform has seen a higher number; this one is not used again'),
+  'duty-release-failed': z.strictObject({ error }).describe('the lease of the duties ends by itself'),
+  'usage-decided': z.strictObject({ window: count, total: count, fencing: count }).describe('the counts of a window are fixed in the store'),
+  'usage-reported': z.strictObject({ window: count, outcome: z.string(), fencing: count }).describe('the platform answered to the report'),
+  'usage-counts-unreadable': z.strictObject({ key: z.string() }).describe('the counts of one node were passed over'),
+  'upstreams-ordered': z.strictObject({ ...orderFacts, running: count, load: z.number(), answer: z.string(), fencing: count }).describe('`load` engines are kept busy, so `desired` are to run in this pool'),
+  'order-unanswered': z.strictObject({ ...orderFacts, error }).describe('the order may still be carried out; it is repeated'),
+  'request-sent': z.strictObject({ request, upstream: z.string(), send: count, reading: duration, waiting: duration, candidates: count, ...sources }).describe('chosen among the candidates: `reading` of the prompt to be done there, `waiting` of other prompts before it'),
+  'send-not-run': z.strictObject({ request, upstream: z.string(), reason: z.string() }).describe('the upstream did not run it and never will'),
+  'attempt-broken': z.strictObject({ request, upstream: z.string(), events: count, attempts: count, after: duration, reason: z.string() }).describe('it may have run and broke off after so many events'),
+  'repeat-refused': z.strictObject({ request, reason: z.string(), attempts: count, unrun: count }).describe('it is not sent once more, and why'),
+  'upstream-not-found': z.strictObject({ request, service: z.string(), ready: count, tried: count, waited: duration, ...sources }).describe('no upstream of the service may take it'),
+  'quota-refused': z.strictObject({ request, organisation: z.string(), cost: z.number(), rate: z.number(), share: z.number(), retryAfter: duration, nodes: count }).describe('the organisation has used up this node\'s share of its rate'),
+  'answer-late': z.strictObject({ request, route: z.string(), upstream: z.string(), failureDomain: z.string(), target: duration, waited: duration, sends: count, promptTokens: count.optional(), loads: z.string() }).describe('the first answer came after the target; `loads` has requests/reading at each upstream, the star marks the one that answered'),
+  'request-served': z.strictObject({ request, route: z.string(), organisation: z.string().optional(), upstream: z.string(), attempts: count, unrun: count, events: count, firstAfter: duration, after: duration }).describe('answered whole; first answer and end after so long'),
+  'request-failed': z.strictObject({ request, route: z.string().optional(), organisation: z.string().optional(), code: z.string(), verdict: z.enum(['not-run', 'may-have-run', 'ran']), reason: z.string(), attempts: count.optional(), unrun: count.optional(), after: duration, retryAfter: duration.optional(), ...sources }).describe('not answered; the verdict says whether it may have run'),
+  'request-failed-unexpectedly': z.strictObject({ request, error }).describe('a fault of the program in one request'),
+  'request-handler-failed': z.strictObject({ error }).describe('a fault of the program after the answer'),
+  'sums-ended': z.strictObject({ error }).describe('a fault of the program: no sums are written any more'),
+  'requests-summed': z.strictObject({ served: count, late: count, refused: count, lost: count, left: count, span: duration }).describe('requests that ended since the line before: in time, late, not run, may have run, left by their callers'),
+  'shares-failing': taskFailing.describe('the dealing of shares fails'),
+  'shares-works-again': nothing.describe('and works again'),
+  'usage-counts-failing': taskFailing.describe('this node\'s counts don\'t reach the store'),
+  'usage-counts-works-again': nothing.describe('and do again'),
+  'usage-report-failing': taskFailing.describe('the holder can\'t decide or report a window'),
+  'usage-report-works-again': nothing.describe('and can again'),
+  'scaling-failing': taskFailing.describe('the holder can\'t plan or order'),
+  'scaling-works-again': nothing.describe('and can again'),
+  'lines-left-out': z.record(z.string(), z.union([z.string(), count])).describe('lines of each event that were left out since, to bound the volume')
+} as const satisfies Record<string, z.ZodType>
+
+/** Name of an event. */
+export type EventName = keyof typeof EVENTS
+
+/** Facts of one event. */
+export type EventFacts<Event extends EventName> = z.input<(typeof EVENTS)[Event]>
+
+/** Writes lines of the catalogue. */
+export interface EventLog {
+  info<Event extends EventName> (event: Event, facts?: EventFacts<Event>): void
+  warn<Event extends EventName> (event: Event, facts?: EventFacts<Event>): void
+  error<Event extends EventName> (event: Event, facts?: EventFacts<Event>): void
+}
--- a/src/gateway/acceptance.ts
+++ b/src/gateway/acceptance.ts
@@ -55,7 +55,9 @@
   const decision = context.quotas.take(organisation, cost, context.clock.now())
   switch (decision.kind) {
     case 'granted': return () => context.quotas.giveBack(organisation, cost)
-    case 'over': throw refusal('organisation-limit', `the quota of ${organisation.name} is used up`, decision.retryAfter)
+    case 'over':
+      context.log.info('quota-refused', { request: head.id, organisation: organisation.name, cost, rate: organisation.quota.rate, share: decision.share, retryAfter: Math.round(decision.retryAfter), nodes: context.sources().nodes })
+      throw refusal('organisation-limit', `the quota of ${organisation.name} is used up`, decision.retryAfter)
   }
 }
 
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -1,6 +1,6 @@
 /** What the parts of a gateway node share. */
 import type { Clock, Milliseconds } from '../clock.js'
-import type { Log } from '../log.js'
+import type { EventLog } from '../events/index.js'
 import type { Quarantine } from '../quarantine/index.js'
 import type { QuotaLimiter, RetryBudget } from '../quota/index.js'
 import type { Random } from '../random.js'
@@ -10,6 +10,7 @@
 import type { UpstreamConnections } from './exchange.js'
 import type { GatewayMetrics } from './metrics.js'
 import type { RequestFormat } from './ports.js'
+import type { RequestSums } from './request-sums.js'
 import type { GatewaySettings } from './settings.js'
 import type { UpstreamView } from './upstream-view.js'
 
@@ -21,12 +22,24 @@
   readonly cutOff: Milliseconds
 }
 
+/** How old what this node goes by is. */
+export interface Sources {
+  /** Version in force. */
+  readonly configuration: number | undefined
+  /** Since the store was last heard of for the configuration. */
+  readonly configurationAge: Milliseconds | undefined
+  /** The same for upstreams. */
+  readonly upstreamsAge: Milliseconds | undefined
+  /** Nodes that may serve, as far as known. */
+  readonly nodes: number
+}
+
 /** Shared by all requests of a node. */
 export interface GatewayContext {
   readonly settings: GatewaySettings
   readonly clock: Clock
   readonly random: Random
-  readonly log: Log
+  readonly log: EventLog
   readonly metrics: GatewayMetrics
   readonly format: RequestFormat
   readonly upstreams: UpstreamView
@@ -34,6 +47,7 @@
   readonly quotas: QuotaLimiter
   readonly quarantine: Quarantine
   readonly usage: UsageWindows
+  readonly sums: RequestSums
   readonly work: WorkMeter
   /** Bound on further attempts of a service. */
   readonly retryBudget: (service: string) => RetryBudget
@@ -43,6 +57,8 @@
   readonly table: () => RouteTable | undefined
   /** Wall time that the nodes agree on, which a step of this machine's clock doesn't move. */
   readonly sharedWall: () => Milliseconds
+  /** What decisions go by, for the lines that tell of them. */
+  readonly sources: () => Sources
   /** Undefined while the node serves. */
   readonly stop: () => StopTimes | undefined
 }
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -5,9 +5,9 @@
  * that ends early, bytes that are no answer. Undici closes it whenever an exchange ends before its
  * answer does, and does the same for an answer that ends before the request was written.
  */
-import { Pool } from 'undici'
+import { buildConnector, Pool } from 'undici'
 import type { Dispatcher } from 'undici'
-import type { Milliseconds } from '../clock.js'
+import type { Clock, Milliseconds } from '../clock.js'
 import type { UpstreamRecord } from '../placement/index.js'
 import { connectionFailure } from '../protocols/http.js'
 import { addressSchema } from '../identifiers.js'
@@ -51,6 +51,8 @@
   start (upstream: UpstreamRecord, request: UpstreamRequest, signal: AbortSignal): Promise<ExchangeStart>
   /** Closes connections to upstreams that aren't there any more, as their exchanges end. */
   keep (ids: ReadonlySet<string>): void
+  /** Connections that are open now. */
+  open (): number
   /** Most connections to one upstream of a service. */
   limit (service: string, connections: number): void
   close (): Promise<void>
@@ -73,11 +75,14 @@
 
 /**
  * @param format how answers are written
+ * @param connected called with the time that each new connection took
  * @example
- * const connections = createUpstreamConnections(platform.format)
+ * const connections = createUpstreamConnections(platform.format, clock, (took) => metrics.record('connecting', took))
  * const start = await connections.start(upstream, request, signal)
  */
-export function createUpstreamConnections (format: RequestFormat): UpstreamConnections {
+export function createUpstreamConnections (format: RequestFormat, clock: Clock, connected: (took: Milliseconds) => void): UpstreamConnections {
+  const connector = buildConnector({ timeout: CONNECT_TIMEOUT })
+
   const pools = new Map<string, Pool>()
   const limits = new Map<string, number>()
 
@@ -89,7 +94,7 @@
       pipelining: 1,
       keepAliveTimeout: IDLE_TIME,
       keepAliveMaxTimeout: IDLE_TIME,
-      connect: { timeout: CONNECT_TIMEOUT },
+      connect: timedConnect,
       headersTimeout: 0,
       bodyTimeout: 0
     })
@@ -97,6 +102,14 @@
     return pool
   }
 
+  function timedConnect (options: buildConnector.Options, callback: buildConnector.Callback): void {
+    const start = clock.now()
+    connector(options, (...result) => {
+      if (result[0] === null) connected(clock.now() - start)
+      callback(...result)
+    })
+  }
+
   async function start (upstream: UpstreamRecord, request: UpstreamRequest, signal: AbortSignal): Promise<ExchangeStart> {
     try {
       const { statusCode, headers, body } = await poolOf(upstream).request({
@@ -122,6 +135,7 @@
         pool.close().catch(() => {})
       }
     },
+    open: () => [...pools.values()].reduce((sum, pool) => sum + pool.stats.connected, 0),
     limit: (service, connections) => { limits.set(service, connections) },
     close: async () => { await Promise.all([...pools.values()].map((pool) => pool.destroy())) }
   }
--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -19,6 +19,8 @@
 export interface Fleet {
   /** Nodes that were heard of within seconds. */
   live (): NodeState[]
+  /** Since the live node that was silent for the longest time was heard of; undefined when there is no other. */
+  oldest (): Milliseconds | undefined
   /** All that is remembered, nodes that have died lately included. */
   remembered (): NodeState[]
   /** Nodes that may serve, as many as either source knows of: a share that is too small breaks no bound. */
@@ -108,6 +110,7 @@
 
   return {
     live,
+    oldest: () => gossip.table.oldest(clock.now()),
     remembered: gossip.table.all,
     size: () => Math.max(1, records.all().length, live().length + 1),
     addresses,
--- a/src/gateway/follow.ts
+++ b/src/gateway/follow.ts
@@ -2,7 +2,7 @@
 import { followKeys } from '../entry/key-watch.js'
 import type { WatchPauses } from '../entry/key-watch.js'
 import type { Clock, Milliseconds } from '../clock.js'
-import type { Log } from '../log.js'
+import type { EventLog } from '../events/index.js'
 import type { KeyValue, KeyValueEntry } from '../protocols/key-value.js'
 import type { Random } from '../random.js'
 
@@ -11,7 +11,7 @@
   readonly store: KeyValue
   readonly clock: Clock
   readonly random: Random
-  readonly log: Log
+  readonly log: EventLog
   readonly signal: AbortSignal
 }
 
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -9,7 +9,10 @@
 import type { Choice, Work } from '../placement/index.js'
 import { chooseService } from '../routing/index.js'
 import { toServingError } from '../verdict.js'
+import type { ServingError } from '../verdict.js'
 import { acceptHead, refusal, takeQuota } from './acceptance.js'
+import { account } from './accounting.js'
+import type { AnswerOutcome, Call, Ending } from './accounting.js'
 import { answerFailure } from './answering.js'
 import type { GatewayContext } from './context.js'
 import { fingerprintOf } from './fingerprint.js'
@@ -39,57 +42,55 @@
  * createCallerServer((request, response) => { forwardRequest(context, request, response) }, count)
  */
 export async function forwardRequest (context: GatewayContext, request: IncomingMessage, response: ServerResponse): Promise<void> {
-  const { clock, format, log, metrics } = context
-  const arrival = clock.now()
-  const head = format.readRequest(request.headers)
+  const { clock, format, log } = context
+  const call: Call = { head: format.readRequest(request.headers), arrival: clock.now(), accepted: undefined, passage: undefined }
   const controller = new AbortController()
   response.on('close', () => { if (!response.writableFinished) controller.abort('caller-gone' satisfies EndReason) })
-  let passage: Passage | undefined
-  let outcome: string
-  let release = (): void => {}
+  const undo: (() => void)[] = []
+  let ending: Ending
   try {
-    checkHeadSize(context, request)
-    const accepted = acceptHead(context.table(), head, request.headers.host, request.url ?? '/')
-    const stop = context.stop()
-    if (stop !== undefined && !mayBegin({ now: arrival, ...stop }, accepted.route, head)) throw refusal('stopping', 'this node stops before the request would end', STOPPING_WAIT)
-    const limit = createTimeLimit(arrival, head.deadline, accepted.route)
-    release = abortAtEnd(clock, limit, controller)
-    const body = await readWholeBody(context, request, controller.signal)
-    const fingerprint = fingerprintOf(request.url ?? '/', accepted.organisation?.name, body)
-    if (context.quarantine.isRefused(fingerprint, clock.now())) throw refusal('overloaded', 'this request has crashed the upstreams that ran it', QUARANTINE_WAIT)
-    const giveBack = takeQuota(context, accepted)
-    const service = chooseService(accepted.route, context.random)
-    passage = { accepted, request, response, body, fingerprint, arrival, limit, signal: controller.signal, service: service ?? '', tried: new Set(), attempts: 0, unrun: 0, arrivals: 0, progress: { lastId: head.lastEvent, events: 0 }, counted: false }
-    context.retryBudget(passage.service).request(arrival)
-    outcome = await sendUntilDone(context, passage)
-    if (passage.attempts === 0) giveBack()
+    call.passage = await accept(context, request, response, call, controller, undo)
+    ending = { kind: 'answered', outcome: await sendUntilDone(context, call.passage) }
   } catch (error) {
     const failure = toServingError(error, 'may-have-run')
-    if (failure.code === 'internal') log.error('request-failed-unexpectedly', { request: head.id, error: String((error as Error).stack) })
-    outcome = failure.code
-    if (controller.signal.reason !== 'caller-gone') answerFailure(response, format, head.id, failure)
-    log.info('request-failed', {
-      request: head.id,
-      route: passage?.accepted.route.name,
-      organisation: passage?.accepted.organisation?.name,
-      code: failure.code,
-      verdict: failure.verdict,
-      reason: failure.message,
-      attempts: passage?.attempts,
-      unrun: passage?.unrun,
-      after: Math.round(clock.now() - arrival),
-      configuration: context.table()?.configuration.version
-    })
+    ending = { kind: 'failed', failure }
+    if (failure.code === 'internal') log.error('request-failed-unexpectedly', { request: call.head.id, error: String((error as Error).stack) })
+    if (controller.signal.reason !== 'caller-gone') answerFailure(response, format, call.head.id, failure)
   } finally {
-    release()
+    for (const step of undo) step()
   }
-  const labels = { route: passage?.accepted.route.name ?? 'none', outcome }
-  metrics.count('requests', labels)
-  metrics.record('whole_answer', clock.now() - arrival, { route: labels.route })
+  account(context, call, ending)
+}
+
+/**
+ * Checks a request and reads it whole.
+ *
+ * @param undo what is to be done at its end
+ * @throws ServingError `not-run`
+ */
+async function accept (context: GatewayContext, request: IncomingMessage, response: ServerResponse, call: Call, controller: AbortController, undo: (() => void)[]): Promise<Passage> {
+  const { clock } = context
+  const { head, arrival } = call
+  checkHeadSize(context, request)
+  const accepted = acceptHead(context.table(), head, request.headers.host, request.url ?? '/')
+  call.accepted = accepted
+  const stop = context.stop()
+  if (stop !== undefined && !mayBegin({ now: arrival, ...stop }, accepted.route, head)) throw refusal('stopping', 'this node stops before the request would end', STOPPING_WAIT)
+  const limit = createTimeLimit(arrival, head.deadline, accepted.route)
+  undo.push(abortAtEnd(clock, limit, controller))
+  const body = await readWholeBody(context, request, controller.signal)
+  const fingerprint = fingerprintOf(request.url ?? '/', accepted.organisation?.name, body)
+  if (context.quarantine.isRefused(fingerprint, clock.now())) throw refusal('overloaded', 'this request has crashed the upstreams that ran it', QUARANTINE_WAIT)
+  const giveBack = takeQuota(context, accepted)
+  const service = chooseService(accepted.route, context.random) ?? ''
+  context.retryBudget(service).request(arrival)
+  const passage: Passage = { accepted, request, response, body, fingerprint, arrival, limit, signal: controller.signal, service, tried: new Set(), attempts: 0, unrun: 0, arrivals: 0, progress: { lastId: head.lastEvent, events: 0 }, counted: false, firstAnswer: undefined }
+  undo.push(() => { if (passage.attempts === 0) giveBack() })
+  return passage
 }
 
 /** Sends until an upstream has answered or nothing more may be sent. @returns how it ended */
-async function sendUntilDone (context: GatewayContext, passage: Passage): Promise<string> {
+async function sendUntilDone (context: GatewayContext, passage: Passage): Promise<AnswerOutcome> {
   for (;;) {
     const choice = await findUpstream(context, passage)
     passage.tried.add(choice.upstream.id)
@@ -113,11 +114,24 @@
       return choice
     }
     if (passage.signal.aborted) throw endFailure(passage)
-    if (clock.now() >= patience) throw unsent(passage, 'no-upstream', 'no upstream may take the request now')
+    if (clock.now() >= patience) throw noUpstream(context, passage)
     await clock.sleep(WAITING_PERIOD, passage.signal).catch(() => {})
   }
 }
 
+function noUpstream (context: GatewayContext, passage: Passage): ServingError {
+  const { clock, log, upstreams } = context
+  log.info('upstream-not-found', {
+    request: passage.accepted.head.id,
+    service: passage.service,
+    ready: upstreams.candidates(passage.service, new Set(), clock.now()).length,
+    tried: passage.tried.size,
+    waited: Math.round(clock.now() - passage.arrival),
+    ...context.sources()
+  })
+  return unsent(passage, 'no-upstream', 'no upstream may take the request now')
+}
+
 function choose (context: GatewayContext, passage: Passage): Choice | undefined {
   const now = context.clock.now()
   const { head } = passage.accepted
--- a/src/gateway/gossip-keeper.ts
+++ b/src/gateway/gossip-keeper.ts
@@ -3,7 +3,7 @@
 import type { Clock, Milliseconds } from '../clock.js'
 import { createGossipTable } from '../gossip/index.js'
 import type { GossipMessage, GossipTable, NodeState, SharedWall } from '../gossip/index.js'
-import type { Log } from '../log.js'
+import type { EventLog } from '../events/index.js'
 import type { Random } from '../random.js'
 import type { PeerAnswers, PeerLink } from './peer-link.js'
 
@@ -14,7 +14,7 @@
   readonly wall: SharedWall
   readonly clock: Clock
   readonly random: Random
-  readonly log: Log
+  readonly log: EventLog
   readonly signal: AbortSignal
   readonly link: (address: string) => PeerLink
   /** This node's state now; its sequence is set here. */
--- a/src/gateway/metrics.ts
+++ b/src/gateway/metrics.ts
@@ -13,6 +13,8 @@
   record (name: string, duration: Milliseconds, labels?: Labels): void
   /** Names a value that is read when the page is. */
   gauge (name: string, read: () => number | undefined): void
+  /** The same for one value for each label. */
+  family (name: string, label: string, read: () => Readonly<Record<string, number>>): void
   /** The page. */
   text (): string
   /** Loads what histograms need; a start doesn't wait for it (17 of 110 ms). Durations recorded before are kept. */
@@ -37,6 +39,7 @@
   const counters = new Map<string, number>()
   const histograms = new Map<string, Histogram>()
   const gauges = new Map<string, () => number | undefined>()
+  const families: { readonly name: string, readonly label: string, readonly read: () => Readonly<Record<string, number>> }[] = []
   const pending: { readonly series: string, readonly duration: Milliseconds }[] = []
   let createHistogram: (() => Histogram) | undefined
 
@@ -69,12 +72,14 @@
       for (const { series, duration } of pending.splice(0)) record(series, duration)
     },
     gauge: (name, read) => { gauges.set(name, read) },
+    family: (name, label, read) => { families.push({ name, label, read }) },
     text: () => [
       ...[...counters].map(([series, value]) => `hornbeamgap_${series} ${value}`),
       ...[...gauges].flatMap(([name, read]) => {
         const value = read()
         return value === undefined ? [] : [`hornbeamgap_${name} ${value}`]
       }),
+      ...families.flatMap(({ name, label, read }) => Object.entries(read()).map(([value, number]) => `hornbeamgap_${name}${formatLabels({ [label]: value })} ${number}`)),
       ...[...histograms].flatMap(([series, histogram]) => histogramLines(series, histogram)),
       ''
     ].join('\n')
--- /dev/null
+++ b/src/gateway/node-metrics.ts
@@ -0,0 +1,61 @@
+/** Values of a node that its metrics page shows, and what is written or measured at regular times. */
+import type { Clock, Milliseconds } from '../clock.js'
+import type { EventLog } from '../events/index.js'
+import type { QuotaLimiter, RetryBudget } from '../quota/index.js'
+import type { Sources } from './context.js'
+import type { UpstreamConnections } from './exchange.js'
+import type { Fleet } from './fleet.js'
+import type { GatewayMetrics } from './metrics.js'
+import type { RequestSums } from './request-sums.js'
+import type { UpstreamView } from './upstream-view.js'
+
+/** What is shown. */
+export interface NodeMetricsOptions {
+  readonly metrics: GatewayMetrics
+  readonly clock: Clock
+  readonly log: EventLog
+  readonly signal: AbortSignal
+  readonly sums: RequestSums
+  readonly sources: () => Sources
+  readonly fleet: Fleet
+  readonly upstreams: UpstreamView
+  readonly connections: UpstreamConnections
+  readonly quotas: QuotaLimiter
+  readonly budgets: ReadonlyMap<string, RetryBudget>
+  readonly inFlight: () => number
+  readonly holdsDuties: () => boolean
+}
+
+/** How often sums are written and the delay of the loop is measured. A day of 90 s is drawn from some 45 points. */
+const PERIOD: Milliseconds = 2_000
+
+/**
+ * @example
+ * exposeNode({ metrics, clock, log, signal, sums, sources, fleet, upstreams, connections, quotas, budgets, inFlight, holdsDuties })
+ */
+export function exposeNode (options: NodeMetricsOptions): void {
+  const { metrics, clock, sources, fleet, upstreams, connections, quotas, budgets } = options
+  metrics.gauge('configuration_version', () => sources().configuration)
+  metrics.gauge('configuration_age_ms', () => sources().configurationAge)
+  metrics.gauge('upstreams_age_ms', () => sources().upstreamsAge)
+  metrics.gauge('upstreams_known', () => upstreams.all().length)
+  metrics.gauge('upstream_connections', connections.open)
+  metrics.gauge('nodes_known', () => sources().nodes)
+  metrics.gauge('nodes_live', () => fleet.live().length + 1)
+  metrics.gauge('nodes_oldest_ms', fleet.oldest)
+  metrics.gauge('requests_in_flight', options.inFlight)
+  metrics.gauge('duties_held', () => options.holdsDuties() ? 1 : 0)
+  metrics.gauge('resident_bytes', () => process.memoryUsage.rss())
+  metrics.family('quota_share', 'organisation', quotas.shares)
+  metrics.family('retries_left', 'service', () => Object.fromEntries([...budgets].map(([service, budget]) => [service, budget.left(clock.now())])))
+  tellRegularly(options).catch((error) => { if (!options.signal.aborted) options.log.error('sums-ended', { error: String(error) }) })
+}
+
+async function tellRegularly ({ clock, log, metrics, signal, sums }: NodeMetricsOptions): Promise<void> {
+  for (;;) {
+    const due = clock.now() + PERIOD
+    await clock.sleep(PERIOD, signal)
+    metrics.record('loop_delay', clock.now() - due)
+    sums.tell(log, clock.now())
+  }
+}
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -6,7 +6,7 @@
 import { addressSchema } from '../identifiers.js'
 import type { Clock, Milliseconds } from '../clock.js'
 import type { NodeState } from '../gossip/index.js'
-import type { Log } from '../log.js'
+import type { EventLog } from '../events/index.js'
 import { createQuarantine } from '../quarantine/index.js'
 import { createQuotaLimiter, createRetryBudget } from '../quota/index.js'
 import type { RetryBudget } from '../quota/index.js'
@@ -18,17 +18,19 @@
 import { refusal } from './acceptance.js'
 import { answerFailure } from './answering.js'
 import { createConfigurationKeeper } from './configuration-keeper.js'
-import type { GatewayContext, StopTimes } from './context.js'
+import type { GatewayContext, Sources, StopTimes } from './context.js'
 import { keepDuties } from './duties.js'
 import { createDutyHolder, DUTY_KEY } from './duty-holder.js'
 import { createUpstreamConnections } from './exchange.js'
 import { joinFleet } from './fleet.js'
 import type { Fleet, OwnReport } from './fleet.js'
-import type { FollowContext } from './follow.js'
+import type { FollowContext, Following } from './follow.js'
 import { forwardRequest } from './forwarding.js'
 import { callerConnections, createCallerServer, limitCallers } from './listener.js'
 import { createGatewayMetrics } from './metrics.js'
+import { exposeNode } from './node-metrics.js'
 import type { Platform } from './ports.js'
+import { createRequestSums } from './request-sums.js'
 import { createServicePaths } from './service-paths.js'
 import { addressOf } from './settings.js'
 import type { GatewaySettings, HostPort } from './settings.js'
@@ -42,7 +44,7 @@
   readonly platform: Platform
   readonly clock: Clock
   readonly random: Random
-  readonly log: Log
+  readonly log: EventLog
 }
 
 /** A running node. */
@@ -89,13 +91,15 @@
   const follows: FollowContext = { store: platform.store, clock, random, log, signal: ending.signal }
   const metrics = createGatewayMetrics()
   const upstreams = createUpstreamView()
-  const connections = createUpstreamConnections(platform.format)
+  const connections = createUpstreamConnections(platform.format, clock, (took) => metrics.record('connecting', took))
   const quotas = createQuotaLimiter()
   const quarantine = createQuarantine()
   const usage = createUsageWindows(bounds.usageWindow)
+  const sums = createRequestSums(clock.now())
   const work = createWorkMeter()
   const budgets = new Map<string, RetryBudget>()
   let inFlight = 0
+  let dealtTo = 0
   let context = undefined as GatewayContext | undefined
   let stopping: StopTimes | undefined
 
@@ -140,25 +144,23 @@
     quotas,
     quarantine,
     usage,
+    sums,
     work,
     retryBudget: (service) => findOrCreate(budgets, service, () => createBudget(fleet)),
     tellReading: fleet.tellReading,
     table: configuration.table,
     sharedWall: fleet.wall,
+    sources,
     stop: () => stopping
   }
-  keepUpstreams(follows, platform.registry, upstreams, connections)
+  const upstreamsFollowing = keepUpstreams(follows, platform.registry, upstreams, connections)
   const duties = platform.duties && keepDuties({ context: follows, settings, incarnation, calls: platform.duties, holder, fleet, usage, work, upstreams, table: configuration.table })
 
   repeat({ clock, log, signal: ending.signal }, 'shares', SHARE_PERIOD, applyShares)
-
-  metrics.gauge('configuration_version', () => configuration.table()?.configuration.version)
-  metrics.gauge('requests_in_flight', () => inFlight)
-  metrics.gauge('nodes_live', () => fleet.live().length + 1)
-  metrics.gauge('upstreams_known', () => upstreams.all().length)
-  metrics.gauge('resident_bytes', () => process.memoryUsage.rss())
+  exposeNode({ metrics, clock, log, signal: ending.signal, sums, sources, fleet, upstreams, connections, quotas, budgets, inFlight: () => inFlight, holdsDuties: () => holder.proof() !== undefined })
 
   const ready = await servePaths(settings.ready)
+  await servePaths(settings.metrics)
   const directory = settings.directory === undefined ? undefined : await servePaths(settings.directory)
   clock.sleep(METRICS_AFTER, ending.signal).then(metrics.load).catch((error) => { if (!ending.signal.aborted) log.warn('histograms-not-loaded', { error: String(error) }) })
   log.info('node-started', { incarnation, failureDomain: settings.failureDomain, front })
@@ -169,6 +171,20 @@
     return listenAt(paths, place)
   }
 
+  function sources (): Sources {
+    return {
+      configuration: configuration.table()?.configuration.version,
+      configurationAge: ageOf(configuration.following),
+      upstreamsAge: ageOf(upstreamsFollowing),
+      nodes: fleet.size()
+    }
+  }
+
+  function ageOf (following: Following): Milliseconds | undefined {
+    const heardAt = following.heardAt()
+    return heardAt === undefined ? undefined : Math.round(clock.now() - heardAt)
+  }
+
   function isReady (): boolean {
     return stopping === undefined && configuration.table() !== undefined
   }
@@ -197,8 +213,13 @@
 
   /** This node's parts of what all nodes together may use. */
   function applyShares (): void {
-    quotas.observe(fleet.live().map((state) => state.demand), fleet.size())
-    for (const budget of budgets.values()) budget.share(fleet.size())
+    const nodes = fleet.size()
+    const heard = fleet.live().map((state) => state.demand)
+    quotas.observe(heard, nodes)
+    for (const budget of budgets.values()) budget.share(nodes)
+    if (nodes === dealtTo) return
+    dealtTo = nodes
+    log.info('shares-dealt', { nodes, heard: heard.length })
   }
 
   function applyLimits (next: RoutingConfiguration): void {
--- a/src/gateway/notes.ts
+++ b/src/gateway/notes.ts
@@ -1,22 +1,43 @@
 /** What one request's sends teach the node: health of upstreams, usage, broken runs, and lines for the log. */
 import type { Milliseconds } from '../clock.js'
-import type { UpstreamRecord } from '../placement/index.js'
+import type { Choice, UpstreamRecord } from '../placement/index.js'
 import type { GatewayContext } from './context.js'
 import type { NotRunReason } from './exchange.js'
 import type { Passage } from './passage.js'
 
+/**
+ * A request goes to the upstream that was chosen for it.
+ *
+ * @example
+ * noteSent(context, passage, choice)
+ */
+export function noteSent (context: GatewayContext, passage: Passage, { upstream, reading, waiting, candidates }: Choice): void {
+  const now = context.clock.now()
+  context.metrics.record('waiting', now - passage.arrival, { route: passage.accepted.route.name })
+  context.log.info('request-sent', {
+    request: passage.accepted.head.id,
+    upstream: upstream.id,
+    send: passage.tried.size,
+    reading: Math.round(reading),
+    waiting: Math.round(waiting),
+    candidates,
+    ...context.sources()
+  })
+}
+
 /**
  * A send was not run by the upstream.
  *
  * @example
- * noteUnrun(context, upstream, 'full')
+ * noteUnrun(context, passage, upstream, 'full')
  */
-export function noteUnrun (context: GatewayContext, upstream: UpstreamRecord, reason: NotRunReason): void {
-  const { clock, upstreams, metrics } = context
+export function noteUnrun (context: GatewayContext, passage: Passage, upstream: UpstreamRecord, reason: NotRunReason): void {
+  const { clock, upstreams, metrics, log } = context
   metrics.count('sends_not_run', { reason })
+  log.info('send-not-run', { request: passage.accepted.head.id, upstream: upstream.id, reason })
   switch (reason) {
     case 'unreachable':
-      upstreams.health.failed(upstream.id, clock.now())
+      pause(context, upstream, reason)
       return
     case 'full':
       upstreams.health.full(upstream.id, clock.now())
@@ -37,7 +58,7 @@
  */
 export function noteBroken (context: GatewayContext, passage: Passage, upstream: UpstreamRecord, reason: string): void {
   const now = context.clock.now()
-  context.upstreams.health.failed(upstream.id, now)
+  pause(context, upstream, reason)
   context.quarantine.broken(passage.fingerprint, now)
   context.log.info('attempt-broken', {
     request: passage.accepted.head.id,
@@ -74,10 +95,18 @@
     context.usage.began(organisation.name, context.sharedWall())
   }
   const waited = context.clock.now() - passage.arrival
+  passage.firstAnswer ??= waited
   context.metrics.record('first_answer', waited, { route: passage.accepted.route.name })
   if (waited > passage.accepted.route.target) tellLate(context, passage, upstream, waited)
 }
 
+/** One line as it begins, not for each failure while it lasts. */
+function pause ({ upstreams, clock, log }: GatewayContext, upstream: UpstreamRecord, reason: string): void {
+  const now = clock.now()
+  if (upstreams.health.usable(upstream.id, now)) log.info('upstream-paused', { upstream: upstream.id, reason })
+  upstreams.health.failed(upstream.id, now)
+}
+
 function tellLate (context: GatewayContext, passage: Passage, upstream: UpstreamRecord, waited: Milliseconds): void {
   const { accepted } = passage
   const candidates = context.upstreams.candidates(passage.service, new Set(), context.clock.now())
--- a/src/gateway/passage.ts
+++ b/src/gateway/passage.ts
@@ -32,6 +32,8 @@
   readonly progress: StreamProgress
   /** It stands in the usage of its organisation. */
   counted: boolean
+  /** Time from its arrival to the first part of its answer. */
+  firstAnswer: Milliseconds | undefined
 }
 
 /** When a refused caller is to come back: a replacement of a crashed upstream is in the registry by then. */
@@ -40,6 +42,9 @@
 /** Most sends of one request that no upstream ran; each cost at most a connection's timeout. */
 const MOST_UNRUN_SENDS = 4
 
+/** Why a request isn't sent once more. */
+type RepeatRefusal = 'its time is up' | 'too many upstreams did not run it' | 'it may run only once' | 'its route allows no further attempt' | 'the retry budget is used up'
+
 /**
  * Whether a request may be sent once more after a send with this verdict. Takes from the retry budget where
  * upstreams will see it more than once.
@@ -48,12 +53,22 @@
  * if (!maySendAgain(context, passage, 'may-have-run')) throw failure
  */
 export function maySendAgain (context: GatewayContext, passage: Passage, verdict: Verdict): boolean {
+  const refused = repeatRefusal(context, passage, verdict)
+  if (refused === undefined) return true
+  context.log.info('repeat-refused', { request: passage.accepted.head.id, reason: refused, attempts: passage.attempts, unrun: passage.unrun })
+  return false
+}
+
+function repeatRefusal (context: GatewayContext, passage: Passage, verdict: Verdict): RepeatRefusal | undefined {
   const { route } = passage.accepted
-  if (passage.signal.aborted || passage.unrun >= MOST_UNRUN_SENDS) return false
+  if (passage.signal.aborted) return 'its time is up'
+  if (passage.unrun >= MOST_UNRUN_SENDS) return 'too many upstreams did not run it'
   // A stream goes on after the last event that was passed on; before the first one it begins anew.
   const repeatable = route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable)
-  if (!mayRepeat(verdict, repeatable) || passage.attempts >= route.mostAttempts) return false
-  return passage.arrivals === 0 || context.retryBudget(passage.service).take(context.clock.now())
+  if (!mayRepeat(verdict, repeatable)) return 'it may run only once'
+  if (passage.attempts >= route.mostAttempts) return 'its route allows no further attempt'
+  if (passage.arrivals === 0 || context.retryBudget(passage.service).take(context.clock.now())) return undefined
+  return 'the retry budget is used up'
 }
 
 /**
--- a/src/gateway/sending.ts
+++ b/src/gateway/sending.ts
@@ -3,9 +3,10 @@
 import type { Choice, UpstreamRecord } from '../placement/index.js'
 import { ServingError } from '../verdict.js'
 import type { Verdict } from '../verdict.js'
+import type { AnswerOutcome } from './accounting.js'
 import type { GatewayContext } from './context.js'
 import type { ExchangeStart, UpstreamAnswer } from './exchange.js'
-import { noteBegun, noteBroken, noteUnrun, noteWhole } from './notes.js'
+import { noteBegun, noteBroken, noteSent, noteUnrun, noteWhole } from './notes.js'
 import { endFailure, maySendAgain, unsent } from './passage.js'
 import type { Passage } from './passage.js'
 import { EVENT_PAUSE, firstAnswerBound, watchSilence } from './silence.js'
@@ -15,7 +16,7 @@
 
 /** What a send came to. */
 export type SendResult =
-  | { readonly kind: 'done', readonly outcome: string }
+  | { readonly kind: 'done', readonly outcome: AnswerOutcome }
   /** It wasn't answered; `verdict` says whether it may have run. */
   | { readonly kind: 'again', readonly verdict: Verdict, readonly failure: ServingError }
   /** The upstream was silent for too long; another send is granted already. */
@@ -50,6 +51,7 @@
  */
 export async function sendOnce (context: GatewayContext, passage: Passage, choice: Choice): Promise<SendResult> {
   const attempt = beginAttempt(context, passage, choice)
+  noteSent(context, passage, choice)
   passage.attempts += 1
   passage.arrivals += 1
   try {
@@ -98,7 +100,7 @@
       passage.attempts -= 1
       passage.unrun += 1
       if (started.reason === 'unreachable') passage.arrivals -= 1
-      noteUnrun(context, attempt.upstream, started.reason)
+      noteUnrun(context, passage, attempt.upstream, started.reason)
       if (passage.signal.aborted) throw endFailure(passage)
       return { kind: 'again', verdict: 'not-run', failure: unsent(passage, 'overloaded', `upstream ${attempt.upstream.id}: ${started.reason}`) }
     case 'broken':
--- a/src/gateway/settings-reload.ts
+++ b/src/gateway/settings-reload.ts
@@ -1,6 +1,6 @@
 /** Settings that change while the node runs: told by SIGHUP, or found by looking at the file now and then. */
 import type { Clock, Milliseconds } from '../clock.js'
-import type { Log } from '../log.js'
+import type { EventLog } from '../events/index.js'
 import { every } from '../clock.js'
 import type { GatewaySettings } from './settings.js'
 
@@ -17,7 +17,7 @@
   /** Reads and checks the file. @throws ServingError that names the wrong key */
   readonly read: () => GatewaySettings
   readonly clock: Clock
-  readonly log: Log
+  readonly log: EventLog
   readonly signal: AbortSignal
 }
 
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -38,6 +38,8 @@
   readonly directory: HostPort | undefined
   /** Other nodes of the system. */
   readonly peers: HostPort
+  /** Serves the metrics page. */
+  readonly metrics: HostPort
   readonly store: HostPort
   /** Usage reports and orders; undefined where the deployment has neither. */
   readonly cloud: HostPort | undefined
--- a/src/gateway/stopping.ts
+++ b/src/gateway/stopping.ts
@@ -4,12 +4,12 @@
  */
 import type { Server } from 'node:http'
 import type { Clock, Milliseconds } from '../clock.js'
-import type { Log } from '../log.js'
+import type { EventLog } from '../events/index.js'
 
 /** What a stop needs. */
 export interface StopOptions {
   readonly clock: Clock
-  readonly log: Log
+  readonly log: EventLog
   readonly server: Server
   /** Time at which what still runs is cut off. */
   readonly cutOff: Milliseconds
--- a/src/gateway/upstream-keeper.ts
+++ b/src/gateway/upstream-keeper.ts
@@ -32,7 +32,7 @@
     }
   }
 
-  function put (record: UpstreamRecord, source: string): void {
+  function put (record: UpstreamRecord, source: 'watch' | 'listing'): void {
     const change = view.put(record)
     if (change === undefined) return
     log.info(`upstream-${change}`, { upstream: record.id, service: record.service, address: record.address, failureDomain: record.failureDomain, reclaimable: record.reclaimable, leavesIn: record.leavesIn, source })
--- a/src/gossip/table.ts
+++ b/src/gossip/table.ts
@@ -18,6 +18,8 @@
   versions (): Versions
   /** Other nodes that were heard of lately, directly or not. */
   live (now: Milliseconds): NodeState[]
+  /** Since the live node that was silent for the longest time was heard of; undefined when there is no other. */
+  oldest (now: Milliseconds): Milliseconds | undefined
   /** All other incarnations that aren't forgotten yet, dead ones included. */
   all (): NodeState[]
 }
@@ -97,6 +99,10 @@
     },
     versions,
     live: (now) => latestLives([...heard.values()].filter(({ at }) => now - at < SILENT_AFTER)),
+    oldest: (now) => {
+      const ages = [...heard.values()].map(({ at }) => now - at).filter((age) => age < SILENT_AFTER)
+      return ages.length === 0 ? undefined : Math.max(...ages)
+    },
     all: () => [...heard.values()].map(({ state }) => state)
   }
 }
--- a/src/operator/command/output.ts
+++ b/src/operator/command/output.ts
@@ -1,4 +1,6 @@
 /** What the command writes: JSON for programs, aligned text for people. */
+import { writeFileSync } from 'node:fs'
+import { ServingError } from '../../verdict.js'
 
 /** Where a command writes to and what it ends with. */
 export interface CommandOutput {
@@ -42,6 +44,31 @@
   }
 }
 
+/**
+ * Writes a file that the command was asked for.
+ *
+ * @throws ServingError `invalid-request` when it can't be written
+ * @example
+ * writeTextFile('report.html', page)
+ */
+export function writeTextFile (path: string, text: string): void {
+  try {
+    writeFileSync(path, text)
+  } catch (cause) {
+    throw invalidUse(`${path}: cannot be written: ${(cause as Error).message}`)
+  }
+}
+
+/**
+ * A wrong use of a command.
+ *
+ * @example
+ * throw invalidUse('--from and --since exclude each other')
+ */
+export function invalidUse (message: string): ServingError {
+  return new ServingError(message, { code: 'invalid-request', verdict: 'not-run' })
+}
+
 function align (cell: string, width: number, right: boolean): string {
   return right ? cell.padStart(width) : cell.padEnd(width)
 }
--- a/src/operator/command/plots.ts
+++ b/src/operator/command/plots.ts
@@ -1,4 +1,5 @@
 /** Plots of the report's page as inline SVG, each with its content in words for readers who cannot see it. */
+import { HOUR } from '../../clock.js'
 import { countText, durationText, meets, percentText } from '../../report/index.js'
 import type { LatencySummary, ReportDocument, RequestSums } from '../../report/index.js'
 import { html } from './markup.js'
@@ -25,7 +26,7 @@
 const PLOT_WIDTH = 860
 const AXIS = 48
 const LABEL_LINE = 16
-const HOURS_PER_LABEL_AT_LEAST = 60
+const LABEL_WIDTH = 60
 
 /**
  * Stacked bar of what became of the requests.
@@ -67,6 +68,14 @@
 <td>${words}${target}</td><td class="${verdict === 'missed' ? 'bad' : 'good'}">${verdict}</td></tr>`
 }
 
+/** One piece of a stacked bar. */
+export interface BarPiece {
+  /** Class in the style sheet. */
+  readonly className: string
+  readonly count: number
+  readonly text: string
+}
+
 /**
  * Requests of one class by hour, stacked by outcome.
  *
@@ -74,38 +83,52 @@
  * hourPlot(document, requestClass)
  */
 export function hourPlot (document: ReportDocument, name: string): Markup {
-  const lines = document.periods.filter((line) => line.class === name)
-  const highest = Math.max(...lines.map((line) => line.sums.asked), 1)
-  const hours = Math.max(1, Math.round((document.to - document.from) / 3_600_000))
-  const step = (PLOT_WIDTH - AXIS) / hours
-  const bars = lines.map((line) => hourBar(line.sums, AXIS + (line.period - document.from) / 3_600_000 * step, step, highest))
-  const labels = hourLabels(document, hours, step)
-  return html`<svg class="plot" role="img" aria-label="requests of ${name} by hour, at most ${countText(highest)} in an hour" viewBox="0 0 ${PLOT_WIDTH} ${PLOT_HEIGHT + LABEL_LINE}">
+  const hours = Math.max(1, Math.round((document.to - document.from) / HOUR))
+  const bars: BarPiece[][] = Array.from({ length: hours }, () => [])
+  for (const line of document.periods) {
+    if (line.class !== name) continue
+    bars[Math.round((line.period - document.from) / HOUR)] = OUTCOMES.map((outcome) => ({ className: outcome, count: line.sums[outcome], text: OUTCOME_TEXT[outcome] }))
+  }
+  const labels = bars.map((_, hour) => {
+    const time = new Date(document.from + hour * HOUR).toISOString()
+    return hours > 24 ? time.slice(5, 13).replace('T', ' ') : time.slice(11, 16)
+  })
+  return stackedPlot(bars, labels, `requests of ${name} by hour`)
+}
+
+/**
+ * Stacked bars side by side, with as many labels as there is room for.
+ *
+ * @param bars pieces of each bar, from the bottom up
+ * @param title what is shown, for readers who can't see it
+ * @example
+ * stackedPlot([[{ className: 'served', count: 12, text: 'served in time' }]], ['09:00'], 'requests by hour')
+ */
+export function stackedPlot (bars: readonly (readonly BarPiece[])[], labels: readonly string[], title: string): Markup {
+  const highest = Math.max(...bars.map(sumOf), 1)
+  const step = (PLOT_WIDTH - AXIS) / Math.max(1, bars.length)
+  const every = Math.max(1, Math.ceil(LABEL_WIDTH / step))
+  const marks = labels.map((label, index) => index % every === 0 ? html`<text x="${round(AXIS + index * step + step / 2)}" y="${PLOT_HEIGHT + LABEL_LINE - 3}" text-anchor="middle">${label}</text>` : html``)
+  return html`<svg class="plot" role="img" aria-label="${title}, at most ${countText(highest)} in one bar" viewBox="0 0 ${PLOT_WIDTH} ${PLOT_HEIGHT + LABEL_LINE}">
 <line class="axis" x1="${AXIS}" x2="${PLOT_WIDTH}" y1="${PLOT_HEIGHT}" y2="${PLOT_HEIGHT}"/>
 <line class="grid" x1="${AXIS}" x2="${PLOT_WIDTH}" y1="10" y2="10"/>
 <text x="${AXIS - 6}" y="14" text-anchor="end">${countText(highest)}</text><text x="${AXIS - 6}" y="${PLOT_HEIGHT}" text-anchor="end">0</text>
-${bars}${labels}</svg>`
+${bars.map((pieces, index) => stackedBar(pieces, AXIS + index * step, step, highest))}${marks}</svg>`
 }
 
-function hourBar (sums: RequestSums, left: number, step: number, highest: number): Markup {
+function stackedBar (pieces: readonly BarPiece[], left: number, step: number, highest: number): Markup {
   const scale = (PLOT_HEIGHT - 10) / highest
   let bottom = PLOT_HEIGHT
-  const parts = OUTCOMES.filter((name) => sums[name] > 0).map((name) => {
-    const height = sums[name] * scale
+  const parts = pieces.filter(({ count }) => count > 0).map(({ className, count, text }) => {
+    const height = count * scale
     bottom -= height
-    return html`<rect class="${name}" x="${round(left + step * 0.1)}" y="${round(bottom)}" width="${round(step * 0.8)}" height="${round(height)}"><title>${OUTCOME_TEXT[name]}: ${countText(sums[name])}</title></rect>`
+    return html`<rect class="${className}" x="${round(left + step * 0.1)}" y="${round(bottom)}" width="${round(step * 0.8)}" height="${round(height)}"><title>${text}: ${countText(count)}</title></rect>`
   })
   return html`${parts}`
 }
 
-function hourLabels (document: ReportDocument, hours: number, step: number): Markup[] {
-  const every = Math.max(1, Math.ceil(HOURS_PER_LABEL_AT_LEAST / step))
-  const labels: Markup[] = []
-  for (let hour = 0; hour < hours; hour += every) {
-    const time = new Date(document.from + hour * 3_600_000).toISOString()
-    labels.push(html`<text x="${round(AXIS + hour * step + step / 2)}" y="${PLOT_HEIGHT + LABEL_LINE - 3}" text-anchor="middle">${hours > 24 ? time.slice(5, 13).replace('T', ' ') : time.slice(11, 16)}</text>`)
-  }
-  return labels
+function sumOf (pieces: readonly BarPiece[]): number {
+  return pieces.reduce((sum, { count }) => sum + count, 0)
 }
 
 function round (value: number): number {
--- a/src/operator/command/report.ts
+++ b/src/operator/command/report.ts
@@ -1,11 +1,9 @@
 /** `report`: who got what, as a table, JSON, CSV or a page for managers. */
-import { writeFileSync } from 'node:fs'
 import type { Milliseconds } from '../../clock.js'
 import { HOUR, MINUTE } from '../../clock.js'
 import { reportDocumentSchema } from '../../report/index.js'
-import { ServingError } from '../../verdict.js'
 import type { OperatorClient } from './connection.js'
-import { jsonText } from './output.js'
+import { invalidUse, jsonText, writeTextFile } from './output.js'
 import type { CommandOutput } from './output.js'
 import { reportPage } from './report-page.js'
 import { reportCsv, reportTable } from './report-table.js'
@@ -41,7 +39,7 @@
   const fresh = options.fresh === true ? '&fresh=true' : ''
   const document = await client.get(`/operator/report?from=${from}&to=${to}${fresh}`, reportDocumentSchema)
   if (options.html !== undefined) {
-    writeText(options.html, reportPage(document))
+    writeTextFile(options.html, reportPage(document))
     output.note(`written to ${options.html}`)
   }
   if (options.json === true) output.out(jsonText(document))
@@ -58,7 +56,7 @@
  */
 export function rangeOf (options: ReportCommandOptions, now: Milliseconds): { from: Milliseconds, to: Milliseconds } {
   const to = options.to === undefined ? now : timeOf('--to', options.to)
-  if (options.from !== undefined && options.since !== undefined) throw invalid('--from and --since exclude each other')
+  if (options.from !== undefined && options.since !== undefined) throw invalidUse('--from and --since exclude each other')
   if (options.from !== undefined) return { from: timeOf('--from', options.from), to }
   return { from: Math.max(0, to - durationOf(options.since ?? '1d')), to }
 }
@@ -66,24 +64,12 @@
 function durationOf (text: string): Milliseconds {
   const match = DURATION.exec(String(text))
   const unit = UNITS[match?.[2] ?? '']
-  if (match === null || unit === undefined) throw invalid(`--since ${text}: must be a number with m, h or d, such as 2h`)
+  if (match === null || unit === undefined) throw invalidUse(`--since ${text}: must be a number with m, h or d, such as 2h`)
   return Number(match[1]) * unit
 }
 
 function timeOf (option: string, text: string): Milliseconds {
   const time = Date.parse(String(text))
-  if (Number.isNaN(time)) throw invalid(`${option} ${text}: must be an ISO 8601 time, such as 2026-12-02T09:00Z`)
+  if (Number.isNaN(time)) throw invalidUse(`${option} ${text}: must be an ISO 8601 time, such as 2026-12-02T09:00Z`)
   return time
 }
-
-function writeText (path: string, text: string): void {
-  try {
-    writeFileSync(path, text)
-  } catch (cause) {
-    throw invalid(`${path}: cannot be written: ${(cause as Error).message}`)
-  }
-}
-
-function invalid (message: string): ServingError {
-  return new ServingError(message, { code: 'invalid-request', verdict: 'not-run' })
-}
--- a/src/placement/choose.ts
+++ b/src/placement/choose.ts
@@ -37,6 +37,8 @@
   readonly reading: Milliseconds
   /** Reading that the upstream has to do before. */
   readonly waiting: Milliseconds
+  /** Upstreams that it was chosen from. */
+  readonly candidates: number
 }
 
 /** A running request of an engine delays each step of the others by 0.0165 ms, some 100 of them before the first token at the worst. */
@@ -66,7 +68,7 @@
       tieBreak(node.name, upstream.id)
     if (cost < lowest) {
       lowest = cost
-      best = { upstream, reading, waiting: load.reading }
+      best = { upstream, reading, waiting: load.reading, candidates: candidates.length }
     }
   }
   return best
--- a/src/quota/limiter.ts
+++ b/src/quota/limiter.ts
@@ -24,6 +24,8 @@
   /** What the other live nodes last told, one entry each; `nodes` counts all that may serve, this one as well. */
   observe (others: readonly QuotaDemand[], nodes: number): void
   demand (now: Milliseconds): QuotaDemand
+  /** This node's share of each organisation's rate, as last used. */
+  shares (): Readonly<Record<string, number>>
 }
 
 interface Bucket {
@@ -86,6 +88,7 @@
       others = demands
       nodes = Math.max(1, count)
     },
-    demand: (now) => rates.rates(now)
+    demand: (now) => rates.rates(now),
+    shares: () => Object.fromEntries([...buckets].map(([name, { share }]) => [name, share]))
   }
 }
--- a/src/quota/retry-budget.ts
+++ b/src/quota/retry-budget.ts
@@ -11,6 +11,8 @@
   request (now: Milliseconds): void
   /** Takes one further attempt, if there is one left. */
   take (now: Milliseconds): boolean
+  /** Further attempts that may be made now. */
+  left (now: Milliseconds): number
   /** Nodes that share the extra. */
   share (nodes: number): void
 }
@@ -39,16 +41,21 @@
   const requests: Milliseconds[] = []
   const taken: Milliseconds[] = []
   let nodes = 1
+
+  function left (now: Milliseconds): number {
+    forget(requests, now - window)
+    forget(taken, now - window)
+    return USED_PART * (ratio * requests.length + extra / nodes) - taken.length
+  }
+
   return {
     request: (now) => { requests.push(now) },
     take: (now) => {
-      forget(requests, now - window)
-      forget(taken, now - window)
-      const most = USED_PART * (ratio * requests.length + extra / nodes)
-      if (taken.length + 1 > most) return false
+      if (left(now) < 1) return false
       taken.push(now)
       return true
     },
+    left,
     share: (count) => { nodes = Math.max(1, count) }
   }
 }
--- a/test/gateway/exchange.test.ts
+++ b/test/gateway/exchange.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict'
+import { createSystemClock } from '../../src/clock.js'
 import { createServer } from 'node:net'
 import type { AddressInfo, Socket } from 'node:net'
 import { afterEach, describe, it } from 'node:test'
@@ -71,7 +72,7 @@
   }
 
   function start (port: number): Promise<ExchangeStart> {
-    const connections = createUpstreamConnections(createRequestFormat())
+    const connections = createUpstreamConnections(createRequestFormat(), createSystemClock(), () => {})
     closing.unshift(() => connections.close())
     const upstream = { id: 'i-1', service: 's', address: `127.0.0.1:${port}`, failureDomain: 'a', slots: 1, leaving: false, leavesIn: undefined, reclaimable: false }
     return connections.start(upstream, { id: 'r1', method: 'GET', path: '/', headers: ['x-hornbeamgap-request-id', 'r1'], body: undefined }, new AbortController().signal)
--- a/test/gateway/node.test.ts
+++ b/test/gateway/node.test.ts
@@ -3,6 +3,8 @@
 import { after, before, beforeEach, describe, it } from 'node:test'
 import { request } from 'undici'
 import { createSystemClock } from '../../src/clock.js'
+import { EVENTS } from '../../src/events/index.js'
+import type { EventName } from '../../src/events/index.js'
 import type { GatewayNode } from '../../src/gateway/node.js'
 import { createMachineDeployment } from '../../stand-ins/machines/deployment.js'
 import type { MachineDeployment } from '../../stand-ins/machines/deployment.js'
@@ -227,7 +229,7 @@
     assert.ok(ttlS > 0 && ttlS <= 5)
     assert.equal((await request(`http://${node.addresses.ready}/ready`)).statusCode, 200)
     const metrics = await (await request(`http://${node.addresses.ready}/metrics`)).body.text()
-    assert.match(metrics, /hornbeamgap_requests_total\{route="lookup",outcome="served"\} \d+/)
+    assert.match(metrics, /hornbeamgap_requests_total\{route="lookup",organisation="tejo",outcome="served",verdict="ran"\} \d+/)
   })
 
   it('reports each window once, under one fencing number', async () => {
@@ -240,6 +242,14 @@
     assert.equal(new Set(deployment.api.reports.map((call) => call.fencing)).size, 1)
   })
 
+  it('writes lines of the catalogue only, with their facts', async () => {
+    await until(() => deployment.lines.some((line) => line.event === 'requests-summed'))
+    assertCatalogued(deployment.lines)
+    for (const event of ['request-sent', 'request-served', 'request-failed', 'repeat-refused', 'attempt-broken', 'send-not-run', 'shares-dealt']) {
+      assert.ok(deployment.lines.some((line) => line.event === event), event)
+    }
+  })
+
   // A rolling restart while the store is away: the node waits for the store to take its name out of the
   // records, is killed at the end of its grace, and the requests that it still had are cut off.
   it('stops within its grace while the store is silent, and serves on meanwhile', async () => {
@@ -252,5 +262,14 @@
     await stopped
     await assert.rejects(ask('lookup'))
     assert.ok(deployment.lines.some((line) => line.event === 'node-stopped'))
+    assertCatalogued(deployment.lines)
   })
 })
+
+function assertCatalogued (lines: readonly Record<string, unknown>[]): void {
+  for (const { time, level, process, event, ...facts } of lines) {
+    assert.ok(String(event) in EVENTS, String(event))
+    const checked = EVENTS[event as EventName].safeParse(facts)
+    assert.ok(checked.success, `${event}: ${JSON.stringify(facts)} ${checked.error?.message}`)
+  }
+}
