Gateway: fewer store calls, compressed exchanges, a request's own order of upstreams

Cause: on 64 nodes links of 7 Mbit/s carried some 280 KB/s of states beside the answers, so that a third of the plans came late; each node opened three watches every 4 s, wrote each usage window twice, and asked for the duties' key every 6 s. Nodes that all see the same old loads send to the same upstream.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -17,6 +17,7 @@
   overload: () => import('./overload.js'),
   fairness: () => import('./fairness.js'),
   routing: () => import('./routing.js'),
+  'gateway-placement': () => import('./gateway-placement.js'),
   outliers: () => import('./outliers.js'),
   recovery: () => import('./recovery.js'),
   'decision-time': () => import('./decision-time.js'),
--- a/src/entry/key-watch.ts
+++ b/src/entry/key-watch.ts
@@ -31,6 +31,8 @@
   readonly longest: Milliseconds
   /** Between two calls of a watch, so that what comes in quick succession is read at once. */
   readonly batch: Milliseconds
+  /** Longest silence of a watch before it is opened anew; the service's own where it is left out. */
+  readonly silence?: Milliseconds
 }
 
 const IDLE_CHECK: Milliseconds = SECOND
@@ -56,7 +58,7 @@
     try {
       const revision = await watch.load()
       pause = pauses.first
-      await followFrom(watch, revision + 1, pauses.batch)
+      await followFrom(watch, revision + 1, pauses)
     } catch (error) {
       if (watch.signal.aborted) return
       watch.failed(error)
@@ -68,11 +70,11 @@
   }
 }
 
-async function followFrom (watch: KeyWatch, revision: number, batch: Milliseconds): Promise<void> {
+async function followFrom (watch: KeyWatch, revision: number, { batch, silence }: WatchPauses): Promise<void> {
   const owner = new AbortController()
   const signal = AbortSignal.any([watch.signal, owner.signal])
   try {
-    for await (const changes of watch.keyValue.watch(watch.prefix, revision, signal)) {
+    for await (const changes of watch.keyValue.watch(watch.prefix, revision, signal, silence)) {
       watch.changed(changes)
       if (!watch.wanted()) return
       if (batch > 0) await rest(watch, batch)
--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -33,6 +33,7 @@
   'node-started': z.strictObject({ incarnation: z.string(), failureDomain: z.string(), front: z.string() }).describe('the process listens; `incarnation` is new with each start'),
   'node-stopping': z.strictObject({ inFlight: count, grace: duration }).describe('asked to stop; `grace` is left until what still runs is cut off'),
   'requests-cut-off': z.strictObject({ inFlight: count }).describe('the grace ended before these requests did'),
+  'last-counts-not-written': z.strictObject({ error }).describe('what was served during the stop is missing in the usage of its window'),
   'node-stopped': nothing.describe('the last line of a planned stop'),
   'withdrawal-failed': z.strictObject({ error }).describe('the record of a stopping node stands until its lease ends'),
   'settings-reloaded': z.strictObject({ reason: z.string(), changed: z.string(), afterRestart: z.string() }).describe('new settings; `afterRestart` names those that wait for the next start'),
--- a/src/gateway/duties.ts
+++ b/src/gateway/duties.ts
@@ -31,6 +31,8 @@
 export interface Duties {
   /** Gives the duties up, and writes the counts that only this node has. */
   release (): Promise<void>
+  /** Writes the counts of what was served since. */
+  writeCounts (): Promise<void>
 }
 
 /**
@@ -66,6 +68,7 @@
     })
   }
   return {
-    release: async () => { await Promise.allSettled([holder.release(), usage?.flush()]) }
+    release: async () => { await Promise.allSettled([holder.release(), usage?.flush()]) },
+    writeCounts: async () => { await usage?.flush() }
   }
 }
--- a/src/gateway/duty-holder.ts
+++ b/src/gateway/duty-holder.ts
@@ -46,7 +46,7 @@
 const RACE_SPREAD: Milliseconds = 250
 
 /** Nodes look at the key this often even if the watch shows nothing. */
-const WAITING_PERIOD: Milliseconds = 6_000
+const WAITING_PERIOD: Milliseconds = 15_000
 
 /**
  * @example
--- a/src/gateway/follow.ts
+++ b/src/gateway/follow.ts
@@ -32,6 +32,12 @@
 /** A change must be in force within two seconds; a store that is back is read again within that. */
 export const PROMPT_PAUSES: WatchPauses = { start: 0, first: 100, longest: 800, batch: 0 }
 
+/**
+ * For what nodes also tell each other, so that a watch that has fallen silent for good delays nothing. Each
+ * opening is a call that is paid for: half as many as with the silence of the others.
+ */
+export const TOLD_PAUSES: WatchPauses = { ...PROMPT_PAUSES, silence: 8_000 }
+
 /**
  * @param prefix of the keys
  * @param pauses between calls
--- a/src/gateway/gossip-keeper.ts
+++ b/src/gateway/gossip-keeper.ts
@@ -5,6 +5,7 @@
 import type { GossipMessage, GossipTable, NodeState, SharedWall } from '../gossip/index.js'
 import type { EventLog } from '../events/index.js'
 import type { Random } from '../random.js'
+import { packMessage, unpackMessage } from './packing.js'
 import type { PeerAnswers, PeerLink } from './peer-link.js'
 
 /** What the keeper needs. */
@@ -93,7 +94,7 @@
   async function exchangeWith (address: string): Promise<void> {
     const bound = boundSignal(EXCHANGE_TIMEOUT, signal)
     try {
-      const reply = await link(address).exchange.mutate(messageFor(incarnations.get(address)), { signal: bound })
+      const reply = unpackMessage(await link(address).exchange.mutate(packMessage(messageFor(incarnations.get(address))), { signal: bound }))
       incarnations.set(address, reply.from)
       take(reply)
       regained(address)
@@ -152,7 +153,6 @@
     answers: {
       exchange: (message) => {
         take(message)
-        publish()
         const sender = message.states.find((state) => state.incarnation === message.from)
         if (sender !== undefined) {
           regained(sender.peer)
--- a/src/gateway/node-records.ts
+++ b/src/gateway/node-records.ts
@@ -4,7 +4,7 @@
 import { SECOND } from '../clock.js'
 import { readJson } from '../json.js'
 import type { KeyValueEntry, LeaseId } from '../protocols/key-value.js'
-import { follow, PROMPT_PAUSES } from './follow.js'
+import { follow, TOLD_PAUSES } from './follow.js'
 import type { FollowContext, Following } from './follow.js'
 
 /** What a node tells of itself. */
@@ -94,7 +94,7 @@
       const name = key.slice(NODE_PREFIX.length)
       if (records.delete(name)) log.info('node-gone', { node: name })
     }
-  }, PROMPT_PAUSES)
+  }, TOLD_PAUSES)
 
   function take ({ key, value }: KeyValueEntry): void {
     if (!key.startsWith(NODE_PREFIX)) return
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -73,8 +73,11 @@
 /** How often this node's shares follow the number of nodes, beside each news of their demand. */
 const SHARE_PERIOD: Milliseconds = 500
 
-/** Windows whose counts are told to other nodes, beside the present one: reports are decided within two. */
-const TOLD_WINDOWS = 2
+/** Bound on the last write of a stop; half of what is left until the kill. */
+const LAST_WRITE: Milliseconds = STOP_MARGIN / 2
+
+/** Windows whose counts are told to other nodes, beside the present one. The store has older ones. */
+const TOLD_WINDOWS = 1
 
 /**
  * @throws when an address can't be listened on
@@ -153,7 +156,7 @@
     sources,
     stop: () => stopping
   }
-  const upstreamsFollowing = keepUpstreams(follows, platform.registry, upstreams, connections)
+  const upstreamsFollowing = keepUpstreams(follows, platform.registry, upstreams, connections, bounds.upstreamDrain)
   const duties = platform.duties && keepDuties({ context: follows, settings, incarnation, calls: platform.duties, holder, fleet, usage, work, upstreams, table: configuration.table })
 
   repeat({ clock, log, signal: ending.signal }, 'shares', SHARE_PERIOD, applyShares)
@@ -189,6 +192,13 @@
     return stopping === undefined && configuration.table() !== undefined
   }
 
+  /** What was served during the stop; the store may be away, and the kill is near. */
+  async function writeLastCounts (): Promise<void> {
+    if (duties === undefined) return
+    const written = duties.writeCounts().catch((error) => log.warn('last-counts-not-written', { error: String(error) }))
+    await Promise.race([written, clock.sleep(LAST_WRITE)])
+  }
+
   /** What the other nodes are told. */
   function report (): OwnReport {
     const now = clock.now()
@@ -240,6 +250,7 @@
       const now = clock.now()
       stopping = { since: now, cutOff: now + bounds.grace - STOP_MARGIN }
       await stopNode({ clock, log, server, cutOff: stopping.cutOff, inFlight: () => inFlight, withdraw: async () => { await Promise.allSettled([fleet.withdraw(), duties?.release()]) } })
+      await writeLastCounts()
       ending.abort()
       for (const one of servers) {
         one.close()
--- a/src/gateway/peer-link.ts
+++ b/src/gateway/peer-link.ts
@@ -5,11 +5,11 @@
 import type { TRPCClient } from '@trpc/client'
 import { initTRPC } from '@trpc/server'
 import { createHTTPServer } from '@trpc/server/adapters/standalone'
-import { gossipMessageSchema } from '../gossip/index.js'
 import type { GossipMessage } from '../gossip/index.js'
 import { createLinkFetch } from '../peer/fetch.js'
 import type { ByteCounter } from '../peer/fetch.js'
 import type { Connections } from '../protocols/http.js'
+import { LARGEST_MESSAGE, packMessage, unpackMessage } from './packing.js'
 
 const readingNoteSchema = z.object({
   /** Incarnation of the sender. */
@@ -37,7 +37,7 @@
 /** @internal the router's type is what clients are made from */
 export function createPeerRouter (answers: PeerAnswers) {
   return trpc.router({
-    exchange: trpc.procedure.input(gossipMessageSchema).mutation(({ input }) => answers.exchange(input)),
+    exchange: trpc.procedure.input(z.string()).mutation(({ input }) => packMessage(answers.exchange(unpackMessage(input)))),
     reading: trpc.procedure.input(readingNoteSchema).mutation(({ input }) => answers.reading(input)),
     configuration: trpc.procedure.query(() => ({ text: answers.configuration() ?? null }))
   })
@@ -46,9 +46,6 @@
 /** One peer as this node calls it. */
 export type PeerLink = TRPCClient<ReturnType<typeof createPeerRouter>>
 
-/** Largest message: 64 nodes of 2 KB each, several times over. */
-const LARGEST_MESSAGE = 1_048_576
-
 /**
  * @returns a server that the owner listens with and closes
  * @example
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -10,6 +10,8 @@
 
 /** Bounds of the deployment that the node keeps to. */
 export interface GatewayBounds {
+  /** A leaving upstream gets nothing later than this after the store has taken its notice. */
+  readonly upstreamDrain: Milliseconds
   /** Time between the request to stop and the kill. */
   readonly grace: Milliseconds
   readonly retryBudget: RetryBudgetOptions
--- a/src/gateway/upstream-keeper.ts
+++ b/src/gateway/upstream-keeper.ts
@@ -1,4 +1,5 @@
 /** Keeps the view of upstreams in step with the store's records. */
+import type { Milliseconds } from '../clock.js'
 import type { WatchPauses } from '../entry/key-watch.js'
 import type { UpstreamRecord } from '../placement/index.js'
 import type { KeyValueEntry } from '../protocols/key-value.js'
@@ -10,16 +11,18 @@
 
 /**
  * Upstreams write a heartbeat each second or so, and each ends a waiting call. A pause between two calls
- * reads several at once; a leaving upstream must get nothing new after two seconds, and this is a third
- * of it.
+ * reads several at once. Part of the time after which a leaving upstream must get nothing new; the rest is
+ * for the call and for requests that were chosen before.
  */
-const PAUSES: WatchPauses = { ...PROMPT_PAUSES, batch: 700 }
+const BATCH_PART = 0.4
 
 /**
+ * @param drain a leaving upstream gets nothing later than this after the store has taken its notice
  * @example
- * keepUpstreams(context, platform.registry, view, connections)
+ * keepUpstreams(context, platform.registry, view, connections, 2 * SECOND)
  */
-export function keepUpstreams (context: FollowContext, registry: Registry, view: UpstreamView, connections: UpstreamConnections): Following {
+export function keepUpstreams (context: FollowContext, registry: Registry, view: UpstreamView, connections: UpstreamConnections, drain: Milliseconds): Following {
+  const pauses: WatchPauses = { ...PROMPT_PAUSES, batch: drain * BATCH_PART }
   const { log } = context
   const prefix = registry.upstreamPrefix
 
@@ -59,5 +62,5 @@
       log.info('upstream-gone', { upstream: gone.id, service: gone.service, source: 'watch' })
       keepConnections()
     }
-  }, PAUSES)
+  }, pauses)
 }
--- a/src/gateway/usage-keeper.ts
+++ b/src/gateway/usage-keeper.ts
@@ -30,8 +30,11 @@
 const COUNTS_PREFIX = 'hornbeamgap-usage/'
 const JOURNAL_KEY = 'hornbeamgap-usage-journal'
 
-/** Nodes write their counts this often, so that a kill of all nodes loses at most this much of a window. */
-const WRITE_PERIOD: Milliseconds = 2_500
+/**
+ * How often a node looks whether a window has ended whose counts it hasn't written. Each window is written once:
+ * the counts of one that is under way live with the other nodes, and a kill of all nodes spoils it anyway.
+ */
+const WRITE_PERIOD: Milliseconds = 500
 
 /** Part of the due time after which the holder decides: nodes have written by then, and a lost call can be repeated. */
 const DECIDE_PART = 0.45
@@ -60,16 +63,22 @@
     return id
   }
 
-  /** Writes the counts of the present window and the one before, if they have changed. */
-  async function flush (): Promise<void> {
+  /** Writes the counts of windows that have ended. */
+  function writeEnded (): Promise<void> {
     const present = windowOf(sharedWall(), windowLength)
-    for (const window of [present - 1, present]) {
+    return write([present - 2, present - 1])
+  }
+
+  /** Writes counts that have changed since they were written. */
+  async function write (due: readonly number[]): Promise<void> {
+    const present = windowOf(sharedWall(), windowLength)
+    for (const window of due) {
       const counts = JSON.stringify(windows.counts(window))
       if (counts === '{}' || written.get(window) === counts) continue
       await store.put(`${COUNTS_PREFIX}${window}/${incarnation}`, counts, { lease: await leaseFor(), signal })
       written.set(window, counts)
     }
-    for (const window of written.keys()) if (window < present - 1) written.delete(window)
+    for (const window of written.keys()) if (window < present - 2) written.delete(window)
     windows.forgetBefore(present - 6)
   }
 
@@ -133,9 +142,14 @@
     }
   }
 
-  repeat(context, 'usage-counts', WRITE_PERIOD, flush)
+  repeat(context, 'usage-counts', WRITE_PERIOD, writeEnded)
   repeat(context, 'usage-report', STEP_PERIOD, act)
-  return { flush }
+  return {
+    flush: () => {
+      const present = windowOf(sharedWall(), windowLength)
+      return write([present - 1, present])
+    }
+  }
 }
 
 /** A node's counts only rise; whichever source has seen more of them is later. */
--- a/src/placement/choose.ts
+++ b/src/placement/choose.ts
@@ -23,6 +23,8 @@
   readonly perRequest: Milliseconds
   /** An upstream in another failure domain. */
   readonly otherDomain: Milliseconds
+  /** Upstreams, in a request's own order, among which it is placed while they have room. */
+  readonly homes: number
 }
 
 /** The node that chooses. */
@@ -41,11 +43,14 @@
   readonly candidates: number
 }
 
+/** Reading that waits at an upstream from which on others are looked at, whatever the order: half of the shortest target of the users' sheets. */
+const FULL_WAITING: Milliseconds = 400
+
 /** A running request of an engine delays each step of the others by 0.0165 ms, some 100 of them before the first token at the worst. */
-export const ENGINE_COSTS: PlacementCosts = { perRequest: 2, otherDomain: 2 }
+export const ENGINE_COSTS: PlacementCosts = { perRequest: 2, otherDomain: 2, homes: 6 }
 
 /** A plain request holds one of six slots for some 30 ms. */
-export const PLAIN_COSTS: PlacementCosts = { perRequest: 15, otherDomain: 5 }
+export const PLAIN_COSTS: PlacementCosts = { perRequest: 15, otherDomain: 5, homes: Infinity }
 
 /**
  * @param candidates upstreams that may take the request; their order doesn't matter
@@ -54,9 +59,17 @@
  * chooseUpstream(work, candidates, { name: 'entry-1', failureDomain: 'lisbon-a' }, ENGINE_COSTS)?.upstream.id
  */
 export function chooseUpstream (work: Work, candidates: readonly Candidate[], node: PlacingNode, costs: PlacementCosts): Choice | undefined {
-  const shared = sharedTokens(work.parts)
   const home = work.parts.at(-2)?.id
-  const preferred = home === undefined ? undefined : firstByRendezvous(home, candidates)
+  if (home === undefined) return cheapest(work, candidates, undefined, node, costs)
+  const ranked = byRendezvous(home, candidates)
+  const preferred = ranked[0]?.upstream
+  const near = cheapest(work, ranked.slice(0, costs.homes), preferred, node, costs)
+  if (near === undefined || near.waiting < FULL_WAITING || ranked.length <= costs.homes) return near
+  return cheapest(work, candidates, preferred, node, costs)
+}
+
+function cheapest (work: Work, candidates: readonly Candidate[], preferred: UpstreamRecord | undefined, node: PlacingNode, costs: PlacementCosts): Choice | undefined {
+  const shared = sharedTokens(work.parts)
   const whole = readingTime(work.promptTokens, 0)
   const rest = readingTime(Math.max(0, work.promptTokens - shared), shared)
   let best: Choice | undefined
@@ -74,17 +87,12 @@
   return best
 }
 
-function firstByRendezvous (home: string, candidates: readonly Candidate[]): UpstreamRecord | undefined {
-  let first: UpstreamRecord | undefined
-  let highest = -1
-  for (const { upstream } of candidates) {
-    const weight = score(home, upstream.id)
-    if (weight > highest) {
-      highest = weight
-      first = upstream
-    }
-  }
-  return first
+/** All nodes rank the upstreams of a request the same way. */
+function byRendezvous (home: string, candidates: readonly Candidate[]): Candidate[] {
+  return candidates
+    .map((candidate) => ({ candidate, weight: score(home, candidate.upstream.id) }))
+    .sort((left, right) => right.weight - left.weight)
+    .map(({ candidate }) => candidate)
 }
 
 /** Below a millisecond. Each node has an order of its own, so that equal upstreams don't get all nodes' requests in turn. */
--- a/src/protocols/key-value.ts
+++ b/src/protocols/key-value.ts
@@ -66,8 +66,10 @@
   /**
    * Changes under a prefix from a revision on. An empty list is a sign of progress. Ends by an error
    * when the connection does or when it has been silent for too long.
+   *
+   * @param silence longest time without a sign; the service's own where it is left out
    */
-  watch (prefix: string, fromRevision: number, signal: AbortSignal): AsyncIterable<readonly KeyValueChange[]>
+  watch (prefix: string, fromRevision: number, signal: AbortSignal, silence?: Milliseconds): AsyncIterable<readonly KeyValueChange[]>
 }
 
 /** Bound on one call. The service answers in milliseconds; what takes longer counts as lost. */
@@ -167,9 +169,9 @@
     revokeLease: async (lease, signal) => {
       await call('/v3/lease/revoke', { ID: lease }, anySchema, signal)
     },
-    watch: async function * (prefix, fromRevision, signal) {
+    watch: async function * (prefix, fromRevision, signal, silence = WATCH_SILENCE) {
       const create = { key: encode(prefix), range_end: encode(prefixEnd(prefix)), start_revision: String(fromRevision), progress_notify: true }
-      const response = await send(watchConnections, exchangeOf('/v3/watch', { create_request: create }, WATCH_SILENCE, signal))
+      const response = await send(watchConnections, exchangeOf('/v3/watch', { create_request: create }, silence, signal))
       for await (const line of linesOf(response.body)) {
         yield watchSchema.parse(JSON.parse(line)).result.events.map(toChange)
       }
--- a/test/gateway/node.test.ts
+++ b/test/gateway/node.test.ts
@@ -1,5 +1,6 @@
 /** Gateway nodes in front of stand-ins that speak the platform's protocol through the adapter. */
 import assert from 'node:assert/strict'
+import { readFileSync } from 'node:fs'
 import { after, before, beforeEach, describe, it } from 'node:test'
 import { request } from 'undici'
 import { createSystemClock } from '../../src/clock.js'
@@ -230,6 +231,8 @@
     assert.equal((await request(`http://${node.addresses.ready}/ready`)).statusCode, 200)
     const metrics = await (await request(`http://${node.addresses.ready}/metrics`)).body.text()
     assert.match(metrics, /hornbeamgap_requests_total\{route="lookup",organisation="tejo",outcome="served",verdict="ran"\} \d+/)
+    const page = readFileSync(new URL('../../docs/OPERATIONS.md', import.meta.url), 'utf8')
+    for (const [, name] of metrics.matchAll(/^hornbeamgap_([a-z_]+)/gm)) assert.ok(page.includes(`\`${name!.replace(/_count$/, '')}\``), `${name} is missing in the operators' page`)
   })
 
   it('reports each window once, under one fencing number', async () => {
