Gateway: plans go on elsewhere when their engine is reclaimed; one connection for each call to the store

Cause: (1) a plan runs for longer than the notice of a reclaim, may neither run again nor be resumed from its events alone, and was cut off midway: the first promise of the product did not hold on the users' machines.

Change: (1) src/gateway/evacuation.ts moves the runs that are left shortly before their engine goes (kv-move, which stops the run first) and sends the same request on with the copy's reference, joined after the last whole event; placement adds 60 ms to a reclaimable engine for requests that would be lost with it. A continuation that is not taken is never run anew.

--- a/bench/gateway-placement.ts
+++ b/bench/gateway-placement.ts
@@ -133,7 +133,7 @@
   const own = Math.max(20, Math.round(kind.own * Math.exp(SIGMA * normal(random) - SIGMA * SIGMA / 2)))
   // A few subjects get most requests.
   const subject = Math.floor(kind.subjects * random.fraction() ** 2)
-  return { service: 's', parts: [{ id: `${isPlan ? 'plan' : 'question'}-${subject}`, tokens: kind.shared }, { id: 'own', tokens: own }], promptTokens: kind.shared + own }
+  return { service: 's', parts: [{ id: `${isPlan ? 'plan' : 'question'}-${subject}`, tokens: kind.shared }, { id: 'own', tokens: own }], promptTokens: kind.shared + own, bound: isPlan }
 }
 
 /** What a node takes an engine's load for: its own as it is, that of others as it was. */
--- a/src/bin/hornbeamgap-gateway.ts
+++ b/src/bin/hornbeamgap-gateway.ts
@@ -6,12 +6,17 @@
 import { startGatewayNode } from '../gateway/node.js'
 import { keepSettings } from '../gateway/settings-reload.js'
 import { createLog } from '../log.js'
-import { createConnections } from '../protocols/http.js'
+import { createFreshConnections } from '../protocols/http.js'
 import { createRandom } from '../random.js'
 import { loadSettings } from '../settings.js'
 import { runServer } from './command-line.js'
 
-/** Connections to the store and the platform's API: watches wait on theirs. */
+/**
+ * Connections to the store and the platform's API, one for each call.
+ *
+ * Failure guarded against: all open connections fall silent for good. A call on one that was kept would wait
+ * for its bound and be repeated on the next such one, while a change has to be in force within two seconds.
+ */
 const PLATFORM_CONNECTIONS = 16
 
 runServer({
@@ -26,7 +31,7 @@
     const log = createLog(initial.name, 'info', clock.wall, lines)
     const settings = keepSettings({ initial, read: () => loadSettings(machineSettingsSchema, path), clock, log, signal: ending.signal })
     process.on('SIGHUP', () => settings.reload('signal'))
-    const connections = createConnections(PLATFORM_CONNECTIONS)
+    const connections = createFreshConnections(PLATFORM_CONNECTIONS)
     const platform = createPlatform(settings.current, connections)
     const node = await startGatewayNode({ settings: initial, platform, clock, random: createRandom(process.pid ^ clock.wall()), log })
     return async () => {
--- a/src/events/story.ts
+++ b/src/events/story.ts
@@ -61,7 +61,7 @@
 const UPSTREAM_EVENTS: ReadonlySet<EventName> = new Set<EventName>(['upstream-new', 'upstream-leaving', 'upstream-changed', 'upstream-gone', 'upstream-paused'])
 
 /** Decisions that may end a request; sending it is none. */
-const DECISIONS: ReadonlySet<EventName> = new Set<EventName>(['quota-refused', 'upstream-not-found', 'repeat-refused', 'attempt-broken', 'send-not-run', 'answer-late'])
+const DECISIONS: ReadonlySet<EventName> = new Set<EventName>(['quota-refused', 'upstream-not-found', 'repeat-refused', 'move-unanswered', 'attempt-broken', 'send-not-run', 'answer-late'])
 
 /**
  * @param lines of any number of processes, in any order
--- a/src/gateway/configuration-keeper.ts
+++ b/src/gateway/configuration-keeper.ts
@@ -1,7 +1,7 @@
 /** The configuration in force at this node: the highest version that the store or a peer has shown. */
 import { createRouteTable, supersedes } from '../routing/index.js'
 import type { RouteTable, RoutingConfiguration } from '../routing/index.js'
-import { TOLD_PAUSES, follow } from './follow.js'
+import { PROMPT_PAUSES, follow } from './follow.js'
 import type { FollowContext, Following } from './follow.js'
 import type { Registry } from './ports.js'
 
@@ -48,7 +48,7 @@
     put: (entry) => { if (entry.key === registry.configurationKey) offer(entry.value, 'store') },
     // The configuration in force stays: operators replace it, they don't take it away.
     remove: (key) => log.warn('configuration-removed', { key })
-  }, TOLD_PAUSES)
+  }, PROMPT_PAUSES)
 
   return { table: () => table, text: () => text, offer, following }
 }
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -7,6 +7,7 @@
 import type { RouteTable } from '../routing/index.js'
 import type { WorkMeter } from '../scaling/index.js'
 import type { UsageWindows } from '../usage/index.js'
+import type { Evacuation } from './evacuation.js'
 import type { UpstreamConnections } from './exchange.js'
 import type { GatewayMetrics } from './metrics.js'
 import type { RequestFormat } from './ports.js'
@@ -46,6 +47,7 @@
   readonly connections: UpstreamConnections
   readonly quotas: QuotaLimiter
   readonly quarantine: Quarantine
+  readonly evacuation: Evacuation
   readonly usage: UsageWindows
   readonly sums: RequestSums
   readonly work: WorkMeter
--- a/src/gateway/follow.ts
+++ b/src/gateway/follow.ts
@@ -33,8 +33,8 @@
 export const PROMPT_PAUSES: WatchPauses = { start: 0, first: 100, longest: 800, batch: 0 }
 
 /**
- * For what nodes also tell each other, so that a watch that has fallen silent for good delays nothing. Each
- * opening is a call that is paid for: half as many as with the silence of the others.
+ * For nodes, which also tell each other that they are there, so that a watch that has fallen silent for good
+ * delays nothing. Each opening is a call that is paid for.
  */
 export const TOLD_PAUSES: WatchPauses = { ...PROMPT_PAUSES, silence: 8_000 }
 
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -15,6 +15,7 @@
 import type { AnswerOutcome, Call, Ending } from './accounting.js'
 import { answerFailure } from './answering.js'
 import type { GatewayContext } from './context.js'
+import type { Continuation } from './evacuation.js'
 import { fingerprintOf } from './fingerprint.js'
 import { endFailure, maySendAgain, unsent } from './passage.js'
 import type { Passage } from './passage.js'
@@ -91,18 +92,28 @@
 
 /** Sends until an upstream has answered or nothing more may be sent. @returns how it ended */
 async function sendUntilDone (context: GatewayContext, passage: Passage): Promise<AnswerOutcome> {
+  let continuation: Continuation | undefined
   for (;;) {
-    const choice = await findUpstream(context, passage)
+    const choice = continuation === undefined ? await findUpstream(context, passage) : continued(continuation)
     passage.tried.add(choice.upstream.id)
-    const result = await sendOnce(context, passage, choice)
+    const result = await sendOnce(context, passage, choice, continuation?.reference)
+    continuation = undefined
     switch (result.kind) {
       case 'done': return result.outcome
       case 'granted': break
+      case 'moved':
+        continuation = result.continuation
+        break
       case 'again': if (!maySendAgain(context, passage, result.verdict)) throw result.failure
     }
   }
 }
 
+/** Its prompt has been read, and its memory is there. */
+function continued ({ upstream }: Continuation): Choice {
+  return { upstream, reading: 0, waiting: 0, candidates: 1 }
+}
+
 /** Waits for a while when no upstream may take the request now. */
 async function findUpstream (context: GatewayContext, passage: Passage): Promise<Choice> {
   const { clock } = context
@@ -134,8 +145,8 @@
 
 function choose (context: GatewayContext, passage: Passage): Choice | undefined {
   const now = context.clock.now()
-  const { head } = passage.accepted
-  const work: Work = { service: passage.service, parts: head.parts, promptTokens: head.tokens?.prompt ?? 0 }
+  const { head, route } = passage.accepted
+  const work: Work = { service: passage.service, parts: head.parts, promptTokens: head.tokens?.prompt ?? 0, bound: route.kind === 'stream' && !route.resumable }
   const hasEngines = context.table()?.service(passage.service)?.hasEngines === true
   const candidates = context.upstreams.candidates(passage.service, passage.tried, now)
   return chooseUpstream(work, candidates, context.settings, hasEngines ? ENGINE_COSTS : PLAIN_COSTS)
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -7,6 +7,7 @@
 import type { Clock, Milliseconds } from '../clock.js'
 import type { NodeState } from '../gossip/index.js'
 import type { EventLog } from '../events/index.js'
+import { chooseUpstream, ENGINE_COSTS } from '../placement/index.js'
 import { createQuarantine } from '../quarantine/index.js'
 import { createQuotaLimiter, createRetryBudget } from '../quota/index.js'
 import type { RetryBudget } from '../quota/index.js'
@@ -21,6 +22,7 @@
 import type { GatewayContext, Sources, StopTimes } from './context.js'
 import { keepDuties } from './duties.js'
 import { createDutyHolder, DUTY_KEY } from './duty-holder.js'
+import { createEvacuation } from './evacuation.js'
 import { createUpstreamConnections } from './exchange.js'
 import { joinFleet } from './fleet.js'
 import type { Fleet, OwnReport } from './fleet.js'
@@ -135,6 +137,15 @@
     reading: (note) => upstreams.noteReading(note.from, note.upstream, note.reading, clock.now()),
     otherGone: (key) => { if (key === DUTY_KEY) holder.vacant() }
   })
+  const retryBudget = (service: string): RetryBudget => findOrCreate(budgets, service, () => createBudget(fleet))
+  const evacuation = createEvacuation({
+    clock,
+    log,
+    calls: platform.engines,
+    chooseTarget: (service, excluded) => chooseUpstream({ service, parts: [], promptTokens: 0, bound: true }, upstreams.candidates(service, excluded, clock.now()), settings, ENGINE_COSTS)?.upstream,
+    mayMove: (service) => retryBudget(service).take(clock.now()),
+    signal: ending.signal
+  })
   context = {
     settings,
     clock,
@@ -146,17 +157,18 @@
     connections,
     quotas,
     quarantine,
+    evacuation,
     usage,
     sums,
     work,
-    retryBudget: (service) => findOrCreate(budgets, service, () => createBudget(fleet)),
+    retryBudget,
     tellReading: fleet.tellReading,
     table: configuration.table,
     sharedWall: fleet.wall,
     sources,
     stop: () => stopping
   }
-  const upstreamsFollowing = keepUpstreams(follows, platform.registry, upstreams, connections, bounds.upstreamDrain)
+  const upstreamsFollowing = keepUpstreams(follows, platform.registry, upstreams, connections, bounds.upstreamDrain, evacuation.leaving)
   const duties = platform.duties && keepDuties({ context: follows, settings, incarnation, calls: platform.duties, holder, fleet, usage, work, upstreams, table: configuration.table })
 
   repeat({ clock, log, signal: ending.signal }, 'shares', SHARE_PERIOD, applyShares)
--- a/src/gateway/passage.ts
+++ b/src/gateway/passage.ts
@@ -65,7 +65,9 @@
   if (passage.unrun >= MOST_UNRUN_SENDS) return 'too many upstreams did not run it'
   // A stream goes on after the last event that was passed on; before the first one it begins anew.
   const repeatable = route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable)
-  if (!mayRepeat(verdict, repeatable)) return 'it may run only once'
+  // A run that goes on from its memory elsewhere and was not taken there has run before.
+  const sofar: Verdict = passage.attempts > 0 && verdict === 'not-run' ? 'may-have-run' : verdict
+  if (!mayRepeat(sofar, repeatable)) return 'it may run only once'
   if (passage.attempts >= route.mostAttempts) return 'its route allows no further attempt'
   if (passage.arrivals === 0 || context.retryBudget(passage.service).take(context.clock.now())) return undefined
   return 'the retry budget is used up'
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -35,6 +35,8 @@
   readonly urgency: number | undefined
   /** Goes on after this event. */
   readonly lastEvent: string | undefined
+  /** Goes on from this copy of its memory. */
+  readonly memory: string | undefined
 }
 
 /** What the headers of an upstream's answer say. */
@@ -98,6 +100,20 @@
   order (proof: DutyProof, order: ScalingOrder, signal: AbortSignal): Promise<DutyOutcome>
 }
 
+/** Answer to the order to move a run. */
+export type MoveOutcome =
+  /** It has stopped, and goes on where its memory was copied to when it is sent there with this reference. */
+  | { readonly kind: 'moved', readonly reference: string }
+  /** It has ended, or hasn't generated anything yet. */
+  | { readonly kind: 'no-run' }
+  | { readonly kind: 'refused', readonly reason: string }
+
+/** Calls to model engines beside callers' requests. They reject with a ServingError when there is no answer. */
+export interface EngineCalls {
+  /** Stops the run of a request and copies its memory to another engine. */
+  move (source: UpstreamRecord, request: string, target: UpstreamRecord, signal: AbortSignal): Promise<MoveOutcome>
+}
+
 /** The paths that the platform asks a node at. */
 export interface NodePaths {
   readonly ready: string
@@ -112,6 +128,7 @@
   readonly format: RequestFormat
   readonly registry: Registry
   readonly paths: NodePaths
+  readonly engines: EngineCalls
   readonly store: KeyValue
   readonly duties: DutyCalls | undefined
 }
--- a/src/gateway/sending.ts
+++ b/src/gateway/sending.ts
@@ -5,6 +5,7 @@
 import type { Verdict } from '../verdict.js'
 import type { AnswerOutcome } from './accounting.js'
 import type { GatewayContext } from './context.js'
+import type { Continuation, RunPlace, WatchedRun } from './evacuation.js'
 import type { ExchangeStart, UpstreamAnswer } from './exchange.js'
 import { noteBegun, noteBroken, noteSent, noteUnrun, noteWhole } from './notes.js'
 import { endFailure, maySendAgain, unsent } from './passage.js'
@@ -21,6 +22,8 @@
   | { readonly kind: 'again', readonly verdict: Verdict, readonly failure: ServingError }
   /** The upstream was silent for too long; another send is granted already. */
   | { readonly kind: 'granted' }
+  /** Its upstream leaves, and the run goes on at another. */
+  | { readonly kind: 'moved', readonly continuation: Continuation }
 
 /** One send. */
 interface Attempt {
@@ -30,6 +33,8 @@
   readonly signal: AbortSignal
   readonly silence: SilenceWatch
   readonly isSilent: () => boolean
+  /** Undefined where the run isn't lost with its upstream, or can't be moved. */
+  readonly watched: WatchedRun | undefined
 }
 
 /** Reading of a prompt from which on other nodes are told at once: it delays what they send to the same upstream noticeably. */
@@ -45,21 +50,23 @@
 /**
  * Sends a request to an upstream and passes its answer on.
  *
+ * @param memory copy of the run's memory that it goes on from
  * @throws ServingError when the request's time is up or its caller has left
  * @example
  * const result = await sendOnce(context, passage, choice)
  */
-export async function sendOnce (context: GatewayContext, passage: Passage, choice: Choice): Promise<SendResult> {
+export async function sendOnce (context: GatewayContext, passage: Passage, choice: Choice, memory?: string): Promise<SendResult> {
   const attempt = beginAttempt(context, passage, choice)
   noteSent(context, passage, choice)
   passage.attempts += 1
   passage.arrivals += 1
   try {
-    const started = await context.connections.start(attempt.upstream, upstreamRequest(context, passage, attempt.upstream), attempt.signal)
+    const started = await context.connections.start(attempt.upstream, upstreamRequest(context, passage, attempt.upstream, memory), attempt.signal)
     return await settle(context, passage, attempt, started)
   } finally {
     attempt.silence.stop()
     attempt.open.end()
+    attempt.watched?.end()
   }
 }
 
@@ -70,10 +77,17 @@
   const silence = watchSilence(context.clock, firstAnswerBound(passage.accepted.route, waiting + reading), () => {
     if (maySendAgain(context, passage, 'may-have-run')) controller.abort()
   })
-  return { upstream, open, signal: AbortSignal.any([passage.signal, controller.signal]), silence, isSilent: () => controller.signal.aborted }
+  return { upstream, open, signal: AbortSignal.any([passage.signal, controller.signal]), silence, isSilent: () => controller.signal.aborted, watched: watchRun(context, passage, upstream) }
 }
 
-function upstreamRequest (context: GatewayContext, passage: Passage, upstream: UpstreamRecord): Parameters<GatewayContext['connections']['start']>[1] {
+function watchRun (context: GatewayContext, passage: Passage, upstream: UpstreamRecord): WatchedRun | undefined {
+  const { route, head } = passage.accepted
+  const isLostWithUpstream = route.kind === 'stream' && !route.resumable
+  const canMove = context.table()?.service(passage.service)?.movesRuns === true
+  return isLostWithUpstream && canMove ? context.evacuation.watch(upstream, head.id, passage.signal) : undefined
+}
+
+function upstreamRequest (context: GatewayContext, passage: Passage, upstream: UpstreamRecord, memory: string | undefined): Parameters<GatewayContext['connections']['start']>[1] {
   const { accepted, request, limit } = passage
   return {
     id: accepted.head.id,
@@ -84,7 +98,8 @@
       upstream: upstream.id,
       organisation: accepted.organisation?.name,
       urgency: Math.min(accepted.priority, DEFAULT_URGENCY),
-      lastEvent: passage.progress.lastId
+      lastEvent: passage.progress.lastId,
+      memory
     }),
     body: passage.body
   }
@@ -127,7 +142,12 @@
     }
     events += count
   }, attempt.signal)
+  const place: RunPlace = await attempt.watched?.place() ?? { kind: 'same' }
+  if (passage.signal.aborted) throw endFailure(passage)
+  // A run that was moved has no end here, however its stream was closed.
+  if (place.kind === 'moved') return { kind: 'moved', continuation: place.continuation }
   if (end.kind === 'broken') return brokenOff(context, passage, attempt, end.reason)
+  if (place.kind === 'unknown') return brokenOff(context, passage, attempt, 'it may have been moved')
   if (progress.events === 0) return brokenOff(context, passage, attempt, 'the stream had no event')
   noteWhole(context, passage, attempt.upstream)
   response.end()
--- a/src/gateway/upstream-keeper.ts
+++ b/src/gateway/upstream-keeper.ts
@@ -18,10 +18,11 @@
 
 /**
  * @param drain a leaving upstream gets nothing later than this after the store has taken its notice
+ * @param leaving called with each upstream that gives notice
  * @example
- * keepUpstreams(context, platform.registry, view, connections, 2 * SECOND)
+ * keepUpstreams(context, platform.registry, view, connections, 2 * SECOND, evacuation.leaving)
  */
-export function keepUpstreams (context: FollowContext, registry: Registry, view: UpstreamView, connections: UpstreamConnections, drain: Milliseconds): Following {
+export function keepUpstreams (context: FollowContext, registry: Registry, view: UpstreamView, connections: UpstreamConnections, drain: Milliseconds, leaving: (record: UpstreamRecord) => void): Following {
   const pauses: WatchPauses = { ...PROMPT_PAUSES, batch: drain * BATCH_PART }
   const { log } = context
   const prefix = registry.upstreamPrefix
@@ -38,6 +39,7 @@
   function put (record: UpstreamRecord, source: 'watch' | 'listing'): void {
     const change = view.put(record)
     if (change === undefined) return
+    if (change === 'leaving') leaving(record)
     log.info(`upstream-${change}`, { upstream: record.id, service: record.service, address: record.address, failureDomain: record.failureDomain, reclaimable: record.reclaimable, leavesIn: record.leavesIn, source })
   }
 
--- a/src/placement/choose.ts
+++ b/src/placement/choose.ts
@@ -23,6 +23,8 @@
   readonly perRequest: Milliseconds
   /** An upstream in another failure domain. */
   readonly otherDomain: Milliseconds
+  /** A reclaimable upstream for a request that would be lost with it. */
+  readonly reclaimable: Milliseconds
   /** Upstreams, in a request's own order, among which it is placed while they have room. */
   readonly homes: number
 }
@@ -47,10 +49,10 @@
 const FULL_WAITING: Milliseconds = 400
 
 /** A running request of an engine delays each step of the others by 0.0165 ms, some 100 of them before the first token at the worst. */
-export const ENGINE_COSTS: PlacementCosts = { perRequest: 2, otherDomain: 2, homes: 6 }
+export const ENGINE_COSTS: PlacementCosts = { perRequest: 2, otherDomain: 2, reclaimable: 60, homes: 6 }
 
 /** A plain request holds one of six slots for some 30 ms. */
-export const PLAIN_COSTS: PlacementCosts = { perRequest: 15, otherDomain: 5, homes: Infinity }
+export const PLAIN_COSTS: PlacementCosts = { perRequest: 15, otherDomain: 5, reclaimable: 0, homes: Infinity }
 
 /**
  * @param candidates upstreams that may take the request; their order doesn't matter
@@ -78,6 +80,7 @@
     const reading = upstream === preferred ? rest : whole
     const cost = load.reading + reading + load.requests * costs.perRequest +
       (upstream.failureDomain === node.failureDomain ? 0 : costs.otherDomain) +
+      (work.bound && upstream.reclaimable ? costs.reclaimable : 0) +
       tieBreak(node.name, upstream.id)
     if (cost < lowest) {
       lowest = cost
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -30,6 +30,8 @@
   readonly parts: readonly PromptPart[]
   /** Tokens of the whole prompt. */
   readonly promptTokens: number
+  /** It can't go on elsewhere once it has begun, and runs for longer than the notice of a reclaim. */
+  readonly bound: boolean
 }
 
 /** What one node has in flight at one upstream. */
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -58,6 +58,8 @@
   readonly mostConnections: number
   /** Its upstreams are model engines, which read prompts before they answer. */
   readonly hasEngines: boolean
+  /** A run's memory can be moved to another of its upstreams, where the run goes on. */
+  readonly movesRuns: boolean
   readonly scaling: ScalingFacts | undefined
 }
 
--- a/stand-ins/machines/deployment.ts
+++ b/stand-ins/machines/deployment.ts
@@ -6,7 +6,7 @@
 import type { GatewayNode } from '../../src/gateway/node.js'
 import type { GatewaySettings } from '../../src/gateway/settings.js'
 import { createLog } from '../../src/log.js'
-import { createConnections } from '../../src/protocols/http.js'
+import { createFreshConnections } from '../../src/protocols/http.js'
 import { createRandom } from '../../src/random.js'
 import { serveDutyApi } from './duty-api.js'
 import type { DutyApiStandIn } from './duty-api.js'
@@ -63,7 +63,7 @@
 
   async function startNode (name: string): Promise<GatewayNode> {
     const settings = settingsOf(name)
-    const connections = createConnections(CONNECTIONS)
+    const connections = createFreshConnections(CONNECTIONS)
     const node = await startGatewayNode({
       settings,
       platform: createPlatform(() => settings, connections),
--- a/stand-ins/machines/upstream.ts
+++ b/stand-ins/machines/upstream.ts
@@ -2,7 +2,7 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
-import { HEADER } from '../../platform/names.js'
+import { ENGINE_PATH, HEADER } from '../../platform/names.js'
 import type { Clock, Milliseconds } from '../../src/clock.js'
 
 /** One run of a request. */
@@ -33,6 +33,8 @@
   readonly runs: readonly Run[]
   /** Requests that it still works on. */
   working (): number
+  /** Handles of runs that were moved away, by request. */
+  readonly moved: ReadonlyMap<string, string>
   /** Decides on each request from now on. */
   behave (decide: () => Behaviour): void
   close (): Promise<void>
@@ -57,12 +59,15 @@
  */
 export async function serveUpstream ({ id, clock, events = 5, pause = 0 }: UpstreamStandInOptions): Promise<UpstreamStandIn> {
   const runs: Run[] = []
+  const streaming = new Map<string, ServerResponse>()
+  const moved = new Map<string, string>()
   let decide = (): Behaviour => 'answer'
   let working = 0
 
   async function handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const chunks: Buffer[] = []
     for await (const chunk of request) chunks.push(chunk as Buffer)
+    if (request.url === ENGINE_PATH.move) return move(JSON.parse(Buffer.concat(chunks).toString('utf8')), response)
     const { headers } = request
     const requestId = String(headers[HEADER.requestId])
     response.setHeader(HEADER.requestId, requestId)
@@ -85,20 +90,37 @@
       case 'answer':
       case 'break':
         if (headers[HEADER.tokenUsage] === undefined) response.end(`answer of ${id}`)
-        else await stream(response, Number(headers[HEADER.lastEventId] ?? 0), behaviour === 'break')
+        else await stream(response, requestId, Number(headers[HEADER.lastEventId] ?? 0), behaviour === 'break')
     }
   }
 
-  async function stream (response: ServerResponse, after: number, breaks: boolean): Promise<void> {
+  /** The run stops, its stream is closed without an end, and the copy has a handle. */
+  function move ({ id: requestId }: { id: string }, response: ServerResponse): void {
+    const stopped = streaming.get(requestId)
+    if (stopped === undefined) {
+      response.statusCode = 404
+      response.end()
+      return
+    }
+    streaming.delete(requestId)
+    stopped.destroy()
+    moved.set(requestId, `h${moved.size + 1}`)
+    response.end(JSON.stringify({ handle: moved.get(requestId), created: 1 }))
+  }
+
+  async function stream (response: ServerResponse, requestId: string, after: number, breaks: boolean): Promise<void> {
     response.setHeader('content-type', 'text/event-stream')
+    streaming.set(requestId, response)
     for (let event = after + 1; event <= events; event += 1) {
       if (pause > 0) await clock.sleep(pause)
+      if (response.destroyed) return
       if (breaks && event - after > EVENTS_BEFORE_BREAK) {
         response.write(`id: ${event}\nda`, () => response.socket?.destroy())
         return
       }
       response.write(`id: ${event}\ndata: token ${event}\n\n`)
     }
+    streaming.delete(requestId)
     response.end()
   }
 
@@ -110,6 +132,7 @@
     id,
     address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
     runs,
+    moved,
     working: () => working,
     behave: (next) => { decide = next },
     close: () => closeServer(server)
--- a/test/gateway/node.test.ts
+++ b/test/gateway/node.test.ts
@@ -29,7 +29,7 @@
     route('open', 'idempotent', { anonymous: true }),
     route('short', 'non_idempotent', { timeoutMs: 300 })
   ],
-  services: [{ name: 'plain', maxConns: 100 }, { name: 'model', maxConns: 100, engine: { slots: 8, kvCapacityTokens: 100_000 } }],
+  services: [{ name: 'plain', maxConns: 100 }, { name: 'model', maxConns: 100, engine: { slots: 8, kvCapacityTokens: 100_000, moves: true } }],
   limits: { maxBodyBytes: 1_000, maxHeaderBytes: 4_000 },
   tenants: [{ name: 'tejo', apiKeys: ['key-1'], unit: 'tokens', plainTokens: 10 }],
   ...more
@@ -98,6 +98,10 @@
     while (!(await condition())) await clock.sleep(10)
   }
 
+  function told (event: string, upstream: string): boolean {
+    return deployment.lines.some((line) => line.event === event && line.upstream === upstream)
+  }
+
   function runsOf (id: string): number {
     return [...plain, ...models].reduce((sum, upstream) => sum + upstream.runs.filter((run) => run.id === id).length, 0)
   }
@@ -173,6 +177,33 @@
     assert.equal(runsOf('torn'), 1)
   })
 
+  // A closure plan reaches the depot with half its timetable missing. Its engine was reclaimed while the plan
+  // ran, and a plan may neither run again nor be resumed from its events alone.
+  it('goes on elsewhere from the run\'s memory when the engine of a plan is reclaimed', async () => {
+    const [leaving, staying] = await Promise.all(['m-3', 'm-4'].map((id) => serveUpstream({ id, clock, events: 40, pause: 50 })))
+    try {
+      for (const upstream of models) deployment.unregister(upstream)
+      deployment.register(leaving!, { service: 'model', spot: true })
+      await until(() => told('upstream-new', 'm-3') && told('upstream-gone', 'm-1') && told('upstream-gone', 'm-2'))
+      const asked = ask('plan', { id: 'evacuated', tokens: true, headers: { 'x-hornbeamgap-deadline-ms': '9000' } })
+      await until(() => leaving!.runs.some((run) => run.id === 'evacuated'))
+      deployment.register(staying!, { service: 'model' })
+      await until(() => told('upstream-new', 'm-4'))
+      deployment.register(leaving!, { service: 'model', spot: true, state: 'draining', leaves_ms: 200 })
+      const answer = await asked
+      const expected = Array.from({ length: 40 }, (_, index) => `id: ${index + 1}\ndata: token ${index + 1}\n\n`).join('')
+      assert.deepEqual([answer.status, answer.body], [200, expected])
+      const [continued] = staying!.runs.filter((run) => run.id === 'evacuated')
+      assert.equal(continued?.headers['kv-from'], `${leaving!.address}/${leaving!.moved.get('evacuated')}`)
+      assert.ok(Number(continued?.headers['last-event-id']) > 0)
+    } finally {
+      for (const upstream of [leaving!, staying!]) deployment.unregister(upstream)
+      for (const upstream of models) deployment.register(upstream, { service: 'model' })
+      await until(async () => (await ask('plan', { tokens: true })).status === 200)
+      await Promise.all([leaving!, staying!].map((upstream) => upstream.close()))
+    }
+  })
+
   it('asks another upstream when one has been silent for too long', async () => {
     behave(models, 'hang', 'answer')
     assert.equal((await ask('question', { id: 'silent', tokens: true })).status, 200)
--- a/test/placement/placement.test.ts
+++ b/test/placement/placement.test.ts
@@ -12,7 +12,7 @@
 })
 
 const work = (subject: string, own: number): Work => ({
-  service: 's', parts: [{ id: 'common', tokens: 500 }, { id: subject, tokens: 4_800 }, { id: 'own', tokens: own }], promptTokens: 5_300 + own
+  service: 's', parts: [{ id: 'common', tokens: 500 }, { id: subject, tokens: 4_800 }, { id: 'own', tokens: own }], promptTokens: 5_300 + own, bound: false
 })
 
 describe('the choice of an upstream', () => {
@@ -44,7 +44,7 @@
   it('chooses one of the candidates if there is any', () => {
     fc.assert(fc.property(fc.array(fc.nat(5_000), { maxLength: 8 }), (readings) => {
       const candidates = readings.map((reading, index) => candidate(`i-${index}`, reading))
-      const choice = chooseUpstream({ service: 's', parts: [], promptTokens: 0 }, candidates, node, ENGINE_COSTS)
+      const choice = chooseUpstream({ service: 's', parts: [], promptTokens: 0, bound: false }, candidates, node, ENGINE_COSTS)
       assert.equal(choice === undefined, readings.length === 0)
     }))
   })
--- a/test/platform/platform.test.ts
+++ b/test/platform/platform.test.ts
@@ -88,7 +88,7 @@
 describe('headers of a request', () => {
   it('go on to an upstream but for those of one connection and those that only the system sets', () => {
     const raw = ['Host', 'a.example', 'Connection', 'X-Private, Host', 'X-Private', '1', 'X-Other', '2', 'Api-Key', 'k', 'Transfer-Encoding', 'chunked', 'X-Hornbeamgap-Tenant', 'forged', 'Kv-Fetch', '1.2.3.4:5']
-    const headers = createRequestFormat().upstreamHeaders(raw, { deadline: 1_234.5, upstream: 'i-1', organisation: undefined, urgency: undefined, lastEvent: '7' })
+    const headers = createRequestFormat().upstreamHeaders(raw, { deadline: 1_234.5, upstream: 'i-1', organisation: undefined, urgency: undefined, memory: undefined, lastEvent: '7' })
     assert.deepEqual(headers, ['Host', 'a.example', 'X-Other', '2', 'x-hornbeamgap-deadline-ms', '1234', 'x-hornbeamgap-expect-instance', 'i-1', 'last-event-id', '7'])
   })
 
