Entry: no import circles; unused types go; bench of the gateway's exchanges

Cause: two circles of eight files each (attempt, attempts, context, generation, liveness, note-keeper, plain-call, submission; node, observation, operator/*), by types that stood in the file of their first user.

The gateway's program is the same.

--- /dev/null
+++ b/bench/gateway-gossip.ts
@@ -0,0 +1,67 @@
+/** Size and processor time of one exchange between gateway nodes, by the number of nodes whose states it carries. */
+import { packMessage, unpackMessage } from '../src/gateway/packing.js'
+import type { GossipMessage, NodeState } from '../src/gossip/index.js'
+import { createRandom } from '../src/random.js'
+import type { Random } from '../src/random.js'
+import type { Bench } from './table.js'
+
+const NODES = [9, 64, 370] as const
+const ORGANISATIONS = 16
+const UPSTREAMS = 63
+/** Upstreams at which one node has something in flight. */
+const BUSY = 9
+const REPEATS = 30
+
+/** Slopes of what nodes tell each other. */
+export const bench: Bench = {
+  name: 'gateway-gossip',
+  description: 'Bytes and processor time of an exchange between gateway nodes',
+  run: ({ seed }) => {
+    const random = createRandom(seed)
+    const rows = NODES.map((nodes) => {
+      const message = messageOf(nodes, random)
+      const packed = packMessage(message)
+      return [nodes, JSON.stringify(message).length, packed.length, meanTime(() => packMessage(message)), meanTime(() => unpackMessage(packed))]
+    })
+    return [{ title: 'One message with the states of all nodes', columns: ['nodes', 'JSON bytes', 'bytes sent', 'packing ms', 'unpacking ms'], rows, note: `${ORGANISATIONS} organisations, ${BUSY} busy upstreams a node.` }]
+  }
+}
+
+function messageOf (nodes: number, random: Random): GossipMessage {
+  const states = Array.from({ length: nodes }, (_, index) => stateOf(index, random))
+  return {
+    from: states[0]!.incarnation,
+    wall: 1_767_225_600_000,
+    versions: Object.fromEntries(states.map((state) => [state.incarnation, state.sequence])),
+    states,
+    ages: Object.fromEntries(states.map((state) => [state.incarnation, random.integer(2_000)]))
+  }
+}
+
+function stateOf (index: number, random: Random): NodeState {
+  const name = `front-sala-${index % 5}-${index}`
+  const organisations = Array.from({ length: ORGANISATIONS }, (_, number) => `org${number}`)
+  const upstreams = Array.from({ length: BUSY }, () => `i-${(random.integer(UPSTREAMS) * 7_919_113).toString(16)}`)
+  return {
+    name,
+    incarnation: `${name}-${random.integer(0x3fffffff).toString(16)}`,
+    sequence: random.integer(100_000),
+    failureDomain: `sala-${index % 5}`,
+    front: `10.1.${index % 250}.16:8360`,
+    peer: `10.1.${index % 250}.16:7500`,
+    ready: true,
+    configuration: 39,
+    demand: Object.fromEntries(organisations.map((name) => [name, random.integer(20_000)])),
+    inFlight: Object.fromEntries(upstreams.map((id) => [id, { requests: 1 + random.integer(3), reading: random.integer(400) }])),
+    work: { engines: { requests: random.integer(900) / 100, reading: random.integer(90_000) / 100, generatedTokens: random.integer(300_000) / 100 } },
+    usage: { 356_323_682: Object.fromEntries(organisations.map((name) => [name, random.integer(40)])), 356_323_683: Object.fromEntries(organisations.map((name) => [name, random.integer(40)])) },
+    crashes: {}
+  }
+}
+
+function meanTime (work: () => unknown): string {
+  work()
+  const start = process.hrtime.bigint()
+  for (let count = 0; count < REPEATS; count += 1) work()
+  return (Number(process.hrtime.bigint() - start) / REPEATS / 1e6).toFixed(2)
+}
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -18,6 +18,7 @@
   fairness: () => import('./fairness.js'),
   routing: () => import('./routing.js'),
   'gateway-placement': () => import('./gateway-placement.js'),
+  'gateway-gossip': () => import('./gateway-gossip.js'),
   outliers: () => import('./outliers.js'),
   recovery: () => import('./recovery.js'),
   'decision-time': () => import('./decision-time.js'),
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -3,9 +3,9 @@
 import type { Service } from '../configuration/index.js'
 import type { UpstreamName } from '../identifiers.js'
 import { prefixBlocks, promptTokens } from '../protocols/prompt.js'
-import type { AnswerEnd } from '../request/index.js'
 import type { UpstreamView } from '../upstream/index.js'
 import { ServingError, toServingError } from '../verdict.js'
+import type { AttemptEnd } from './attempt-end.js'
 import type { ExecutionContext } from './context.js'
 import type { Placement } from './dispatcher.js'
 import type { Execution } from './execution.js'
@@ -15,14 +15,6 @@
 import type { DispatchEnd, Permit } from './permits.js'
 import { callPlain } from './plain-call.js'
 
-/** How one attempt ended. */
-export type AttemptEnd =
-  | { kind: 'whole', end: Extract<AnswerEnd, { kind: 'finished' | 'plain' }>, result: AttemptResult }
-  /** `upstreamDied`: new connections are refused or the upstream lost its streams. */
-  | { kind: 'failed', failure: ServingError, upstreamDied: boolean }
-  /** The upstream or this node is being left; the request goes on elsewhere from its tokens so far. */
-  | { kind: 'recompute' }
-
 /** How it went, or why nothing was dispatched. */
 export type Attempted =
   | AttemptEnd
--- a/src/entry/attempts.ts
+++ b/src/entry/attempts.ts
@@ -9,7 +9,7 @@
 import { mayRepeat, ServingError, toServingError } from '../verdict.js'
 import type { Verdict } from '../verdict.js'
 import { attemptAt, attemptOnce } from './attempt.js'
-import type { AttemptEnd } from './attempt.js'
+import type { AttemptEnd } from './attempt-end.js'
 import type { ExecutionContext } from './context.js'
 import type { Execution } from './execution.js'
 
--- a/src/entry/context.ts
+++ b/src/entry/context.ts
@@ -8,7 +8,7 @@
 import type { Tracing } from '../tracing.js'
 import type { Bookkeeping } from './bookkeeping.js'
 import type { Dispatcher } from './dispatcher.js'
-import type { NoteJournal } from './note-keeper.js'
+import type { NoteJournal } from './note-journal.js'
 import type { Permits } from './permits.js'
 import type { UpstreamDirectory } from './upstream-directory.js'
 
--- a/src/entry/node.ts
+++ b/src/entry/node.ts
@@ -9,22 +9,17 @@
 import { incarnationSchema } from '../identifiers.js'
 import type { Address, Incarnation } from '../identifiers.js'
 import { createLog } from '../log.js'
-import type { Log } from '../log.js'
 import { createEntryMetrics } from '../metrics.js'
-import type { EntryMetrics } from '../metrics.js'
 import { registerOperatorApi } from '../operator/api.js'
 import { createInquiryHandlers } from '../operator/inquiry.js'
 import { createPeers } from '../peer/client.js'
-import type { Peers } from '../peer/client.js'
 import { createPeerServer } from '../peer/server.js'
 import { createSuspicionClient } from '../peer/suspicion-client.js'
 import { createConnections, createFreshConnections } from '../protocols/http.js'
 import { createInstanceList, peerAddresses } from '../protocols/instance-list.js'
 import { createKeyValue } from '../protocols/key-value.js'
-import type { KeyValue } from '../protocols/key-value.js'
 import type { Random } from '../random.js'
 import { createFactStore, createLedger } from '../report/index.js'
-import type { CountingLedger, FactStore } from '../report/index.js'
 import { createHomeTable, createRetryPolicy } from '../request/index.js'
 import type { HomeTable } from '../request/index.js'
 import type { EntrySettings } from '../settings.js'
@@ -34,7 +29,6 @@
 import { createBookkeeping } from './bookkeeping.js'
 import { createClaimKeeper, writePause } from './claim-keeper.js'
 import { createConfigurationKeeper } from './configuration-keeper.js'
-import type { ConfigurationKeeper } from './configuration-keeper.js'
 import type { ExecutionContext } from './context.js'
 import { createDispatcher } from './dispatcher.js'
 import { followDrains } from './drain-keeper.js'
@@ -43,6 +37,7 @@
 import type { MembershipKeeper } from './membership-keeper.js'
 import { createNotes } from './note-keeper.js'
 import { registerObservationApi } from './observation.js'
+import type { EntryParts } from './parts.js'
 import { createPermits } from './permits.js'
 import { startReclaims } from './reclaims.js'
 import type { Reclaims } from './reclaims.js'
@@ -53,11 +48,8 @@
 import { startSchedulerFeed } from './scheduler-feed.js'
 import { createStop } from './stopping.js'
 import { createStreams } from './streams.js'
-import type { Streams } from './streams.js'
 import { createExecutions } from './submission.js'
-import type { Executions } from './submission.js'
 import { createUpstreamDirectory } from './upstream-directory.js'
-import type { UpstreamDirectory } from './upstream-directory.js'
 
 /** A running entry node. */
 export interface EntryNode {
@@ -75,29 +67,6 @@
   kill (): Promise<void>
 }
 
-/** What a node is made of, for its keepers and for tests. */
-export interface EntryParts {
-  readonly settings: EntrySettings
-  readonly clock: Clock
-  readonly random: Random
-  readonly log: Log
-  /** The node's life. */
-  readonly signal: AbortSignal
-  readonly keyValue: KeyValue
-  readonly peers: Peers
-  readonly directory: UpstreamDirectory
-  readonly configuration: ConfigurationKeeper
-  readonly membership: MembershipKeeper
-  readonly context: ExecutionContext
-  readonly home: HomeTable
-  readonly executions: Executions
-  readonly streams: Streams
-  readonly reclaims: Reclaims
-  readonly ledger: CountingLedger
-  readonly facts: FactStore
-  readonly metrics: EntryMetrics
-}
-
 const CONNECTIONS_PER_ADDRESS = 256
 
 /** Memory for facts about recent requests. */
--- a/src/entry/note-keeper.ts
+++ b/src/entry/note-keeper.ts
@@ -14,15 +14,9 @@
 import { createNoteKeeper, createNoteWriter } from '../request/index.js'
 import type { DeathAccount, HomeRecord, HomeTable, OpenNote, Request, Salvage } from '../request/index.js'
 import type { Execution } from './execution.js'
+import type { NoteJournal } from './note-journal.js'
 import type { Executions } from './submission.js'
 
-/** Tells a home's buddy what is open. */
-export interface NoteJournal {
-  /** An accepted execution began, or its stream was named. */
-  open (execution: Execution): void
-  closed (execution: Execution): void
-}
-
 /** Notes of one node. */
 export interface Notes {
   readonly journal: NoteJournal
--- a/src/entry/observation.ts
+++ b/src/entry/observation.ts
@@ -1,7 +1,7 @@
 /** What operators and their monitoring read from a node: `/metrics` and `/healthz`. */
 import type restana from 'restana'
 import { sendJson } from '../caller/http.js'
-import type { EntryParts } from './node.js'
+import type { EntryParts } from './parts.js'
 
 /**
  * Registers the routes. They hold no names of organisations and no ids, and need no key.
--- /dev/null
+++ b/src/entry/parts.ts
@@ -0,0 +1,40 @@
+/** The parts of an entry node, by their interfaces; what works on them need not know how they are put together. */
+import type { Clock } from '../clock.js'
+import type { Log } from '../log.js'
+import type { EntryMetrics } from '../metrics.js'
+import type { Peers } from '../peer/client.js'
+import type { KeyValue } from '../protocols/key-value.js'
+import type { Random } from '../random.js'
+import type { CountingLedger, FactStore } from '../report/index.js'
+import type { HomeTable } from '../request/index.js'
+import type { EntrySettings } from '../settings.js'
+import type { ConfigurationKeeper } from './configuration-keeper.js'
+import type { ExecutionContext } from './context.js'
+import type { MembershipKeeper } from './membership-keeper.js'
+import type { Reclaims } from './reclaims.js'
+import type { Streams } from './streams.js'
+import type { Executions } from './submission.js'
+import type { UpstreamDirectory } from './upstream-directory.js'
+
+/** What a node is made of, for its keepers and for tests. */
+export interface EntryParts {
+  readonly settings: EntrySettings
+  readonly clock: Clock
+  readonly random: Random
+  readonly log: Log
+  /** The node's life. */
+  readonly signal: AbortSignal
+  readonly keyValue: KeyValue
+  readonly peers: Peers
+  readonly directory: UpstreamDirectory
+  readonly configuration: ConfigurationKeeper
+  readonly membership: MembershipKeeper
+  readonly context: ExecutionContext
+  readonly home: HomeTable
+  readonly executions: Executions
+  readonly streams: Streams
+  readonly reclaims: Reclaims
+  readonly ledger: CountingLedger
+  readonly facts: FactStore
+  readonly metrics: EntryMetrics
+}
--- a/src/entry/plain-call.ts
+++ b/src/entry/plain-call.ts
@@ -2,7 +2,7 @@
 import { callPlainService } from '../protocols/plain-service.js'
 import type { PlainCall } from '../request/index.js'
 import { ServingError, toServingError } from '../verdict.js'
-import type { AttemptEnd } from './attempt.js'
+import type { AttemptEnd } from './attempt-end.js'
 import type { ExecutionContext } from './context.js'
 import type { Placement } from './dispatcher.js'
 import type { Execution } from './execution.js'
--- a/src/operator/context.ts
+++ b/src/operator/context.ts
@@ -1,5 +1,5 @@
 /** What the operators' API needs from its node. */
-import type { EntryParts } from '../entry/node.js'
+import type { EntryParts } from '../entry/parts.js'
 import type { ReportKeeper } from '../entry/report-keeper.js'
 
 /** Parts of the node, and the keeper of its report. */
--- a/src/operator/messages.ts
+++ b/src/operator/messages.ts
@@ -61,7 +61,6 @@
 
 /** The revision in force at the node that answers. */
 export const currentAnswerSchema = z.object({ current: configurationRevisionSchema.optional() })
-export type CurrentAnswer = z.infer<typeof currentAnswerSchema>
 
 /** Revisions with what each changed, latest first. */
 export const historyAnswerSchema = z.object({
--- a/src/peer/reclaim.ts
+++ b/src/peer/reclaim.ts
@@ -27,7 +27,6 @@
 
 /** Plans for exactly the streams that were asked about. */
 export const planAnswerSchema = z.object({ plans: z.array(streamPlanSchema) })
-export type PlanAnswer = z.infer<typeof planAnswerSchema>
 
 /** An export that wants its turn on the link of a leaving upstream. */
 export const turnRequestSchema = z.object({
--- a/src/peer/request.ts
+++ b/src/peer/request.ts
@@ -80,9 +80,6 @@
 })
 export type HandOver = z.infer<typeof handOverSchema>
 
-/** Whether a node holds an id. */
-export const locateAnswerSchema = z.object({ holds: z.boolean() })
-
 /** What a node does when peers ask about requests. */
 export interface RequestHandlers {
   /** Runs or finds a request of which this node is the home or an heir. */
--- a/src/protocols/weight-store.ts
+++ b/src/protocols/weight-store.ts
@@ -18,7 +18,6 @@
   bytes: z.number().positive(),
   receivedBytes: z.number().nonnegative()
 })
-export type WeightTransfer = z.infer<typeof weightTransferSchema>
 
 /** What the store holds and does. */
 export const weightStoreStatusSchema = z.object({
--- a/src/upstream/reclaim/types.ts
+++ b/src/upstream/reclaim/types.ts
@@ -45,7 +45,6 @@
 
 /** Tokens of a prompt that an upstream is expected to have cached. */
 export const prefixHitSchema = z.object({ upstream: upstreamNameSchema, tokens: z.number().int().nonnegative() })
-export type PrefixHit = z.infer<typeof prefixHitSchema>
 
 /** A stream that is open at a leaving upstream. Serializable: one node plans for the streams of several. */
 export const openStreamSchema = z.object({
@@ -144,4 +143,3 @@
 
 /** Failure domain of an upstream, for the detection of domain-wide reclaims. */
 export const domainMemberSchema = z.object({ failureDomain: failureDomainSchema, leaving: z.boolean() })
-export type DomainMember = z.infer<typeof domainMemberSchema>
