--- a/src/events/day.ts
+++ b/src/events/day.ts
@@ -2,7 +2,7 @@
 import type { Milliseconds } from '../clock.js'
 import type { LoggedLine } from './line.js'
 
-/** Outcomes in the order in which they are drawn. */
+/** In time, late, not run, not answered though it may have run, left by the caller; in the order in which they are drawn. */
 export const DAY_OUTCOMES = ['served', 'late', 'refused', 'lost', 'left'] as const
 export type DayOutcome = typeof DAY_OUTCOMES[number]
 
--- a/src/gateway/accounting.ts
+++ b/src/gateway/accounting.ts
@@ -5,7 +5,7 @@
 import type { GatewayContext } from './context.js'
 import type { Passage } from './passage.js'
 import type { RequestHead } from './ports.js'
-import type { SumName } from './request-sums.js'
+import type { DayOutcome } from '../events/index.js'
 
 /** How a request ended: an upstream's answer was passed on, or the system gave one of its own. */
 export type Ending =
@@ -82,7 +82,7 @@
   })
 }
 
-function sumOf (ending: Ending, passage: Passage | undefined): SumName {
+function sumOf (ending: Ending, passage: Passage | undefined): DayOutcome {
   switch (ending.kind) {
     case 'answered':
       if (ending.outcome === 'upstream-failed') return 'lost'
@@ -91,6 +91,6 @@
   }
 }
 
-function sumOfVerdict (verdict: Verdict): SumName {
+function sumOfVerdict (verdict: Verdict): DayOutcome {
   return verdict === 'not-run' ? 'refused' : 'lost'
 }
--- a/src/gateway/request-sums.ts
+++ b/src/gateway/request-sums.ts
@@ -3,14 +3,11 @@
  * can be drawn from them.
  */
 import type { Milliseconds } from '../clock.js'
-import type { EventLog } from '../events/index.js'
-
-/** In time, late, not run, not answered though it may have run, left by the caller. */
-export type SumName = 'served' | 'late' | 'refused' | 'lost' | 'left'
+import type { DayOutcome, EventLog } from '../events/index.js'
 
 /** Requests by what became of them. */
 export interface RequestSums {
-  add (sum: SumName): void
+  add (sum: DayOutcome): void
   /** Writes the sums since the last time, if there are any. */
   tell (log: EventLog, now: Milliseconds): void
 }
@@ -33,6 +30,6 @@
   }
 }
 
-function noRequests (): Record<SumName, number> {
+function noRequests (): Record<DayOutcome, number> {
   return { served: 0, late: 0, refused: 0, lost: 0, left: 0 }
 }
