Engines' speed is learnt from first events, in place of one customer's sheet

Cause: reading times were reckoned with 61.8 tokens a millisecond; the further customer's engines read 92.1, so that the fleet was sized for engines half slower than they are, and prompts were kept from engines that had room.

Change: each node fits the fixed time, the time a thousand tokens and the time a million pairs to the first events that it sees (quantile regression at 0.3, with a stated assumption, a bound on its moves), nodes tell each other three numbers a service, and placement, sizes, silence bounds and the stopping rule ask this one model.

--- a/bench/gateway-placement.ts
+++ b/bench/gateway-placement.ts
@@ -6,7 +6,7 @@
  */
 import type { Milliseconds } from '../src/clock.js'
 import { SECOND } from '../src/clock.js'
-import { chooseUpstream, ENGINE_COSTS, lifeOf, readingTime } from '../src/placement/index.js'
+import { ASSUMED_SPEED, chooseUpstream, ENGINE_COSTS, lifeOf, readingTime } from '../src/placement/index.js'
 import type { Candidate, PlacementCosts, Work } from '../src/placement/index.js'
 import { createRandom } from '../src/random.js'
 import type { Random } from '../src/random.js'
@@ -118,7 +118,7 @@
     const ages = Array.from({ length: site.nodes }, () => random.fraction() * site.oldest)
     for (const engine of engines) while (engine.open.length > 0 && engine.open[0]!.endsAt < now - site.oldest) engine.open.shift()
     const candidates = engines.map((engine) => candidateOf(engine, node, ages, now))
-    const choice = chooseUpstream(work, candidates, { name: `node-${node}`, failureDomain: 'a' }, variant.costs)
+    const choice = chooseUpstream(work, candidates, { name: `node-${node}`, failureDomain: 'a' }, variant.costs, ASSUMED_SPEED)
     const engine = engines.find(({ id }) => id === choice!.upstream.id)!
     const { reading, readAt } = send(engine, work, node, now, kind.run)
     if (now < WARM_UP) continue
@@ -133,7 +133,7 @@
   const own = Math.max(20, Math.round(kind.own * Math.exp(SIGMA * normal(random) - SIGMA * SIGMA / 2)))
   // A few subjects get most requests.
   const subject = Math.floor(kind.subjects * random.fraction() ** 2)
-  return { service: 's', parts: [{ id: `${isPlan ? 'plan' : 'question'}-${subject}`, tokens: kind.shared }, { id: 'own', tokens: own }], promptTokens: kind.shared + own, bound: isPlan }
+  return { service: 's', parts: [{ id: `${isPlan ? 'plan' : 'question'}-${subject}`, tokens: kind.shared }, { id: 'own', tokens: own }], promptTokens: kind.shared + own, target: kind.target, bound: isPlan }
 }
 
 /** What a node takes an engine's load for: its own as it is, that of others as it was. */
@@ -154,7 +154,7 @@
   const shared = work.parts[0]!
   const isKept = (engine.kept.get(shared.id) ?? -Infinity) > now - KEPT
   engine.kept.set(shared.id, now)
-  const reading = isKept ? readingTime(work.promptTokens - shared.tokens, shared.tokens) : readingTime(work.promptTokens, 0)
+  const reading = isKept ? readingTime(work.promptTokens - shared.tokens, shared.tokens, ASSUMED_SPEED) : readingTime(work.promptTokens, 0, ASSUMED_SPEED)
   const readAt = Math.max(now, engine.freeAt) + reading
   engine.freeAt = readAt
   engine.open.push({ node, since: now, reading, readAt, endsAt: readAt + run })
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -1,7 +1,7 @@
 /** What the parts of a gateway node share. */
 import type { Clock, Milliseconds } from '../clock.js'
 import type { EventLog } from '../events/index.js'
-import type { UpstreamLife } from '../placement/index.js'
+import type { EngineSpeeds, UpstreamLife } from '../placement/index.js'
 import type { Quarantine } from '../quarantine/index.js'
 import type { QuotaLimiter, RetryBudget } from '../quota/index.js'
 import type { Random } from '../random.js'
@@ -45,6 +45,7 @@
   readonly metrics: GatewayMetrics
   readonly format: RequestFormat
   readonly upstreams: UpstreamView
+  readonly speeds: EngineSpeeds
   readonly connections: UpstreamConnections
   readonly quotas: QuotaLimiter
   readonly quarantine: Quarantine
--- a/src/gateway/duties.ts
+++ b/src/gateway/duties.ts
@@ -1,5 +1,6 @@
 /** The duties of one node at a time, put together: who holds them, usage reports, orders for upstreams. */
 import type { NodeState } from '../gossip/index.js'
+import type { EngineSpeeds } from '../placement/index.js'
 import type { RouteTable } from '../routing/index.js'
 import { sumWork } from '../scaling/index.js'
 import type { WorkMeter } from '../scaling/index.js'
@@ -24,6 +25,7 @@
   readonly usage: UsageWindows
   readonly work: WorkMeter
   readonly upstreams: UpstreamView
+  readonly speeds: EngineSpeeds
   readonly table: () => RouteTable | undefined
 }
 
@@ -37,7 +39,7 @@
 
 /**
  * @example
- * const duties = keepDuties({ context, settings, incarnation, calls, holder, fleet, usage, work, upstreams, table })
+ * const duties = keepDuties({ context, settings, incarnation, calls, holder, fleet, usage, work, upstreams, speeds, table })
  */
 export function keepDuties (options: DutiesOptions): Duties {
   const { context, settings, calls, holder, fleet, incarnation } = options
@@ -62,6 +64,7 @@
       failureDomains: settings.failureDomains,
       table: options.table,
       upstreams: options.upstreams,
+      speeds: options.speeds,
       duty: holder,
       calls,
       work: () => sumWork([options.work.rates(context.clock.now()), ...fleet.live().map((state) => state.work)])
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -76,7 +76,7 @@
   const accepted = acceptHead(context.table(), head, request.headers.host, request.url ?? '/')
   call.accepted = accepted
   const stop = context.stop()
-  if (stop !== undefined && !mayBegin({ now: arrival, ...stop }, accepted.route, head)) throw refusal('stopping', 'this node stops before the request would end', STOPPING_WAIT)
+  if (stop !== undefined && !mayBegin({ now: arrival, ...stop }, accepted.route, head, context.speeds.of(accepted.route.destinations[0]?.service ?? ''))) throw refusal('stopping', 'this node stops before the request would end', STOPPING_WAIT)
   const limit = createTimeLimit(arrival, head.deadline, accepted.route)
   undo.push(abortAtEnd(clock, limit, controller))
   const body = await readWholeBody(context, request, controller.signal)
@@ -112,7 +112,7 @@
 
 /** Its prompt has been read, and its memory is there. */
 function continued ({ upstream }: Continuation): Choice {
-  return { upstream, reading: 0, waiting: 0, candidates: 1 }
+  return { upstream, reading: 0, cached: 0, waiting: 0, candidates: 1 }
 }
 
 /** Waits for a while when no upstream may take the request now. */
@@ -147,10 +147,10 @@
 function choose (context: GatewayContext, passage: Passage): Choice | undefined {
   const now = context.clock.now()
   const { head, route } = passage.accepted
-  const work: Work = { service: passage.service, parts: head.parts, promptTokens: head.tokens?.prompt ?? 0, bound: route.kind === 'stream' && !route.resumable }
+  const work: Work = { service: passage.service, parts: head.parts, promptTokens: head.tokens?.prompt ?? 0, target: route.target, bound: route.kind === 'stream' && !route.resumable }
   const hasEngines = context.table()?.service(passage.service)?.hasEngines === true
   const candidates = context.upstreams.candidates(passage.service, passage.tried, now)
-  return chooseUpstream(work, candidates, context.settings, hasEngines ? ENGINE_COSTS : PLAIN_COSTS)
+  return chooseUpstream(work, candidates, context.settings, hasEngines ? ENGINE_COSTS : PLAIN_COSTS, context.speeds.of(passage.service))
 }
 
 function checkHeadSize (context: GatewayContext, request: IncomingMessage): void {
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -7,7 +7,7 @@
 import type { Clock, Milliseconds } from '../clock.js'
 import type { NodeState } from '../gossip/index.js'
 import type { EventLog } from '../events/index.js'
-import { chooseUpstream, ENGINE_COSTS } from '../placement/index.js'
+import { chooseUpstream, createEngineSpeeds, ENGINE_COSTS } from '../placement/index.js'
 import { createQuarantine } from '../quarantine/index.js'
 import { createQuotaLimiter, createRetryBudget } from '../quota/index.js'
 import type { RetryBudget } from '../quota/index.js'
@@ -75,6 +75,9 @@
 /** How often this node's shares follow the number of nodes, beside each news of their demand. */
 const SHARE_PERIOD: Milliseconds = 500
 
+/** How often what was seen of engines changes what is reckoned with; a node sees some ten prompts in it. */
+const SPEED_PERIOD: Milliseconds = 1_000
+
 /** Bound on the last write of a stop; half of what is left until the kill. */
 const LAST_WRITE: Milliseconds = STOP_MARGIN / 2
 
@@ -97,6 +100,7 @@
   const metrics = createGatewayMetrics()
   const upstreams = createUpstreamView()
   const connections = createUpstreamConnections(platform.format, clock, (took) => metrics.record('connecting', took))
+  const speeds = createEngineSpeeds()
   const quotas = createQuotaLimiter()
   const quarantine = createQuarantine()
   const usage = createUsageWindows(bounds.usageWindow)
@@ -142,7 +146,7 @@
     clock,
     log,
     calls: platform.engines,
-    chooseTarget: (service, excluded) => chooseUpstream({ service, parts: [], promptTokens: 0, bound: true }, upstreams.candidates(service, excluded, clock.now()), settings, ENGINE_COSTS)?.upstream,
+    chooseTarget: (service, excluded) => chooseUpstream({ service, parts: [], promptTokens: 0, target: Infinity, bound: true }, upstreams.candidates(service, excluded, clock.now()), settings, ENGINE_COSTS, speeds.of(service))?.upstream,
     mayMove: (service) => retryBudget(service).take(clock.now()),
     signal: ending.signal
   })
@@ -154,6 +158,7 @@
     metrics,
     format: platform.format,
     upstreams,
+    speeds,
     connections,
     quotas,
     quarantine,
@@ -169,9 +174,10 @@
     stop: () => stopping
   }
   const upstreamsFollowing = keepUpstreams(follows, platform.registry, upstreams, connections, bounds.upstreamDrain, evacuation.leaving)
-  const duties = platform.duties && keepDuties({ context: follows, settings, incarnation, calls: platform.duties, holder, fleet, usage, work, upstreams, table: configuration.table })
+  const duties = platform.duties && keepDuties({ context: follows, settings, incarnation, calls: platform.duties, holder, fleet, usage, work, upstreams, speeds, table: configuration.table })
 
   repeat({ clock, log, signal: ending.signal }, 'shares', SHARE_PERIOD, applyShares)
+  repeat({ clock, log, signal: ending.signal }, 'speeds', SPEED_PERIOD, speeds.update)
   exposeNode({ metrics, clock, log, signal: ending.signal, sums, sources, fleet, upstreams, connections, quotas, budgets, inFlight: () => inFlight, holdsDuties: () => holder.proof() !== undefined })
 
   const ready = await servePaths(settings.ready)
@@ -222,6 +228,7 @@
       demand: quotas.demand(now),
       inFlight: upstreams.inFlight(now),
       work: work.rates(now),
+      speeds: speeds.own(),
       usage: Object.fromEntries(windows.map((window) => [window, usage.counts(window)])),
       crashes: quarantine.own(now)
     }
@@ -229,6 +236,7 @@
 
   function heard (live: readonly NodeState[]): void {
     upstreams.observe(new Map(live.map((state) => [state.incarnation, state.inFlight])), clock.now())
+    speeds.hear(live.map((state) => state.speeds))
     quarantine.observe(fleet.remembered().map((state) => state.crashes))
     applyShares()
   }
--- a/src/gateway/scaling-keeper.ts
+++ b/src/gateway/scaling-keeper.ts
@@ -1,6 +1,7 @@
 /** Orders the size of services, while this node holds the duties. */
 import type { Milliseconds } from '../clock.js'
 import { repeat } from '../repeat.js'
+import type { EngineSpeeds } from '../placement/index.js'
 import type { RouteTable, ScalingFacts, Service } from '../routing/index.js'
 import { busyEngines, createLoadFollower, createOrderBook, expectedEngines, planPools } from '../scaling/index.js'
 import type { LoadFollower, OfferedWork, OrderAnswer, OrderBook, Pool, PoolSize } from '../scaling/index.js'
@@ -15,6 +16,7 @@
   readonly failureDomains: readonly string[]
   readonly table: () => RouteTable | undefined
   readonly upstreams: UpstreamView
+  readonly speeds: EngineSpeeds
   readonly duty: DutyHolder
   readonly calls: DutyCalls
   /** Work of all nodes, a second, by service. */
@@ -45,7 +47,7 @@
 
 /**
  * @example
- * keepScaling({ context, failureDomains, table, upstreams, duty, calls, work })
+ * keepScaling({ context, failureDomains, table, upstreams, speeds, duty, calls, work })
  */
 export function keepScaling (options: ScalingKeeperOptions): void {
   const { context, table, upstreams, duty, calls } = options
@@ -57,7 +59,7 @@
   function stateOf (service: Service, present: number): ScaledService | undefined {
     const known = services.get(service.name)
     if (known !== undefined) return known
-    const expected = expectedEngines(quotaTokens())
+    const expected = expectedEngines(quotaTokens(), options.speeds.of(service.name).perThousandTokens)
     if (expected === 0 && present === 0) return undefined
     const created: ScaledService = { book: createOrderBook(), load: createLoadFollower(), firstLoad: expected > 0 ? expected : present * FIRST_LOAD_PART, firstWork: undefined, since: clock.now() }
     services.set(service.name, created)
--- a/src/gateway/sending.ts
+++ b/src/gateway/sending.ts
@@ -1,6 +1,6 @@
 /** One send of a request to one upstream, and the passing on of its answer. */
 import type { Milliseconds } from '../clock.js'
-import type { Choice, UpstreamRecord } from '../placement/index.js'
+import type { Choice, ReadingSample, UpstreamRecord } from '../placement/index.js'
 import { ServingError } from '../verdict.js'
 import type { Verdict } from '../verdict.js'
 import type { AnswerOutcome } from './accounting.js'
@@ -33,6 +33,9 @@
   readonly signal: AbortSignal
   readonly silence: SilenceWatch
   readonly isSilent: () => boolean
+  /** What its first event will tell of the engine's speed; undefined where other things go into that time as well. */
+  readonly sample: Omit<ReadingSample, 'took'> | undefined
+  readonly since: Milliseconds
   /** Undefined where the run isn't lost with its upstream, or can't be moved. */
   readonly watched: WatchedRun | undefined
 }
@@ -56,7 +59,7 @@
  * const result = await sendOnce(context, passage, choice)
  */
 export async function sendOnce (context: GatewayContext, passage: Passage, choice: Choice, memory?: string): Promise<SendResult> {
-  const attempt = beginAttempt(context, passage, choice)
+  const attempt = beginAttempt(context, passage, choice, memory)
   noteSent(context, passage, choice)
   passage.attempts += 1
   passage.arrivals += 1
@@ -70,14 +73,37 @@
   }
 }
 
-function beginAttempt (context: GatewayContext, passage: Passage, { upstream, reading, waiting }: Choice): Attempt {
+function beginAttempt (context: GatewayContext, passage: Passage, choice: Choice, memory: string | undefined): Attempt {
+  const { upstream, reading, waiting } = choice
   const controller = new AbortController()
   const open = context.upstreams.begin(upstream.life, reading, context.clock.now())
   if (reading >= LONG_READING) context.tellReading(upstream.life, reading)
-  const silence = watchSilence(context.clock, firstAnswerBound(passage.accepted.route, waiting + reading), () => {
+  const silence = watchSilence(context.clock, firstAnswerBound(passage.accepted.route, waiting + reading, context.speeds.of(passage.service).base), () => {
     if (maySendAgain(context, passage, 'may-have-run')) controller.abort()
   })
-  return { upstream, open, signal: AbortSignal.any([passage.signal, controller.signal]), silence, isSilent: () => controller.signal.aborted, watched: watchRun(context, passage, upstream) }
+  return {
+    upstream,
+    open,
+    signal: AbortSignal.any([passage.signal, controller.signal]),
+    silence,
+    isSilent: () => controller.signal.aborted,
+    sample: memory === undefined ? sampleOf(passage, choice) : undefined,
+    since: context.clock.now(),
+    watched: watchRun(context, passage, upstream)
+  }
+}
+
+/** A prompt that waits behind others, or a stream that goes on, tells nothing of the reading. */
+function sampleOf ({ accepted, progress }: Passage, { cached, waiting }: Choice): Attempt['sample'] {
+  const { tokens } = accepted.head
+  if (tokens === undefined || waiting > 0 || progress.lastId !== undefined) return undefined
+  return { tokens: tokens.prompt - cached, cached }
+}
+
+/** The first event has come: the prompt has been read. */
+function noteRead ({ clock, speeds }: GatewayContext, { service }: Passage, { open, sample, since }: Attempt): void {
+  open.read()
+  if (sample !== undefined) speeds.observe(service, { ...sample, took: clock.now() - since })
 }
 
 function watchRun (context: GatewayContext, passage: Passage, upstream: UpstreamRecord): WatchedRun | undefined {
@@ -135,7 +161,7 @@
   let events = 0
   const end = await relayEvents(answer, response, progress, (count) => {
     attempt.silence.heard(eventBound(passage.accepted.route))
-    if (events === 0) attempt.open.read()
+    if (events === 0) noteRead(context, passage, attempt)
     if (!response.headersSent) {
       noteBegun(context, passage, attempt.upstream)
       response.writeHead(answer.status, context.format.answerHeaders(answer.headers))
--- a/src/gateway/silence.ts
+++ b/src/gateway/silence.ts
@@ -25,6 +25,9 @@
  */
 const PAUSE_PART = 0.75
 
+/** It may take this many times as long as the time that each first event takes whatever its prompt. */
+const BASE_FACTOR = 2.5
+
 /**
  * Time that an upstream has for the beginning of its answer, before another one is asked as well.
  *
@@ -33,12 +36,13 @@
  * still be on time.
  *
  * @param reading that the upstream has before it and for this request
+ * @param base time that a first event takes there whatever the prompt
  * @example
- * firstAnswerBound(route, 40) // 340 for a stream with a target of 800
+ * firstAnswerBound(route, 40, 30) // 340 for a stream with a target of 800
  */
-export function firstAnswerBound (route: Route, reading: Milliseconds): Milliseconds {
+export function firstAnswerBound (route: Route, reading: Milliseconds, base: Milliseconds): Milliseconds {
   if (route.kind !== 'stream') return route.target * PLAIN_PART
-  return route.target * FIRST_EVENT_PART + reading * READING_FACTOR
+  return Math.max(route.target * FIRST_EVENT_PART, base * BASE_FACTOR) + reading * READING_FACTOR
 }
 
 /**
@@ -55,7 +59,7 @@
  * Calls `silent` once, when nothing was heard for the bound.
  *
  * @example
- * const watch = watchSilence(clock, firstAnswerBound(route, reading), () => attempt.abort('silent'))
+ * const watch = watchSilence(clock, firstAnswerBound(route, reading, base), () => attempt.abort('silent'))
  */
 export function watchSilence (clock: Clock, first: Milliseconds, silent: () => void): SilenceWatch {
   const owner = new AbortController()
--- a/src/gossip/types.ts
+++ b/src/gossip/types.ts
@@ -12,6 +12,9 @@
   generatedTokens: z.number()
 })
 
+/** Speed of a service's engines as a node has learnt it. */
+const speedSchema = z.object({ base: z.number(), perThousandTokens: z.number(), perMillionPairs: z.number(), samples: z.number() })
+
 /** One node as it last told of itself. A higher sequence of the same incarnation replaces a lower one. */
 export const nodeStateSchema = z.object({
   name: z.string(),
@@ -33,6 +36,8 @@
   inFlight: z.record(upstreamLifeSchema, z.object({ requests: z.number(), reading: z.number() })),
   /** Offered work by service. */
   work: z.record(z.string(), workSchema),
+  /** How fast the engines of each service read prompts, as it has seen. */
+  speeds: z.record(z.string(), speedSchema),
   /** Requests that began to run, by window and organisation; the latest windows only. */
   usage: z.record(z.string(), countsSchema),
   /** Broken runs by fingerprint of the request; -1 for one that was answered whole since. */
--- a/src/placement/choose.ts
+++ b/src/placement/choose.ts
@@ -7,8 +7,9 @@
  */
 import type { Milliseconds } from '../clock.js'
 import { score } from '../membership/rendezvous.js'
-import { readingTime, sharedTokens } from './reading.js'
-import type { NodeLoad, UpstreamRecord, Work } from './types.js'
+import { readingTime } from './speed.js'
+import type { EngineSpeed } from './speed.js'
+import type { NodeLoad, PromptPart, UpstreamRecord, Work } from './types.js'
 
 /** One upstream that may take the request. */
 export interface Candidate {
@@ -39,14 +40,16 @@
 export interface Choice {
   readonly upstream: UpstreamRecord
   readonly reading: Milliseconds
+  /** Tokens of the prompt that are probably kept there. */
+  readonly cached: number
   /** Reading that the upstream has to do before. */
   readonly waiting: Milliseconds
   /** Upstreams that it was chosen from. */
   readonly candidates: number
 }
 
-/** Reading that waits at an upstream from which on others are looked at, whatever the order: half of the shortest target of the users' sheets. */
-const FULL_WAITING: Milliseconds = 400
+/** Part of a request's target; where more reading than that waits, others are looked at, whatever the order. */
+const FULL_WAITING_PART = 0.5
 
 /**
  * A running request of an engine delays each step of the others by 0.0165 ms, some 100 of them before the first
@@ -61,24 +64,37 @@
 
 /**
  * @param candidates upstreams that may take the request; their order doesn't matter
+ * @param speed of the service's engines
  * @returns undefined when there are none
  * @example
- * chooseUpstream(work, candidates, { name: 'entry-1', failureDomain: 'lisbon-a' }, ENGINE_COSTS)?.upstream.id
+ * chooseUpstream(work, candidates, { name: 'entry-1', failureDomain: 'lisbon-a' }, ENGINE_COSTS, speeds.of('plans'))?.upstream.id
  */
-export function chooseUpstream (work: Work, candidates: readonly Candidate[], node: PlacingNode, costs: PlacementCosts): Choice | undefined {
+export function chooseUpstream (work: Work, candidates: readonly Candidate[], node: PlacingNode, costs: PlacementCosts, speed: EngineSpeed): Choice | undefined {
   const home = work.parts.at(-2)?.id
-  if (home === undefined) return cheapest(work, candidates, undefined, node, costs)
+  if (home === undefined) return cheapest(work, candidates, undefined, node, costs, speed)
   const ranked = byRendezvous(home, candidates)
   const preferred = ranked[0]?.upstream
-  const near = cheapest(work, ranked.slice(0, costs.homes), preferred, node, costs)
-  if (near === undefined || near.waiting < FULL_WAITING || ranked.length <= costs.homes) return near
-  return cheapest(work, candidates, preferred, node, costs)
+  const near = cheapest(work, ranked.slice(0, costs.homes), preferred, node, costs, speed)
+  if (near === undefined || near.waiting < work.target * FULL_WAITING_PART || ranked.length <= costs.homes) return near
+  return cheapest(work, candidates, preferred, node, costs, speed)
 }
 
-function cheapest (work: Work, candidates: readonly Candidate[], preferred: UpstreamRecord | undefined, node: PlacingNode, costs: PlacementCosts): Choice | undefined {
-  const shared = sharedTokens(work.parts)
-  const whole = readingTime(work.promptTokens, 0)
-  const rest = readingTime(Math.max(0, work.promptTokens - shared), shared)
+/**
+ * Tokens of the parts that requests share: all but the last.
+ *
+ * @example
+ * sharedTokens([{ id: 'a', tokens: 500 }, { id: 'b', tokens: 90 }]) // 500
+ */
+export function sharedTokens (parts: readonly PromptPart[]): number {
+  let sum = 0
+  for (let index = 0; index + 1 < parts.length; index += 1) sum += parts[index]!.tokens
+  return sum
+}
+
+function cheapest (work: Work, candidates: readonly Candidate[], preferred: UpstreamRecord | undefined, node: PlacingNode, costs: PlacementCosts, speed: EngineSpeed): Choice | undefined {
+  const shared = Math.min(work.promptTokens, sharedTokens(work.parts))
+  const whole = readingTime(work.promptTokens, 0, speed)
+  const rest = readingTime(work.promptTokens - shared, shared, speed)
   let best: Choice | undefined
   let lowest = Infinity
   for (const { upstream, load } of candidates) {
@@ -89,7 +105,7 @@
       tieBreak(node.name, upstream.id)
     if (cost < lowest) {
       lowest = cost
-      best = { upstream, reading, waiting: load.reading, candidates: candidates.length }
+      best = { upstream, reading, cached: upstream === preferred ? shared : 0, waiting: load.reading, candidates: candidates.length }
     }
   }
   return best
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -51,6 +51,8 @@
   readonly parts: readonly PromptPart[]
   /** Tokens of the whole prompt. */
   readonly promptTokens: number
+  /** Time within which its answer begins on time. */
+  readonly target: Milliseconds
   /** It can't go on elsewhere once it has begun, and runs for longer than the notice of a reclaim. */
   readonly bound: boolean
 }
--- a/src/scaling/load.ts
+++ b/src/scaling/load.ts
@@ -25,18 +25,19 @@
 /** Part of their quotas that organisations use together on a usual day. */
 const USED_QUOTA_PART = 0.45
 
-/** Reading of a token, with what attention adds to it; see {@link readingTime}. */
-const PER_QUOTA_TOKEN: Milliseconds = 1.2 / 61.8
+/** What attention adds to the reading of a token, on average over prompts of some 12,000. */
+const ATTENTION_FACTOR = 1.2
 
 /**
  * Engines that will be busy by what operators allow their organisations, before any work has come.
  *
  * @param tokens a second that all quotas allow together
+ * @param perThousandTokens milliseconds of reading for 1,000 tokens
  * @example
- * expectedEngines(498_000) // 5.3
+ * expectedEngines(498_000, 16) // 4.3
  */
-export function expectedEngines (tokens: number): number {
-  return tokens * USED_QUOTA_PART * PER_QUOTA_TOKEN / SECOND
+export function expectedEngines (tokens: number, perThousandTokens: Milliseconds): number {
+  return tokens / 1_000 * USED_QUOTA_PART * ATTENTION_FACTOR * perThousandTokens / SECOND
 }
 
 /**
--- a/test/placement/placement.test.ts
+++ b/test/placement/placement.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import fc from 'fast-check'
-import { chooseUpstream, createUpstreamHealth, ENGINE_COSTS, readingTime, sharedTokens } from '../../src/placement/index.js'
+import { ASSUMED_SPEED, chooseUpstream, createUpstreamHealth, ENGINE_COSTS, readingTime, sharedTokens } from '../../src/placement/index.js'
 import type { Candidate, Work } from '../../src/placement/index.js'
 import { upstreamRecord } from './records.js'
 
@@ -13,20 +13,20 @@
 })
 
 const work = (subject: string, own: number): Work => ({
-  service: 's', parts: [{ id: 'common', tokens: 500 }, { id: subject, tokens: 4_800 }, { id: 'own', tokens: own }], promptTokens: 5_300 + own, bound: false
+  service: 's', parts: [{ id: 'common', tokens: 500 }, { id: subject, tokens: 4_800 }, { id: 'own', tokens: own }], promptTokens: 5_300 + own, target: 800, bound: false
 })
 
 describe('the choice of an upstream', () => {
   const idle = Array.from({ length: 9 }, (_, index) => candidate(`i-${index}`))
 
   it('sends requests about one subject to one upstream, from all nodes, in whatever order these are known', () => {
-    const first = chooseUpstream(work('subject', 100), idle, node, ENGINE_COSTS)
-    const other = chooseUpstream(work('subject', 6_000), [...idle].reverse(), { name: 'entry-7', failureDomain: 'a' }, ENGINE_COSTS)
+    const first = chooseUpstream(work('subject', 100), idle, node, ENGINE_COSTS, ASSUMED_SPEED)
+    const other = chooseUpstream(work('subject', 6_000), [...idle].reverse(), { name: 'entry-7', failureDomain: 'a' }, ENGINE_COSTS, ASSUMED_SPEED)
     assert.equal(first?.upstream.id, other?.upstream.id)
   })
 
   it('spreads subjects', () => {
-    const chosen = Array.from({ length: 300 }, (_, index) => chooseUpstream(work(`subject-${index}`, 100), idle, node, ENGINE_COSTS)?.upstream.id)
+    const chosen = Array.from({ length: 300 }, (_, index) => chooseUpstream(work(`subject-${index}`, 100), idle, node, ENGINE_COSTS, ASSUMED_SPEED)?.upstream.id)
     for (const { upstream } of idle) {
       const count = chosen.filter((id) => id === upstream.id).length
       assert.ok(count > 15 && count < 55, `${upstream.id}: ${count}`)
@@ -38,14 +38,14 @@
   it('goes by what is still to be read, not by the number of requests', () => {
     const busy = idle.map(({ upstream }, index) => candidate(upstream.id, index === 4 ? 0 : 1_500, index === 4 ? 10 : 3))
     for (let subject = 0; subject < 50; subject += 1) {
-      assert.equal(chooseUpstream(work(`subject-${subject}`, 1_000), busy, node, ENGINE_COSTS)?.upstream.id, 'i-4')
+      assert.equal(chooseUpstream(work(`subject-${subject}`, 1_000), busy, node, ENGINE_COSTS, ASSUMED_SPEED)?.upstream.id, 'i-4')
     }
   })
 
   it('chooses one of the candidates if there is any', () => {
     fc.assert(fc.property(fc.array(fc.nat(5_000), { maxLength: 8 }), (readings) => {
       const candidates = readings.map((reading, index) => candidate(`i-${index}`, reading))
-      const choice = chooseUpstream({ service: 's', parts: [], promptTokens: 0, bound: false }, candidates, node, ENGINE_COSTS)
+      const choice = chooseUpstream({ service: 's', parts: [], promptTokens: 0, target: 800, bound: false }, candidates, node, ENGINE_COSTS, ASSUMED_SPEED)
       assert.equal(choice === undefined, readings.length === 0)
     }))
   })
@@ -53,9 +53,9 @@
 
 describe('reading time', () => {
   it('grows with the prompt and less with what is cached', () => {
-    assert.ok(readingTime(12_000, 0) > readingTime(6_000, 6_000))
-    assert.ok(readingTime(6_000, 6_000) > readingTime(6_000, 0))
-    assert.equal(readingTime(0, 5_000), 0)
+    assert.ok(readingTime(12_000, 0, ASSUMED_SPEED) > readingTime(6_000, 6_000, ASSUMED_SPEED))
+    assert.ok(readingTime(6_000, 6_000, ASSUMED_SPEED) > readingTime(6_000, 0, ASSUMED_SPEED))
+    assert.equal(readingTime(0, 5_000, ASSUMED_SPEED), 0)
   })
 
   it('counts all parts but the last as shared', () => {
