Start: WebAssembly without its optimising compiler

Cause: undici parses answers by WebAssembly; V8 compiles it a second time, optimised, within the first requests, and that is charged to the seconds after a start.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -7,4 +7,4 @@
 options='--bundle --platform=node --target=node20 --format=cjs --log-level=error'
 npx esbuild src/bin/hornbeamgap-gateway.ts $options --minify --keep-names $substitutes --outfile=target/hornbeamgap-gateway.cjs
 npx esbuild stand-ins/machines/rehearsal.ts $options --outfile=target/rehearsal.cjs
-node --max-old-space-size=158 deploy/make-code-cache.cjs
+node --max-old-space-size=158 --liftoff-only deploy/make-code-cache.cjs
