Shares: a process takes no more than a sixteenth before it has read how many nodes there are

Change: the fleet counts at least sixteen nodes until the records were read, deals shares at that moment, and the most connections follow the number of nodes.

--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -5,6 +5,7 @@
 import type { NodeState } from '../gossip/index.js'
 import type { UpstreamLife } from '../placement/index.js'
 import { createConnections } from '../protocols/http.js'
+import { UNKNOWN_NODES } from '../quota/index.js'
 import type { ConfigurationKeeper } from './configuration-keeper.js'
 import type { FollowContext } from './follow.js'
 import { keepGossip } from './gossip-keeper.js'
@@ -24,7 +25,7 @@
   oldest (): Milliseconds | undefined
   /** All that is remembered, nodes that have died lately included. */
   remembered (): NodeState[]
-  /** Nodes that may serve, as many as either source knows of: a share that is too small breaks no bound. */
+  /** Nodes that may serve, as many as any source knows of: a share that is too small breaks no bound. */
   size (): number
   /** Addresses of the nodes that take requests. */
   addresses (): readonly string[]
@@ -52,6 +53,8 @@
   readonly heard: (live: readonly NodeState[]) => void
   /** Another node has sent a long prompt. */
   readonly reading: (note: ReadingNote) => void
+  /** The nodes' records have been read for the first time. */
+  readonly listed: () => void
   /** A key beside the nodes' records has vanished. */
   readonly otherGone: (key: string) => void
 }
@@ -77,7 +80,7 @@
   const self: NodeRecord = { ...options.self, peer }
   const sharedWall = createSharedWall()
   const connections = createConnections(PEER_CONNECTIONS)
-  const records = keepNodeRecords(context, self, options.otherGone)
+  const records = keepNodeRecords(context, self, { otherGone: options.otherGone, listed: options.listed })
   const gossip = keepGossip({
     incarnation: self.incarnation,
     wall: sharedWall,
@@ -113,7 +116,7 @@
     live,
     oldest: () => gossip.table.oldest(clock.now()),
     remembered: gossip.table.all,
-    size: () => Math.max(1, records.all().length, live().length + 1),
+    size: () => Math.max(records.isListed() ? 1 : UNKNOWN_NODES, records.all().length, live().length + 1),
     addresses,
     wall: () => sharedWall.at(clock.wall(), clock.now()),
     tellReading: gossip.tellReading,
--- a/src/gateway/node-records.ts
+++ b/src/gateway/node-records.ts
@@ -24,11 +24,21 @@
 export interface NodeRecords {
   /** By name; this node included once the store has it. */
   all (): readonly NodeRecord[]
+  /** They were read from the store at least once. */
+  isListed (): boolean
   /** Takes this node out, at a planned stop. */
   withdraw (): Promise<void>
   readonly following: Following
 }
 
+/** What the owner of the records is told. */
+export interface RecordsTold {
+  /** A key beside the nodes' has vanished. */
+  readonly otherGone: (key: string) => void
+  /** All records have been read for the first time. */
+  readonly listed: () => void
+}
+
 /** What all nodes follow: the nodes' records and the key of the duties' lease. */
 const FLEET_PREFIX = 'hornbeamgap/fleet/'
 
@@ -43,14 +53,15 @@
 
 /**
  * @param own this node's record
- * @param otherGone called with each key beside the nodes' that vanishes
+ * @param told called as something becomes known
  * @example
- * const nodes = keepNodeRecords(context, { name, incarnation, failureDomain, front, peer }, (key) => key === DUTY_KEY && duty.vacant())
+ * const nodes = keepNodeRecords(context, { name, incarnation, failureDomain, front, peer }, { otherGone, listed })
  */
-export function keepNodeRecords (context: FollowContext, own: NodeRecord, otherGone: (key: string) => void): NodeRecords {
+export function keepNodeRecords (context: FollowContext, own: NodeRecord, told: RecordsTold): NodeRecords {
   const { store, clock, log, signal } = context
   const records = new Map<string, NodeRecord>()
   let lease: LeaseId | undefined
+  let isListed = false
   const withdrawal = new AbortController()
 
   async function register (): Promise<void> {
@@ -87,10 +98,13 @@
     replace: (entries) => {
       records.clear()
       for (const entry of entries) take(entry)
+      if (isListed) return
+      isListed = true
+      told.listed()
     },
     put: take,
     remove: (key) => {
-      if (!key.startsWith(NODE_PREFIX)) return otherGone(key)
+      if (!key.startsWith(NODE_PREFIX)) return told.otherGone(key)
       const name = key.slice(NODE_PREFIX.length)
       if (records.delete(name)) log.info('node-gone', { node: name })
     }
@@ -106,6 +120,7 @@
 
   return {
     all: () => [...records.values()],
+    isListed: () => isListed,
     withdraw: async () => {
       withdrawal.abort()
       if (lease !== undefined) await store.revokeLease(lease)
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -139,6 +139,7 @@
     report,
     heard,
     reading: (note) => upstreams.noteReading(note.from, note.upstream, note.reading, clock.now()),
+    listed: () => applyShares(),
     otherGone: (key) => { if (key === DUTY_KEY) holder.vacant() }
   })
   const retryBudget = (service: string): RetryBudget => findOrCreate(budgets, service, () => createBudget(fleet))
@@ -243,18 +244,27 @@
 
   /** This node's parts of what all nodes together may use. */
   function applyShares (): void {
+    if (context === undefined) return
     const nodes = fleet.size()
     const heard = fleet.live().map((state) => state.demand)
     quotas.observe(heard, nodes)
     for (const budget of budgets.values()) budget.share(nodes)
     if (nodes === dealtTo) return
     dealtTo = nodes
+    limitConnections()
     log.info('shares-dealt', { nodes, heard: heard.length })
   }
 
   function applyLimits (next: RoutingConfiguration): void {
     limitCallers(server, next.limits)
-    for (const service of next.services) connections.limit(service.name, Math.max(1, Math.floor(service.mostConnections * CONNECTION_PART / Math.max(FEWEST_NODES, fleet.size()))))
+    limitConnections()
+  }
+
+  /** Connections to new upstreams keep to this node's part of what each accepts. */
+  function limitConnections (): void {
+    for (const { name, mostConnections } of configuration.table()?.configuration.services ?? []) {
+      connections.limit(name, Math.max(1, Math.floor(mostConnections * CONNECTION_PART / Math.max(FEWEST_NODES, dealtTo))))
+    }
   }
 
   function createBudget (known: Fleet): RetryBudget {
--- a/src/quota/limiter.ts
+++ b/src/quota/limiter.ts
@@ -3,7 +3,7 @@
 import { SECOND } from '../clock.js'
 import type { Organisation } from '../routing/index.js'
 import { createDemandRates } from './demand.js'
-import { shareOf } from './share.js'
+import { shareOf, UNKNOWN_NODES } from './share.js'
 import { createTokenBucket } from './token-bucket.js'
 import type { TokenBucket } from './token-bucket.js'
 
@@ -43,9 +43,6 @@
  */
 const FIRST_FILL = 0.5
 
-/** Nodes that a process reckons with until it knows how many there are; a small part for the moment of a start. */
-const UNKNOWN_NODES = 16
-
 /**
  * @example
  * const limiter = createQuotaLimiter()
