Sizes: streams count by the places they take, and the load is a mean of ten seconds or most of a peak

Cause: a sixteenth of a step for each generated token was counted as an engine's time beside the reading, half of the load of the shift desk with its long answers, and a step serves all streams of a batch.

Change: engines are kept busy by reading as it is observed, and by streams only where these would fill the batches; the follower takes the mean of ten seconds, beginning with what the quotas let expect, or 0.8 of the highest of eight.

--- a/src/gateway/scaling-keeper.ts
+++ b/src/gateway/scaling-keeper.ts
@@ -28,10 +28,8 @@
 /** Load of a service that was never asked, as a part of the upstreams that were found, where no quota tells more. */
 const FIRST_LOAD_PART = 0.3
 
-/**
- * Work must be measured for this long before it replaces the first estimate: rates that have just begun are too low.
- */
-const MEASURED_AFTER: Milliseconds = 6_000
+/** Rates of work that has just begun are too low for this long. */
+const RATES_SETTLE: Milliseconds = 4_000
 
 /** Time beyond the boot until a new upstream's record is known. */
 const BOOT_SLACK: Milliseconds = 2_000
@@ -61,7 +59,8 @@
     if (known !== undefined) return known
     const expected = expectedEngines(quotaTokens(), options.speeds.of(service.name).perThousandTokens)
     if (expected === 0 && present === 0) return undefined
-    const created: ScaledService = { book: createOrderBook(), load: createLoadFollower(), firstLoad: expected > 0 ? expected : present * FIRST_LOAD_PART, firstWork: undefined, since: clock.now() }
+    const firstLoad = expected > 0 ? expected : present * FIRST_LOAD_PART
+    const created: ScaledService = { book: createOrderBook(), load: createLoadFollower(firstLoad), firstLoad, firstWork: undefined, since: clock.now() }
     services.set(service.name, created)
     return created
   }
@@ -74,13 +73,12 @@
   }
 
   /** Every node follows the load, so that one that takes the duties over knows it. */
-  function observe (service: Service, scaled: ScaledService, now: Milliseconds): number {
+  function observe (service: Service, scaled: ScaledService, slots: number, now: Milliseconds): number {
     const work = options.work()[service.name]
     if (work !== undefined && scaled.firstWork === undefined) scaled.firstWork = now
-    const load = work === undefined ? 0 : busyEngines(work)
-    scaled.load.observe(load, now)
-    const measured = scaled.firstWork !== undefined && now - scaled.firstWork > MEASURED_AFTER
-    return measured ? scaled.load.value(now) : Math.max(scaled.firstLoad, scaled.load.value(now))
+    if (scaled.firstWork === undefined || now - scaled.firstWork < RATES_SETTLE) return scaled.firstLoad
+    scaled.load.observe(work === undefined ? 0 : busyEngines(work, slots), now)
+    return scaled.load.value(now)
   }
 
   async function orderFor (service: Service, facts: ScalingFacts): Promise<void> {
@@ -88,7 +86,7 @@
     const present = upstreams.all().filter((upstream) => upstream.service === service.name)
     const scaled = stateOf(service, present.length)
     if (scaled === undefined) return
-    const load = observe(service, scaled, now)
+    const load = observe(service, scaled, Math.min(...present.map((upstream) => upstream.slots)), now)
     const proof = duty.proof()
     if (proof === undefined) return
     if (proof.fencing !== lastFencing) scaled.book.reset()
--- a/src/scaling/plan.ts
+++ b/src/scaling/plan.ts
@@ -5,16 +5,16 @@
 import type { PoolSize, PresentUpstream, ScalingSituation } from './types.js'
 
 /** Busy upstreams for each one that runs while reclaimable ones are to be had; they are cheap, and idle ones answer sooner. */
-const USUAL_UTILISATION = 0.38
+const USUAL_UTILISATION = 0.30
 
 /** The same while reclaimable ones are missing and others stand in for them. */
-const SHORT_UTILISATION = 0.65
+const SHORT_UTILISATION = 0.52
 
 /** Part of the lasting upstreams that run in the cheapest failure domain; the rest answers where that is lost. */
 const CHEAPEST_PART = 0.6
 
 /** The same for the moment after all reclaimable ones were taken back at once, until others have booted. */
-const RECLAIMED_UTILISATION = 0.95
+const RECLAIMED_UTILISATION = 0.76
 
 /**
  * Sizes of all pools of a service.
