--- a/src/capacity/desired-state.ts
+++ b/src/capacity/desired-state.ts
@@ -111,7 +111,7 @@
  * Order for a slot's instance.
  *
  * @example
- * await cloud.start(startOrderFor(slot, 'calcaria'))
+ * await cloud.start(startOrderFor(slot, 'hillside'))
  */
 export function startOrderFor (slot: Slot, group: string): StartOrder {
   return { name: slot.name, group, service: slot.service, ...slot.offer }
--- a/src/gateway/fingerprint.ts
+++ b/src/gateway/fingerprint.ts
@@ -6,7 +6,7 @@
 
 /**
  * @example
- * fingerprintOf('/plans/7', 'calcaria', body)
+ * fingerprintOf('/plans/7', 'hillside', body)
  */
 export function fingerprintOf (path: string, organisation: string | undefined, body: Buffer | undefined): string {
   const hash = createHash('sha256').update(path).update('\n').update(organisation ?? '').update('\n')
--- a/src/membership/rendezvous.ts
+++ b/src/membership/rendezvous.ts
@@ -18,7 +18,7 @@
  * Candidates for a key, best first.
  *
  * @example
- * rank('organisation/tejo', nodes)[0] // the same on every node
+ * rank('organisation/hillside', nodes)[0] // the same on every node
  */
 export function rank<T extends Candidate> (key: string, candidates: readonly T[]): T[] {
   const scored = candidates.map((candidate) => ({ candidate, score: score(key, candidate.incarnation) }))
@@ -32,7 +32,7 @@
  *
  * @param count most candidates to take
  * @example
- * pickSpread('organisation/tejo', nodes, 4) // from three domains: 2 + 1 + 1
+ * pickSpread('organisation/hillside', nodes, 4) // from three domains: 2 + 1 + 1
  */
 export function pickSpread<T extends Candidate> (key: string, candidates: readonly T[], count: number): T[] {
   const queues = [...groupByDomain(rank(key, candidates)).values()]
--- a/src/quota/demand.ts
+++ b/src/quota/demand.ts
@@ -16,7 +16,7 @@
 /**
  * @example
  * const demand = createDemandRates()
- * demand.add('calcaria', 1_200, clock.now())
+ * demand.add('hillside', 1_200, clock.now())
  */
 export function createDemandRates (): DemandRates {
   const known = new Map<string, { rate: number, at: Milliseconds }>()
--- a/src/settings.ts
+++ b/src/settings.ts
@@ -75,7 +75,7 @@
  *
  * @throws ServingError `invalid-request` when it cannot be read or does not pass the check
  * @example
- * const settings = loadSettings(entrySettingsSchema, 'samples/calcaria/entry-1.toml')
+ * const settings = loadSettings(entrySettingsSchema, 'settings/entry-1.toml')
  */
 export function loadSettings<T> (schema: z.ZodType<T>, path: string): T {
   return parseSettings(schema, readText(path), path)
--- a/src/usage/windows.ts
+++ b/src/usage/windows.ts
@@ -18,7 +18,7 @@
  * @param length of a window, in milliseconds
  * @example
  * const windows = createUsageWindows(5 * SECOND)
- * windows.began('calcaria', clock.wall())
+ * windows.began('hillside', clock.wall())
  */
 export function createUsageWindows (length: Milliseconds): UsageWindows {
   const windows = new Map<number, Map<string, number>>()
