Quotas over many nodes: each node keeps the level of the one bucket of all, and the settings' margin is used

Cause: a part of 1/64 or 1/195 of a rate is less than one prompt.

Change: nodes tell each other what they let through beside what they are asked for; each reckons the level of one bucket of all nodes from it, and where more comes than the rate lets each request through with the same chance at every node. Parts stay beneath, larger by a quarter of the slack, and bind where they are larger than requests. Margin and window are read from the settings.

test/events/story.test.ts and the test of what is given back keep their assertions in the terms of the new decision: a refusal names what all nodes are asked for in place of a share, and the limiter of the latter test is told that it is alone, since at an unknown number of nodes a request passes by chance.

--- a/bench/gateway-gossip.ts
+++ b/bench/gateway-gossip.ts
@@ -55,6 +55,7 @@
     ready: true,
     configuration: 39,
     demand: Object.fromEntries(organisations.map((name) => [name, random.integer(20_000)])),
+    granted: Object.fromEntries(organisations.map((name) => [name, random.integer(20_000)])),
     inFlight: Object.fromEntries(upstreams.map((id) => [id, { requests: 1 + random.integer(3), reading: random.integer(400) }])),
     work: { engines: { requests: random.integer(900) / 100, reading: random.integer(90_000) / 100, generatedTokens: random.integer(300_000) / 100 } },
     usage: { 356_323_682: Object.fromEntries(organisations.map((name) => [name, random.integer(40)])), 356_323_683: Object.fromEntries(organisations.map((name) => [name, random.integer(40)])) },
--- a/src/gateway/acceptance.ts
+++ b/src/gateway/acceptance.ts
@@ -56,7 +56,7 @@
   switch (decision.kind) {
     case 'granted': return () => context.quotas.giveBack(organisation, cost)
     case 'over':
-      context.log.info('quota-refused', { request: head.id, organisation: organisation.name, cost, rate: organisation.quota.rate, share: Math.round(decision.share * 1_000) / 1_000, retryAfter: Math.round(decision.retryAfter), nodes: context.sources().nodes })
+      context.log.info('quota-refused', { request: head.id, organisation: organisation.name, cost, rate: organisation.quota.rate, offered: Math.round(decision.offered), retryAfter: Math.round(decision.retryAfter), nodes: context.sources().nodes })
       throw refusal('organisation-limit', `the quota of ${organisation.name} is used up`, decision.retryAfter)
   }
 }
--- a/src/gateway/gossip-keeper.ts
+++ b/src/gateway/gossip-keeper.ts
@@ -46,7 +46,7 @@
   /** States of the nodes that report here. */
   readonly members: GossipTable
   readonly answers: Pick<PeerAnswers, 'exchange' | 'report' | 'configuration'>
-  /** One exchange with another aggregator, if there is one. */
+  /** One exchange with each of few other aggregators, as far as there are any. */
   exchangeOnce (): void
   /** Asks a peer for its configuration where it is newer than this node's. */
   fetchConfiguration (address: string, theirs: number, bound: AbortSignal): Promise<void>
@@ -59,6 +59,9 @@
 /** Bound on one exchange; a silent connection is closed then and the next exchange opens a new one. */
 export const EXCHANGE_TIMEOUT: Milliseconds = 800
 
+/** Peers of an exchange where members hear of the others by this node: a report on either side adds to the age of what they hear. */
+const PEERS_OF_AGGREGATOR = 2
+
 /** Peers that are told at once of a change that can't wait. */
 const SPREAD = 3
 
@@ -171,7 +174,7 @@
     },
     exchangeOnce: () => {
       publish()
-      for (const address of pickPeers(1)) exchange(address)
+      for (const address of pickPeers(members.live(clock.now()).length > 0 ? PEERS_OF_AGGREGATOR : 1)) exchange(address)
     },
     fetchConfiguration,
     tellReading: (upstream, reading) => {
--- a/src/gateway/node-metrics.ts
+++ b/src/gateway/node-metrics.ts
@@ -46,7 +46,7 @@
   metrics.gauge('requests_in_flight', options.inFlight)
   metrics.gauge('duties_held', () => options.holdsDuties() ? 1 : 0)
   metrics.gauge('resident_bytes', () => process.memoryUsage.rss())
-  metrics.family('quota_share', 'organisation', quotas.shares)
+  metrics.family('quota_granted', 'organisation', () => quotas.granted(clock.now()))
   metrics.family('retries_left', 'service', () => Object.fromEntries([...budgets].map(([service, budget]) => [service, budget.left(clock.now())])))
   tellRegularly(options).catch((error) => { if (!options.signal.aborted) options.log.error('sums-ended', { error: String(error) }) })
 }
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -104,7 +104,7 @@
   const upstreams = createUpstreamView()
   const connections = createUpstreamConnections(platform.format, clock, (took) => metrics.record('connecting', took))
   const speeds = createEngineSpeeds()
-  const quotas = createQuotaLimiter()
+  const quotas = createQuotaLimiter(random, bounds.quotaMargin)
   const quarantine = createQuarantine()
   const usage = createUsageWindows(bounds.usageWindow)
   const sums = createRequestSums(clock.now())
@@ -231,6 +231,7 @@
       ready: isReady(),
       configuration: configuration.table()?.configuration.version ?? 0,
       demand: quotas.demand(now),
+      granted: quotas.granted(now),
       inFlight: upstreams.inFlight(now),
       work: work.rates(now),
       speeds: speeds.own(),
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -1,6 +1,6 @@
 /** What a gateway node is told before it starts. Where it stands, whom it talks to, and the bounds it keeps. */
 import type { Milliseconds } from '../clock.js'
-import type { RetryBudgetOptions } from '../quota/index.js'
+import type { QuotaMargin, RetryBudgetOptions } from '../quota/index.js'
 
 /** `host:port`. */
 export interface HostPort {
@@ -17,6 +17,7 @@
   /** Time between the request to stop and the kill. */
   readonly grace: Milliseconds
   readonly retryBudget: RetryBudgetOptions
+  readonly quotaMargin: QuotaMargin
   /** A duty's holder is replaced after this time at the earliest. */
   readonly lease: Milliseconds
   /** Length of a usage window. */
--- a/src/gossip/merge.ts
+++ b/src/gossip/merge.ts
@@ -20,6 +20,7 @@
     nodes: reports.reduce((sum, { nodes }) => sum + nodes, 0),
     configuration: Math.max(...reports.map(({ configuration }) => configuration)),
     demand: sumCounts(reports.map(({ demand }) => demand)),
+    granted: sumCounts(reports.map(({ granted }) => granted)),
     inFlight: sumLoads(reports),
     work: sumWork(reports.map(({ work }) => work)),
     speeds: mergeSpeeds(reports),
--- a/src/gossip/types.ts
+++ b/src/gossip/types.ts
@@ -20,8 +20,10 @@
   nodes: z.number().int().positive(),
   /** Version of the configuration in force there, the highest of several nodes; 0 for none. */
   configuration: z.number(),
-  /** Units a second by organisation. */
+  /** Units a second by organisation that callers ask for. */
   demand: countsSchema,
+  /** Units a second by organisation that are let through. */
+  granted: countsSchema,
   /** Requests in flight by life of an upstream, and the reading of prompts that they still need, in milliseconds. */
   inFlight: z.record(upstreamLifeSchema, z.object({ requests: z.number(), reading: z.number() })),
   /** Offered work by service. */
--- a/src/quota/demand.ts
+++ b/src/quota/demand.ts
@@ -8,28 +8,25 @@
   rates (now: Milliseconds): Record<string, number>
 }
 
-/** Half of a unit's weight is gone after this time: long enough to smooth requests of 10,000 tokens at one a second. */
-const HALF_LIFE: Milliseconds = 2 * SECOND
-
-const DECAY = Math.LN2 / HALF_LIFE
-
 /**
+ * @param halfLife half of a unit's weight is gone after this time
  * @example
- * const demand = createDemandRates()
+ * const demand = createDemandRates(2 * SECOND)
  * demand.add('hillside', 1_200, clock.now())
  */
-export function createDemandRates (): DemandRates {
+export function createDemandRates (halfLife: Milliseconds): DemandRates {
+  const decay = Math.LN2 / halfLife
   const known = new Map<string, { rate: number, at: Milliseconds }>()
   return {
     add: (organisation, units, now) => {
       const last = known.get(organisation)
-      const rate = (last === undefined ? 0 : last.rate * Math.exp(-DECAY * (now - last.at))) + units * DECAY * SECOND
+      const rate = (last === undefined ? 0 : last.rate * Math.exp(-decay * (now - last.at))) + units * decay * SECOND
       known.set(organisation, { rate, at: now })
     },
     rates: (now) => {
       const rates: Record<string, number> = {}
       for (const [organisation, { rate, at }] of known) {
-        const present = Math.round(rate * Math.exp(-DECAY * (now - at)))
+        const present = Math.round(rate * Math.exp(-decay * (now - at)))
         if (present > 0) rates[organisation] = present
       }
       return rates
--- a/src/quota/limiter.ts
+++ b/src/quota/limiter.ts
@@ -1,26 +1,42 @@
-/** Quotas of all organisations at one node: its shares, its buckets and what it tells the other nodes. */
+/** Quotas of all organisations at one node, and what it tells the other nodes of their use. */
 import type { Milliseconds } from '../clock.js'
 import { SECOND } from '../clock.js'
-import type { Organisation } from '../routing/index.js'
+import type { Random } from '../random.js'
+import type { Organisation, Quota } from '../routing/index.js'
 import { createDemandRates } from './demand.js'
-import { shareOf, UNKNOWN_NODES } from './share.js'
-import type { HeardDemand } from './share.js'
+import { createQuotaLevel, LONGEST_WAIT } from './level.js'
+import type { ObservedRates, QuotaLevel } from './level.js'
+import { UNKNOWN_NODES } from './nodes.js'
+import { shareOf } from './share.js'
 import { createTokenBucket } from './token-bucket.js'
 import type { TokenBucket } from './token-bucket.js'
 
 /** Answer to a request for units. */
 export type QuotaDecision =
   | { readonly kind: 'granted' }
-  /** Over the quota; worth another try after `retryAfter`. */
-  | { readonly kind: 'over', readonly retryAfter: Milliseconds, readonly share: number }
+  /** Over the quota; worth another try after `retryAfter`. `offered` is what all nodes are asked for, in units a second. */
+  | { readonly kind: 'over', readonly retryAfter: Milliseconds, readonly offered: number }
 
-/** What the other nodes need: demand in units a second by organisation. */
-export type QuotaDemand = Readonly<Record<string, number>>
+/** Units a second by organisation. */
+export type UnitRates = Readonly<Record<string, number>>
 
-/** The same of one or more nodes together. */
-export interface ToldDemand {
-  readonly demand: QuotaDemand
+/** What one or more nodes tell of the use of quotas. */
+export interface ToldUse {
   readonly nodes: number
+  /** What callers ask for. */
+  readonly demand: UnitRates
+  /** What was let through. */
+  readonly granted: UnitRates
+}
+
+/** How far the sum of all nodes may be beyond a quota. */
+export interface QuotaMargin {
+  /** Length of the sliding window in which it counts. */
+  readonly window: Milliseconds
+  /** Part of what the quota allows in a window. */
+  readonly overshoot: number
+  /** Units beyond that. */
+  readonly slack: number
 }
 
 /** Quotas at one node. */
@@ -28,78 +44,136 @@
   take (organisation: Organisation, cost: number, now: Milliseconds): QuotaDecision
   /** A request that was granted did not run. */
   giveBack (organisation: Organisation, cost: number): void
-  /** What the other live nodes last told, each entry of one or more of them; `nodes` counts all that may serve, this one as well. */
-  observe (others: readonly ToldDemand[], nodes: number): void
-  demand (now: Milliseconds): QuotaDemand
-  /** This node's share of each organisation's rate, as last used. */
-  shares (): Readonly<Record<string, number>>
+  /** What the other live nodes last told; `nodes` counts all that may serve, this one as well. */
+  observe (others: readonly ToldUse[], nodes: number): void
+  demand (now: Milliseconds): UnitRates
+  granted (now: Milliseconds): UnitRates
 }
 
-interface Bucket {
-  readonly bucket: TokenBucket
+interface KnownQuota {
+  /** Of all nodes together. */
+  readonly level: QuotaLevel
+  /** This node's part; it holds the sum where others are heard of late, and binds only where parts are larger than requests. */
+  readonly part: TokenBucket
+  share: number
   rate: number
   burst: number
-  share: number
 }
 
-const LONGEST_WAIT: Milliseconds = 5 * SECOND
-
 /**
- * Part of a node's burst that a new process begins with. Failure guarded against: a process that was
- * killed has spent its part; its successor with a full bucket would let it through a second time.
+ * Part of a quota's burst that a new process reckons with. Failure guarded against: a process that was
+ * killed has spent what there was; its successor with a full level would let it through a second time.
  */
 const FIRST_FILL = 0.5
 
 /**
+ * Part of the margin that organisations may use at once, beside their burst. The rest is for what nodes let through before
+ * they hear of each other.
+ */
+const USED_MARGIN = 0.25
+
+/**
+ * Part of the slack that each node's part is larger by. With it a part holds one or two long prompts, so that it doesn't
+ * shut an organisation out at one node while others use less of their parts.
+ */
+const PART_SLACK = 0.25
+
+/** A share is dealt anew where it has changed by more than this. */
+const SHARE_STEP = 0.01
+
+/** Half of what was let through is told as if it were later than this: as fast as the nodes hear of it. */
+const GRANTED_HALF_LIFE: Milliseconds = 400
+
+/** Demand is smoothed for longer, since a prompt may be a hundred times as long as another. */
+const DEMAND_HALF_LIFE: Milliseconds = 800
+
+/**
+ * @param random decides which requests pass where more come than may
  * @example
- * const limiter = createQuotaLimiter()
+ * const limiter = createQuotaLimiter(random, { window: 8 * SECOND, overshoot: 0.1, slack: 140_000 })
  * limiter.take(organisation, 1_540, clock.now()).kind
  */
-export function createQuotaLimiter (): QuotaLimiter {
-  const buckets = new Map<string, Bucket>()
-  const rates = createDemandRates()
-  let others: readonly ToldDemand[] = []
+export function createQuotaLimiter (random: Random, margin: QuotaMargin): QuotaLimiter {
+  const known = new Map<string, KnownQuota>()
+  const demand = createDemandRates(DEMAND_HALF_LIFE)
+  const granted = createDemandRates(GRANTED_HALF_LIFE)
+  let others: readonly ToldUse[] = []
   let nodes = UNKNOWN_NODES
 
-  function heardOf (organisation: string): HeardDemand {
-    return {
-      demand: others.reduce((sum, { demand }) => sum + (demand[organisation] ?? 0), 0),
-      nodes: others.reduce((sum, { nodes }) => sum + nodes, 0)
+  function sizeOf ({ rate, burst }: Quota): number {
+    return burst + USED_MARGIN * (margin.overshoot * (rate * margin.window / SECOND + burst) + margin.slack)
+  }
+
+  function quotaOf (organisation: Organisation, now: Milliseconds): KnownQuota {
+    const { quota, name } = organisation
+    const { rate, burst } = quota
+    const size = sizeOf(quota)
+    const heard = { demand: sumOf(others, 'demand', name), nodes: others.reduce((sum, one) => sum + one.nodes, 0) }
+    const share = shareOf(demand.rates(now)[name] ?? 0, heard, nodes)
+    const partSize = size * share + margin.slack * PART_SLACK
+    const present = known.get(name)
+    if (present === undefined) {
+      const created = { level: createQuotaLevel(rate, size, FIRST_FILL * burst / size, now), part: createTokenBucket(rate * share, partSize, now), rate, burst, share }
+      created.part.take(burst * share * (1 - FIRST_FILL), now)
+      known.set(name, created)
+      return created
     }
+    const isChanged = present.rate !== rate || present.burst !== burst
+    if (isChanged) present.level.resize(rate, size)
+    if (isChanged || Math.abs(present.share - share) > SHARE_STEP) {
+      present.part.resize(rate * share, partSize, now)
+      Object.assign(present, { rate, burst, share })
+    }
+    return present
   }
 
-  function bucketOf (organisation: Organisation, now: Milliseconds): Bucket {
-    const { rate, burst } = organisation.quota
-    const own = rates.rates(now)[organisation.name] ?? 0
-    const share = shareOf(own, heardOf(organisation.name), nodes)
-    const known = buckets.get(organisation.name)
-    if (known !== undefined) {
-      if (known.rate !== rate || known.burst !== burst || Math.abs(known.share - share) > 0.01) {
-        known.bucket.resize(rate * share, burst * share, now)
-        Object.assign(known, { rate, burst, share })
-      }
-      return known
+  /**
+   * Failure guarded against: a node that has just started or is cut off hears of no other use and would take the whole
+   * rate. Nodes that may serve and aren't heard of count with the mean of what is known.
+   */
+  function ratesOf (organisation: string, now: Milliseconds): ObservedRates {
+    const heard = others.reduce((sum, one) => sum + one.nodes, 1)
+    const unheard = Math.max(0, nodes - heard)
+    const ownGranted = granted.rates(now)[organisation] ?? 0
+    const told = sumOf(others, 'demand', organisation)
+    const ownDemand = demand.rates(now)[organisation] ?? 0
+    const offered = (told + ownDemand) * (heard + unheard) / heard
+    const grantedByOthers = sumOf(others, 'granted', organisation)
+    return {
+      offered,
+      offeredToOthers: offered - ownDemand,
+      grantedByOthers: grantedByOthers + unheard * (grantedByOthers + ownGranted) / heard
     }
-    const created = { bucket: createTokenBucket(rate * share, burst * share, now), rate, burst, share }
-    created.bucket.take(burst * share * (1 - FIRST_FILL), now)
-    buckets.set(organisation.name, created)
-    return created
   }
 
   return {
     take: (organisation, cost, now) => {
-      rates.add(organisation.name, cost, now)
+      const { name } = organisation
+      demand.add(name, cost, now)
       if (organisation.quota.rate <= 0) return { kind: 'granted' }
-      const { bucket, share } = bucketOf(organisation, now)
-      if (bucket.take(cost, now)) return { kind: 'granted' }
-      return { kind: 'over', retryAfter: Math.min(LONGEST_WAIT, bucket.wait(now)), share }
+      const { level, part } = quotaOf(organisation, now)
+      const rates = ratesOf(name, now)
+      const chance = level.chance(rates, now)
+      const passes = chance >= 1 || random.fraction() < chance
+      if (!passes || !part.take(cost, now)) return { kind: 'over', retryAfter: Math.min(LONGEST_WAIT, Math.max(level.wait(rates), part.wait(now))), offered: rates.offered }
+      level.take(cost)
+      granted.add(name, cost, now)
+      return { kind: 'granted' }
+    },
+    giveBack: (organisation, cost) => {
+      const quota = known.get(organisation.name)
+      quota?.level.giveBack(cost)
+      quota?.part.giveBack(cost)
     },
-    giveBack: (organisation, cost) => { buckets.get(organisation.name)?.bucket.giveBack(cost) },
-    observe: (demands, count) => {
-      others = demands
+    observe: (told, count) => {
+      others = told
       nodes = Math.max(1, count)
     },
-    demand: (now) => rates.rates(now),
-    shares: () => Object.fromEntries([...buckets].map(([name, { share }]) => [name, share]))
+    demand: demand.rates,
+    granted: granted.rates
   }
 }
+
+function sumOf (told: readonly ToldUse[], rates: 'demand' | 'granted', organisation: string): number {
+  return told.reduce((sum, one) => sum + (one[rates][organisation] ?? 0), 0)
+}
--- a/src/quota/share.ts
+++ b/src/quota/share.ts
@@ -9,16 +9,6 @@
  * take the whole rate. Nodes that may serve and aren't heard of count with the mean of what is known.
  */
 
-/**
- * Nodes that a process reckons with until it has read their records.
- *
- * Failure guarded against: all nodes are killed at once, each comes back knowing only itself, and takes the whole of
- * what all may use together for half a second: organisations get several times their quota, and upstreams several
- * times the retries that are allowed. More than the entry nodes of one deployment today; larger ones are listed within
- * some 50 ms of the configuration, before which nothing is served.
- */
-export const UNKNOWN_NODES = 16
-
 /** Demand of several nodes together, in units a second. */
 export interface HeardDemand {
   readonly demand: number
--- a/test/events/story.test.ts
+++ b/test/events/story.test.ts
@@ -37,14 +37,14 @@
     assert.deepEqual(story?.gaps, [])
   })
 
-  it('names the share that decided a refusal', () => {
+  it('names the use of all nodes that decided a refusal', () => {
     const lines = [
       line(0, 'shares-dealt', { nodes: 9, heard: 8 }),
-      line(10, 'quota-refused', { request: 'r', organisation: 'o', cost: 12_000, rate: 90_000, share: 0.11, retryAfter: 800, nodes: 9 }),
+      line(10, 'quota-refused', { request: 'r', organisation: 'o', cost: 12_000, rate: 90_000, offered: 130_000, retryAfter: 800, nodes: 9 }),
       line(11, 'request-failed', { request: 'r', code: 'organisation-limit', verdict: 'not-run', reason: 'x', after: 1, nodes: 9 })
     ]
     assert.equal(decisive(lines, 'r'), 'quota-refused')
-    assert.equal(tellStory(lines, 'r')?.cause, 'o had used up this node\'s share, 0.11 of 90000 a second dealt to 9 nodes.')
+    assert.equal(tellStory(lines, 'r')?.cause, 'o had used up its quota of 90000 a second; 130000 a second were asked of all 9 nodes.')
   })
 
   it('shows the upstreams that went where none was left', () => {
--- a/test/quota/quota.test.ts
+++ b/test/quota/quota.test.ts
@@ -2,13 +2,48 @@
 import { describe, it } from 'node:test'
 import fc from 'fast-check'
 import { SECOND } from '../../src/clock.js'
-import { createQuotaLimiter, createRetryBudget, createTokenBucket, shareOf } from '../../src/quota/index.js'
+import { createQuotaLevel, createQuotaLimiter, createRetryBudget, createTokenBucket, shareOf } from '../../src/quota/index.js'
+import { createRandom } from '../../src/random.js'
 import type { Organisation } from '../../src/routing/index.js'
 
+/** What quotas may be passed by; the tests count with it. */
+const MARGIN = { window: 8 * SECOND, overshoot: 0.1, slack: 140_000 }
+
 const organisation = (rate: number, burst: number): Organisation => ({
   name: 'tejo', keys: [], priority: undefined, quota: { unit: 'tokens', rate, burst, plainCost: 200 }
 })
 
+describe('the level of a quota', () => {
+  it('lets no more through than rate, size and one request in any time', () => {
+    const request = fc.record({ after: fc.nat(400), cost: fc.integer({ min: 1, max: 2_000 }) })
+    fc.assert(fc.property(fc.array(request, { maxLength: 60 }), (requests) => {
+      const level = createQuotaLevel(1_000, 500, 1, 0)
+      let now = 0
+      let taken = 0
+      let largest = 0
+      for (const { after, cost } of requests) {
+        now += after
+        largest = Math.max(largest, cost)
+        if (level.chance({ offered: 0, offeredToOthers: 0, grantedByOthers: 0 }, now) === 1) {
+          level.take(cost)
+          taken += cost
+        }
+        assert.ok(taken <= 500 + now + largest, `${taken} by ${now}`)
+      }
+    }))
+  })
+
+  it('lets a request of any size through once the debt of the one before is paid', () => {
+    const level = createQuotaLevel(1_000, 500, 1, 0)
+    const calm = { offered: 500, offeredToOthers: 300, grantedByOthers: 0 }
+    level.take(1_500)
+    assert.equal(level.chance(calm, 0), 0)
+    const wait = level.wait(calm)
+    assert.equal(level.chance(calm, wait - 2), 0)
+    assert.equal(level.chance(calm, wait + 1), 1)
+  })
+})
+
 describe('shares of a quota', () => {
   it('add up to one over all nodes, whatever their demands', () => {
     fc.assert(fc.property(fc.array(fc.nat(10_000), { minLength: 1, maxLength: 64 }), (demands) => {
@@ -49,13 +84,13 @@
   // One organisation sends four times its rate to all nodes; each node that let it use the whole rate
   // would let nine times as much through, at the others' expense.
   it('is kept by the sum of all nodes that hear each other, in every window', () => {
-    const limiters = Array.from({ length: 9 }, () => createQuotaLimiter())
+    const limiters = Array.from({ length: 9 }, () => createQuotaLimiter(createRandom(1), MARGIN))
     const granted: { at: number, cost: number }[] = []
     const tejo = organisation(100_000, 100_000)
     for (let now = 0; now < 20 * SECOND; now += 20) {
       if (now % 400 === 0) {
-        const demands = limiters.map((limiter) => limiter.demand(now))
-        limiters.forEach((limiter, index) => limiter.observe(demands.filter((_, other) => other !== index).map((demand) => ({ demand, nodes: 1 })), 9))
+        const told = limiters.map((limiter) => ({ nodes: 1, demand: limiter.demand(now), granted: limiter.granted(now) }))
+        limiters.forEach((limiter, index) => limiter.observe(told.filter((_, other) => other !== index), 9))
       }
       const limiter = limiters[(now / 20) % 9]!
       if (limiter.take(tejo, 8_000, now).kind === 'granted') granted.push({ at: now, cost: 8_000 })
@@ -73,17 +108,17 @@
   it('is kept while nodes that have just started hear of each other one by one', () => {
     const tejo = organisation(100_000, 100_000)
     let taken = 0
-    const limiters = Array.from({ length: 9 }, () => createQuotaLimiter())
+    const limiters = Array.from({ length: 9 }, () => createQuotaLimiter(createRandom(1), MARGIN))
     for (let now = 0; now < 3 * SECOND; now += 20) {
       const known = Math.min(9, Math.floor(now / 300))
-      if (now % 400 === 0 && known > 0) limiters.forEach((limiter) => limiter.observe(limiters.slice(1, known).map((other) => ({ demand: other.demand(now), nodes: 1 })), 9))
+      if (now % 400 === 0 && known > 0) limiters.forEach((limiter) => limiter.observe(limiters.slice(1, known).map((other) => ({ nodes: 1, demand: other.demand(now), granted: other.granted(now) })), 9))
       for (const limiter of limiters) if (limiter.take(tejo, 2_000, now).kind === 'granted') taken += 2_000
     }
     assert.ok(taken <= 100_000 * 3 + 100_000, `${taken}`)
   })
 
   it('gives a node that hears nobody an even share', () => {
-    const limiter = createQuotaLimiter()
+    const limiter = createQuotaLimiter(createRandom(1), MARGIN)
     limiter.observe([], 9)
     const tejo = organisation(90_000, 9_000)
     let taken = 0
@@ -92,12 +127,13 @@
   })
 
   it('has no limit at a rate of 0', () => {
-    const limiter = createQuotaLimiter()
+    const limiter = createQuotaLimiter(createRandom(1), MARGIN)
     for (let now = 0; now < 100; now += 1) assert.equal(limiter.take(organisation(0, 0), 1e6, now).kind, 'granted')
   })
 
   it('gives back what did not run', () => {
-    const limiter = createQuotaLimiter()
+    const limiter = createQuotaLimiter(createRandom(1), { ...MARGIN, slack: 0 })
+    limiter.observe([], 1)
     const tejo = organisation(10, 1_000)
     while (limiter.take(tejo, 400, 0).kind === 'granted');
     assert.equal(limiter.take(tejo, 400, 0).kind, 'over')
