Sizes: lasting engines for the next failure domain that is reclaimed, not for all reclaimable ones at once

One ran for 0.76 of the load at all times, as if all reclaimable engines were taken at one moment. A wave takes those of one failure domain.

Change: what is left when the domain with most running reclaimable engines is taken next must carry 0.76 a piece; lasting ones make up for what lacks, one at least. With each wave less is safe, and lasting ones are ordered before the next one.

--- a/src/scaling/plan.ts
+++ b/src/scaling/plan.ts
@@ -13,15 +13,16 @@
 /** Part of the lasting upstreams that run in the cheapest failure domain; the rest answers where that is lost. */
 const CHEAPEST_PART = 0.6
 
-/** The same for the moment after all reclaimable ones were taken back at once, until others have booted. */
+/** The same for the moment after all reclaimable ones of one failure domain were taken back at once, until others have booted. */
 const RECLAIMED_UTILISATION = 0.76
 
 /**
  * Sizes of all pools of a service.
  *
- * Failure guarded against: reclaimable upstreams are taken back in waves, and for a while none are to be
- * had. What runs counts, not what was ordered: the others are raised as soon as reclaimable ones leave,
- * and lowered again only once their replacements serve.
+ * Failure guarded against: reclaimable upstreams are taken back in waves, all of one failure domain at a time, and for a
+ * while none are to be had. What runs counts, not what was ordered: what is left when the failure domain with most of them
+ * is taken next must carry the load, and the others are raised to that as soon as reclaimable ones leave, and lowered
+ * again only once their replacements serve.
  *
  * @example
  * planPools(situation).find((pool) => pool.reclaimable)?.desired
@@ -29,13 +30,17 @@
 export function planPools (situation: ScalingSituation): PoolSize[] {
   const { facts, failureDomains, load } = situation
   const total = clamp(Math.ceil(load / USUAL_UTILISATION), failureDomains.length * Math.max(1, facts.least), failureDomains.length * facts.most)
-  const base = facts.reclaimablePrice === undefined ? total : clamp(Math.ceil(load / RECLAIMED_UTILISATION), 1, total)
+  const survivors = total - Math.ceil(total / failureDomains.length)
+  const reclaimed = Math.ceil(load / RECLAIMED_UTILISATION)
+  const base = facts.reclaimablePrice === undefined ? total : clamp(reclaimed - survivors, 1, total)
   const least = facts.reclaimablePrice === undefined ? total : clamp(Math.ceil(load / SHORT_UTILISATION), base, total)
   const wanted = facts.reclaimablePrice === undefined ? [] : spread(total - base, failureDomains, facts.most)
   const running = countRunning(situation.present)
-  const serving = wanted.reduce((sum, pool) => sum + Math.min(pool.count, situation.awaitReclaimable ? pool.count : running.get(pool.failureDomain) ?? 0), 0)
+  const servingByDomain = wanted.map((pool) => Math.min(pool.count, situation.awaitReclaimable ? pool.count : running.get(pool.failureDomain) ?? 0))
+  const serving = servingByDomain.reduce((sum, count) => sum + count, 0)
+  const safe = serving - Math.max(0, ...servingByDomain)
   const cheapest = byPrice(situation)
-  const others = leanOnFirst(Math.max(base, least - serving), cheapest, facts.most)
+  const others = leanOnFirst(Math.max(base, reclaimed - safe, least - serving), cheapest, facts.most)
   const sizes = wanted.map(({ failureDomain, count }): PoolSize => ({ failureDomain, reclaimable: true, desired: count }))
   for (const { failureDomain, count } of others) {
     const reclaimable = wanted.find((pool) => pool.failureDomain === failureDomain)?.count ?? 0
