Members ask an absent store less often than aggregators

Cause: while the store is away, each of hundreds of nodes asked it for three prefixes up to once a second, which is paid for. Change: a node that an aggregator answers doubles its pause up to 3.2 s; the aggregators find the store again and tell. Where just the aggregator is cut off, the first reading succeeds.

--- a/src/gateway/follow.ts
+++ b/src/gateway/follow.ts
@@ -5,7 +5,7 @@
 import type { EventLog } from '../events/index.js'
 import type { KeyValue, KeyValueEntry } from '../protocols/key-value.js'
 import type { Random } from '../random.js'
-import type { Relay } from './relay.js'
+import type { FollowingRole, Relay } from './relay.js'
 import { createReplica } from './replica.js'
 
 /** What follows a prefix needs. */
@@ -42,6 +42,13 @@
 /** Pause between two calls of such a watch, likewise. */
 const TOLD_BATCH_PART = 0.1
 
+/**
+ * Pauses after failures of a node that an aggregator answers. Failure guarded against: while the store is away, hundreds
+ * of nodes each ask it once a second, which is paid for. Where just the aggregator is cut off the first reading succeeds;
+ * where the store is away for all, the aggregators find it again and tell.
+ */
+const TOLD_PAUSES = { first: 400, longest: 3_200 }
+
 /**
  * Age of what a node was told from which on it reads for itself, likewise. Silence, pause, a slow call and a report fit
  * in; a third of the time is left to the reading.
@@ -50,8 +57,7 @@
 
 /** What follows a prefix goes by. */
 export interface FollowTerms {
-  /** Pauses where other nodes depend on what this one reads, and where none does. */
-  readonly pauses: (isTelling: boolean) => WatchPauses
+  readonly pauses: (role: FollowingRole) => WatchPauses
   /** Age of what others told from which on this node reads for itself. */
   readonly oldest: Milliseconds
 }
@@ -67,7 +73,7 @@
 export function promptTerms (within: Milliseconds, batch: Milliseconds): FollowTerms {
   const alone: WatchPauses = { ...PROMPT_PAUSES, batch }
   const telling: WatchPauses = { ...PROMPT_PAUSES, silence: within * TOLD_SILENCE_PART, batch: within * TOLD_BATCH_PART }
-  return { pauses: (isTelling) => isTelling ? telling : alone, oldest: within * OLDEST_PART }
+  return { pauses: (role) => ({ telling, told: { ...alone, ...TOLD_PAUSES }, alone })[role], oldest: within * OLDEST_PART }
 }
 
 /**
@@ -75,7 +81,7 @@
  * delays nothing. Each opening is a call that is paid for; where hundreds register at once, many are read at once.
  */
 export const RECORD_TERMS: FollowTerms = {
-  pauses: (isTelling) => ({ ...PROMPT_PAUSES, silence: 8_000, batch: isTelling ? 300 : 0 }),
+  pauses: (role) => ({ ...PROMPT_PAUSES, silence: 8_000, batch: role === 'telling' ? 300 : 0 }),
   oldest: 12_000
 }
 
@@ -109,7 +115,7 @@
     random,
     signal,
     wanted: () => relay?.isStale(prefix) ?? true,
-    pauses: () => terms.pauses(relay?.isTelling() ?? false),
+    pauses: () => terms.pauses(relay?.role() ?? 'alone'),
     load: async () => {
       const { entries, revision } = await store.list(prefix, signal)
       heard()
--- a/src/gateway/relay.ts
+++ b/src/gateway/relay.ts
@@ -14,6 +14,9 @@
 import type { News } from '../gossip/index.js'
 import type { Replica } from './replica.js'
 
+/** How a node follows the store: others depend on what it reads, others tell it, or neither. */
+export type FollowingRole = 'telling' | 'told' | 'alone'
+
 /** One followed prefix as the relay sees it. */
 export interface RelayedPrefix {
   readonly replica: Replica
@@ -28,8 +31,7 @@
   add (prefix: string, followed: RelayedPrefix): void
   /** What this node has, as it asks for more. */
   known (): Record<string, number>
-  /** Other nodes depend on what this one reads. */
-  isTelling (): boolean
+  role (): FollowingRole
   /** What another node lacks that has `known`. */
   newsFor (known: Readonly<Record<string, number>>): News[]
   /** Takes an answer in to a question that was sent at `sentAt`. */
@@ -40,7 +42,7 @@
   isStale (prefix: string): boolean
 }
 
-/** Members ask each 0.4 s; one that hasn't for this time has gone elsewhere. */
+/** Members ask each 0.4 s; where none has for this time they have gone elsewhere, or this node has. */
 const LAST_ASKED: Milliseconds = 3 * SECOND
 
 /**
@@ -52,11 +54,15 @@
   const followed = new Map<string, RelayedPrefix>()
   const told = new Map<string, Milliseconds>()
   let askedAt = -Infinity
+  let answeredAt = -Infinity
 
   return {
     add: (prefix, one) => { followed.set(prefix, one) },
     known: () => Object.fromEntries([...followed].map(([prefix, { replica }]) => [prefix, replica.revision()])),
-    isTelling: () => clock.now() - askedAt < LAST_ASKED,
+    role: () => {
+      if (clock.now() - askedAt < LAST_ASKED) return 'telling'
+      return clock.now() - answeredAt < LAST_ASKED ? 'told' : 'alone'
+    },
     newsFor: (known) => {
       askedAt = clock.now()
       return [...followed].flatMap(([prefix, { replica, heardAt }]) => {
@@ -67,6 +73,7 @@
       })
     },
     take: (news, sentAt) => {
+      answeredAt = clock.now()
       for (const one of news) {
         const known = followed.get(one.prefix)
         if (known === undefined) continue
