--- a/bench/gateway-gossip.ts
+++ b/bench/gateway-gossip.ts
@@ -1,14 +1,15 @@
-/** Size and processor time of one exchange between gateway nodes, by the number of nodes whose states it carries. */
+/** Size and processor time of what gateway nodes tell each other, by the number of nodes. */
 import { pack, unpack } from '../src/gateway/packing.js'
-import { gossipMessageSchema } from '../src/gossip/index.js'
-import type { GossipMessage, NodeState } from '../src/gossip/index.js'
+import { aggregatorAnswerSchema, gossipMessageSchema, mergeReports, pickAggregators } from '../src/gossip/index.js'
+import type { AggregatorAnswer, GossipMessage, NodeState } from '../src/gossip/index.js'
 import { createRandom } from '../src/random.js'
 import type { Random } from '../src/random.js'
 import type { Bench } from './table.js'
+import type * as z from 'zod'
 
-const NODES = [9, 64, 370] as const
-const ORGANISATIONS = 16
-const UPSTREAMS = 63
+const NODES = [9, 16, 64, 195, 366] as const
+const ORGANISATIONS = 19
+const UPSTREAMS = 92
 /** Upstreams at which one node has something in flight. */
 const BUSY = 9
 const REPEATS = 30
@@ -16,25 +17,41 @@
 /** Slopes of what nodes tell each other. */
 export const bench: Bench = {
   name: 'gateway-gossip',
-  description: 'Bytes and processor time of an exchange between gateway nodes',
+  description: 'Bytes and processor time of an exchange between gateway nodes, and of an answer to a member',
   run: ({ seed }) => {
     const random = createRandom(seed)
-    const rows = NODES.map((nodes) => {
-      const message = messageOf(nodes, random)
-      const packed = pack(message)
-      return [nodes, JSON.stringify(message).length, packed.length, meanTime(() => pack(message)), meanTime(() => unpack(gossipMessageSchema, packed))]
+    const rows = NODES.flatMap((nodes) => {
+      const states = statesOf(nodes, random)
+      const exchange = measure('exchange of aggregators', nodes, messageOf(states, random), gossipMessageSchema)
+      return states.length === nodes ? [exchange] : [exchange, measure('answer to a member', nodes, answerOf(states), aggregatorAnswerSchema)]
     })
-    return [{ title: 'One message with the states of all nodes', columns: ['nodes', 'JSON bytes', 'bytes sent', 'packing ms', 'unpacking ms'], rows, note: `${ORGANISATIONS} organisations, ${BUSY} busy upstreams a node.` }]
+    return [{ title: 'One message with all that is known', columns: ['nodes', 'message', 'JSON bytes', 'bytes sent', 'packing ms', 'unpacking ms'], rows, note: `${ORGANISATIONS} organisations, ${UPSTREAMS} upstreams, ${BUSY} of them busy a node.` }]
   }
 }
 
-function messageOf (nodes: number, random: Random): GossipMessage {
-  const states = Array.from({ length: nodes }, (_, index) => stateOf(index, random))
+function measure<T extends object> (kind: string, nodes: number, message: T, schema: z.ZodType<T>): (string | number)[] {
+  const packed = pack(message)
+  return [nodes, kind, JSON.stringify(message).length, packed.length, meanTime(() => pack(message)), meanTime(() => unpack(schema, packed))]
+}
+
+/** States of the aggregators, each with the sums of its members. */
+function statesOf (nodes: number, random: Random): NodeState[] {
+  const all = Array.from({ length: nodes }, (_, index) => stateOf(index, random))
+  const aggregators = pickAggregators(all)
+  const members = all.filter((state) => !aggregators.includes(state))
+  return aggregators.map((state, index) => ({ ...state, ...mergeReports([state, ...members.filter((_, number) => number % aggregators.length === index)]) }))
+}
+
+function answerOf (states: readonly NodeState[]): AggregatorAnswer {
+  return { from: states[0]!.incarnation, wall: 1_767_225_600_000, others: mergeReports(states), news: [] }
+}
+
+function messageOf (states: readonly NodeState[], random: Random): GossipMessage {
   return {
     from: states[0]!.incarnation,
     wall: 1_767_225_600_000,
     versions: Object.fromEntries(states.map((state) => [state.incarnation, state.sequence])),
-    states,
+    states: [...states],
     ages: Object.fromEntries(states.map((state) => [state.incarnation, random.integer(2_000)]))
   }
 }
