--- a/src/gateway/follow.ts
+++ b/src/gateway/follow.ts
@@ -73,20 +73,31 @@
 export function promptTerms (within: Milliseconds, batch: Milliseconds): FollowTerms {
   const alone: WatchPauses = { ...PROMPT_PAUSES, batch }
   const telling: WatchPauses = { ...PROMPT_PAUSES, silence: within * TOLD_SILENCE_PART, batch: within * TOLD_BATCH_PART }
-  return { pauses: (role) => ({ telling, told: { ...alone, ...TOLD_PAUSES }, alone })[role], oldest: within * OLDEST_PART }
+  const told: WatchPauses = { ...alone, ...TOLD_PAUSES }
+  return { pauses: (role) => ({ telling, told, alone })[role], oldest: within * OLDEST_PART }
 }
 
+/** Longest silence of a watch of nodes' records. */
+const RECORD_SILENCE: Milliseconds = 8_000
+
+/** Pause between two calls of such a watch where other nodes depend on it: hundreds that register at once are read at once. */
+const RECORD_BATCH: Milliseconds = 300
+
+/** Age of records that others told from which on a node reads them for itself: a watch's silence and half of it again. */
+const OLDEST_RECORDS: Milliseconds = 12_000
+
 /**
  * For nodes, which also tell each other that they are there, so that a watch that has fallen silent for good
- * delays nothing. Each opening is a call that is paid for; where hundreds register at once, many are read at once.
+ * delays nothing. Each opening is a call that is paid for.
  */
 export const RECORD_TERMS: FollowTerms = {
-  pauses: (role) => ({ ...PROMPT_PAUSES, silence: 8_000, batch: role === 'telling' ? 300 : 0 }),
-  oldest: 12_000
+  pauses: (role) => ({ ...PROMPT_PAUSES, silence: RECORD_SILENCE, batch: role === 'telling' ? RECORD_BATCH : 0 }),
+  oldest: OLDEST_RECORDS
 }
 
 /**
  * @param prefix of the keys
+ * @param terms how soon its changes must be known
  * @example
  * follow(context, 'servers/', { replace, put, remove }, promptTerms(2 * SECOND, 0))
  */
--- a/src/gateway/gossip-keeper.ts
+++ b/src/gateway/gossip-keeper.ts
@@ -1,4 +1,4 @@
-/** Exchanges states with the other aggregators: one at a time, each a push and a pull. */
+/** Exchanges states with the other aggregators, each a push and a pull, and answers members with the sums. */
 import { boundSignal } from '../bound-signal.js'
 import type { Clock, Milliseconds } from '../clock.js'
 import { createGossipTable, gossipMessageSchema, mergeReports } from '../gossip/index.js'
--- a/src/gossip/merge.ts
+++ b/src/gossip/merge.ts
@@ -1,11 +1,11 @@
 /** Sums of what several nodes tell, so that what a node hears doesn't grow with their number. */
-import { combineSpeeds } from '../placement/index.js'
-import type { LearntSpeed, NodeLoad, UpstreamLife } from '../placement/index.js'
+import { combineSpeeds, roundSpeed } from '../placement/index.js'
+import type { NodeLoad, UpstreamLife } from '../placement/index.js'
 import { ANSWERED } from '../quarantine/index.js'
 import { sumWork } from '../scaling/index.js'
 import type { FleetReport } from './types.js'
 
-/** Digits of a sum that are told. */
+/** Digits of a combined speed that are told; one more than a node tells of its own. */
 const DIGITS = 4
 
 /**
@@ -52,7 +52,7 @@
   const services = new Set(reports.flatMap(({ speeds }) => Object.keys(speeds)))
   return Object.fromEntries([...services].map((service) => {
     const learnt = reports.map(({ speeds }) => speeds[service]).filter((speed) => speed !== undefined)
-    return [service, rounded({ ...combineSpeeds(learnt), samples: learnt.reduce((sum, { samples }) => sum + samples, 0) })]
+    return [service, roundSpeed({ ...combineSpeeds(learnt), samples: learnt.reduce((sum, { samples }) => sum + samples, 0) }, DIGITS)]
   }))
 }
 
@@ -67,8 +67,3 @@
   }
   return merged
 }
-
-function rounded ({ base, perThousandTokens, perMillionPairs, samples }: LearntSpeed): LearntSpeed {
-  const round = (value: number): number => Number(value.toPrecision(DIGITS))
-  return { base: round(base), perThousandTokens: round(perThousandTokens), perMillionPairs: round(perMillionPairs), samples }
-}
--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -4,7 +4,7 @@
 export { chooseUpstream, ENGINE_COSTS, PLAIN_COSTS } from './choose.js'
 export type { Candidate, Choice, PlacementCosts, PlacingNode } from './choose.js'
 export { sharedTokens } from './choose.js'
-export { ASSUMED_SPEED, combineSpeeds, createSpeedEstimator, readingTime } from './speed.js'
+export { ASSUMED_SPEED, combineSpeeds, createSpeedEstimator, readingTime, roundSpeed } from './speed.js'
 export type { EngineSpeed, LearntSpeed, ReadingSample, SpeedEstimator } from './speed.js'
 export { createEngineSpeeds } from './speeds.js'
 export type { EngineSpeeds, ToldSpeeds } from './speeds.js'
--- a/src/placement/speed.ts
+++ b/src/placement/speed.ts
@@ -140,6 +140,16 @@
   return toSpeed(mapVector((index) => weightedMedian(known.map((speed) => [toVector(speed)[index], speed.samples]))))
 }
 
+/**
+ * @param digits that are kept of each value
+ * @example
+ * roundSpeed(estimator.speed(), 3).base // 31.4 of 31.4159
+ */
+export function roundSpeed ({ base, perThousandTokens, perMillionPairs, samples }: LearntSpeed, digits: number): LearntSpeed {
+  const round = (value: number): number => Number(value.toPrecision(digits))
+  return { base: round(base), perThousandTokens: round(perThousandTokens), perMillionPairs: round(perMillionPairs), samples }
+}
+
 /** Weighted least squares, reweighted so that the residuals' quantile is zero; the assumption holds what the samples leave open. */
 function fit (samples: readonly ReadingSample[], start: Vector): Vector {
   const assumed = toVector(ASSUMED_SPEED)
--- a/src/placement/speeds.ts
+++ b/src/placement/speeds.ts
@@ -1,5 +1,5 @@
 /** Speeds of all services' engines at one node: its own estimates, and those that the other nodes tell. */
-import { combineSpeeds, createSpeedEstimator } from './speed.js'
+import { combineSpeeds, createSpeedEstimator, roundSpeed } from './speed.js'
 import type { EngineSpeed, LearntSpeed, ReadingSample, SpeedEstimator } from './speed.js'
 
 /** What a node tells of the engines that it sees, by service. */
@@ -55,11 +55,6 @@
       combined.set(service, known)
       return known
     },
-    own: () => Object.fromEntries([...estimators].map(([service, estimator]) => [service, rounded(estimator.speed())]))
+    own: () => Object.fromEntries([...estimators].map(([service, estimator]) => [service, roundSpeed(estimator.speed(), DIGITS)]))
   }
 }
-
-function rounded ({ base, perThousandTokens, perMillionPairs, samples }: LearntSpeed): LearntSpeed {
-  const round = (value: number): number => Number(value.toPrecision(DIGITS))
-  return { base: round(base), perThousandTokens: round(perThousandTokens), perMillionPairs: round(perMillionPairs), samples }
-}
--- /dev/null
+++ b/test/gossip/merge.test.ts
@@ -0,0 +1,35 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import fc from 'fast-check'
+import { mergeReports } from '../../src/gossip/index.js'
+import type { FleetReport } from '../../src/gossip/index.js'
+import { lifeOf } from '../../src/placement/index.js'
+import { ANSWERED } from '../../src/quarantine/index.js'
+
+const counts = fc.dictionary(fc.constantFrom('tejo', 'minho', 'douro'), fc.nat(1_000))
+
+const report: fc.Arbitrary<FleetReport> = fc.record({
+  nodes: fc.integer({ min: 1, max: 20 }),
+  configuration: fc.nat(50),
+  demand: counts,
+  granted: counts,
+  inFlight: fc.dictionary(fc.constantFrom('i-1', 'i-2', 'i-3'), fc.record({ requests: fc.nat(9), reading: fc.nat(900) })).map((loads) => Object.fromEntries(Object.entries(loads).map(([id, load]) => [lifeOf(id, 1), load]))),
+  work: fc.constant({}),
+  speeds: fc.constant({}),
+  crashes: fc.dictionary(fc.constantFrom('f-1', 'f-2'), fc.constantFrom(ANSWERED, 1, 2))
+})
+
+describe('sums of what nodes tell', () => {
+  it('are the same however the nodes are grouped', () => {
+    fc.assert(fc.property(fc.array(report, { minLength: 1, maxLength: 12 }), fc.nat(12), (reports, cut) => {
+      const parts = [reports.slice(0, cut), reports.slice(cut)].map(mergeReports).filter((part) => part !== undefined)
+      assert.deepEqual(mergeReports(parts), mergeReports(reports))
+    }))
+  })
+
+  it('take a whole answer anywhere for the word on a request that broke off', () => {
+    const base = { nodes: 1, configuration: 0, demand: {}, granted: {}, inFlight: {}, work: {}, speeds: {} }
+    assert.deepEqual(mergeReports([{ ...base, crashes: { f: 2 } }, { ...base, crashes: { f: ANSWERED } }, { ...base, crashes: { f: 1 } }])?.crashes, { f: ANSWERED })
+    assert.equal(mergeReports([]), undefined)
+  })
+})
