--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -45,6 +45,7 @@
   'following-ended': z.strictObject({ prefix: z.string(), error }).describe('a fault of the program: keys are not followed for good'),
   'peer-lost': z.strictObject({ peer: z.string(), error }).describe('another node does not answer; told once until it does'),
   'peer-regained': z.strictObject({ peer: z.string() }).describe('it answers again'),
+  'exchange-role': z.strictObject({ role: z.enum(['aggregator', 'member']), aggregator: z.string().optional(), nodes: count }).describe('how this node hears of the others and of the store from now on: as an aggregator, which exchanges and reads for itself, or by reports to `aggregator`'),
   'gossip-ended': z.strictObject({ error }).describe('a fault of the program: no exchange with other nodes for good'),
   'exchange-failed-unexpectedly': z.strictObject({ peer: z.string(), error }).describe('a fault of the program in one exchange with another node'),
   'configuration-in-force': z.strictObject({ version: z.number(), before: z.number().optional(), source: z.string(), routes: count, organisations: count.optional(), quotaRate: z.number().optional() }).describe('requests that come from now on are handled by this version; `source` is the store or a peer'),
--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -126,6 +126,8 @@
   })
   const reporting = createReporting({ clock, signal, wall, relay, reachable, link, describe, fetchConfiguration: gossip.fetchConfiguration, heard: options.heard })
 
+  let reportsTo: string | undefined
+
   function aggregators (): NodeRecord[] {
     return pickAggregators(records.all())
   }
@@ -141,8 +143,16 @@
 
   /** A node that finds no aggregator does what one does, so that it hears of the others by whoever answers. */
   async function takeTurn (): Promise<void> {
-    if (!isAppointed() && await reporting.report(orderFor(self, aggregators()).map((record) => record.peer))) return
-    gossip.exchangeOnce()
+    const answered = isAppointed() ? undefined : await reporting.report(orderFor(self, aggregators()).map((record) => record.peer))
+    tellRole(answered)
+    if (answered === undefined) gossip.exchangeOnce()
+  }
+
+  /** A node begins as an aggregator; where all are, there is nothing to tell. */
+  function tellRole (aggregator: string | undefined): void {
+    if (aggregator === reportsTo || signal.aborted) return
+    reportsTo = aggregator
+    log.info('exchange-role', { role: aggregator === undefined ? 'aggregator' : 'member', aggregator, nodes: records.all().length })
   }
 
   async function run (): Promise<void> {
--- a/src/gateway/reporting.ts
+++ b/src/gateway/reporting.ts
@@ -26,8 +26,8 @@
 
 /** A member's reports. */
 export interface Reporting {
-  /** Reports to the first aggregator of these that answers. @returns whether one did */
-  report (aggregators: readonly string[]): Promise<boolean>
+  /** Reports to the first aggregator of these that answers. @returns its address; undefined where none did */
+  report (aggregators: readonly string[]): Promise<string | undefined>
   /** An aggregator has answered lately, so that this node needn't act as one. */
   isAttached (): boolean
   /** Sums of all other nodes as last told; undefined while none were told lately. */
@@ -85,10 +85,10 @@
     report: async (aggregators) => {
       const willing = aggregators.filter((address) => !reachable.hasFailedWithin(address, AVOIDED))
       for (const address of (willing.length > 0 ? willing : aggregators).slice(0, MOST_TRIES)) {
-        if (await reportTo(address)) return true
-        if (signal.aborted) return false
+        if (await reportTo(address)) return address
+        if (signal.aborted) return undefined
       }
-      return false
+      return undefined
     },
     isAttached: () => told !== undefined && clock.now() - told.at < ATTACHED,
     others: () => told !== undefined && clock.now() - told.at < SILENT_AFTER ? told.others : undefined
--- a/test/gateway/reporting.test.ts
+++ b/test/gateway/reporting.test.ts
@@ -89,7 +89,7 @@
     const members = [fleet.startMember('m', 100), fleet.startMember('n', 1_000), fleet.startMember('o', 10_000)]
     const homes = [['a'], ['a'], ['b']]
     for (let round = 0; round < 3; round += 1) {
-      for (const [index, member] of members.entries()) assert.ok(await member.report(homes[index]!))
+      for (const [index, member] of members.entries()) assert.equal(await member.report(homes[index]!), homes[index]![0])
       await fleet.exchangeAll()
     }
     for (const [index, member] of members.entries()) await member.report(homes[index]!)
@@ -106,12 +106,12 @@
     fleet.startAggregator('a', 1)
     fleet.startAggregator('b', 10)
     const member = fleet.startMember('m', 100)
-    assert.ok(await member.report(['a', 'b']))
+    assert.equal(await member.report(['a', 'b']), 'a')
     fleet.dead.add('a')
-    assert.ok(await member.report(['a', 'b']), 'the second answers in the same turn')
+    assert.equal(await member.report(['a', 'b']), 'b', 'the second answers in the same turn')
     assert.ok(member.isAttached())
     fleet.dead.add('b')
-    assert.equal(await member.report(['a', 'b']), false)
+    assert.equal(await member.report(['a', 'b']), undefined)
     await fleet.clock.advance(2 * SECOND)
     assert.equal(member.isAttached(), false, 'it acts as an aggregator itself')
     await fleet.clock.advance(2 * SECOND)
