The duties are taken at the start again, not at the next look at their key

Since only nodes that exchange directly may take the duties, and while a node is put together that isn't known; its first look at the key was skipped and the next came 9 to 15 s later. Test: with longer pauses that never end, a node alone takes the duties; without the change it doesn't.

--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -181,6 +181,9 @@
   const upstreamsFollowing = keepUpstreams(follows, platform.registry, upstreams, connections, bounds.upstreamDrain, evacuation.leaving)
   const duties = platform.duties && keepDuties({ context: follows, settings, incarnation, calls: platform.duties, holder, fleet, usage, work, upstreams, speeds, table: configuration.table })
 
+  // Failure guarded against: nobody may take the duties while the nodes are put together, and the fleet that is found at the
+  // start runs on, paid for, until the next look at their key some ten seconds later.
+  holder.vacant()
   repeat({ clock, log, signal: ending.signal }, 'shares', SHARE_PERIOD, applyShares)
   repeat({ clock, log, signal: ending.signal }, 'speeds', SPEED_PERIOD, speeds.update)
   exposeNode({ metrics, clock, log, signal: ending.signal, sums, sources, fleet, upstreams, connections, quotas, budgets, inFlight: () => inFlight, holdsDuties: () => holder.proof() !== undefined })
--- a/test/gateway/many-nodes.test.ts
+++ b/test/gateway/many-nodes.test.ts
@@ -2,7 +2,8 @@
 import assert from 'node:assert/strict'
 import { after, before, describe, it } from 'node:test'
 import { request } from 'undici'
-import { createSystemClock } from '../../src/clock.js'
+import { createSystemClock, SECOND } from '../../src/clock.js'
+import type { Clock } from '../../src/clock.js'
 import type { GatewayNode } from '../../src/gateway/node.js'
 import { EQUALS } from '../../src/gossip/index.js'
 import { createMachineDeployment } from '../../stand-ins/machines/deployment.js'
@@ -13,6 +14,7 @@
 const clock = createSystemClock()
 const HOST = 'api.example'
 const NODES = EQUALS + 2
+const LONG_PAUSE = 5 * SECOND
 
 const configuration = (version: number, ...routes: string[]): object => ({
   version,
@@ -20,6 +22,10 @@
   services: [{ name: 'plain', maxConns: 1_000 }]
 })
 
+function untilAborted (signal: AbortSignal | undefined): Promise<never> {
+  return new Promise((_resolve, reject) => signal?.addEventListener('abort', () => reject(signal.reason), { once: true }))
+}
+
 describe(`${NODES} nodes`, () => {
   let deployment: MachineDeployment
   let nodes: GatewayNode[]
@@ -76,3 +82,16 @@
     assert.equal(leaving!.runs.length, before)
   })
 })
+
+describe('a node that starts', () => {
+  // The upstreams that are found at the start were paid for until the traffic came: the first node had to be put together
+  // before it might take the duties, missed its first look at their key, and looked again after some ten seconds.
+  it('takes the duties without waiting for its next look at their key', { timeout: 60_000 }, async () => {
+    // Pauses as long as those between two looks never end here.
+    const hasty: Clock = { ...clock, sleep: (duration, signal) => duration < LONG_PAUSE ? clock.sleep(duration, signal) : untilAborted(signal) }
+    const deployment = await createMachineDeployment(hasty)
+    await deployment.startNode('alone')
+    while (!deployment.lines.some((line) => line.event === 'duty-taken')) await clock.sleep(20)
+    await deployment.close()
+  })
+})
