A lease that is taken between two looks is renewed at once

A lease taken when its key is seen to vanish, or by the look at the start, wasn't renewed: the keeper slept until its next look 9 to 15 s later, the lease lapsed, and the node took it again under another number, over and over. It was so for every successor of a holder before; the look at the start only made it show in one process. Change: taking the lease ends the pause.

--- a/src/planner/lease-keeper.ts
+++ b/src/planner/lease-keeper.ts
@@ -69,6 +69,7 @@
   const holder = createLeaseHolder()
   let lease: { readonly id: LeaseId } | undefined
   let holding = false
+  let nap: AbortController | undefined
   let last: Promise<void> = Promise.resolve()
 
   /**
@@ -125,7 +126,10 @@
 
   function tell (): void {
     const held = holder.held(clock.now(), 0)
-    if (held !== undefined && !holding) log.info(`${terms.name}-taken`, { fencing: held.fencing })
+    if (held !== undefined && !holding) {
+      log.info(`${terms.name}-taken`, { fencing: held.fencing })
+      nap?.abort()
+    }
     if (held === undefined && holding) log.warn(`${terms.name}-lost`)
     holding = held !== undefined
   }
@@ -137,7 +141,10 @@
       // A lease that may be this planner's without its knowing is looked for before it lapses.
       const soon = holding || (failed && lease !== undefined)
       const period = soon ? terms.renewal : terms.waiting
-      await clock.sleep(period * (1 - VARIATION * random.fraction()), signal).catch(() => {})
+      // Failure guarded against: a lease that is taken between two looks, when its key is seen to vanish, lapses before the
+      // next look renews it, and the duty goes from hand to hand. Taking it ends the pause.
+      nap = new AbortController()
+      await clock.sleep(period * (1 - VARIATION * random.fraction()), AbortSignal.any([signal, nap.signal])).catch(() => {})
     }
   }
 
--- a/test/planner/lease-keeper.test.ts
+++ b/test/planner/lease-keeper.test.ts
@@ -131,3 +131,24 @@
   assert.notEqual(store.get(PLANNER_KEY), undefined)
   stop()
 })
+
+// The holder dies, its key is seen to vanish, and another takes the lease at once. It slept on until its next look at the
+// key, let the lease lapse, took it again as the key vanished, and so on: each time under another number.
+test('a lease that is taken between two looks is held under one number', async () => {
+  const world = createWorld(1)
+  world.store.put(PLANNER_KEY, 'another')
+  const lease = world.planner(1)
+  await world.clock.advance(1_000)
+  const foreign = world.store.get(PLANNER_KEY)!
+  world.store.compareAndDelete(PLANNER_KEY, foreign.revision)
+  const taken = lease.refresh()
+  await world.clock.advance(100)
+  await taken
+  const first = lease.held(0)?.fencing
+  assert.notEqual(first, undefined)
+  for (let waited = 0; waited < 4 * LEASE_TIME; waited += 500) {
+    await world.clock.advance(500)
+    assert.equal(lease.held(0)?.fencing, first, `${waited} ms after it was taken`)
+  }
+  world.stop()
+})
