--- a/test/planner/lease-keeper.test.ts
+++ b/test/planner/lease-keeper.test.ts
@@ -137,18 +137,20 @@
 test('a lease that is taken between two looks is held under one number', async () => {
   const world = createWorld(1)
   world.store.put(PLANNER_KEY, 'another')
-  const lease = world.planner(1)
+  const owner = new AbortController()
+  const terms = { name: 'duty', key: PLANNER_KEY, time: 3_000, renewal: 1_000, waiting: 15_000 }
+  const lease = createLeaseKeeper({ keyValue: world.keyValue, clock: world.clock, random: createRandom(1), log: LOG, signal: owner.signal, holder: incarnationSchema.parse('node-1'), terms })
   await world.clock.advance(1_000)
-  const foreign = world.store.get(PLANNER_KEY)!
-  world.store.compareAndDelete(PLANNER_KEY, foreign.revision)
+  world.store.compareAndDelete(PLANNER_KEY, world.store.get(PLANNER_KEY)!.revision)
   const taken = lease.refresh()
   await world.clock.advance(100)
   await taken
   const first = lease.held(0)?.fencing
   assert.notEqual(first, undefined)
-  for (let waited = 0; waited < 4 * LEASE_TIME; waited += 500) {
+  for (let waited = 0; waited < 20_000; waited += 500) {
     await world.clock.advance(500)
     assert.equal(lease.held(0)?.fencing, first, `${waited} ms after it was taken`)
   }
+  owner.abort()
   world.stop()
 })
