--- a/test/planner/lease-keeper.test.ts
+++ b/test/planner/lease-keeper.test.ts
@@ -140,15 +140,15 @@
   const owner = new AbortController()
   const terms = { name: 'duty', key: PLANNER_KEY, time: 3_000, renewal: 1_000, waiting: 15_000 }
   const lease = createLeaseKeeper({ keyValue: world.keyValue, clock: world.clock, random: createRandom(1), log: LOG, signal: owner.signal, holder: incarnationSchema.parse('node-1'), terms })
-  await world.clock.advance(1_000)
+  for (let step = 0; step < 20; step += 1) await world.clock.advance(50)
   world.store.compareAndDelete(PLANNER_KEY, world.store.get(PLANNER_KEY)!.revision)
   const taken = lease.refresh()
-  await world.clock.advance(100)
+  for (let step = 0; step < 10; step += 1) await world.clock.advance(10)
   await taken
   const first = lease.held(0)?.fencing
   assert.notEqual(first, undefined)
-  for (let waited = 0; waited < 20_000; waited += 500) {
-    await world.clock.advance(500)
+  for (let waited = 0; waited < 20_000; waited += 50) {
+    await world.clock.advance(50)
     assert.equal(lease.held(0)?.fencing, first, `${waited} ms after it was taken`)
   }
   owner.abort()
