What upstreams say of themselves in their answers is read and told

Cause of the change: when upstreams got more than they had room for, no line of any node said that they had named a limit, that they were leaving, or for how long they wanted nothing; hypotheses could not be told apart from the logs. Change: the adapter decodes the three headers into signals of an answer; the node writes a line at each change. Nothing is decided by them yet. An answer to another request or of another upstream at the address says nothing of this one. Ruled out: reading them where the body is passed on; answers that say 'not run' would be left out.

--- /dev/null
+++ b/src/backpressure/index.ts
@@ -0,0 +1,2 @@
+/** Upstreams that ask for less work, or for none. */
+export type { UpstreamSignals } from './types.js'
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -7,6 +7,7 @@
  */
 import { buildConnector, Pool } from 'undici'
 import type { Dispatcher } from 'undici'
+import type { UpstreamSignals } from '../backpressure/index.js'
 import type { Clock, Milliseconds } from '../clock.js'
 import type { UpstreamLife, UpstreamRecord } from '../placement/index.js'
 import { connectionFailure } from '../protocols/http.js'
@@ -88,11 +89,12 @@
 /**
  * @param format how answers are written
  * @param connected called with the time that each new connection took
+ * @param heard called with what each answer says of its upstream
  * @example
- * const connections = createUpstreamConnections(platform.format, clock, (took) => metrics.record('connecting', took))
+ * const connections = createUpstreamConnections(platform.format, clock, (took) => metrics.record('connecting', took), backpressure.heard)
  * const start = await connections.start(upstream, request, signal)
  */
-export function createUpstreamConnections (format: RequestFormat, clock: Clock, connected: (took: Milliseconds) => void): UpstreamConnections {
+export function createUpstreamConnections (format: RequestFormat, clock: Clock, connected: (took: Milliseconds) => void, heard: (upstream: UpstreamRecord, signals: UpstreamSignals) => void): UpstreamConnections {
   const connector = buildConnector({ timeout: CONNECT_TIMEOUT })
 
   const pools = new Map<UpstreamLife, OpenPool>()
@@ -132,7 +134,9 @@
         body: request.body ?? null,
         signal
       })
-      return judge(request.id, { status: statusCode, headers, body }, format.readAnswer(headers, statusCode))
+      const head = format.readAnswer(headers, statusCode)
+      if (isOf(upstream, request.id, head, statusCode)) heard(upstream, head.signals)
+      return judge(request.id, { status: statusCode, headers, body }, head)
     } catch (error) {
       const failure = connectionFailure(error, addressSchema.parse(upstream.address))
       return failure.verdict === 'not-run' ? { kind: 'not-run', reason: 'unreachable' } : { kind: 'broken', reason: failure.message }
@@ -154,6 +158,14 @@
   }
 }
 
+/**
+ * Failure guarded against: another upstream stands at the address by now, and what it says of itself would be taken for
+ * the word of the one that was there before.
+ */
+function isOf (upstream: UpstreamRecord, request: string, head: AnswerHead, status: number): boolean {
+  return status !== MISDIRECTED && head.id === request && (head.upstream === undefined || head.upstream === upstream.id)
+}
+
 /**
  * Failure guarded against: an upstream sends a second answer after a complete one, and it is read as the
  * answer to the next request on that connection. The id that answers carry tells them apart; the
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -17,6 +17,7 @@
 import { createUsageWindows, windowOf } from '../usage/index.js'
 import { refusal } from './acceptance.js'
 import { answerFailure } from './answering.js'
+import { createBackpressure } from './backpressure.js'
 import { createConfigurationKeeper } from './configuration-keeper.js'
 import type { GatewayContext, Sources, StopTimes } from './context.js'
 import { keepDuties } from './duties.js'
@@ -105,7 +106,8 @@
   const follows: FollowContext & { readonly relay: Relay } = { store: platform.store, clock, random, log, signal: ending.signal, relay }
   const metrics = createGatewayMetrics()
   const upstreams = createUpstreamView()
-  const connections = createUpstreamConnections(platform.format, clock, (took) => metrics.record('connecting', took))
+  const backpressure = createBackpressure(log)
+  const connections = createUpstreamConnections(platform.format, clock, (took) => metrics.record('connecting', took), backpressure.heard)
   const speeds = createEngineSpeeds()
   const quotas = createQuotaLimiter(random, bounds.quotaMargin)
   const quarantine = createQuarantine()
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -2,6 +2,7 @@
  * What a gateway node needs of the platform it runs on. Adapters implement these; the node knows no
  * header, field or path of any platform.
  */
+import type { UpstreamSignals } from '../backpressure/index.js'
 import type { Milliseconds } from '../clock.js'
 import type { KeyValue } from '../protocols/key-value.js'
 import type { PromptPart, UpstreamRecord } from '../placement/index.js'
@@ -48,6 +49,8 @@
   readonly notRun: boolean
   /** Id of the upstream's life, where it is told. */
   readonly upstream: string | undefined
+  /** What the upstream asks of its callers. */
+  readonly signals: UpstreamSignals
 }
 
 /** How requests and answers are written on this platform. */
--- a/stand-ins/machines/upstream.ts
+++ b/stand-ins/machines/upstream.ts
@@ -35,6 +35,8 @@
   working (): number
   /** Handles of runs that were moved away, by request. */
   readonly moved: ReadonlyMap<string, string>
+  /** Headers that all its answers carry from now on, in place of those before. */
+  announce (headers: Readonly<Record<string, string>>): void
   /** Decides on each request from now on. */
   behave (decide: () => Behaviour): void
   close (): Promise<void>
@@ -61,6 +63,7 @@
   const runs: Run[] = []
   const streaming = new Map<string, ServerResponse>()
   const moved = new Map<string, string>()
+  let announced: Readonly<Record<string, string>> = {}
   let decide = (): Behaviour => 'answer'
   let working = 0
 
@@ -71,6 +74,7 @@
     const { headers } = request
     const requestId = String(headers[HEADER.requestId])
     response.setHeader(HEADER.requestId, requestId)
+    for (const [name, value] of Object.entries(announced)) response.setHeader(name, value)
     if (headers[HEADER.expectUpstream] !== undefined && headers[HEADER.expectUpstream] !== id) return refuse(response, 421)
     const behaviour = decide()
     if (behaviour === 'full') return refuse(response, 503)
@@ -134,6 +138,7 @@
     runs,
     moved,
     working: () => working,
+    announce: (headers) => { announced = headers },
     behave: (next) => { decide = next },
     close: () => closeServer(server)
   }
--- a/test/gateway/exchange.test.ts
+++ b/test/gateway/exchange.test.ts
@@ -3,6 +3,7 @@
 import { createServer } from 'node:net'
 import type { AddressInfo, Socket } from 'node:net'
 import { afterEach, describe, it } from 'node:test'
+import type { UpstreamSignals } from '../../src/backpressure/index.js'
 import { createRequestFormat } from '../../platform/format.js'
 import { createUpstreamConnections } from '../../src/gateway/exchange.js'
 import type { ExchangeStart } from '../../src/gateway/exchange.js'
@@ -44,6 +45,18 @@
     assert.equal(result.kind, 'broken')
   })
 
+  // An upstream that has crashed is taken for one that leaves: its address is another's by now, which does.
+  it('hears what an answer says of its upstream, and not what another one says at its address', async () => {
+    const heard: UpstreamSignals[] = []
+    const leaving = { leaving: true, rateLimit: 2, retryAfter: undefined }
+    const head = 'X-Hornbeamgap-Request-Id: r1\r\nServer-Leaving: 1\r\nServer-Limit: 2\r\nContent-Length: 0\r\n\r\n'
+    await exchangeWith((socket) => { socket.end(`HTTP/1.1 200 OK\r\n${head}`) }, heard)
+    assert.deepEqual(heard, [leaving])
+    await exchangeWith((socket) => { socket.end(`HTTP/1.1 421 Misdirected Request\r\n${head}`) }, heard)
+    await exchangeWith((socket) => { socket.end(`HTTP/1.1 200 OK\r\nX-Hornbeamgap-Instance-Id: other\r\n${head}`) }, heard)
+    assert.deepEqual(heard, [leaving])
+  })
+
   it('tells a request as not run where no connection came about or the upstream says so', async () => {
     const refused = await exchangeWith((socket) => {
       socket.write('HTTP/1.1 503 Service Unavailable\r\nX-Hornbeamgap-Request-Id: r1\r\nX-Hornbeamgap-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n')
@@ -62,18 +75,18 @@
   })
 
   /** Sends one request to a server that answers its first bytes as told. */
-  async function exchangeWith (answer: (socket: Socket) => void): Promise<ExchangeStart> {
+  async function exchangeWith (answer: (socket: Socket) => void, heard: UpstreamSignals[] = []): Promise<ExchangeStart> {
     const server = createServer((socket) => {
       socket.on('error', () => {})
       socket.once('data', () => answer(socket))
     })
     await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
     closing.push(() => new Promise((resolve) => server.close(resolve)))
-    return start((server.address() as AddressInfo).port)
+    return start((server.address() as AddressInfo).port, heard)
   }
 
-  function start (port: number): Promise<ExchangeStart> {
-    const connections = createUpstreamConnections(createRequestFormat(), createSystemClock(), () => {})
+  function start (port: number, heard: UpstreamSignals[] = []): Promise<ExchangeStart> {
+    const connections = createUpstreamConnections(createRequestFormat(), createSystemClock(), () => {}, (_upstream, signals) => { heard.push(signals) })
     closing.unshift(() => connections.close())
     const upstream = upstreamRecord('i-1', { address: `127.0.0.1:${port}`, slots: 1 })
     return connections.start(upstream, { id: 'r1', method: 'GET', path: '/', headers: ['x-hornbeamgap-request-id', 'r1'], body: undefined }, new AbortController().signal)
--- a/test/platform/platform.test.ts
+++ b/test/platform/platform.test.ts
@@ -101,6 +101,21 @@
   })
 })
 
+describe('headers of an answer', () => {
+  const signalsOf = (status: number, headers: Record<string, string>): unknown => createRequestFormat().readAnswer(headers, status).signals
+  const nothing = { leaving: false, rateLimit: undefined, retryAfter: undefined }
+
+  it('say what the upstream asks of its callers', () => {
+    assert.deepEqual(signalsOf(200, { 'server-limit': '1.5', 'server-leaving': '1' }), { ...nothing, leaving: true, rateLimit: 1.5 })
+    assert.deepEqual(signalsOf(503, { 'retry-after': '0.25' }), { ...nothing, retryAfter: 250 })
+  })
+
+  it('say nothing where they are unreadable, or where the request was not turned away', () => {
+    assert.deepEqual(signalsOf(200, { 'server-limit': 'few', 'server-leaving': '0', 'retry-after': '3' }), nothing)
+    assert.deepEqual(signalsOf(503, { 'server-limit': '-1', 'retry-after': 'Thu, 01 Jan 2026 00:00:00 GMT' }), nothing)
+  })
+})
+
 describe('records of the operator and of upstreams', () => {
   const registry = createRegistry()
 
