--- /dev/null
+++ b/test/gateway/backpressure.test.ts
@@ -0,0 +1,103 @@
+/** Upstreams that ask for less work in what they answer, in front of real nodes through the adapter and the platform's stand-ins. */
+import assert from 'node:assert/strict'
+import { after, before, beforeEach, describe, it } from 'node:test'
+import { request } from 'undici'
+import { createSystemClock, SECOND } from '../../src/clock.js'
+import type { Milliseconds } from '../../src/clock.js'
+import type { GatewayNode } from '../../src/gateway/node.js'
+import { createMachineDeployment } from '../../stand-ins/machines/deployment.js'
+import type { MachineDeployment } from '../../stand-ins/machines/deployment.js'
+import { serveUpstream } from '../../stand-ins/machines/upstream.js'
+import type { UpstreamStandIn } from '../../stand-ins/machines/upstream.js'
+
+const clock = createSystemClock()
+const HOST = 'api.example'
+const NODES = 9
+
+/** Time until the nodes keep to a limit that was named for the first time, and the window in which it counts from then on. */
+const HEARD_AFTER: Milliseconds = 3 * SECOND
+const WINDOW: Milliseconds = 4 * SECOND
+
+/** Requests that an upstream with a limit may get in a window. */
+const mostOf = (rateLimit: number): number => 1.5 * rateLimit * WINDOW / SECOND + 5
+
+/** Pause of the one caller of each node between two requests. */
+const PAUSE: Milliseconds = 50
+
+const configuration = {
+  version: 1,
+  routes: [{ name: 'lookup', host: HOST, prefix: '/lookup/', kind: 'idempotent', timeoutMs: 3_000, targetLatencyMs: 1_000, service: 'plain', maxAttempts: 2 }],
+  services: [{ name: 'plain', maxConns: 500 }]
+}
+
+describe(`an upstream in front of ${NODES} nodes`, () => {
+  let deployment: MachineDeployment
+  let nodes: GatewayNode[]
+  let upstreams: UpstreamStandIn[]
+  let arrivals: Milliseconds[]
+  let traffic: AbortController
+  let callers: Promise<void>[]
+  let ids = 0
+
+  before(async () => {
+    deployment = await createMachineDeployment(clock)
+    upstreams = await Promise.all(['p-1', 'p-2', 'p-3'].map((id) => serveUpstream({ id, clock })))
+    deployment.configure(configuration)
+    for (const upstream of upstreams) deployment.register(upstream)
+    nodes = await Promise.all(Array.from({ length: NODES }, (_, index) => deployment.startNode(`node-${index}`)))
+    traffic = new AbortController()
+    callers = nodes.map(call)
+    await until(() => upstreams.every(({ runs }) => runs.length > NODES))
+  })
+
+  beforeEach(() => { arrivals = [] })
+
+  after(async () => {
+    traffic?.abort()
+    await Promise.all(callers ?? [])
+    await deployment?.close()
+    await Promise.all((upstreams ?? []).map((upstream) => upstream.close()))
+  })
+
+  async function call (node: GatewayNode): Promise<void> {
+    while (!traffic.signal.aborted) {
+      await ask(node)
+      await clock.sleep(PAUSE)
+    }
+  }
+
+  async function ask (node: GatewayNode): Promise<{ readonly status: number, readonly retryAfter: number }> {
+    ids += 1
+    const { statusCode, headers, body } = await request(`http://${node.addresses.front}/lookup/x`, { headers: { host: HOST, 'x-hornbeamgap-request-id': `r${ids}`, 'x-hornbeamgap-deadline-ms': '2000' } })
+    await body.dump()
+    return { status: statusCode, retryAfter: Number(headers['retry-after'] ?? Number.NaN) }
+  }
+
+  async function until (condition: () => Promise<boolean> | boolean): Promise<void> {
+    while (!(await condition())) await clock.sleep(20)
+  }
+
+  function watchArrivals (upstream: UpstreamStandIn): void {
+    upstream.behave(() => {
+      arrivals.push(clock.now())
+      return 'answer'
+    })
+  }
+
+  /** Most arrivals in a window. */
+  function mostArrivals (): number {
+    return Math.max(0, ...arrivals.map((start) => arrivals.filter((at) => at >= start && at < start + WINDOW).length))
+  }
+
+  // A user waits behind the queue of a server that had asked for mercy: it names a limit of one request a second in all that
+  // it answers, is registered as ready, and the nodes go on sending it the tenth part of all requests.
+  it('gets no more from all nodes together than the limit that it names, and no less than it can take', async () => {
+    const [limited] = upstreams
+    limited!.announce({ 'server-limit': '1' })
+    await clock.sleep(HEARD_AFTER)
+    watchArrivals(limited!)
+    await clock.sleep(2 * WINDOW)
+    assert.ok(mostArrivals() <= mostOf(1), `${mostArrivals()} requests in ${WINDOW} ms`)
+    assert.ok(arrivals.length > 0, 'it serves what it can take')
+  })
+})
