Limits that upstreams name hold over all nodes

Callers waited behind the queues of servers that had asked for mercy: an upstream that named one request a second got 19 in 4 s (11 allowed), while others stood idle. Cause: placement went by the registry, by load and by failures; what an answer says of its upstream was dropped at the adapter. Change: a limit is dealt by rendezvous hashing to four nodes and one more for each request a second of it; each keeps a pause between two requests, and begins with one. What a node heard is told to the others with its age, the latest word holds. Requests that all upstreams' limits leave over are refused at once, with the time at which the next may come. A run is not moved to where no request may go. Ruled out: an even share of the limit for each of all nodes, which holds on average only (82 nodes at one a second: one in 82 s each, by chance 12 in 4 s).

--- /dev/null
+++ b/src/backpressure/rate-limits.ts
@@ -0,0 +1,200 @@
+/**
+ * Rate limits that upstreams name in their answers, kept by all nodes together without a word for each request.
+ *
+ * Each limit is dealt to few nodes by rendezvous hashing, and each of these keeps a pause between two requests. So the
+ * sum holds in any window, and not only on average as it would where each of many nodes sends one request now and then.
+ */
+import * as z from 'zod'
+import { SECOND } from '../clock.js'
+import type { Milliseconds } from '../clock.js'
+import { score } from '../membership/rendezvous.js'
+import { upstreamLifeSchema } from '../placement/index.js'
+import type { UpstreamLife } from '../placement/index.js'
+
+/** What a node last heard of the limits of upstreams, by their lives. */
+export const toldLimitsSchema = z.record(upstreamLifeSchema, z.object({
+  /** Requests a second; missing where the upstream names no limit any more. */
+  rate: z.number().optional(),
+  /** Since the answer came that says so, in milliseconds. */
+  age: z.number()
+}))
+export type ToldLimits = z.infer<typeof toldLimitsSchema>
+
+/** What a node may send to an upstream that names a limit. */
+export interface Pace {
+  /** Requests a second that the upstream takes from all nodes. */
+  readonly rate: number
+  /** Least pause between two requests of this node; undefined where others have the whole limit. */
+  readonly pause: Milliseconds | undefined
+}
+
+/** A pace that is another than before; undefined where there is no limit any more. */
+export interface PaceChange {
+  readonly life: UpstreamLife
+  readonly pace: Pace | undefined
+}
+
+/** Limits as one node knows them. */
+export interface RateLimits {
+  /**
+   * An answer has named this limit, or none.
+   *
+   * @param sentAt when its request was sent
+   */
+  heard (life: UpstreamLife, rate: number | undefined, sentAt: Milliseconds, now: Milliseconds): PaceChange | undefined
+  /** What this node tells the others: what it heard itself. */
+  told (now: Milliseconds): ToldLimits
+  /** What the others have told. */
+  observe (others: readonly ToldLimits[], now: Milliseconds): PaceChange[]
+  /** Names of the nodes that may serve now, to which limits are dealt. */
+  deal (nodes: readonly string[], now: Milliseconds): PaceChange[]
+  /** Time until this node may send a request there; 0 when it may now. Where others have the whole limit, the time in which they send one. */
+  wait (life: UpstreamLife, now: Milliseconds): Milliseconds
+  allows (life: UpstreamLife, now: Milliseconds): boolean
+  /** This node sends a request there. */
+  taken (life: UpstreamLife, now: Milliseconds): void
+  /** Lives that name a limit now. */
+  all (): readonly UpstreamLife[]
+}
+
+/**
+ * Nodes that a small limit is dealt to: as many as may fall silent together without the upstream being left alone, and
+ * few enough that one request of each, at the worst all in one moment, is no burst.
+ */
+const FEWEST_SENDERS = 4
+
+/** An upstream that names no more than this is asked as seldom: otherwise nobody would hear that it takes more again. */
+const LEAST_RATE = 0.1
+
+/** What another node tells may be as old as this when it comes; what was heard here within it goes first. */
+const TOLD_LAG: Milliseconds = SECOND
+
+/** An answer that is older isn't told any more: each node has heard of it by then. */
+const TOLD_FOR: Milliseconds = 30 * SECOND
+
+/**
+ * A node that is gone keeps its part for so long. Failure guarded against: all records of nodes lapse with the store and come
+ * back one by one; each node would see few others, take a part, and all together would have many times the limit.
+ */
+const DEPARTED_FOR: Milliseconds = 6 * SECOND
+
+/** Lives whose limit is remembered; beyond it the ones longest without news are forgotten. */
+const MOST_LIVES = 1_000
+
+interface Word {
+  readonly rate: number | undefined
+  /** When the answer came that says so. */
+  readonly at: Milliseconds
+  /** This node has the word from the upstream itself. */
+  readonly isOwn: boolean
+  pause: Milliseconds | undefined
+  /** When this node last sent a request, or began to be one of those that may. */
+  lastSent: Milliseconds
+}
+
+/**
+ * @param node name of this node
+ * @example
+ * const limits = createRateLimits('entry-1')
+ * limits.deal(['entry-1', 'entry-2'], clock.now())
+ * limits.heard(upstream.life, 2, sentAt, clock.now())
+ * limits.allows(upstream.life, clock.now())
+ */
+export function createRateLimits (node: string): RateLimits {
+  const words = new Map<UpstreamLife, Word>()
+  const seen = new Map<string, Milliseconds>()
+  let nodes: readonly string[] = []
+
+  function put (life: UpstreamLife, rate: number | undefined, at: Milliseconds, isOwn: boolean, now: Milliseconds): PaceChange | undefined {
+    const known = words.get(life)
+    const pause = pauseOf(life, rate)
+    // What may be sent at once was sent before the limit was known.
+    const lastSent = known === undefined || known.pause === undefined ? now : known.lastSent
+    words.delete(life)
+    words.set(life, { rate, at, isOwn, pause, lastSent })
+    forgetOldest()
+    return known?.rate === rate && known?.pause === pause ? undefined : { life, pace: rate === undefined ? undefined : { rate, pause } }
+  }
+
+  function forgetOldest (): void {
+    const [oldest] = words.keys()
+    if (words.size > MOST_LIVES && oldest !== undefined) words.delete(oldest)
+  }
+
+  function pauseOf (life: UpstreamLife, rate: number | undefined): Milliseconds | undefined {
+    if (rate === undefined) return undefined
+    const senders = Math.min(nodes.length, FEWEST_SENDERS + Math.floor(rate))
+    const own = score(life, node)
+    const before = nodes.filter((name) => name !== node && score(life, name) > own).length
+    return nodes.includes(node) && before < senders ? senders * meanPause(rate) : undefined
+  }
+
+  function wait (life: UpstreamLife, now: Milliseconds): Milliseconds {
+    const word = words.get(life)
+    if (word?.rate === undefined) return 0
+    return word.pause === undefined ? meanPause(word.rate) : Math.max(0, word.lastSent + word.pause - now)
+  }
+
+  return {
+    heard: (life, rate, sentAt, now) => {
+      const known = words.get(life)
+      if (rate === undefined) {
+        // Failure guarded against: an answer from before the limit comes late, and the limit would be taken for lifted.
+        if (known?.rate === undefined || sentAt < known.at) return undefined
+      }
+      return put(life, rate, now, true, now)
+    },
+    told: (now) => Object.fromEntries([...words]
+      .filter(([, { isOwn, at }]) => isOwn && now - at < TOLD_FOR)
+      .map(([life, { rate, at }]) => [life, { rate, age: Math.round(now - at) }])),
+    observe: (others, now) => {
+      const changes: (PaceChange | undefined)[] = []
+      for (const told of others) {
+        for (const [name, { rate, age }] of Object.entries(told)) {
+          const life = name as UpstreamLife
+          const known = words.get(life)
+          const isNews = known === undefined ? rate !== undefined : now - age > known.at + TOLD_LAG
+          if (isNews) changes.push(put(life, rate, now - age, false, now))
+        }
+      }
+      return changes.filter((change) => change !== undefined)
+    },
+    deal: (present, now) => {
+      for (const name of present) seen.set(name, now)
+      for (const [name, at] of seen) if (now - at > DEPARTED_FOR) seen.delete(name)
+      if (nodes.length === seen.size && nodes.every((name) => seen.has(name))) return []
+      nodes = [...seen.keys()]
+      return [...words].map(([life, { rate, at, isOwn }]) => put(life, rate, at, isOwn, now)).filter((change) => change !== undefined)
+    },
+    wait,
+    allows: (life, now) => {
+      const word = words.get(life)
+      return word?.rate === undefined || (word.pause !== undefined && now >= word.lastSent + word.pause)
+    },
+    taken: (life, now) => {
+      const word = words.get(life)
+      if (word !== undefined) word.lastSent = now
+    },
+    all: () => [...words].filter(([, { rate }]) => rate !== undefined).map(([life]) => life)
+  }
+}
+
+/**
+ * @param told by different nodes
+ * @returns the latest word on each life
+ * @example
+ * mergeLimits([{ [life]: { rate: 1, age: 900 } }, { [life]: { age: 100 } }]) // no limit any more
+ */
+export function mergeLimits (told: readonly ToldLimits[]): ToldLimits {
+  const merged: ToldLimits = {}
+  for (const [name, word] of told.flatMap((limits) => Object.entries(limits))) {
+    const life = name as UpstreamLife
+    const known = merged[life]
+    if (known === undefined || word.age < known.age) merged[life] = word
+  }
+  return merged
+}
+
+function meanPause (rate: number): Milliseconds {
+  return SECOND / Math.max(LEAST_RATE, rate)
+}
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -8,6 +8,7 @@
 import type { RouteTable } from '../routing/index.js'
 import type { WorkMeter } from '../scaling/index.js'
 import type { UsageWindows } from '../usage/index.js'
+import type { Backpressure } from './backpressure.js'
 import type { Evacuation } from './evacuation.js'
 import type { UpstreamConnections } from './exchange.js'
 import type { GatewayMetrics } from './metrics.js'
@@ -50,6 +51,7 @@
   readonly connections: UpstreamConnections
   readonly quotas: QuotaLimiter
   readonly quarantine: Quarantine
+  readonly backpressure: Backpressure
   readonly evacuation: Evacuation
   readonly rollouts: Rollouts
   readonly usage: UsageWindows
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -89,12 +89,12 @@
 /**
  * @param format how answers are written
  * @param connected called with the time that each new connection took
- * @param heard called with what each answer says of its upstream
+ * @param heard called with what each answer says of its upstream, and when its request was sent
  * @example
  * const connections = createUpstreamConnections(platform.format, clock, (took) => metrics.record('connecting', took), backpressure.heard)
  * const start = await connections.start(upstream, request, signal)
  */
-export function createUpstreamConnections (format: RequestFormat, clock: Clock, connected: (took: Milliseconds) => void, heard: (upstream: UpstreamRecord, signals: UpstreamSignals) => void): UpstreamConnections {
+export function createUpstreamConnections (format: RequestFormat, clock: Clock, connected: (took: Milliseconds) => void, heard: (upstream: UpstreamRecord, signals: UpstreamSignals, sentAt: Milliseconds) => void): UpstreamConnections {
   const connector = buildConnector({ timeout: CONNECT_TIMEOUT })
 
   const pools = new Map<UpstreamLife, OpenPool>()
@@ -126,6 +126,7 @@
   }
 
   async function start (upstream: UpstreamRecord, request: UpstreamRequest, signal: AbortSignal): Promise<ExchangeStart> {
+    const sentAt = clock.now()
     try {
       const { statusCode, headers, body } = await poolOf(upstream).request({
         method: request.method as Dispatcher.HttpMethod,
@@ -135,7 +136,7 @@
         signal
       })
       const head = format.readAnswer(headers, statusCode)
-      if (isOf(upstream, request.id, head, statusCode)) heard(upstream, head.signals)
+      if (isOf(upstream, request.id, head, statusCode)) heard(upstream, head.signals, sentAt)
       return judge(request.id, { status: statusCode, headers, body }, head)
     } catch (error) {
       const failure = connectionFailure(error, addressSchema.parse(upstream.address))
--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -40,6 +40,8 @@
   size (): number
   /** Nodes that are registered or heard of now. */
   present (): number
+  /** Names of the nodes that may serve, this one included; none before the records were read. */
+  names (): readonly string[]
   /** Another node reads the store and hears of the others for this one. */
   isMember (): boolean
   /** Addresses of nodes that take requests, as one caller gets them. */
@@ -207,6 +209,11 @@
     return chooseAddresses(caller, [...known.values()], options.mostAddresses)
   }
 
+  function names (): readonly string[] {
+    if (!records.isListed()) return []
+    return [...new Set([self, ...records.all(), ...heardDirectly()].map(({ name }) => name))]
+  }
+
   function present (): number {
     return Math.max(records.isListed() ? 1 : UNKNOWN_NODES, records.all().length, others().reduce((sum, { nodes }) => sum + nodes, 1))
   }
@@ -221,6 +228,7 @@
     oldest: () => gossip.table.oldest(clock.now()),
     size: () => Math.max(present(), records.all().length + records.departed()),
     present,
+    names,
     isMember,
     addresses,
     wall: () => wall.at(clock.wall(), clock.now()),
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -17,7 +17,7 @@
 import type { GatewayContext } from './context.js'
 import type { Continuation } from './evacuation.js'
 import { fingerprintOf } from './fingerprint.js'
-import { endFailure, maySendAgain, unsent } from './passage.js'
+import { endFailure, maySendAgain, NO_UPSTREAM_WAIT, unsent } from './passage.js'
 import type { Passage } from './passage.js'
 import { sendOnce } from './sending.js'
 import { mayBegin } from './stopping-rule.js'
@@ -126,12 +126,22 @@
       return choice
     }
     if (passage.signal.aborted) throw endFailure(passage)
-    if (clock.now() >= patience) throw noUpstream(context, passage)
+    const withheld = withheldFor(context, passage)
+    if (clock.now() + withheld > patience) throw noUpstream(context, passage, withheld)
     await clock.sleep(WAITING_PERIOD, passage.signal).catch(() => {})
   }
 }
 
-function noUpstream (context: GatewayContext, passage: Passage): ServingError {
+/**
+ * Time until the first upstream takes requests of this node again, where all have asked for less; 0 elsewhere. A request that
+ * can't be sent in time is refused at once, with the time at which it can.
+ */
+function withheldFor ({ clock, upstreams, backpressure }: GatewayContext, { service, tried }: Passage): Milliseconds {
+  const waits = upstreams.staying(service, tried).map(({ life }) => backpressure.wait(life, clock.now()))
+  return waits.length === 0 ? 0 : Math.min(...waits)
+}
+
+function noUpstream (context: GatewayContext, passage: Passage, withheld: Milliseconds): ServingError {
   const { clock, log, upstreams } = context
   log.info('upstream-not-found', {
     request: passage.accepted.head.id,
@@ -139,9 +149,10 @@
     ready: upstreams.candidates(passage.service, new Set(), clock.now()).length,
     tried: passage.tried.size,
     waited: Math.round(clock.now() - passage.arrival),
+    withheld: withheld > 0 ? Math.round(withheld) : undefined,
     ...context.sources()
   })
-  return unsent(passage, 'no-upstream', 'no upstream may take the request now')
+  return unsent(passage, 'no-upstream', 'no upstream may take the request now', Math.max(NO_UPSTREAM_WAIT, withheld))
 }
 
 function choose (context: GatewayContext, passage: Passage): Choice | undefined {
@@ -153,7 +164,9 @@
   // What a new version failed is sent again to one that is known to serve.
   const side = passage.tried.size === 0 ? passage.side : 'serving'
   const candidates = context.upstreams.candidates(passage.service, passage.tried, now, (present) => context.rollouts.admit(passage.service, side, present))
-  return chooseUpstream(work, candidates, context.settings, hasEngines ? ENGINE_COSTS : PLAIN_COSTS, context.speeds.of(passage.service))
+  const choice = chooseUpstream(work, candidates, context.settings, hasEngines ? ENGINE_COSTS : PLAIN_COSTS, context.speeds.of(passage.service))
+  if (choice !== undefined) context.backpressure.taken(choice.upstream.life, now)
+  return choice
 }
 
 function checkHeadSize (context: GatewayContext, request: IncomingMessage): void {
--- a/src/gateway/node-metrics.ts
+++ b/src/gateway/node-metrics.ts
@@ -3,6 +3,7 @@
 import type { EventLog } from '../events/index.js'
 import type { QuotaLimiter, RetryBudget } from '../quota/index.js'
 import type { RolloutEvidence } from '../rollout/index.js'
+import type { Backpressure } from './backpressure.js'
 import type { Sources } from './context.js'
 import type { UpstreamConnections } from './exchange.js'
 import type { Fleet } from './fleet.js'
@@ -21,6 +22,7 @@
   readonly fleet: Fleet
   readonly upstreams: UpstreamView
   readonly connections: UpstreamConnections
+  readonly backpressure: Backpressure
   readonly quotas: QuotaLimiter
   readonly budgets: ReadonlyMap<string, RetryBudget>
   /** Sums over all nodes of what versions that are rolled out got. */
@@ -34,7 +36,7 @@
 
 /**
  * @example
- * exposeNode({ metrics, clock, log, signal, sums, sources, fleet, upstreams, connections, quotas, budgets, rollouts, inFlight, holdsDuties })
+ * exposeNode({ metrics, clock, log, signal, sums, sources, fleet, upstreams, connections, backpressure, quotas, budgets, rollouts, inFlight, holdsDuties })
  */
 export function exposeNode (options: NodeMetricsOptions): void {
   const { metrics, clock, sources, fleet, upstreams, connections, quotas, budgets } = options
@@ -43,6 +45,7 @@
   metrics.gauge('upstreams_age_ms', () => sources().upstreamsAge)
   metrics.gauge('upstreams_known', () => upstreams.all().length)
   metrics.gauge('upstream_connections', connections.open)
+  metrics.gauge('upstreams_limited', options.backpressure.limited)
   metrics.gauge('nodes_known', () => sources().nodes)
   metrics.gauge('nodes_live', () => fleet.others().reduce((sum, { nodes }) => sum + nodes, 1))
   metrics.gauge('nodes_oldest_ms', fleet.oldest)
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -105,8 +105,8 @@
   const relay = createRelay(clock)
   const follows: FollowContext & { readonly relay: Relay } = { store: platform.store, clock, random, log, signal: ending.signal, relay }
   const metrics = createGatewayMetrics()
-  const upstreams = createUpstreamView()
-  const backpressure = createBackpressure(log)
+  const backpressure = createBackpressure({ node: settings.name, clock, log })
+  const upstreams = createUpstreamView(backpressure.accepts)
   const connections = createUpstreamConnections(platform.format, clock, (took) => metrics.record('connecting', took), backpressure.heard)
   const speeds = createEngineSpeeds()
   const quotas = createQuotaLimiter(random, bounds.quotaMargin)
@@ -161,7 +161,9 @@
     chooseTarget: (source, excluded) => {
       const { service } = source
       const candidates = upstreams.candidates(service, excluded, clock.now(), (present) => present.filter((target) => rollouts.mayMove(source, target)))
-      return chooseUpstream({ service, parts: [], promptTokens: 0, target: Infinity, bound: true }, candidates, settings, ENGINE_COSTS, speeds.of(service))?.upstream
+      const target = chooseUpstream({ service, parts: [], promptTokens: 0, target: Infinity, bound: true }, candidates, settings, ENGINE_COSTS, speeds.of(service))?.upstream
+      if (target !== undefined) backpressure.taken(target.life, clock.now())
+      return target
     },
     mayMove: (service) => retryBudget(service).take(clock.now()),
     signal: ending.signal
@@ -178,6 +180,7 @@
     connections,
     quotas,
     quarantine,
+    backpressure,
     evacuation,
     rollouts,
     usage,
@@ -200,7 +203,7 @@
   holder.vacant()
   repeat({ clock, log, signal: ending.signal }, 'shares', SHARE_PERIOD, applyShares)
   repeat({ clock, log, signal: ending.signal }, 'speeds', SPEED_PERIOD, speeds.update)
-  exposeNode({ metrics, clock, log, signal: ending.signal, sums, sources, fleet, upstreams, connections, quotas, budgets, rollouts: rollouts.sums, inFlight: () => inFlight, holdsDuties: () => holder.proof() !== undefined })
+  exposeNode({ metrics, clock, log, signal: ending.signal, sums, sources, fleet, upstreams, connections, backpressure, quotas, budgets, rollouts: rollouts.sums, inFlight: () => inFlight, holdsDuties: () => holder.proof() !== undefined })
 
   const ready = await servePaths(settings.ready)
   await servePaths(settings.metrics)
@@ -254,7 +257,8 @@
       speeds: speeds.own(),
       usage: Object.fromEntries(windows.map((window) => [window, usage.counts(window)])),
       crashes: quarantine.own(now),
-      rollouts: rollouts.told()
+      rollouts: rollouts.told(),
+      limits: backpressure.told()
     }
   }
 
@@ -263,6 +267,7 @@
     speeds.hear(fleet.others().map((report) => report.speeds))
     quarantine.observe(fleet.brokenRuns())
     rollouts.hear(fleet.others().map((report) => report.rollouts))
+    backpressure.observe(fleet.others().map((report) => report.limits))
     applyShares()
   }
 
@@ -273,6 +278,7 @@
     const nodes = fleet.size()
     const others = fleet.others()
     quotas.observe(others, nodes)
+    backpressure.deal(fleet.names())
     for (const budget of budgets.values()) budget.share(nodes)
     if (nodes === dealtTo) return
     dealtTo = nodes
--- a/src/gateway/passage.ts
+++ b/src/gateway/passage.ts
@@ -98,10 +98,11 @@
 /**
  * The failure of a request that can't be sent now: not run, unless an earlier send of it may have.
  *
+ * @param retryAfter when it may be sent, as far as that is known
  * @example
  * throw unsent(passage, 'no-upstream', 'no upstream may take the request now')
  */
-export function unsent (passage: Passage, code: FailureCode, message: string): ServingError {
+export function unsent (passage: Passage, code: FailureCode, message: string, retryAfter: Milliseconds = NO_UPSTREAM_WAIT): ServingError {
   if (passage.attempts > 0) return new ServingError(message, { code: 'upstream-failed', verdict: 'may-have-run' })
-  return refusal(code, message, NO_UPSTREAM_WAIT)
+  return refusal(code, message, retryAfter)
 }
--- a/src/gateway/upstream-view.ts
+++ b/src/gateway/upstream-view.ts
@@ -39,6 +39,8 @@
    * @param admit picks those that the request may go to whatever their health
    */
   candidates (service: string, excluded: ReadonlySet<UpstreamLife>, now: Milliseconds, admit?: (present: readonly UpstreamRecord[]) => readonly UpstreamRecord[]): Candidate[]
+  /** Upstreams of a service that aren't leaving, whether they may take a request now or not. */
+  staying (service: string, excluded: ReadonlySet<UpstreamLife>): readonly UpstreamRecord[]
   /** A request begins at an upstream, which has to read for so long before it answers. */
   begin (life: UpstreamLife, reading: Milliseconds, now: Milliseconds): OpenRequest
   /** What this node has in flight. */
@@ -71,12 +73,13 @@
 }
 
 /**
+ * @param accepts whether an upstream wants a request of this node now
  * @example
- * const view = createUpstreamView()
+ * const view = createUpstreamView((life, now) => backpressure.accepts(life, now))
  * view.put(record, revision)
  * view.candidates('plans', new Set(), clock.now())
  */
-export function createUpstreamView (): UpstreamView {
+export function createUpstreamView (accepts: (life: UpstreamLife, now: Milliseconds) => boolean = () => true): UpstreamView {
   const records = new Map<string, RegisteredUpstream>()
   const own = new Map<UpstreamLife, Set<OwnRequest>>()
   const told = new Map<string, Map<UpstreamLife, ToldLoad>>()
@@ -109,6 +112,10 @@
     return [...records.values()].map(({ record }) => record)
   }
 
+  function staying (service: string, excluded: ReadonlySet<UpstreamLife>): UpstreamRecord[] {
+    return all().filter((upstream) => upstream.service === service && !upstream.leaving && !excluded.has(upstream.life))
+  }
+
   function ownLoad (life: UpstreamLife, now: Milliseconds): NodeLoad {
     const requests = own.get(life)
     if (requests === undefined) return NO_LOAD
@@ -156,8 +163,9 @@
       return gone
     },
     all,
+    staying,
     candidates: (service, excluded, now, admit = (present) => present) => {
-      const present = admit(all().filter((upstream) => upstream.service === service && !upstream.leaving && !excluded.has(upstream.life)))
+      const present = admit(staying(service, excluded).filter(({ life }) => accepts(life, now)))
       const usable = present.filter((upstream) => health.usable(upstream.life, now))
       // Where all have failed lately, asking one of them is better than refusing for certain.
       return (usable.length > 0 ? usable : present).map((upstream): Candidate => ({ upstream, load: loadOf(upstream.life, now) }))
--- a/src/gossip/merge.ts
+++ b/src/gossip/merge.ts
@@ -1,4 +1,5 @@
 /** Sums of what several nodes tell, so that what a node hears doesn't grow with their number. */
+import { mergeLimits } from '../backpressure/index.js'
 import { combineSpeeds, roundSpeed } from '../placement/index.js'
 import type { NodeLoad, UpstreamLife } from '../placement/index.js'
 import { ANSWERED } from '../quarantine/index.js'
@@ -26,7 +27,8 @@
     work: sumWork(reports.map(({ work }) => work)),
     speeds: mergeSpeeds(reports),
     crashes: mergeCrashes(reports),
-    rollouts: mergeEvidence(reports.map(({ rollouts }) => rollouts))
+    rollouts: mergeEvidence(reports.map(({ rollouts }) => rollouts)),
+    limits: mergeLimits(reports.map(({ limits }) => limits))
   }
 }
 
--- a/src/gossip/types.ts
+++ b/src/gossip/types.ts
@@ -1,5 +1,6 @@
 /** What nodes tell each other about themselves, passed on from node to node. */
 import * as z from 'zod'
+import { toldLimitsSchema } from '../backpressure/index.js'
 import { upstreamLifeSchema } from '../placement/index.js'
 import { versionEvidenceSchema } from '../rollout/index.js'
 
@@ -34,7 +35,9 @@
   /** Broken runs by fingerprint of the request; -1 for one that was answered whole since. */
   crashes: countsSchema,
   /** What it saw of versions that are rolled out, by service. */
-  rollouts: z.record(z.string(), versionEvidenceSchema)
+  rollouts: z.record(z.string(), versionEvidenceSchema),
+  /** Rate limits that upstreams named in answers to it. */
+  limits: toldLimitsSchema.default({})
 }
 
 /** Sums of what one or several nodes see and do. */
--- a/test/events/story.test.ts
+++ b/test/events/story.test.ts
@@ -59,6 +59,14 @@
     assert.match(story?.cause ?? '', /Of 0 ready upstreams of s, known as of 300 ms before/)
   })
 
+  it('says that all upstreams had asked for less', () => {
+    const lines = [
+      line(0, 'upstream-not-found', { request: 'r', service: 's', ready: 0, tried: 0, waited: 0, withheld: 900, nodes: 9 }),
+      line(1, 'request-failed', { request: 'r', code: 'no-upstream', verdict: 'not-run', reason: 'x', after: 1, nodes: 9 })
+    ]
+    assert.equal(tellStory(lines, 'r')?.cause, 'All upstreams of s had asked for fewer requests; the first takes one of this node again after 900 ms.')
+  })
+
   // A booking has no answer and no line of an end. Its node was killed with it, and its next life knows nothing.
   it('says that the process ended, and what was left out', () => {
     const sent = line(0, 'request-sent', { request: 'r', upstream: 'i-1', send: 1, reading: 0, waiting: 0, candidates: 3, nodes: 9 })
--- a/test/gateway/backpressure.test.ts
+++ b/test/gateway/backpressure.test.ts
@@ -77,6 +77,10 @@
     while (!(await condition())) await clock.sleep(20)
   }
 
+  function limitsOf (node: string): readonly Record<string, unknown>[] {
+    return deployment.lines.filter((line) => line.process === node && line.event === 'upstream-limit')
+  }
+
   function watchArrivals (upstream: UpstreamStandIn): void {
     upstream.behave(() => {
       arrivals.push(clock.now())
@@ -89,8 +93,10 @@
     return Math.max(0, ...arrivals.map((start) => arrivals.filter((at) => at >= start && at < start + WINDOW).length))
   }
 
-  // A user waits behind the queue of a server that had asked for mercy: it names a limit of one request a second in all that
-  // it answers, is registered as ready, and the nodes go on sending it the tenth part of all requests.
+  // A user waits behind the queue of a server that had asked for mercy. It names a limit of one request a second in all that
+  // it answers and is registered as ready; nine nodes pass its answers on and go on sending, since placement went by the
+  // registry and by failures alone. Their lines 'request-sent' to it: 1, 1 and 2 in the seconds before the word, 4, 3, 5, 2, 2
+  // and 8 after it; 19 requests arrived in 4 s where 11 are allowed. None failed, and no line told of the limit.
   it('gets no more from all nodes together than the limit that it names, and no less than it can take', async () => {
     const [limited] = upstreams
     limited!.announce({ 'server-limit': '1' })
@@ -100,4 +106,27 @@
     assert.ok(mostArrivals() <= mostOf(1), `${mostArrivals()} requests in ${WINDOW} ms`)
     assert.ok(arrivals.length > 0, 'it serves what it can take')
   })
+
+  it('gets its part of all requests again once its answers name no limit any more', async () => {
+    const [limited, other] = upstreams
+    limited!.announce({})
+    await until(() => limitsOf('node-0').at(-1)?.rate === undefined)
+    watchArrivals(limited!)
+    const before = other!.runs.length
+    await until(() => other!.runs.length >= before + 10 * NODES)
+    assert.ok(arrivals.length > NODES, `${arrivals.length} beside ${10 * NODES} of another`)
+  })
+
+  // A user waits for an answer that can't come in time, or is told to come back at once and is refused again: all upstreams
+  // of the service take two requests a second, and a hundred and more are asked for.
+  it('refuses at once what the limits of all leave over, and says when the next may come', async () => {
+    for (const upstream of upstreams) upstream.announce({ 'server-limit': '2' })
+    await until(() => nodes.every((_node, index) => new Set(limitsOf(`node-${index}`).filter(({ rate }) => rate === 2).map(({ life }) => life)).size === upstreams.length))
+    const answers = (await Promise.all(Array.from({ length: 8 }, () => Promise.all(nodes.map(ask))))).flat()
+    const refused = answers.filter(({ status }) => status === 503)
+    assert.ok(refused.length >= answers.length / 2, `${refused.length} of ${answers.length} refused`)
+    assert.ok(refused.every(({ retryAfter }) => retryAfter >= 0.3 && retryAfter <= 3), 'six nodes take turns, which is one request of each in three seconds')
+    for (const upstream of upstreams) upstream.announce({})
+    await until(async () => (await Promise.all(nodes.map(ask))).every(({ status }) => status === 200))
+  })
 })
