--- a/test/gateway/backpressure.test.ts
+++ b/test/gateway/backpressure.test.ts
@@ -21,6 +21,9 @@
 /** Requests that an upstream with a limit may get in a window. */
 const mostOf = (rateLimit: number): number => 1.5 * rateLimit * WINDOW / SECOND + 5
 
+/** Time after which an upstream that says that it leaves gets nothing new. */
+const DRAIN: Milliseconds = 2 * SECOND
+
 /** Pause of the one caller of each node between two requests. */
 const PAUSE: Milliseconds = 50
 
@@ -30,6 +33,19 @@
   services: [{ name: 'plain', maxConns: 500 }]
 }
 
+let ids = 0
+
+async function ask (node: GatewayNode): Promise<{ readonly status: number, readonly retryAfter: number }> {
+  ids += 1
+  const { statusCode, headers, body } = await request(`http://${node.addresses.front}/lookup/x`, { headers: { host: HOST, 'x-hornbeamgap-request-id': `r${ids}`, 'x-hornbeamgap-deadline-ms': '2000' } })
+  await body.dump()
+  return { status: statusCode, retryAfter: Number(headers['retry-after'] ?? Number.NaN) }
+}
+
+async function until (condition: () => Promise<boolean> | boolean): Promise<void> {
+  while (!(await condition())) await clock.sleep(20)
+}
+
 describe(`an upstream in front of ${NODES} nodes`, () => {
   let deployment: MachineDeployment
   let nodes: GatewayNode[]
@@ -37,7 +53,6 @@
   let arrivals: Milliseconds[]
   let traffic: AbortController
   let callers: Promise<void>[]
-  let ids = 0
 
   before(async () => {
     deployment = await createMachineDeployment(clock)
@@ -66,17 +81,6 @@
     }
   }
 
-  async function ask (node: GatewayNode): Promise<{ readonly status: number, readonly retryAfter: number }> {
-    ids += 1
-    const { statusCode, headers, body } = await request(`http://${node.addresses.front}/lookup/x`, { headers: { host: HOST, 'x-hornbeamgap-request-id': `r${ids}`, 'x-hornbeamgap-deadline-ms': '2000' } })
-    await body.dump()
-    return { status: statusCode, retryAfter: Number(headers['retry-after'] ?? Number.NaN) }
-  }
-
-  async function until (condition: () => Promise<boolean> | boolean): Promise<void> {
-    while (!(await condition())) await clock.sleep(20)
-  }
-
   function limitsOf (node: string): readonly Record<string, unknown>[] {
     return deployment.lines.filter((line) => line.process === node && line.event === 'upstream-limit')
   }
@@ -129,4 +133,63 @@
     for (const upstream of upstreams) upstream.announce({})
     await until(async () => (await Promise.all(nodes.map(ask))).every(({ status }) => status === 200))
   })
+
+  // A user's request is sent to a server that is about to go.
+  it('gets nothing new once its answers say that it leaves, though its record says otherwise', async () => {
+    const [leaving, other] = upstreams
+    leaving!.announce({ 'server-leaving': '1' })
+    await clock.sleep(DRAIN)
+    watchArrivals(leaving!)
+    // Its heartbeats go on, and so do answers that were begun before.
+    leaving!.announce({})
+    deployment.register(leaving!, { sequence: 2 })
+    const before = other!.runs.length
+    await until(() => other!.runs.length >= before + 20 * NODES)
+    assert.equal(arrivals.length, 0, `${arrivals.length} requests after it said that it leaves`)
+  })
+})
+
+describe('an upstream in front of one node', () => {
+  let deployment: MachineDeployment
+  let node: GatewayNode
+  let upstreams: UpstreamStandIn[]
+
+  before(async () => {
+    deployment = await createMachineDeployment(clock)
+    upstreams = await Promise.all(['p-1', 'p-2'].map((id) => serveUpstream({ id, clock })))
+    deployment.configure(configuration)
+    for (const upstream of upstreams) deployment.register(upstream)
+    node = await deployment.startNode('node-1')
+    await until(async () => (await ask(node)).status === 200)
+  })
+
+  after(async () => {
+    await deployment?.close()
+    await Promise.all((upstreams ?? []).map((upstream) => upstream.close()))
+  })
+
+  const askMany = (count: number): Promise<{ readonly status: number, readonly retryAfter: number }[]> => Promise.all(Array.from({ length: count }, () => ask(node)))
+
+  // A user's request is sent on and turned away, which costs one of its few attempts: an upstream says with a refusal that it
+  // wants nothing for some seconds, and the node asks it again 50 ms later.
+  it('gets nothing for the time that it named when it turned a request away', async () => {
+    const [pausing] = upstreams
+    let arrivals = 0
+    pausing!.announce({ 'retry-after': '30' })
+    pausing!.behave(() => {
+      arrivals += 1
+      return 'full'
+    })
+    await until(async () => {
+      await askMany(6)
+      return arrivals > 0
+    })
+    await clock.sleep(SECOND / 2)
+    arrivals = 0
+    for (let round = 0; round < 10; round += 1) {
+      await clock.sleep(PAUSE)
+      assert.ok((await askMany(12)).every(({ status }) => status === 200))
+    }
+    assert.equal(arrivals, 0, `${arrivals} requests while it wanted none`)
+  })
 })
