An upstream that asks for a pause with a refusal gets nothing from that node for as long

Callers were refused for lack of repeats: each request that was sent to such an upstream was turned away and used one. Cause: a refusal was taken for a full queue, which frees a place in 50 ms, whatever time it named. Change: the time that a refusal names is kept, for the node that was told. Where all upstreams of a service have asked for less, the caller is refused at once with the time of the first that takes requests again. Why it holds: it is asked in the one place where candidates are chosen. Ruled out: telling other nodes, since the time is of one node.

--- a/src/gateway/backpressure.ts
+++ b/src/gateway/backpressure.ts
@@ -1,5 +1,5 @@
 /** A node's side of upstreams that ask for less work, or for none, in what they answer. */
-import { createDepartures, createRateLimits } from '../backpressure/index.js'
+import { createDepartures, createRateLimits, createRequestedPauses } from '../backpressure/index.js'
 import type { PaceChange, ToldDepartures, ToldLimits, UpstreamSignals } from '../backpressure/index.js'
 import type { Clock, Milliseconds } from '../clock.js'
 import type { EventLog } from '../events/index.js'
@@ -51,6 +51,7 @@
 export function createBackpressure ({ node, clock, log, leaving }: BackpressureOptions): Backpressure {
   const limits = createRateLimits(node)
   const departures = createDepartures()
+  const pauses = createRequestedPauses()
 
   function tellLimits (changes: readonly PaceChange[], source: Source | 'shares'): void {
     for (const { life, pace } of changes) {
@@ -63,18 +64,23 @@
     if (record !== undefined) log.info('upstream-says-leaving', { upstream: record.id, service: record.service, source })
   }
 
+  function pause (upstream: UpstreamRecord, retryAfter: Milliseconds, now: Milliseconds): void {
+    pauses.heard(upstream.life, retryAfter, now)
+    log.info('upstream-asks-pause', { upstream: upstream.id, service: upstream.service, retryAfter: Math.round(retryAfter) })
+  }
+
   return {
     heard: (upstream, signals, sentAt) => {
       const now = clock.now()
       const change = limits.heard(upstream.life, signals.rateLimit, sentAt, now)
       if (change !== undefined) tellLimits([change], 'answer')
       if (signals.leaving && departures.heard(upstream.life, now)) depart(upstream.life, 'answer')
-      if (signals.retryAfter !== undefined) log.info('upstream-asks-pause', { upstream: upstream.id, service: upstream.service, retryAfter: signals.retryAfter })
+      if (signals.retryAfter !== undefined) pause(upstream, signals.retryAfter, now)
     },
     isLeaving: departures.has,
-    accepts: limits.allows,
+    accepts: (life, now) => limits.allows(life, now) && pauses.wait(life, now) === 0,
     taken: limits.taken,
-    wait: limits.wait,
+    wait: (life, now) => Math.max(limits.wait(life, now), pauses.wait(life, now)),
     told: () => ({ limits: limits.told(clock.now()), departures: departures.told(clock.now()) }),
     observe: (others) => {
       tellLimits(limits.observe(others.map((told) => told.limits), clock.now()), 'peer')
--- a/test/gateway/backpressure.test.ts
+++ b/test/gateway/backpressure.test.ts
@@ -176,8 +176,9 @@
 
   const askMany = (count: number): Promise<{ readonly status: number, readonly retryAfter: number }[]> => Promise.all(Array.from({ length: count }, () => ask(node)))
 
-  // A user's request is sent on and turned away, which costs one of its few attempts: an upstream says with a refusal that it
-  // wants nothing for some seconds, and the node asks it again 50 ms later.
+  // A user's request is sent on and turned away, again and again, until the budget of repeats is used up and it is refused: an
+  // upstream says with a refusal that it wants nothing for 30 s, and the node, which takes each refusal for a full queue, asks it
+  // again 50 ms later ('send-not-run' with reason 'full', then 'repeat-refused').
   it('gets nothing for the time that it named when it turned a request away', async () => {
     const [pausing] = upstreams
     let arrivals = 0
@@ -198,4 +199,14 @@
     }
     assert.equal(arrivals, 0, `${arrivals} requests while it wanted none`)
   })
+
+  it('is named with its time to the caller where no other is left', async () => {
+    const [, other] = upstreams
+    other!.announce({ 'retry-after': '10' })
+    other!.behave(() => 'full')
+    await ask(node)
+    const { status, retryAfter } = await ask(node)
+    assert.equal(status, 503)
+    assert.ok(retryAfter > 1 && retryAfter <= 10, `${retryAfter} s`)
+  })
 })
