--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -127,7 +127,7 @@
     }
     if (passage.signal.aborted) throw endFailure(passage)
     const withheld = withheldFor(context, passage)
-    if (clock.now() + withheld > patience) throw noUpstream(context, passage, withheld)
+    if (clock.now() + withheld >= patience) throw noUpstream(context, passage, withheld)
     await clock.sleep(WAITING_PERIOD, passage.signal).catch(() => {})
   }
 }
