Lines of limits name the upstream, so that the story of a request shows those of its own upstreams only

A line without the upstream's id was taken for one of every request. The cause of a request that found no upstream has a function of its own.

--- a/src/events/story.ts
+++ b/src/events/story.ts
@@ -135,7 +135,7 @@
   const { facts } = decisive
   switch (decisive.event) {
     case 'quota-refused': return `${facts.organisation} had used up its quota of ${facts.rate} a second; ${facts.offered} a second were asked of all ${facts.nodes} nodes.`
-    case 'upstream-not-found': return typeof facts.withheld === 'number' ? `All upstreams of ${facts.service} had asked for fewer requests; the first takes one of this node again after ${facts.withheld} ms.` : `Of ${facts.ready} ready upstreams of ${facts.service}, known as of ${facts.upstreamsAge ?? '?'} ms before, ${facts.tried} had been tried and none was left.`
+    case 'upstream-not-found': return notFoundCause(facts)
     case 'attempt-broken': return `Upstream ${facts.upstream} broke off after ${facts.events} events (${facts.reason})${fateOf(decisive, entries)}.`
     case 'send-not-run': return `Upstream ${facts.upstream} did not run it (${facts.reason})${fateOf(decisive, entries)}.`
     case 'repeat-refused': return `${repeatCause(decisive, own, entries)} It was not sent once more: ${facts.reason}.`
@@ -144,6 +144,11 @@
   }
 }
 
+function notFoundCause ({ service, ready, tried, withheld, upstreamsAge }: LoggedLine['facts']): string {
+  if (withheld !== undefined) return `All upstreams of ${service} had asked for fewer requests; the first takes one of this node again after ${withheld} ms.`
+  return `Of ${ready} ready upstreams of ${service}, known as of ${upstreamsAge ?? '?'} ms before, ${tried} had been tried and none was left.`
+}
+
 /** A version that is rolled out may be why a request failed, or was late, that the versions before would have served. */
 function trialOf (own: readonly LoggedLine[]): string | undefined {
   const tried = own.find(({ event, facts }) => event === 'request-sent' && facts.tries !== undefined)
--- a/src/gateway/backpressure.ts
+++ b/src/gateway/backpressure.ts
@@ -4,7 +4,7 @@
 import type { Clock, Milliseconds } from '../clock.js'
 import type { EventLog } from '../events/index.js'
 import type { UpstreamLife, UpstreamRecord } from '../placement/index.js'
-import type { UpstreamWishes } from './upstream-view.js'
+import type { UpstreamView, UpstreamWishes } from './upstream-view.js'
 
 /** What nodes tell each other of what upstreams asked. */
 export interface ToldWishes {
@@ -36,8 +36,8 @@
   readonly node: string
   readonly clock: Clock
   readonly log: EventLog
-  /** An upstream has said that it leaves. @returns its record where that is news */
-  readonly leaving: (life: UpstreamLife) => UpstreamRecord | undefined
+  /** The upstreams that are known; asked for once the node is put together. */
+  readonly upstreams: () => Pick<UpstreamView, 'find' | 'noteLeaving'>
 }
 
 /** How a node came to know. */
@@ -45,23 +45,26 @@
 
 /**
  * @example
- * const backpressure = createBackpressure({ node: settings.name, clock, log, leaving: (life) => upstreams.noteLeaving(life) })
+ * const backpressure = createBackpressure({ node: settings.name, clock, log, upstreams: () => upstreams })
  * backpressure.accepts(upstream.life, clock.now())
  */
-export function createBackpressure ({ node, clock, log, leaving }: BackpressureOptions): Backpressure {
+export function createBackpressure ({ node, clock, log, upstreams }: BackpressureOptions): Backpressure {
   const limits = createRateLimits(node)
   const departures = createDepartures()
   const pauses = createRequestedPauses()
 
   function tellLimits (changes: readonly PaceChange[], source: Source | 'shares'): void {
     for (const { life, pace } of changes) {
-      log.info('upstream-limit', { life, rate: pace?.rate, pause: pace?.pause === undefined ? undefined : Math.round(pace.pause), source })
+      const record = upstreams().find(life)
+      if (record === undefined) continue
+      log.info('upstream-limit', { upstream: record.id, service: record.service, rate: pace?.rate, pause: pace?.pause === undefined ? undefined : Math.round(pace.pause), source })
     }
   }
 
   function depart (life: UpstreamLife, source: Source): void {
-    const record = leaving(life)
-    if (record !== undefined) log.info('upstream-says-leaving', { upstream: record.id, service: record.service, source })
+    const record = upstreams().find(life)
+    if (record === undefined || !upstreams().noteLeaving(life)) return
+    log.info('upstream-says-leaving', { upstream: record.id, service: record.service, source })
   }
 
   function pause (upstream: UpstreamRecord, retryAfter: Milliseconds, now: Milliseconds): void {
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -105,7 +105,7 @@
   const relay = createRelay(clock)
   const follows: FollowContext & { readonly relay: Relay } = { store: platform.store, clock, random, log, signal: ending.signal, relay }
   const metrics = createGatewayMetrics()
-  const backpressure = createBackpressure({ node: settings.name, clock, log, leaving: (life) => upstreams.noteLeaving(life) })
+  const backpressure = createBackpressure({ node: settings.name, clock, log, upstreams: () => upstreams })
   const upstreams = createUpstreamView(backpressure)
   const connections = createUpstreamConnections(platform.format, clock, (took) => metrics.record('connecting', took), backpressure.heard)
   const speeds = createEngineSpeeds()
--- a/src/gateway/upstream-view.ts
+++ b/src/gateway/upstream-view.ts
@@ -38,13 +38,15 @@
   put (record: UpstreamRecord, revision: number): UpstreamChange | undefined
   /** The registry has nothing usable under this id any more, from this revision on. @returns what was there */
   remove (id: string, revision: number): UpstreamRecord | undefined
-  /** This life leaves, whatever its record says now or later. @returns its record where that is news */
-  noteLeaving (life: UpstreamLife): UpstreamRecord | undefined
+  /** This life leaves, whatever its record says now or later. @returns whether that is news */
+  noteLeaving (life: UpstreamLife): boolean
   /** This life is over, whatever the registry shows. */
   forget (life: UpstreamLife): void
   /** A complete reading names these ids and no others. @returns what is gone */
   keepOnly (ids: ReadonlySet<string>): readonly UpstreamRecord[]
   all (): readonly UpstreamRecord[]
+  /** The record of a life that is there now. */
+  find (life: UpstreamLife): UpstreamRecord | undefined
   /**
    * Upstreams of a service that may take a request now, with their load; those that failed lately only where there are no others.
    *
@@ -128,13 +130,13 @@
     return known.record.address === record.address ? undefined : 'changed'
   }
 
-  function noteLeaving (life: UpstreamLife): UpstreamRecord | undefined {
+  function noteLeaving (life: UpstreamLife): boolean {
     for (const [id, known] of records) {
       if (known.record.life !== life || known.record.leaving) continue
       records.set(id, { ...known, record: { ...known.record, leaving: true } })
-      return known.record
+      return true
     }
-    return undefined
+    return false
   }
 
   function all (): UpstreamRecord[] {
@@ -193,6 +195,7 @@
       return gone
     },
     all,
+    find: (life) => all().find((record) => record.life === life),
     staying,
     candidates: (service, excluded, now, admit = (present) => present) => {
       const present = admit(staying(service, excluded).filter(({ life }) => wishes.accepts(life, now)))
--- a/test/gateway/backpressure.test.ts
+++ b/test/gateway/backpressure.test.ts
@@ -115,7 +115,7 @@
   it('gets its part of all requests again once its answers name no limit any more', async () => {
     const [limited, other] = upstreams
     limited!.announce({})
-    await until(() => limitsOf('node-0').at(-1)?.rate === undefined)
+    await until(() => nodes.every((_node, index) => limitsOf(`node-${index}`).at(-1)?.rate === undefined))
     watchArrivals(limited!)
     const before = other!.runs.length
     await until(() => other!.runs.length >= before + 10 * NODES)
@@ -126,7 +126,7 @@
   // of the service take two requests a second, and a hundred and more are asked for.
   it('refuses at once what the limits of all leave over, and says when the next may come', async () => {
     for (const upstream of upstreams) upstream.announce({ 'server-limit': '2' })
-    await until(() => nodes.every((_node, index) => new Set(limitsOf(`node-${index}`).filter(({ rate }) => rate === 2).map(({ life }) => life)).size === upstreams.length))
+    await until(() => nodes.every((_node, index) => new Set(limitsOf(`node-${index}`).filter(({ rate }) => rate === 2).map(({ upstream }) => upstream)).size === upstreams.length))
     const answers = (await Promise.all(Array.from({ length: 8 }, () => Promise.all(nodes.map(ask))))).flat()
     const refused = answers.filter(({ status }) => status === 503)
     assert.ok(refused.length >= answers.length / 2, `${refused.length} of ${answers.length} refused`)
--- a/test/gateway/upstream-view.test.ts
+++ b/test/gateway/upstream-view.test.ts
@@ -55,8 +55,8 @@
   it('takes the registry\'s notice for news after answers said the same', () => {
     const view = createUpstreamView()
     view.put(record(1), 1)
-    assert.equal(view.noteLeaving(record(1).life)?.id, 'i')
-    assert.equal(view.noteLeaving(record(1).life), undefined)
+    assert.equal(view.noteLeaving(record(1).life), true)
+    assert.equal(view.noteLeaving(record(1).life), false)
     assert.deepEqual(view.all().map(({ leaving }) => leaving), [true])
     assert.equal(view.put(record(1, { leaving: true, leavesIn: 2_000 }), 2), 'leaving')
   })
