--- a/.ci/evaluate.mjs
+++ b/.ci/evaluate.mjs
@@ -2,7 +2,7 @@
  * Counts the tests of one run from what its reporter wrote.
  *
  * Usage: evaluate.mjs KIND EXIT-STATUS LOG KNOWN-RED. Prints failures, then a last line "PASSED FAILED".
- * A known red test is named in the first column of KNOWN-RED.txt: `test | cause | issue`.
+ * A known red test is named in the first column of KNOWN-RED.txt: `test | command and seed | what was seen | cause | issue`.
  */
 import { existsSync, readFileSync } from 'node:fs'
 
