--- a/src/backpressure/rate-limits.ts
+++ b/src/backpressure/rate-limits.ts
@@ -1,5 +1,5 @@
 /**
- * Rate limits that upstreams name in their answers, kept by all nodes together without a word for each request.
+ * Rate limits that upstreams name in their answers, kept by all nodes together without a message for each request.
  *
  * Each limit is dealt to few nodes by rendezvous hashing, and each of these keeps a pause between two requests. So the
  * sum holds in any window, and not only on average as it would where each of many nodes sends one request now and then.
@@ -81,13 +81,16 @@
 /** Lives whose limit is remembered; beyond it the ones longest without news are forgotten. */
 const MOST_LIVES = 1_000
 
-interface Word {
+/** What was last heard of one upstream's limit. */
+interface KnownLimit {
+  /** Requests a second; undefined once the upstream names none any more. */
   readonly rate: number | undefined
   /** When the answer came that says so. */
   readonly at: Milliseconds
-  /** This node has the word from the upstream itself. */
+  /** This node heard it from the upstream itself. */
   readonly isOwn: boolean
-  pause: Milliseconds | undefined
+  /** Least pause between two requests of this node; undefined where it sends none, or there is no limit. */
+  readonly pause: Milliseconds | undefined
   /** When this node last sent a request, or began to be one of those that may. */
   lastSent: Milliseconds
 }
@@ -101,24 +104,24 @@
  * limits.allows(upstream.life, clock.now())
  */
 export function createRateLimits (node: string): RateLimits {
-  const words = new Map<UpstreamLife, Word>()
+  const limits = new Map<UpstreamLife, KnownLimit>()
   const seen = new Map<string, Milliseconds>()
   let nodes: readonly string[] = []
 
   function put (life: UpstreamLife, rate: number | undefined, at: Milliseconds, isOwn: boolean, now: Milliseconds): PaceChange | undefined {
-    const known = words.get(life)
+    const known = limits.get(life)
     const pause = pauseOf(life, rate)
-    // What may be sent at once was sent before the limit was known.
+    // A node that begins to keep a limit waits for a whole pause: it sent without one until now.
     const lastSent = known === undefined || known.pause === undefined ? now : known.lastSent
-    words.delete(life)
-    words.set(life, { rate, at, isOwn, pause, lastSent })
+    limits.delete(life)
+    limits.set(life, { rate, at, isOwn, pause, lastSent })
     forgetOldest()
     return known?.rate === rate && known?.pause === pause ? undefined : { life, pace: rate === undefined ? undefined : { rate, pause } }
   }
 
   function forgetOldest (): void {
-    const [oldest] = words.keys()
-    if (words.size > MOST_LIVES && oldest !== undefined) words.delete(oldest)
+    const [oldest] = limits.keys()
+    if (limits.size > MOST_LIVES && oldest !== undefined) limits.delete(oldest)
   }
 
   function pauseOf (life: UpstreamLife, rate: number | undefined): Milliseconds | undefined {
@@ -130,21 +133,21 @@
   }
 
   function wait (life: UpstreamLife, now: Milliseconds): Milliseconds {
-    const word = words.get(life)
-    if (word?.rate === undefined) return 0
-    return word.pause === undefined ? meanPause(word.rate) : Math.max(0, word.lastSent + word.pause - now)
+    const limit = limits.get(life)
+    if (limit?.rate === undefined) return 0
+    return limit.pause === undefined ? meanPause(limit.rate) : Math.max(0, limit.lastSent + limit.pause - now)
   }
 
   return {
     heard: (life, rate, sentAt, now) => {
-      const known = words.get(life)
+      const known = limits.get(life)
       if (rate === undefined) {
         // Failure guarded against: an answer from before the limit comes late, and the limit would be taken for lifted.
         if (known?.rate === undefined || sentAt < known.at) return undefined
       }
       return put(life, rate, now, true, now)
     },
-    told: (now) => Object.fromEntries([...words]
+    told: (now) => Object.fromEntries([...limits]
       .filter(([, { isOwn, at }]) => isOwn && now - at < TOLD_FOR)
       .map(([life, { rate, at }]) => [life, { rate, age: Math.round(now - at) }])),
     observe: (others, now) => {
@@ -152,7 +155,7 @@
       for (const told of others) {
         for (const [name, { rate, age }] of Object.entries(told)) {
           const life = name as UpstreamLife
-          const known = words.get(life)
+          const known = limits.get(life)
           const isNews = known === undefined ? rate !== undefined : now - age > known.at + TOLD_LAG
           if (isNews) changes.push(put(life, rate, now - age, false, now))
         }
@@ -164,33 +167,33 @@
       for (const [name, at] of seen) if (now - at > DEPARTED_FOR) seen.delete(name)
       if (nodes.length === seen.size && nodes.every((name) => seen.has(name))) return []
       nodes = [...seen.keys()]
-      return [...words].map(([life, { rate, at, isOwn }]) => put(life, rate, at, isOwn, now)).filter((change) => change !== undefined)
+      return [...limits].map(([life, { rate, at, isOwn }]) => put(life, rate, at, isOwn, now)).filter((change) => change !== undefined)
     },
     wait,
     allows: (life, now) => {
-      const word = words.get(life)
-      return word?.rate === undefined || (word.pause !== undefined && now >= word.lastSent + word.pause)
+      const limit = limits.get(life)
+      return limit?.rate === undefined || (limit.pause !== undefined && now >= limit.lastSent + limit.pause)
     },
     taken: (life, now) => {
-      const word = words.get(life)
-      if (word !== undefined) word.lastSent = now
+      const limit = limits.get(life)
+      if (limit !== undefined) limit.lastSent = now
     },
-    all: () => [...words].filter(([, { rate }]) => rate !== undefined).map(([life]) => life)
+    all: () => [...limits].filter(([, { rate }]) => rate !== undefined).map(([life]) => life)
   }
 }
 
 /**
  * @param told by different nodes
- * @returns the latest word on each life
+ * @returns what was heard last of each life
  * @example
  * mergeLimits([{ [life]: { rate: 1, age: 900 } }, { [life]: { age: 100 } }]) // no limit any more
  */
 export function mergeLimits (told: readonly ToldLimits[]): ToldLimits {
   const merged: ToldLimits = {}
-  for (const [name, word] of told.flatMap((limits) => Object.entries(limits))) {
+  for (const [name, limit] of told.flatMap((one) => Object.entries(one))) {
     const life = name as UpstreamLife
     const known = merged[life]
-    if (known === undefined || word.age < known.age) merged[life] = word
+    if (known === undefined || limit.age < known.age) merged[life] = limit
   }
   return merged
 }
--- a/src/gateway/backpressure.ts
+++ b/src/gateway/backpressure.ts
@@ -4,16 +4,16 @@
 import type { Clock, Milliseconds } from '../clock.js'
 import type { EventLog } from '../events/index.js'
 import type { UpstreamLife, UpstreamRecord } from '../placement/index.js'
-import type { UpstreamView, UpstreamWishes } from './upstream-view.js'
+import type { UpstreamAvailability, UpstreamView } from './upstream-view.js'
 
 /** What nodes tell each other of what upstreams asked. */
-export interface ToldWishes {
+export interface ToldBackpressure {
   readonly limits: ToldLimits
   readonly departures: ToldDepartures
 }
 
 /** What upstreams have asked of the nodes, and what this one may still send. */
-export interface Backpressure extends UpstreamWishes {
+export interface Backpressure extends UpstreamAvailability {
   /** An upstream's answer has come with these signals. */
   heard (upstream: UpstreamRecord, signals: UpstreamSignals, sentAt: Milliseconds): void
   /** A request of this node goes there. */
@@ -21,9 +21,9 @@
   /** Time until it wants a request of this node; 0 where it does now. */
   wait (life: UpstreamLife, now: Milliseconds): Milliseconds
   /** What this node tells the others. */
-  told (): ToldWishes
+  told (): ToldBackpressure
   /** What the others tell. */
-  observe (others: readonly ToldWishes[]): void
+  observe (others: readonly ToldBackpressure[]): void
   /** Names of the nodes that may serve. */
   deal (nodes: readonly string[]): void
   /** Upstreams that name a limit now. */
--- a/src/gateway/upstream-view.ts
+++ b/src/gateway/upstream-view.ts
@@ -23,14 +23,14 @@
 }
 
 /** What upstreams have asked of this node in their answers. */
-export interface UpstreamWishes {
+export interface UpstreamAvailability {
   /** It said that it leaves. */
   isLeaving (life: UpstreamLife): boolean
   /** It wants a request of this node now. */
   accepts (life: UpstreamLife, now: Milliseconds): boolean
 }
 
-const NO_WISHES: UpstreamWishes = { isLeaving: () => false, accepts: () => true }
+const ALWAYS_AVAILABLE: UpstreamAvailability = { isLeaving: () => false, accepts: () => true }
 
 /** Upstreams as this node sees them. */
 export interface UpstreamView {
@@ -93,13 +93,13 @@
 }
 
 /**
- * @param wishes what upstreams have asked of this node in their answers
+ * @param availability what upstreams have asked of this node in their answers
  * @example
  * const view = createUpstreamView(backpressure)
  * view.put(record, revision)
  * view.candidates('plans', new Set(), clock.now())
  */
-export function createUpstreamView (wishes: UpstreamWishes = NO_WISHES): UpstreamView {
+export function createUpstreamView (availability: UpstreamAvailability = ALWAYS_AVAILABLE): UpstreamView {
   const records = new Map<string, KnownUpstream>()
   const own = new Map<UpstreamLife, Set<OwnRequest>>()
   const told = new Map<string, Map<UpstreamLife, ToldLoad>>()
@@ -122,7 +122,7 @@
     const isSameLife = known?.record.life === record.life
     // Leaving is final for one life: one that has begun to drain ends whatever else is written of it.
     if (isSameLife && known.isNoticed && !record.leaving) return undefined
-    const leaving = record.leaving || wishes.isLeaving(record.life)
+    const leaving = record.leaving || availability.isLeaving(record.life)
     records.set(record.id, { record: { ...record, leaving }, revision, isNoticed: record.leaving })
     if (!isSameLife) return 'new'
     // What its answers said began no move of its runs: only the registry says when it is gone.
@@ -198,7 +198,7 @@
     find: (life) => all().find((record) => record.life === life),
     staying,
     candidates: (service, excluded, now, admit = (present) => present) => {
-      const present = admit(staying(service, excluded).filter(({ life }) => wishes.accepts(life, now)))
+      const present = admit(staying(service, excluded).filter(({ life }) => availability.accepts(life, now)))
       const usable = present.filter((upstream) => health.usable(upstream.life, now))
       // Where all have failed lately, asking one of them is better than refusing for certain.
       return (usable.length > 0 ? usable : present).map((upstream): Candidate => ({ upstream, load: loadOf(upstream.life, now) }))
