A limit that was lifted ends at every node

Callers would wait at other upstreams while one that is well again stands idle: a node that isn't one of its senders and had heard the limit itself within a second before it was lifted took its own word for the later one, and where the senders have no requests nobody hears of the end. Cause: the end of a limit was told with the age of the first answer without it, and nothing made the others ask. Change: each answer without a limit renews the word; a limit of which nobody has heard for 10 s is tried by the other nodes in turn, with a tenth of it. What is told may be 3 s old. Why it holds: a word that is renewed is younger than any from before; turns go by rank, so that many nodes don't ask at one moment. Found by reading.

--- a/src/backpressure/rate-limits.ts
+++ b/src/backpressure/rate-limits.ts
@@ -67,7 +67,16 @@
 const LEAST_RATE = 0.1
 
 /** What another node tells may be as old as this when it comes; what was heard here within it goes first. */
-const TOLD_LAG: Milliseconds = SECOND
+const TOLD_LAG: Milliseconds = 3 * SECOND
+
+/**
+ * Time without news of a limit, in requests that it allows and at least in milliseconds, from which on the other nodes try the
+ * upstream in turn, with this part of the limit. Failure guarded against: its senders have no requests, nobody hears that it
+ * names no limit any more, and it stands idle.
+ */
+const UNHEARD_REQUESTS = 3
+const UNHEARD_AFTER: Milliseconds = 10 * SECOND
+const UNHEARD_PART = 0.1
 
 /** An answer that is older isn't told any more: each node has heard of it by then. */
 const TOLD_FOR: Milliseconds = 30 * SECOND
@@ -91,7 +100,11 @@
   readonly isOwn: boolean
   /** Least pause between two requests of this node; undefined where it sends none, or there is no limit. */
   readonly pause: Milliseconds | undefined
-  /** When this node last sent a request, or began to be one of those that may. */
+  /** Place among the nodes in the order of this upstream; undefined while this node isn't known to be one. */
+  readonly rank: number | undefined
+  /** When this node began to be one of the senders. */
+  readonly since: Milliseconds
+  /** When this node last sent a request. */
   lastSent: Milliseconds
 }
 
@@ -110,11 +123,12 @@
 
   function put (life: UpstreamLife, rate: number | undefined, at: Milliseconds, isOwn: boolean, now: Milliseconds): PaceChange | undefined {
     const known = limits.get(life)
-    const pause = pauseOf(life, rate)
+    const rank = rankAt(life)
+    const pause = rate === undefined || rank === undefined ? undefined : pauseOf(rate, rank)
     // A node that begins to keep a limit waits for a whole pause: it sent without one until now.
-    const lastSent = known === undefined || known.pause === undefined ? now : known.lastSent
+    const since = known?.pause === undefined ? now : known.since
     limits.delete(life)
-    limits.set(life, { rate, at, isOwn, pause, lastSent })
+    limits.set(life, { rate, at, isOwn, pause, rank, since, lastSent: known?.lastSent ?? -Infinity })
     forgetOldest()
     return known?.rate === rate && known?.pause === pause ? undefined : { life, pace: rate === undefined ? undefined : { rate, pause } }
   }
@@ -124,27 +138,41 @@
     if (limits.size > MOST_LIVES && oldest !== undefined) limits.delete(oldest)
   }
 
-  function pauseOf (life: UpstreamLife, rate: number | undefined): Milliseconds | undefined {
-    if (rate === undefined) return undefined
-    const senders = Math.min(nodes.length, FEWEST_SENDERS + Math.floor(rate))
+  function rankAt (life: UpstreamLife): number | undefined {
+    if (!nodes.includes(node)) return undefined
     const own = score(life, node)
-    const before = nodes.filter((name) => name !== node && score(life, name) > own).length
-    return nodes.includes(node) && before < senders ? senders * meanPause(rate) : undefined
+    return nodes.filter((name) => name !== node && score(life, name) > own).length
+  }
+
+  function pauseOf (rate: number, rank: number): Milliseconds | undefined {
+    const senders = Math.min(nodes.length, FEWEST_SENDERS + Math.floor(rate))
+    return rank < senders ? senders * meanPause(rate) : undefined
   }
 
+  /** When this node may send a request next. */
+  function nextAt ({ rate, at, pause, rank, since, lastSent }: KnownLimit): Milliseconds {
+    if (rate === undefined) return -Infinity
+    if (pause !== undefined) return Math.max(since, lastSent) + pause
+    if (rank === undefined) return Infinity
+    const turn = meanPause(rate) / UNHEARD_PART
+    const unheard = at + Math.max(UNHEARD_AFTER, UNHEARD_REQUESTS * meanPause(rate))
+    return Math.max(unheard + rank * turn, lastSent + nodes.length * turn)
+  }
+
+  /** Where others have the whole limit, a caller that comes back meets one of them as soon as they may send. */
   function wait (life: UpstreamLife, now: Milliseconds): Milliseconds {
     const limit = limits.get(life)
     if (limit?.rate === undefined) return 0
-    return limit.pause === undefined ? meanPause(limit.rate) : Math.max(0, limit.lastSent + limit.pause - now)
+    const own = Math.max(0, nextAt(limit) - now)
+    return limit.pause === undefined ? Math.min(own, meanPause(limit.rate)) : own
   }
 
   return {
     heard: (life, rate, sentAt, now) => {
       const known = limits.get(life)
-      if (rate === undefined) {
-        // Failure guarded against: an answer from before the limit comes late, and the limit would be taken for lifted.
-        if (known?.rate === undefined || sentAt < known.at) return undefined
-      }
+      if (rate === undefined && known === undefined) return undefined
+      // Failure guarded against: an answer from before the limit comes late, and the limit would be taken for lifted.
+      if (rate === undefined && known?.rate !== undefined && sentAt < known.at) return undefined
       return put(life, rate, now, true, now)
     },
     told: (now) => Object.fromEntries([...limits]
@@ -172,7 +200,7 @@
     wait,
     allows: (life, now) => {
       const limit = limits.get(life)
-      return limit?.rate === undefined || (limit.pause !== undefined && now >= limit.lastSent + limit.pause)
+      return limit === undefined || now >= nextAt(limit)
     },
     taken: (life, now) => {
       const limit = limits.get(life)
--- a/test/backpressure/rate-limits.test.ts
+++ b/test/backpressure/rate-limits.test.ts
@@ -96,6 +96,31 @@
     assert.deepEqual(third.all(), [LIFE], 'it has not heard of the end')
   })
 
+  // An upstream that is well again stands idle: a node that isn't one of its senders had heard the limit itself just before it was
+  // lifted, took its own word for the later one, and never sent a request that could have shown it.
+  it('are lifted everywhere though a node heard of them just before', () => {
+    const [first, second] = createNodes(9) as [RateLimits, RateLimits]
+    second.heard(LIFE, 1, 900, 1_000)
+    first.heard(LIFE, 1, 900, 1_000)
+    first.heard(LIFE, undefined, 1_100, 1_200)
+    for (let now = 1_400; now < 20 * SECOND; now += 400) {
+      first.heard(LIFE, undefined, now - 100, now)
+      second.observe([first.told(now)], now)
+    }
+    assert.deepEqual(second.all(), [])
+  })
+
+  // The same upstream stands idle: those that may send to it have no requests, and the others wait for word from them.
+  it('are tried by each node now and then where nobody hears of them any more', () => {
+    const nodes = createNodes(20)
+    for (const node of nodes) node.heard(LIFE, 1, 0, 0)
+    const idle = nodes.filter((node) => !node.allows(LIFE, 9 * SECOND))
+    assert.ok(idle.length > 10)
+    const arrivals = sendAll(idle, 0, 120 * SECOND)
+    assert.ok(arrivals.length > 0, 'nobody has asked it')
+    assert.ok(mostIn(arrivals, WINDOW) <= 1.5 * WINDOW / SECOND + 5)
+  })
+
   // A limit is forgotten the moment it is named: the answer to a request from before comes late and names none.
   it('are not lifted by an answer from before', () => {
     const limits = createRateLimits('node-0')
