--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -201,7 +201,10 @@
   // Failure guarded against: nobody may take the duties while the nodes are put together, and the fleet that is found at the
   // start runs on, paid for, until the next look at their key some ten seconds later.
   holder.vacant()
-  repeat({ clock, log, signal: ending.signal }, 'shares', SHARE_PERIOD, applyShares)
+  repeat({ clock, log, signal: ending.signal }, 'shares', SHARE_PERIOD, () => {
+    backpressure.deal(fleet.names())
+    applyShares()
+  })
   repeat({ clock, log, signal: ending.signal }, 'speeds', SPEED_PERIOD, speeds.update)
   exposeNode({ metrics, clock, log, signal: ending.signal, sums, sources, fleet, upstreams, connections, backpressure, quotas, budgets, rollouts: rollouts.sums, inFlight: () => inFlight, holdsDuties: () => holder.proof() !== undefined })
 
@@ -263,11 +266,12 @@
   }
 
   function heard (): void {
+    const others = fleet.others()
     upstreams.observe(fleet.loads(), clock.now())
-    speeds.hear(fleet.others().map((report) => report.speeds))
+    speeds.hear(others.map((report) => report.speeds))
     quarantine.observe(fleet.brokenRuns())
-    rollouts.hear(fleet.others().map((report) => report.rollouts))
-    backpressure.observe(fleet.others())
+    rollouts.hear(others.map((report) => report.rollouts))
+    backpressure.observe(others)
     applyShares()
   }
 
@@ -278,7 +282,6 @@
     const nodes = fleet.size()
     const others = fleet.others()
     quotas.observe(others, nodes)
-    backpressure.deal(fleet.names())
     for (const budget of budgets.values()) budget.share(nodes)
     if (nodes === dealtTo) return
     dealtTo = nodes
