The store's returns from a copy are read and told

Cause looked for: after an outage the holder of the duties decided windows again that it had reported. Nothing that the nodes wrote could tell a store that came back older from a lost swap: the header that says so was not read. The stand-ins can be restored from a backup, with revisions and leases given out again, 410 for a watch from a revision that they don't have, and the header. No decision is made otherwise. Test: the adapter tells of a return once, before the answer that names it is used.

--- a/bench/agreement/fleet.ts
+++ b/bench/agreement/fleet.ts
@@ -217,6 +217,7 @@
     throw lost()
   }
   return {
+    epochs: keyValue.epochs,
     get: guarded(keyValue.get),
     list: guarded(keyValue.list),
     put: guarded(keyValue.put),
--- a/features/steps/reports.steps.ts
+++ b/features/steps/reports.steps.ts
@@ -4,6 +4,7 @@
 import { MINUTE } from '../../src/clock.js'
 import { ABSENT, prefixEnd } from '../../src/protocols/key-value.js'
 import type { KeyValue, SwapResult } from '../../src/protocols/key-value.js'
+import { createEpochTracker } from '../../src/protocols/epochs.js'
 import { ServingError } from '../../src/verdict.js'
 import { createKeyValueStore } from '../../stand-ins/key-value-store.js'
 import type { KeyValueStore } from '../../stand-ins/key-value-store.js'
@@ -39,6 +40,7 @@
   const { store } = world
   const unused = (): never => { throw new TypeError('reports need no such call') }
   return {
+    epochs: createEpochTracker(),
     get: (key) => call(() => store.get(key)),
     list: (prefix) => call(() => store.list(prefix, prefixEnd(prefix))),
     put: unused,
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -104,6 +104,7 @@
   setMaxListeners(0, ending.signal)
   const relay = createRelay(clock)
   const follows: FollowContext & { readonly relay: Relay } = { store: platform.store, clock, random, log, signal: ending.signal, relay }
+  platform.store.epochs.onRestore((restore) => log.warn('store-restored', { ...restore }))
   const metrics = createGatewayMetrics()
   const backpressure = createBackpressure({ node: settings.name, clock, log, upstreams: () => upstreams })
   const upstreams = createUpstreamView(backpressure)
--- a/src/gateway/usage-keeper.ts
+++ b/src/gateway/usage-keeper.ts
@@ -125,7 +125,7 @@
         const decided: UsageJournal = { window: step.window, counts: await count(step.window), acknowledged: false }
         const swap = await store.compareAndSwap(JOURNAL_KEY, entry?.revision ?? ABSENT, JSON.stringify(decided), { signal })
         if (swap.kind === 'conflict') return
-        log.info('usage-decided', { window: decided.window, total: Object.values(decided.counts).reduce((sum, one) => sum + one, 0), fencing: proof.fencing })
+        log.info('usage-decided', { window: decided.window, total: Object.values(decided.counts).reduce((sum, one) => sum + one, 0), fencing: proof.fencing, after: journal?.window, epoch: store.epochs.current() })
         return report(decided, swap.revision)
       }
       case 'report': return report(step.journal, entry?.revision ?? ABSENT)
--- a/src/protocols/key-value.ts
+++ b/src/protocols/key-value.ts
@@ -6,6 +6,8 @@
 import * as z from 'zod'
 import type { Milliseconds } from '../clock.js'
 import { SECOND } from '../clock.js'
+import { createEpochTracker } from './epochs.js'
+import type { Epochs } from './epochs.js'
 import type { Address } from '../identifiers.js'
 import { exchangeJson, send } from './http.js'
 import type { Connections, HttpExchange } from './http.js'
@@ -52,6 +54,8 @@
  * `may-have-run` of a write means that its reply was lost and only reading back can settle it.
  */
 export interface KeyValue {
+  /** Returns of the service from a backup, as far as it tells of them. */
+  readonly epochs: Epochs
   get (key: string, signal?: AbortSignal): Promise<KeyValueEntry | undefined>
   list (prefix: string, signal?: AbortSignal, mayBeStale?: boolean): Promise<KeyValueListing>
   put (key: string, value: string, options?: WriteOptions): Promise<void>
@@ -149,6 +153,7 @@
   }
 
   return {
+    epochs: createEpochTracker(),
     get: async (key, signal) => (await range({ key: encode(key) }, signal)).entries[0],
     list: (prefix, signal) => range({ key: encode(prefix), range_end: encode(prefixEnd(prefix)) }, signal),
     put: async (key, value, options = {}) => {
--- a/stand-ins/key-value-direct.ts
+++ b/stand-ins/key-value-direct.ts
@@ -2,6 +2,8 @@
 import type { Clock, Milliseconds } from '../src/clock.js'
 import { SECOND } from '../src/clock.js'
 import { prefixEnd } from '../src/protocols/key-value.js'
+import { createRestorableKeyValue } from '../src/protocols/restorable-key-value.js'
+import type { Answered } from '../src/protocols/restorable-key-value.js'
 import type { KeyValue, KeyValueChange } from '../src/protocols/key-value.js'
 import { ServingError } from '../src/verdict.js'
 import type { FaultSwitch } from './faults.js'
@@ -41,12 +43,12 @@
   const calls: KeyValueCalls = { reads: 0, writes: 0, watches: 0 }
   const direct: DirectFaults = { lateBy: 0, lateEvery: 1 }
 
-  async function answer<T> (operation: () => T, signal: AbortSignal | undefined): Promise<T> {
+  async function answer<T> (operation: () => T, signal: AbortSignal | undefined): Promise<Answered<T>> {
     const fate = faultSwitch.next()
     if (faultSwitch.faults.latency > 0) await clock.sleep(faultSwitch.faults.latency, signal)
     signal?.throwIfAborted()
     switch (fate) {
-      case 'answer': return operation()
+      case 'answer': return { value: operation(), epoch: store.epoch() }
       case 'lose-reply':
         operation()
         throw failure('the reply was lost')
@@ -58,22 +60,24 @@
     }
   }
 
-  function read<T> (operation: () => T, signal?: AbortSignal): Promise<T> {
+  function read<T> (operation: () => T, signal?: AbortSignal): Promise<Answered<T>> {
     calls.reads += 1
     return answer(operation, signal)
   }
 
-  function write<T> (operation: () => T, signal?: AbortSignal): Promise<T> {
+  function write<T> (operation: () => T, signal?: AbortSignal): Promise<Answered<T>> {
     calls.writes += 1
     if (direct.lateBy === 0 || calls.writes % direct.lateEvery !== 0) return answer(operation, signal)
     clock.sleep(direct.lateBy).then(operation).catch(() => {})
     return Promise.reject(failure('no answer in time'))
   }
 
-  async function * watch (prefix: string, fromRevision: number, signal: AbortSignal): AsyncIterable<readonly KeyValueChange[]> {
+  async function * watch (prefix: string, fromRevision: number, signal: AbortSignal): AsyncIterable<Answered<readonly KeyValueChange[]>> {
     calls.watches += 1
     await answer(() => {}, signal)
+    if (fromRevision > store.revision() + 1) throw new ServingError('the store has no such revision', { code: 'gone', verdict: 'not-run' })
     const queue: KeyValueChange[][] = [[]]
+    const epoch = store.epoch()
     let wake = (): void => {}
     const unsubscribe = store.subscribe(prefix, prefixEnd(prefix), fromRevision, (changes) => {
       queue.push([...changes])
@@ -81,10 +85,10 @@
     })
     try {
       while (!signal.aborted) {
-        if (faultSwitch.faults.down) throw failure('the service is down')
+        if (faultSwitch.faults.down || store.epoch() !== epoch) throw failure('the service is down')
         for (const changes of queue.splice(0)) {
           if (changes.length > 0 && faultSwitch.faults.latency > 0) await clock.sleep(faultSwitch.faults.latency, signal)
-          yield changes
+          yield { epoch, value: changes }
         }
         if (queue.length > 0) continue
         const changed = new Promise<void>((resolve) => { wake = resolve })
@@ -98,9 +102,7 @@
     }
   }
 
-  return {
-    calls,
-    direct,
+  const keyValue = createRestorableKeyValue({
     watch,
     get: (key, signal) => read(() => store.get(key), signal),
     list: (prefix, signal) => read(() => store.list(prefix, prefixEnd(prefix)), signal),
@@ -110,7 +112,8 @@
     grantLease: (time, signal) => write(() => store.grantLease(time), signal),
     keepAlive: (lease, signal) => write(() => store.keepAlive(lease), signal),
     revokeLease: (lease, signal) => write(() => store.revokeLease(lease), signal)
-  }
+  })
+  return { ...keyValue, calls, direct }
 }
 
 function failure (message: string): ServingError {
--- a/stand-ins/key-value-store.ts
+++ b/stand-ins/key-value-store.ts
@@ -21,14 +21,30 @@
   /** Drops what has lapsed; called by every operation, and by owners that let time pass without one. */
   expire (): void
   revision (): number
+  /** A copy of what stands now. */
+  backUp (): Backup
+  /** Comes back from a copy: what was written since is gone, and a new epoch begins. Those who wait for changes are told nothing more. */
+  restore (backup: Backup): void
+  /** Rises by one with each restore. */
+  epoch (): number
 }
 
-interface StoredValue {
+/** A copy of a store. */
+export interface Backup {
+  readonly revision: number
+  readonly values: ReadonlyMap<string, StoredValue>
+  readonly leases: ReadonlyMap<LeaseId, StoredLease>
+  readonly leaseCount: number
+}
+
+/** A value as the store keeps it. */
+export interface StoredValue {
   readonly entry: KeyValueEntry
   readonly lease: LeaseId | undefined
 }
 
-interface StoredLease {
+/** A lease as the store keeps it. */
+export interface StoredLease {
   readonly timeToLive: Milliseconds
   lapsesAt: Milliseconds
 }
@@ -42,6 +58,9 @@
 /** Changes kept for watches that start in the past. */
 const HISTORY = 10_000
 
+/** Epoch of a store that was never restored. */
+const FIRST_EPOCH = 1
+
 /** Longest value, as the platform's service has it. */
 const LONGEST_VALUE = 1_048_576
 
@@ -56,6 +75,7 @@
   const history: KeyValueChange[] = []
   let revision = 1
   let leaseCount = 0
+  let epoch = FIRST_EPOCH
 
   function publish (change: KeyValueChange): void {
     history.push(change)
@@ -106,6 +126,17 @@
   return {
     expire,
     revision: () => revision,
+    epoch: () => epoch,
+    backUp: () => ({ revision, values: new Map(values), leases: new Map([...leases].map(([id, lease]) => [id, { ...lease }])), leaseCount }),
+    restore: (backup) => {
+      epoch += 1
+      revision = backup.revision
+      leaseCount = backup.leaseCount
+      replaceAll(values, backup.values)
+      replaceAll(leases, new Map([...backup.leases].map(([id, lease]) => [id, { ...lease }])))
+      history.splice(0, history.length, ...history.filter((change) => revisionOf(change) <= revision))
+      subscriptions.clear()
+    },
     get: (key) => {
       expire()
       return values.get(key)?.entry
@@ -145,6 +176,11 @@
   }
 }
 
+function replaceAll<Key, Value> (target: Map<Key, Value>, source: ReadonlyMap<Key, Value>): void {
+  target.clear()
+  for (const [key, value] of source) target.set(key, value)
+}
+
 function inRange (key: string, range: { from: string, end: string }): boolean {
   if (range.end === '') return key === range.from
   return key >= range.from && key < range.end
--- a/stand-ins/machines/metadata-store.ts
+++ b/stand-ins/machines/metadata-store.ts
@@ -1,5 +1,5 @@
 /** HTTP face of the key-value stand-in in the calls of the users' metadata store. */
-import { STORE_PATH } from '../../platform/names.js'
+import { HEADER, STORE_PATH } from '../../platform/names.js'
 import type { Clock } from '../../src/clock.js'
 import { parseJson } from '../../src/json.js'
 import { ABSENT } from '../../src/protocols/key-value.js'
@@ -36,11 +36,12 @@
 }
 
 function handle (store: KeyValueStore, clock: Clock, call: StandInCall): unknown {
-  const { path, query, method } = call
+  const { path, query, method, response } = call
+  response.setHeader(HEADER.storeEpoch, store.epoch())
   switch (path) {
     case STORE_PATH.key: return getKey(store, query.get('key') ?? '')
     case STORE_PATH.range: return getRange(store, query)
-    case STORE_PATH.watch: return watch(store, clock, query)
+    case STORE_PATH.watch: return watch(store, clock, call)
     case STORE_PATH.transaction: return transact(store, parseJson(call.body.toString('utf8')) as Transaction)
     case STORE_PATH.lease: return grant(store, parseJson(call.body.toString('utf8')) as { ttlMs: number })
   }
@@ -73,7 +74,9 @@
 }
 
 /** Answers as soon as there is a change after the revision, or when the wait is over. */
-function watch (store: KeyValueStore, clock: Clock, query: URLSearchParams): Promise<object> {
+function watch (store: KeyValueStore, clock: Clock, { query, response }: StandInCall): Promise<object> {
+  const after = Number(query.get('after'))
+  if (after > store.revision()) throw new StandInFailure(410, { error: 'no such revision' })
   const prefix = query.get('prefix') ?? ''
   return new Promise((resolve) => {
     const owner = new AbortController()
@@ -81,9 +84,10 @@
       if (owner.signal.aborted) return
       owner.abort()
       setImmediate(() => end())
+      response.setHeader(HEADER.storeEpoch, store.epoch())
       resolve({ events: changes.map(toEvent), asOf: store.revision() })
     }
-    const end = store.subscribe(prefix, prefix + LAST, Number(query.get('after')) + 1, (changes) => { if (changes.length > 0) answer(changes) })
+    const end = store.subscribe(prefix, prefix + LAST, after + 1, (changes) => { if (changes.length > 0) answer(changes) })
     clock.sleep(Number(query.get('waitMs')), owner.signal).then(() => answer([]), () => {})
   })
 }
--- a/test/platform/platform.test.ts
+++ b/test/platform/platform.test.ts
@@ -74,6 +74,18 @@
     assert.equal(await store.keepAlive(lease), 0)
   })
 
+  it('tells of a return from a copy once, before the answer that names it is used', async () => {
+    const backup = server.store.backUp()
+    const told: string[] = []
+    store.epochs.onRestore(({ before, epoch }) => told.push(`${before} to ${epoch}`))
+    await store.put('a', 'x')
+    assert.deepEqual(told, [])
+    server.store.restore(backup)
+    assert.equal(await store.get('a').then((entry) => `${entry?.value} after ${told.join()}`), 'undefined after 1 to 2')
+    await store.get('a')
+    assert.deepEqual(told, ['1 to 2'])
+  })
+
   it('tells a refused call from one whose answer is lost', async () => {
     server.faultSwitch.faults.down = true
     await assert.rejects(store.put('a', 'x'), (error: ServingError) => error.verdict === 'not-run')
