Duties are taken up anew after the store came back from a copy

Seen by an operator: after such a return orders and reports either go on under a lease that the store may have given to another, or stop for up to 15 s: the holder loses its lease and looks at the key again as rarely as those who wait. Cause: the holder went by its own clock and took no notice of the return; a keeper that loses its lease at a renewal didn't ask for it anew. Change: a lease of an earlier epoch proves nothing; all nodes ask for the lease at the return, and whoever has it acts a lease's time after the return, when every holder of before has stopped by its own clock. A lease that is lost is asked for at once.

--- a/src/gateway/duty-holder.ts
+++ b/src/gateway/duty-holder.ts
@@ -4,11 +4,13 @@
  * Failure guarded against: a node loses the duties, another acts, and the first takes them back within the
  * time in which both may still be acting; their calls would alternate. A node that takes the lease waits
  * until its own last call, or its own start if it may have held the lease in an earlier life, is older
- * than the lease's time.
+ * than the lease's time. So does a node that takes it after the store came back from a copy without it: the
+ * holder of before may not know yet.
  */
 import type { Milliseconds } from '../clock.js'
 import type { Incarnation } from '../identifiers.js'
 import { createLeaseKeeper } from '../protocols/lease-keeper.js'
+import { epochOf } from '../protocols/revision.js'
 import type { FollowContext } from './follow.js'
 import type { DutyProof } from './ports.js'
 
@@ -62,6 +64,7 @@
   let fencing = 0
   let mayActFrom: Milliseconds = 0
   let supersededUpTo = 0
+  let restoredAt: Milliseconds = -Infinity
   const lease = createLeaseKeeper({
     keyValue: store,
     clock,
@@ -73,13 +76,24 @@
     terms: { name: 'duty', key: DUTY_KEY, time: leaseTime, renewal: leaseTime / 3, waiting: WAITING_PERIOD }
   })
 
+  /** Asks for the lease, which nobody holds, at another moment than the other nodes. */
+  function race (): void {
+    clock.sleep(random.fraction() * RACE_SPREAD, signal).then(lease.refresh).catch(() => {})
+  }
+
+  store.epochs.onRestore(() => {
+    restoredAt = clock.now()
+    race()
+  })
+
   return {
     proof: () => {
       const held = lease.held(MARGIN)
       if (held === undefined || held.fencing <= supersededUpTo) return undefined
+      if (epochOf(held.fencing) !== store.epochs.current()) return undefined
       if (held.fencing !== fencing) {
         fencing = held.fencing
-        mayActFrom = lastActed + leaseTime
+        mayActFrom = Math.max(lastActed, restoredAt) + leaseTime
       }
       return clock.now() < mayActFrom ? undefined : { holder: node, fencing }
     },
@@ -89,9 +103,7 @@
       lease.release().catch((error) => log.info('duty-release-failed', { error: String(error) }))
     },
     acted: () => { lastActed = clock.now() },
-    vacant: () => {
-      clock.sleep(random.fraction() * RACE_SPREAD, signal).then(lease.refresh).catch(() => {})
-    },
+    vacant: race,
     release: lease.release
   }
 }
--- a/src/protocols/lease-keeper.ts
+++ b/src/protocols/lease-keeper.ts
@@ -83,11 +83,15 @@
   }
 
   async function refreshOnce (): Promise<void> {
-    if (lease !== undefined && holder.held(clock.now(), 0) !== undefined) await renew(lease.id)
-    else if (options.isCandidate?.() ?? true) await take()
+    if (lease !== undefined && isHeld()) await renew(lease.id)
+    if (!isHeld() && (options.isCandidate?.() ?? true)) await take()
     tell()
   }
 
+  function isHeld (): boolean {
+    return holder.held(clock.now(), 0) !== undefined
+  }
+
   async function renew (id: LeaseId): Promise<void> {
     const sentAt = clock.now()
     const remaining = await keyValue.keepAlive(id, signal)
--- a/test/gateway/store-restored.test.ts
+++ b/test/gateway/store-restored.test.ts
@@ -37,6 +37,13 @@
   readonly counts: UsageCounts
 }
 
+/** A node may act under a number. */
+interface Act {
+  readonly at: Milliseconds
+  readonly node: number
+  readonly fencing: number
+}
+
 interface Member {
   readonly holder: DutyHolder
   readonly windows: UsageWindows
@@ -53,6 +60,7 @@
   const backups: Backup[] = []
   const cut = new Set<number>()
   const accepted: Report[] = []
+  const acts: Act[] = []
   let highest = 0
   let lives = 0
   let isTaken = false
@@ -107,11 +115,17 @@
       members.forEach(({ windows }, node) => { if (random.fraction() < 0.3 + 0.2 * node) windows.began('tejo', clock.wall()) })
       await clock.advance(STEP)
       tellVacancy()
+      members.forEach(({ holder }, node) => {
+        const proof = holder.proof()
+        if (proof !== undefined) acts.push({ at: clock.now(), node, fencing: proof.fencing })
+      })
     }
   }
 
   return {
+    clock,
     accepted,
+    acts,
     cut,
     run,
     loseReplies: (part: number) => { faultSwitch.faults.lostReplies = part },
@@ -166,6 +180,23 @@
     assertSameCounts(world.accepted)
   })
 
+  // Guards against duties that nobody does until the next look at their key, since the holder's lease is of before.
+  it('are done again within two leases of the return, by one node, and not before one', async () => {
+    for (const age of [1, 2, 4, 8]) {
+      const world = createWorld(age)
+      await world.run(20 * SECOND)
+      await world.restore(SECOND, age * SECOND)
+      const returnedAt = world.clock.now()
+      await world.run(10 * SECOND)
+      world.stop()
+      const since = world.acts.filter(({ at }) => at > returnedAt + 2 * LEASE)
+      assert.ok(since.length > 0 && since[0]!.at < returnedAt + 2 * LEASE + SECOND, `copy of ${age} s: first act ${(since[0]?.at ?? Infinity) - returnedAt} ms after the return`)
+      assert.equal(new Set(since.map(({ node }) => node)).size, 1)
+      const known = world.acts.filter(({ at }) => at > returnedAt + SECOND)
+      assert.ok(known[0]!.at >= returnedAt + LEASE, `copy of ${age} s: acts ${known[0]!.at - returnedAt} ms after the return`)
+    }
+  })
+
   // The same, whoever is killed or cut off meanwhile, and against fencing numbers that come again.
   it('report each window with the same counts, under numbers that rise and belong to one node', async () => {
     await fc.assert(fc.asyncProperty(steps, fc.nat(1_000), async (plan, seed) => {
