Usage of a window is reported once, also where the store came back from a copy

Seen by a manager: usage of the same five seconds was accepted twice, with 127 and then 19 requests, from one holder under one number. Cause: what was reported stood in the store alone. Class: a record in the store is taken for the latest because it stands there. Evidence: 'usage-decided' of windows 572 and 573 at 9.78 and 14.65 s, and of both again at 19.84 and 20.21 s, 1.2 s after 'store-regained'. One of another epoch, a missing one and a spoilt one say nothing of what was reported: all windows that have ended are closed, and reports go on with the next. Counts are written again after a return. Why it holds: a decision of an earlier epoch is of a window that had ended by then, and holders act a lease's time after the return; a swap that is carried out in another epoch than its holder knew is never followed by a report, and the next reader closes it. Cost: some one window for each return isn't reported, and none of the time before the first start, when nothing is served.

--- a/src/gateway/usage-keeper.ts
+++ b/src/gateway/usage-keeper.ts
@@ -3,8 +3,10 @@
 import { SECOND } from '../clock.js'
 import type { Milliseconds } from '../clock.js'
 import { readJson } from '../json.js'
+import { ONLY_EPOCH } from '../protocols/epochs.js'
 import { ABSENT } from '../protocols/key-value.js'
-import type { LeaseId } from '../protocols/key-value.js'
+import type { KeyValueEntry, LeaseId } from '../protocols/key-value.js'
+import { epochOf } from '../protocols/revision.js'
 import { repeat } from '../repeat.js'
 import { nextStep, sumCounts, usageJournalSchema, windowOf } from '../usage/index.js'
 import type { UsageCounts, UsageJournal, UsageWindows } from '../usage/index.js'
@@ -115,33 +117,30 @@
     const lastComplete = windowOf(sharedWall() - due * DECIDE_PART, windowLength) - 1
     if (isDone(lastComplete)) return
     const entry = await store.get(JOURNAL_KEY, signal)
-    const journal = entry === undefined ? undefined : readJson(usageJournalSchema, entry.value)
-    if (entry !== undefined && journal === undefined) return closeUnreadable(lastComplete, entry.revision)
-    if (journal?.acknowledged === true) acknowledged = journal.window
-    const step = nextStep(journal, lastComplete)
+    const journal = entry && readJson(usageJournalSchema, entry.value)
+    const epoch = entry === undefined ? store.epochs.current() ?? ONLY_EPOCH : epochOf(entry.revision)
+    const step = nextStep(journal, epoch, lastComplete)
     switch (step.kind) {
-      case 'wait': return
+      case 'wait':
+        acknowledged = journal?.window ?? acknowledged
+        return
+      case 'close': {
+        const closed: UsageJournal = { window: step.window, counts: {}, acknowledged: true, epoch }
+        const swap = await store.compareAndSwap(JOURNAL_KEY, entry?.revision ?? ABSENT, JSON.stringify(closed), { signal })
+        if (swap.kind === 'swapped') log.warn('usage-windows-closed', { window: closed.window, epoch, journal: describe(entry, journal) })
+        return
+      }
       case 'decide': {
-        const decided: UsageJournal = { window: step.window, counts: await count(step.window), acknowledged: false }
+        const decided: UsageJournal = { window: step.window, counts: await count(step.window), acknowledged: false, epoch }
         const swap = await store.compareAndSwap(JOURNAL_KEY, entry?.revision ?? ABSENT, JSON.stringify(decided), { signal })
         if (swap.kind === 'conflict') return
-        log.info('usage-decided', { window: decided.window, total: Object.values(decided.counts).reduce((sum, one) => sum + one, 0), fencing: proof.fencing, after: journal?.window, epoch: store.epochs.current() })
+        log.info('usage-decided', { window: decided.window, total: Object.values(decided.counts).reduce((sum, one) => sum + one, 0), fencing: proof.fencing, after: journal?.window, epoch })
         return report(decided, swap.revision)
       }
       case 'report': return report(step.journal, entry?.revision ?? ABSENT)
     }
   }
 
-  /**
-   * Failure guarded against: something else has written over the journal, and a window that may have been reported
-   * would be counted again and reported with other counts. Nobody knows which were; all that have ended are closed.
-   */
-  async function closeUnreadable (lastComplete: number, revision: number): Promise<void> {
-    log.warn('usage-journal-unreadable', { key: JOURNAL_KEY, closed: lastComplete })
-    const closed: UsageJournal = { window: lastComplete, counts: {}, acknowledged: true }
-    await store.compareAndSwap(JOURNAL_KEY, revision, JSON.stringify(closed), { signal })
-  }
-
   let acknowledged = -1
 
   function isDone (window: number): boolean {
@@ -165,6 +164,11 @@
     }
   }
 
+  store.epochs.onRestore(() => {
+    lease = undefined
+    written.clear()
+    acknowledged = -1
+  })
   repeat(context, 'usage-counts', WRITE_PERIOD, writeEnded)
   repeat(context, 'usage-report', STEP_PERIOD, act)
   return {
@@ -175,6 +179,12 @@
   }
 }
 
+/** Why the journal says nothing of what was reported. */
+function describe (entry: KeyValueEntry | undefined, journal: UsageJournal | undefined): 'missing' | 'unreadable' | 'earlier' {
+  if (entry === undefined) return 'missing'
+  return journal === undefined ? 'unreadable' : 'earlier'
+}
+
 /** A node's counts only rise; whichever source has seen more of them is later. */
 function larger (left: UsageCounts | undefined, right: UsageCounts): UsageCounts {
   if (left === undefined) return right
