Members hear of notices after the store came back from a copy: the test

Cause: a member asks its aggregator for what came after the revision that it has, and drops an answer of a lower one. After the return both are of the new count, the answers are young and empty, and the member, which is told every 0.4 s, doesn't read for itself. Evidence: 4 of 60 nodes wrote 'upstream-leaving', the four that read the store; 56 sent on by a view that was 1.8 s old at most. The stand-ins cut watches at a return, or leave them silent.

--- a/stand-ins/key-value-direct.ts
+++ b/stand-ins/key-value-direct.ts
@@ -82,10 +82,10 @@
     const unsubscribe = store.subscribe(prefix, prefixEnd(prefix), fromRevision, (changes) => {
       queue.push([...changes])
       wake()
-    })
+    }, () => wake())
     try {
       while (!signal.aborted) {
-        if (faultSwitch.faults.down || store.epoch() !== epoch) throw failure('the service is down')
+        if (faultSwitch.faults.down) throw failure('the service is down')
         for (const changes of queue.splice(0)) {
           if (changes.length > 0 && faultSwitch.faults.latency > 0) await clock.sleep(faultSwitch.faults.latency, signal)
           yield { epoch, value: changes }
@@ -95,6 +95,7 @@
         const waiting = new AbortController()
         await Promise.race([changed, clock.sleep(PROGRESS_PERIOD, AbortSignal.any([signal, waiting.signal])).catch(() => {})])
         waiting.abort()
+        if (store.epoch() !== epoch) throw failure('the connection was cut')
         if (queue.length === 0) queue.push([])
       }
     } finally {
--- a/stand-ins/key-value-store.ts
+++ b/stand-ins/key-value-store.ts
@@ -17,15 +17,15 @@
   grantLease (timeToLive: Milliseconds): LeaseId
   keepAlive (lease: LeaseId): Milliseconds
   revokeLease (lease: LeaseId): void
-  /** Calls back for past and future changes in a key range; returns the end of the subscription. */
-  subscribe (from: string, end: string, fromRevision: number, listener: (changes: readonly KeyValueChange[]) => void): () => void
+  /** Calls back for past and future changes in a key range, and where the subscription is cut; returns its end. */
+  subscribe (from: string, end: string, fromRevision: number, listener: (changes: readonly KeyValueChange[]) => void, cut?: () => void): () => void
   /** Drops what has lapsed; called by every operation, and by owners that let time pass without one. */
   expire (): void
   revision (): number
   /** A copy of what stands now. */
   backUp (): Backup
-  /** Comes back from a copy: what was written since is gone, and a new epoch begins. Those who wait for changes are told nothing more. */
-  restore (backup: Backup): void
+  /** Comes back from a copy: what was written since is gone, and a new epoch begins. Those who wait for changes are cut off, or told nothing more. */
+  restore (backup: Backup, watches?: 'cut' | 'silent'): void
   /** Rises by one with each restore. */
   epoch (): number
 }
@@ -54,6 +54,7 @@
   readonly from: string
   readonly end: string
   readonly listener: (changes: readonly KeyValueChange[]) => void
+  readonly cut: () => void
 }
 
 /** Changes kept for watches that start in the past. */
@@ -126,14 +127,16 @@
     revision: () => revision,
     epoch: () => epoch,
     backUp: () => ({ revision, values: new Map(values), leases: new Map([...leases].map(([id, lease]) => [id, { ...lease }])), leaseCount }),
-    restore: (backup) => {
+    restore: (backup, watches = 'cut') => {
       epoch += 1
       revision = backup.revision
       leaseCount = backup.leaseCount
       replaceAll(values, backup.values)
       replaceAll(leases, new Map([...backup.leases].map(([id, lease]) => [id, { ...lease }])))
       history.splice(0, history.length, ...history.filter((change) => revisionOf(change) <= revision))
+      const waiting = [...subscriptions]
       subscriptions.clear()
+      if (watches === 'cut') for (const { cut } of waiting) cut()
     },
     get: (key) => {
       expire()
@@ -164,8 +167,8 @@
       return stored.timeToLive
     },
     revokeLease: dropLease,
-    subscribe: (from, end, fromRevision, listener) => {
-      const subscription = { from, end, listener }
+    subscribe: (from, end, fromRevision, listener, cut = () => {}) => {
+      const subscription = { from, end, listener, cut }
       const past = history.filter((change) => revisionOf(change) >= fromRevision && inRange(keyOf(change), subscription))
       if (past.length > 0) listener(past)
       subscriptions.add(subscription)
--- a/stand-ins/machines/metadata-store.ts
+++ b/stand-ins/machines/metadata-store.ts
@@ -87,7 +87,11 @@
       response.setHeader(HEADER.storeEpoch, store.epoch())
       resolve({ events: changes.map(toEvent), asOf: store.revision() })
     }
-    const end = store.subscribe(prefix, prefix + LAST, after + 1, (changes) => { if (changes.length > 0) answer(changes) })
+    const cut = (): void => {
+      owner.abort()
+      response.destroy()
+    }
+    const end = store.subscribe(prefix, prefix + LAST, after + 1, (changes) => { if (changes.length > 0) answer(changes) }, cut)
     clock.sleep(Number(query.get('waitMs')), owner.signal).then(() => answer([]), () => {})
   })
 }
--- a/test/gateway/relay.test.ts
+++ b/test/gateway/relay.test.ts
@@ -40,7 +40,7 @@
         put: ({ key, value }) => { known.set(key, value) },
         remove: (key) => { known.delete(key) }
       }, promptTerms(DRAIN, 0))
-      return { relay, faults: faults.faults, known }
+      return { relay, store, faults: faults.faults, known }
     }
 
     return { keys, ending, node, listings: () => calls }
@@ -92,4 +92,29 @@
       ending.abort()
     })
   }
+
+  // Guards against members that hear nothing for as long as the store's revisions, which went back, are below those that they had.
+  for (const [seed, watches] of [[1, 'cut'], [2, 'cut'], [3, 'silent'], [4, 'silent']] as const) {
+    it(`does not keep a notice from a member after the store came back from a copy, watches ${watches} (seed ${seed})`, async () => {
+      const clock = createManualClock()
+      const { keys, ending, node } = start(clock, seed)
+      const aggregator = node(1)
+      const member = node(2)
+      let backup = keys.backUp()
+      const restoredAt = 12 * SECOND
+      const noticeAt = restoredAt + SECOND
+      for (let now = 0; now < 18 * SECOND; now += STEP) {
+        if (now === 6 * SECOND) backup = keys.backUp()
+        if (now === restoredAt) keys.restore(backup, watches)
+        if (now % REPORT_PERIOD === 0) report(member.relay, aggregator.relay, clock.now())
+        // A node's renewals name the epoch too.
+        if (now % SECOND === 0) for (const { store } of [aggregator, member]) await store.get('other')
+        if (now % 200 === 0) keys.put('upstreams/i-2', `heartbeat ${now}`)
+        if (now === noticeAt) keys.put('upstreams/i-1', 'leaving')
+        await clock.advance(STEP)
+        if (now + STEP - noticeAt > DRAIN - 200) assert.equal(member.known.get('upstreams/i-1'), 'leaving', `${now + STEP - noticeAt} ms after the notice`)
+      }
+      ending.abort()
+    })
+  }
 })
