Roll-outs keep their order and stage when the store comes back from a copy

Cause: the stage was what stood there last, and an order was told from another by the revision alone. Change: a stage never goes back for the same order; what the store lost is kept by each node that knew it and written again by the holder of the duties ('rollout-stage-lost'); an order of a later epoch for the version that was tried keeps the revision that its trial has, which a node that starts later takes from the status. Cost: a version that was rolled back and is ordered anew just after such a return is not tried again.

--- a/src/gateway/duty-holder.ts
+++ b/src/gateway/duty-holder.ts
@@ -10,7 +10,7 @@
 import type { Milliseconds } from '../clock.js'
 import type { Incarnation } from '../identifiers.js'
 import { createLeaseKeeper } from '../protocols/lease-keeper.js'
-import { epochOf } from '../protocols/revision.js'
+import { epochOf } from '../revision.js'
 import type { FollowContext } from './follow.js'
 import type { DutyProof } from './ports.js'
 
--- a/src/gateway/rollout-duty.ts
+++ b/src/gateway/rollout-duty.ts
@@ -4,7 +4,7 @@
 import { ABSENT } from '../protocols/key-value.js'
 import { repeat } from '../repeat.js'
 import { nextStatus } from '../rollout/index.js'
-import type { RolloutBounds, RolloutOrder, RolloutSituation } from '../rollout/index.js'
+import type { RolloutBounds, RolloutOrder, RolloutSituation, RolloutStatus } from '../rollout/index.js'
 import type { DutyHolder } from './duty-holder.js'
 import type { Fleet } from './fleet.js'
 import type { FollowContext } from './follow.js'
@@ -73,7 +73,7 @@
     const answer = answerTo(records, order)
     const situation = answer && situationOf(order, answer)
     const before = records.status(order.service)
-    const next = nextStatus(order, before?.status, situation, fleet.wall())
+    const next = nextStatus(order, before?.status, situation, fleet.wall()) ?? lost(before)
     const proof = duty.proof()
     if (next === undefined || proof === undefined) return
     const swap = await store.compareAndSwap(registry.statusKey(order.service), before?.revision ?? ABSENT, registry.writeStatus(next), { signal })
@@ -91,6 +91,11 @@
     })
   }
 
+  /** What the store lost as it came back from a copy. */
+  function lost (before: KnownStatus | undefined): RolloutStatus | undefined {
+    return before?.isLost === true ? before.status : undefined
+  }
+
   repeat(context, 'rollouts', PERIOD, async () => {
     if (duty.proof() === undefined) return
     for (const order of records.orders()) await decide(order)
--- a/src/gateway/rollout-records.ts
+++ b/src/gateway/rollout-records.ts
@@ -1,16 +1,22 @@
 /** Orders to roll versions out and the system's answers to them, as this node knows them. */
 import type { Milliseconds } from '../clock.js'
-import { answers } from '../rollout/index.js'
+import { ONLY_EPOCH } from '../protocols/epochs.js'
+import { ABSENT } from '../protocols/key-value.js'
+import { epochOf } from '../revision.js'
+import { answers, isBehind, sameOrder } from '../rollout/index.js'
 import type { RolloutOrder, RolloutStatus } from '../rollout/index.js'
 import type { KeyValueEntry } from '../protocols/key-value.js'
 import { follow, promptTerms } from './follow.js'
 import type { FollowContext, Follower, Following } from './follow.js'
 import type { RolloutRegistry } from './ports.js'
 
-/** A status as it stands in the store. */
+/** A status as this node knows it. */
 export interface KnownStatus {
   readonly status: RolloutStatus
+  /** At which the store has it, or an earlier one. */
   readonly revision: number
+  /** The store came back from a copy without it; it has to be written again. */
+  readonly isLost: boolean
   /** When this node first knew of this stage. */
   readonly since: Milliseconds
 }
@@ -39,22 +45,29 @@
  * const records = keepRolloutRecords(context, platform.registry.rollouts, 2 * SECOND, rollouts.changed)
  */
 export function keepRolloutRecords (context: FollowContext, registry: RolloutRegistry, within: Milliseconds, changed: (service: string) => void): RolloutRecords {
-  const { clock, log } = context
+  const { store, clock, log } = context
   const orders = new Map<string, { readonly key: string, readonly order: RolloutOrder }>()
   const statuses = new Map<string, KnownStatus>()
   let following: Following | undefined
 
   function putOrder ({ key, value, revision }: KeyValueEntry): void {
-    const order = registry.readOrder(key, value, revision)
-    if (order === undefined) return
-    if (order instanceof Error) return log.warn('rollout-order-unreadable', { key, error: order.message.slice(0, LONGEST_ERROR) })
-    if (orders.get(order.service)?.order.revision === revision) return
+    const read = registry.readOrder(key, value, revision)
+    if (read === undefined) return
+    if (read instanceof Error) return log.warn('rollout-order-unreadable', { key, error: read.message.slice(0, LONGEST_ERROR) })
+    const known = orders.get(read.service)?.order
+    const order = asAnswered(sameOrder(read, known))
+    if (known?.revision === order.revision) return
     orders.set(order.service, { key, order })
     following ??= followStatuses()
-    log.info('rollout-ordered', { service: order.service, version: order.version, duration: order.duration, order: revision })
+    log.info('rollout-ordered', { service: order.service, version: order.version, duration: order.duration, order: order.revision })
     changed(order.service)
   }
 
+  function asAnswered (order: RolloutOrder): RolloutOrder {
+    const status = statuses.get(order.service)?.status
+    return sameOrder(order, status && { version: status.version, revision: status.order })
+  }
+
   function removeOrder (key: string): void {
     for (const [service, known] of orders) {
       if (known.key !== key) continue
@@ -66,20 +79,38 @@
 
   function followStatuses (): Following {
     return follow(context, registry.statusPrefix, {
-      replace: (entries) => { for (const entry of entries) putStatus(entry) },
+      replace: (entries) => {
+        noteMissing(new Set(entries.map(({ key }) => key)))
+        for (const entry of entries) putStatus(entry)
+      },
       put: putStatus,
       remove: (key) => log.warn('rollout-status-removed', { key })
     }, promptTerms(within, 0))
   }
 
+  /** A return from a copy took these away; in one epoch nobody does. */
+  function noteMissing (present: ReadonlySet<string>): void {
+    for (const [service, known] of statuses) {
+      const isPast = epochOf(known.revision) < (store.epochs.current() ?? ONLY_EPOCH)
+      if (isPast && !present.has(registry.statusKey(service))) statuses.set(service, { ...known, revision: ABSENT, isLost: true })
+    }
+  }
+
   function putStatus ({ key, value, revision }: KeyValueEntry): void {
     const service = key.slice(registry.statusPrefix.length)
     const status = registry.readStatus(service, value)
     if (status === undefined) return log.warn('rollout-status-unreadable', { key, value: value.slice(0, LONGEST_ERROR) })
     const known = statuses.get(service)
     if (known !== undefined && known.revision >= revision) return
+    if (known !== undefined && isBehind(status, known.status)) {
+      statuses.set(service, { ...known, revision, isLost: true })
+      log.warn('rollout-stage-lost', { service, version: known.status.version, stage: known.status.stage, found: status.stage, order: known.status.order })
+      return
+    }
     const isSameStage = known?.status.order === status.order && known.status.stage === status.stage
-    statuses.set(service, { status, revision, since: isSameStage ? known.since : clock.now() })
+    statuses.set(service, { status, revision, isLost: false, since: isSameStage ? known.since : clock.now() })
+    const ordered = orders.get(service)
+    if (ordered !== undefined) orders.set(service, { ...ordered, order: asAnswered(ordered.order) })
     log.info('rollout-stage', { service, version: status.version, stage: status.stage, order: status.order, probedPart: status.probedPart })
     changed(service)
   }
--- a/src/protocols/restorable-key-value.ts
+++ b/src/protocols/restorable-key-value.ts
@@ -11,7 +11,7 @@
 import { createEpochTracker } from './epochs.js'
 import { ABSENT } from './key-value.js'
 import type { KeyValue, KeyValueChange, KeyValueEntry, KeyValueListing, LeaseId, SwapResult, WriteOptions } from './key-value.js'
-import { epochOf, revisionIn, withinEpoch } from './revision.js'
+import { epochOf, revisionIn, withinEpoch } from '../revision.js'
 
 /** An answer, with the epoch of the service that gave it. */
 export interface Answered<T> {
--- a/src/rollout/index.ts
+++ b/src/rollout/index.ts
@@ -1,6 +1,6 @@
 /** Roll-outs of versions: who gets what, what is seen of it, and what follows. */
 export type { RolloutBounds, RolloutEvidence, RolloutOrder, RolloutStage, RolloutStatus } from './types.js'
-export { answers, roleOf } from './versions.js'
+export { answers, isBehind, roleOf, sameOrder } from './versions.js'
 export type { VersionRole } from './versions.js'
 export { emptyRoute, mergeEvidence, noEvidence, stepOf, versionEvidenceSchema } from './evidence.js'
 export type { RouteEvidence, Side, SideEvidence, VersionEvidence } from './evidence.js'
--- a/test/gateway/rollouts.test.ts
+++ b/test/gateway/rollouts.test.ts
@@ -19,7 +19,7 @@
   const records: RolloutRecords = {
     orders: () => known.hasOrder === false ? [] : [ORDER],
     order: () => known.hasOrder === false ? undefined : ORDER,
-    status: () => stage && { status: { service: 's', version: 'v2', order: 7, stage, probedPart: undefined, orderedAt: 0, avoided: [] }, revision: 9, since: clock.now() },
+    status: () => stage && { status: { service: 's', version: 'v2', order: 7, stage, probedPart: undefined, orderedAt: 0, avoided: [] }, revision: 9, isLost: false, since: clock.now() },
     statusHeardAt: () => known.statusHeardAt,
     follower: { replace: () => {}, put: () => {}, remove: () => {} }
   }
