Upstreams that had ended aren't used where the store's copy has them as ready

Cause: a node forgot a life with its record, so the copy's was a new one. Change: lives that ended are remembered for 30 s, as copies are some seconds old; for 5 s after a return such a record is left aside ('upstream-doubtful'), and what stands there then is alive. Left: upstreams that registered since the copy are unknown until they write again.

--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -72,6 +72,8 @@
   'upstream-says-leaving': z.strictObject({ upstream: z.string(), service: z.string(), source: z.enum(['answer', 'peer']) }).describe('its answers say that it leaves, here or at another node, and its record doesn\'t yet; it gets nothing new'),
   'upstream-asks-pause': z.strictObject({ upstream: z.string(), service: z.string(), retryAfter: duration }).describe('it turned a request away and wants nothing more from this node for so long'),
   'upstream-record-unusable': z.strictObject({ key: z.string(), reason: z.string() }).describe('the record names no upstream to use, and why; told once until the reason changes'),
+  'upstream-doubtful': z.strictObject({ upstream: z.string(), service: z.string() }).describe('it had ended, and stands there again since the store came back from a copy; not used until the others have written anew'),
+  'upstreams-not-settled': z.strictObject({ error }).describe('a fault of the program: upstreams that were doubtful are not used'),
   'node-registered': z.strictObject({ lease: z.string() }).describe('other nodes and callers find this one in the store'),
   'node-registration-lapsed': z.strictObject({ lease: z.string() }).describe('the lease ended before it was renewed; it registers anew'),
   'node-registration-failed': z.strictObject({ error }).describe('the store did not take the record or its renewal; tried again within 0.5 s'),
--- a/src/gateway/upstream-keeper.ts
+++ b/src/gateway/upstream-keeper.ts
@@ -1,5 +1,6 @@
 /** Keeps the view of upstreams in step with the store's records. */
 import type { Milliseconds } from '../clock.js'
+import { createEndedLives, SETTLED_AFTER } from '../placement/index.js'
 import type { UpstreamRecord } from '../placement/index.js'
 import type { KeyValueEntry } from '../protocols/key-value.js'
 import type { UpstreamConnections } from './exchange.js'
@@ -28,8 +29,11 @@
  * keepUpstreams(context, platform.registry, view, connections, 2 * SECOND, evacuation.leaving)
  */
 export function keepUpstreams (context: FollowContext, registry: Registry, view: UpstreamView, connections: UpstreamConnections, drain: Milliseconds, leaving: (record: UpstreamRecord) => void): Following {
-  const { log } = context
+  const { store, clock, log, signal } = context
   const prefix = registry.upstreamPrefix
+  const lives = createEndedLives()
+  /** Records that are left aside, by id. */
+  const doubtful = new Map<string, RegisteredUpstream>()
   const unusable = new Map<string, string>()
 
   /**
@@ -56,7 +60,13 @@
     if (unusable.size > MOST_UNUSABLE && oldest !== undefined) unusable.delete(oldest)
   }
 
-  function put ({ record, revision }: RegisteredUpstream, source: 'watch' | 'listing'): void {
+  function put (registered: RegisteredUpstream, source: 'watch' | 'listing'): void {
+    const { record, revision } = registered
+    if (lives.isDoubtful(record.life, clock.now())) {
+      if (!doubtful.has(record.id)) log.warn('upstream-doubtful', { upstream: record.id, service: record.service })
+      doubtful.set(record.id, registered)
+      return
+    }
     const change = view.put(record, revision)
     if (change === undefined) return
     if (change === 'new') keepConnections()
@@ -64,21 +74,40 @@
     log.info(`upstream-${change}`, { upstream: record.id, service: record.service, address: record.address, failureDomain: record.failureDomain, reclaimable: record.reclaimable, leavesIn: record.leavesIn, source })
   }
 
+  /** What stands there still is alive. */
+  function takeDoubtful (): void {
+    const settled = [...doubtful.values()]
+    doubtful.clear()
+    for (const registered of settled) put(registered, 'watch')
+  }
+
+  store.epochs.onRestore(() => {
+    lives.restored(clock.now())
+    clock.sleep(SETTLED_AFTER, signal).then(takeDoubtful).catch((error) => { if (!signal.aborted) log.error('upstreams-not-settled', { error: String(error) }) })
+  })
+
   function keepConnections (): void {
     connections.keep(new Set(view.all().map((record) => record.life)))
   }
 
   function remove (key: string, revision: number): void {
+    doubtful.delete(key.slice(prefix.length))
     const gone = view.remove(key.slice(prefix.length), revision)
     if (gone === undefined) return
-    log.info('upstream-gone', { upstream: gone.id, service: gone.service, source: 'watch' })
+    noteGone(gone, 'watch')
     keepConnections()
   }
 
+  function noteGone ({ id, life, service }: UpstreamRecord, source: 'watch' | 'listing'): void {
+    lives.ended(life, clock.now())
+    log.info('upstream-gone', { upstream: id, service, source })
+  }
+
   return follow(context, prefix, {
     replace: (entries) => {
       const present = entries.map(read).filter((registered) => registered !== undefined)
-      for (const { id, service } of view.keepOnly(new Set(present.map(({ record }) => record.id)))) log.info('upstream-gone', { upstream: id, service, source: 'listing' })
+      doubtful.clear()
+      for (const gone of view.keepOnly(new Set(present.map(({ record }) => record.id)))) noteGone(gone, 'listing')
       for (const registered of present) put(registered, 'listing')
       keepConnections()
     },
--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -1,4 +1,6 @@
 /** Choice of upstreams for forwarded requests. */
+export { createEndedLives, SETTLED_AFTER } from './ended-lives.js'
+export type { EndedLives } from './ended-lives.js'
 export { lifeOf, upstreamLifeSchema } from './types.js'
 export type { InFlight, NodeLoad, PromptPart, UpstreamLife, UpstreamRecord, Work } from './types.js'
 export { chooseUpstream, ENGINE_COSTS, PLAIN_COSTS } from './choose.js'
--- a/stand-ins/key-value-direct.ts
+++ b/stand-ins/key-value-direct.ts
@@ -79,10 +79,14 @@
     const queue: KeyValueChange[][] = [[]]
     const epoch = store.epoch()
     let wake = (): void => {}
+    let isCut = false
     const unsubscribe = store.subscribe(prefix, prefixEnd(prefix), fromRevision, (changes) => {
       queue.push([...changes])
       wake()
-    }, () => wake())
+    }, () => {
+      isCut = true
+      wake()
+    })
     try {
       while (!signal.aborted) {
         if (faultSwitch.faults.down) throw failure('the service is down')
@@ -90,12 +94,13 @@
           if (changes.length > 0 && faultSwitch.faults.latency > 0) await clock.sleep(faultSwitch.faults.latency, signal)
           yield { epoch, value: changes }
         }
+        if (isCut) throw failure('the connection was cut')
         if (queue.length > 0) continue
         const changed = new Promise<void>((resolve) => { wake = resolve })
         const waiting = new AbortController()
         await Promise.race([changed, clock.sleep(PROGRESS_PERIOD, AbortSignal.any([signal, waiting.signal])).catch(() => {})])
         waiting.abort()
-        if (store.epoch() !== epoch) throw failure('the connection was cut')
+        if (isCut) throw failure('the connection was cut')
         if (queue.length === 0) queue.push([])
       }
     } finally {
--- a/test/gateway/upstream-keeper.test.ts
+++ b/test/gateway/upstream-keeper.test.ts
@@ -3,7 +3,8 @@
 import { afterEach, beforeEach, describe, it } from 'node:test'
 import { createRegistry } from '../../platform/registry.js'
 import { createStore } from '../../platform/store.js'
-import { createSystemClock } from '../../src/clock.js'
+import { createSystemClock, SECOND } from '../../src/clock.js'
+import type { Milliseconds } from '../../src/clock.js'
 import { keepUpstreams } from '../../src/gateway/upstream-keeper.js'
 import { createUpstreamView } from '../../src/gateway/upstream-view.js'
 import type { UpstreamView } from '../../src/gateway/upstream-view.js'
@@ -11,6 +12,10 @@
 import { createFreshConnections } from '../../src/protocols/http.js'
 import type { Connections } from '../../src/protocols/http.js'
 import { createRandom } from '../../src/random.js'
+import { createFaultSwitch } from '../../stand-ins/faults.js'
+import { createDirectKeyValue } from '../../stand-ins/key-value-direct.js'
+import { createKeyValueStore } from '../../stand-ins/key-value-store.js'
+import { createManualClock } from '../../stand-ins/manual-clock.js'
 import { serveMetadataStore } from '../../stand-ins/machines/metadata-store.js'
 import type { MetadataStoreStandIn } from '../../stand-ins/machines/metadata-store.js'
 import { upstreamRecord } from '../placement/records.js'
@@ -102,3 +107,46 @@
     assert.equal(lines.filter((event) => event === 'upstream-record-unusable').length, 1)
   })
 })
+
+describe('the upstreams of a registry that comes back from a copy', () => {
+  const STEP: Milliseconds = 50
+
+  function createWorld () {
+    const clock = createManualClock()
+    const random = createRandom(1)
+    const keys = createKeyValueStore(clock)
+    const ending = new AbortController()
+    const store = createDirectKeyValue(keys, createFaultSwitch(clock, random), clock)
+    const view = createUpstreamView()
+    const none = { start: async () => ({ kind: 'broken' as const, reason: '' }), keep: () => {}, open: () => 0, limit: () => {}, close: async () => {} }
+    keepUpstreams({ store, clock, random, log: { info: () => {}, warn: () => {}, error: () => {} }, signal: ending.signal }, createRegistry(), view, none, 2_000, () => {})
+    return {
+      keys,
+      write: (id: string) => { keys.put(`servers/${id}`, JSON.stringify(GOOD)) },
+      end: (id: string) => { keys.compareAndDelete(`servers/${id}`, keys.get(`servers/${id}`)!.revision) },
+      pass: async (duration: Milliseconds) => { for (let passed = 0; passed < duration; passed += STEP) await clock.advance(STEP) },
+      usable: () => view.candidates('s', new Set(), clock.now()).map(({ upstream }) => upstream.id).sort(),
+      stop: () => ending.abort()
+    }
+  }
+
+  // Guards against requests to an upstream that has left, since the copy has it as ready.
+  it('lack one that had ended, until it turns out to be there', async () => {
+    const world = createWorld()
+    for (const id of ['i-1', 'i-2', 'i-3']) world.write(id)
+    await world.pass(SECOND)
+    const backup = world.keys.backUp()
+    for (const id of ['i-1', 'i-2']) world.end(id)
+    await world.pass(2 * SECOND)
+    assert.deepEqual(world.usable(), ['i-3'])
+    world.keys.restore(backup)
+    for (let passed = 0; passed < 3 * SECOND; passed += STEP) {
+      await world.pass(STEP)
+      assert.deepEqual(world.usable(), ['i-3'], `${passed} ms after the return`)
+    }
+    world.end('i-1')
+    await world.pass(4 * SECOND)
+    assert.deepEqual(world.usable(), ['i-2', 'i-3'])
+    world.stop()
+  })
+})
