Usage is reported on after a return of the store where the holder lives on

Seen by a manager: after each return of the store one or two windows were never reported, since all that had ended were closed although the node that had reported the ones before was alive and knew them. Cause: what was reported was read from the store alone. Change: a holder keeps its last accepted report. Those that have acted ask for the lease first, and a node whose own key stands in the copy takes it over at once. Why it holds: numbers rise with holders, so whoever reported later did so under a higher one. Left: a report of such a holder that arrives between the two calls, some 20 ms, after that holder had reported nothing else.

--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -88,7 +88,7 @@
   'duty-release-failed': z.strictObject({ error }).describe('the lease of the duties ends by itself'),
   'usage-decided': z.strictObject({ window: count, total: count, fencing: count, after: count.optional(), epoch: count.optional() }).describe('the counts of a window are fixed in the store, where the journal stood at `after`'),
   'usage-reported': z.strictObject({ window: count, outcome: z.string(), fencing: count }).describe('the platform answered to the report'),
-  'usage-windows-closed': z.strictObject({ window: count, epoch: count, journal: z.enum(['missing', 'unreadable', 'earlier']) }).describe('the journal doesn\'t say what was reported; windows up to this one are not reported any more; `earlier` means that the store came back from a copy'),
+  'usage-journal-begun': z.strictObject({ window: count, ended: count, epoch: count, found: z.enum(['missing', 'unreadable', 'earlier']) }).describe('the journal doesn\'t say what was reported; windows after `window` are reported, those up to it are over. Where it is `ended`, the last window that has ended, some may never be reported; `earlier` means that the store came back from a copy'),
   'usage-counts-unreadable': z.strictObject({ key: z.string() }).describe('the counts of one node were passed over'),
   'upstreams-ordered': z.strictObject({ ...orderFacts, running: count, load: z.number(), answer: z.string(), fencing: count }).describe('`load` engines are kept busy, so `desired` are to run in this pool'),
   'order-unanswered': z.strictObject({ ...orderFacts, error }).describe('the order may still be carried out; it is repeated'),
--- a/src/gateway/duty-holder.ts
+++ b/src/gateway/duty-holder.ts
@@ -49,6 +49,9 @@
 /** Nodes that see the key vanish ask for it spread over this time, so that not all call at once. */
 const RACE_SPREAD: Milliseconds = 250
 
+/** Part of the lease's time that others have before those that have never acted. */
+const HEAD_START_PART = 0.5
+
 /** Nodes look at the key this often even if the watch shows nothing. */
 const WAITING_PERIOD: Milliseconds = 15_000
 
@@ -72,13 +75,21 @@
     log,
     signal,
     holder: incarnation as Incarnation,
-    isCandidate: options.isCandidate,
+    isCandidate: () => options.isCandidate() && headStart() === 0,
     terms: { name: 'duty', key: DUTY_KEY, time: leaseTime, renewal: leaseTime / 3, waiting: WAITING_PERIOD }
   })
 
+  /**
+   * What is left of the time after a return of the store in which only those that have acted ask for the lease: they know
+   * what they did, which the store may have lost, and nobody acts for a lease's time anyway.
+   */
+  function headStart (): Milliseconds {
+    return fencing === 0 ? Math.max(0, restoredAt + leaseTime * HEAD_START_PART - clock.now()) : 0
+  }
+
   /** Asks for the lease, which nobody holds, at another moment than the other nodes. */
   function race (): void {
-    clock.sleep(random.fraction() * RACE_SPREAD, signal).then(lease.refresh).catch(() => {})
+    clock.sleep(headStart() + random.fraction() * RACE_SPREAD, signal).then(lease.refresh).catch(() => {})
   }
 
   store.epochs.onRestore(() => {
--- a/src/gateway/usage-keeper.ts
+++ b/src/gateway/usage-keeper.ts
@@ -12,7 +12,7 @@
 import type { UsageCounts, UsageJournal, UsageWindows } from '../usage/index.js'
 import type { DutyHolder } from './duty-holder.js'
 import type { FollowContext } from './follow.js'
-import type { DutyCalls } from './ports.js'
+import type { DutyCalls, DutyProof } from './ports.js'
 
 /** What the keeper needs. */
 export interface UsageKeeperOptions {
@@ -125,9 +125,9 @@
         acknowledged = journal?.window ?? acknowledged
         return
       case 'close': {
-        const closed: UsageJournal = { window: step.window, counts: {}, acknowledged: true, epoch }
-        const swap = await store.compareAndSwap(JOURNAL_KEY, entry?.revision ?? ABSENT, JSON.stringify(closed), { signal })
-        if (swap.kind === 'swapped') log.warn('usage-windows-closed', { window: closed.window, epoch, journal: describe(entry, journal) })
+        const opening = await openingOf(step.window, epoch, proof)
+        const swap = await store.compareAndSwap(JOURNAL_KEY, entry?.revision ?? ABSENT, JSON.stringify(opening), { signal })
+        if (swap.kind === 'swapped') log.warn('usage-journal-begun', { window: opening.window, ended: step.window, epoch, found: describe(entry, journal) })
         return
       }
       case 'decide': {
@@ -141,7 +141,30 @@
     }
   }
 
+  /**
+   * The first journal of an epoch: what this node has reported last, where nobody else has reported since, and otherwise one
+   * that closes all windows up to `ended`.
+   *
+   * The platform takes the last report once more under the number that it was made with, unless it has seen a higher one;
+   * then under the present one, so that a report which is still on its way from a holder of before is refused. The same
+   * counts again count once.
+   */
+  async function openingOf (ended: number, epoch: number, proof: DutyProof): Promise<UsageJournal> {
+    const closed: UsageJournal = { window: ended, counts: {}, acknowledged: true, epoch }
+    if (reported === undefined) return closed
+    const { journal } = reported
+    for (const number of [reported.proof, proof]) {
+      duty.acted()
+      const outcome = await calls.reportUsage(number, journal.window, journal.counts, signal)
+      log.info('usage-reported', { window: journal.window, outcome, fencing: number.fencing })
+      if (outcome !== 'accepted') return closed
+    }
+    return { ...journal, acknowledged: true, epoch }
+  }
+
   let acknowledged = -1
+  /** What the platform has accepted last from this node. */
+  let reported: { readonly journal: UsageJournal, readonly proof: DutyProof } | undefined
 
   function isDone (window: number): boolean {
     return acknowledged >= window
@@ -158,6 +181,7 @@
       case 'refused':
       case 'unavailable': return
       case 'accepted': {
+        reported = { journal, proof }
         const swap = await store.compareAndSwap(JOURNAL_KEY, revision, JSON.stringify({ ...journal, acknowledged: true }), { signal })
         if (swap.kind === 'swapped') acknowledged = journal.window
       }
--- a/src/protocols/lease-keeper.ts
+++ b/src/protocols/lease-keeper.ts
@@ -84,7 +84,7 @@
 
   async function refreshOnce (): Promise<void> {
     if (lease !== undefined && isHeld()) await renew(lease.id)
-    if (!isHeld() && (options.isCandidate?.() ?? true)) await take()
+    if (!isHeld() && mayTake()) await take()
     tell()
   }
 
@@ -100,14 +100,21 @@
     lease = undefined
   }
 
+  function mayTake (): boolean {
+    return options.isCandidate?.() ?? true
+  }
+
   async function take (): Promise<void> {
     const present = await keyValue.get(terms.key, signal)
-    if (present !== undefined && present.value !== valueOf(lease?.id)) return
-    if (present !== undefined) return takeBack(present.revision)
+    // The answer may have told of something that changes it.
+    if (!mayTake()) return
+    if (present !== undefined && !present.value.startsWith(valueOf(undefined))) return
+    if (present !== undefined && present.value === valueOf(lease?.id)) return takeBack(present.revision)
+    // Its own key under a lease that it knows no more is of before the service came back from a backup.
     const sentAt = clock.now()
     const id = await keyValue.grantLease(terms.time, signal)
     lease = { id }
-    const result = await keyValue.compareAndSwap(terms.key, ABSENT, valueOf(id), { lease: id, signal })
+    const result = await keyValue.compareAndSwap(terms.key, present?.revision ?? ABSENT, valueOf(id), { lease: id, signal })
     if (result.kind === 'swapped') holder.taken(result.revision, sentAt, terms.time)
   }
 
--- a/test/gateway/store-restored.test.ts
+++ b/test/gateway/store-restored.test.ts
@@ -46,8 +46,11 @@
 
 interface Member {
   readonly holder: DutyHolder
+  readonly store: KeyValue
   readonly windows: UsageWindows
   readonly ending: AbortController
+  /** The lease's key stood there when this node last looked. */
+  sawTaken: boolean
 }
 
 /** Nodes that serve, hold the duties in turn and report usage to a platform that checks fencing numbers. */
@@ -63,8 +66,9 @@
   const acts: Act[] = []
   let highest = 0
   let lives = 0
-  let isTaken = false
   let losesReports = false
+  /** Reports that the platform carries out this long after their caller has given up. */
+  let reportsLateBy: Milliseconds = 0
   const late: DirectFaults = { lateBy: 0, lateEvery: 3 }
 
   function start (node: number, firstStart: boolean): Member {
@@ -84,13 +88,19 @@
       due: DUE,
       sharedWall: clock.wall,
       duty: holder,
-      calls: { reportUsage: async (proof, window, counts) => reportUsage(proof, window, counts), order: async () => 'accepted' },
+      calls: { reportUsage: async (proof, window, counts) => sendReport(proof, window, counts), order: async () => 'accepted' },
       heard: () => new Map(),
       members: () => new Map(),
       isMember: () => false
     })
     holder.vacant()
-    return { holder, windows, ending }
+    return { holder, store, windows, ending, sawTaken: false }
+  }
+
+  function sendReport (proof: DutyProof, window: number, counts: UsageCounts): 'accepted' | 'superseded' | 'unavailable' {
+    if (reportsLateBy === 0 || random.fraction() < 0.5) return reportUsage(proof, window, counts)
+    clock.sleep(reportsLateBy).then(() => reportUsage(proof, window, counts)).catch(() => {})
+    return 'unavailable'
   }
 
   function reportUsage (proof: DutyProof, window: number, counts: UsageCounts): 'accepted' | 'superseded' | 'unavailable' {
@@ -100,11 +110,14 @@
     return losesReports && random.fraction() < 0.5 ? 'unavailable' : 'accepted'
   }
 
-  /** Watches show that the lease's key has vanished. */
+  /** Watches show that the lease's key has vanished, once a node knows the store's epoch. */
   function tellVacancy (): void {
-    const wasTaken = isTaken
-    isTaken = keys.get(DUTY_KEY) !== undefined
-    if (wasTaken && !isTaken) members.forEach(({ holder }, node) => { if (!cut.has(node)) holder.vacant() })
+    const present = keys.get(DUTY_KEY) !== undefined
+    members.forEach((member, node) => {
+      if (cut.has(node) || member.store.epochs.current() !== keys.epoch()) return
+      if (member.sawTaken && !present) member.holder.vacant()
+      member.sawTaken = present
+    })
   }
 
   const members = Array.from({ length: NODES }, (_, node) => start(node, true))
@@ -132,6 +145,7 @@
     /** One write in three is carried out this long after its caller has given up; none where it is 0. */
     delayWrites: (by: Milliseconds) => { late.lateBy = by },
     loseReports: (loses: boolean) => { losesReports = loses },
+    delayReports: (by: Milliseconds) => { reportsLateBy = by },
     restart: (node: number) => {
       members[node]!.ending.abort()
       members[node] = start(node, false)
@@ -164,6 +178,7 @@
   fc.record({ kind: fc.constant('restart' as const), node }),
   fc.record({ kind: fc.constant('lose-replies' as const), part: fc.constantFrom(0, 0.3) }),
   fc.record({ kind: fc.constant('delay-writes' as const), by: fc.constantFrom(0, 1_500, 4_000) }),
+  fc.record({ kind: fc.constant('delay-reports' as const), by: fc.constantFrom(0, 2_000, 7_000) }),
   fc.record({ kind: fc.constant('lose-reports' as const), loses: fc.boolean() })
 )
 const steps = fc.array(fc.record({ step, then: fc.integer({ min: 0, max: 90 }) }), { minLength: 1, maxLength: 6 })
@@ -180,6 +195,24 @@
     assertSameCounts(world.accepted)
   })
 
+  // Guards against usage that is never reported, since its record was lost although the node that reported lives on.
+  it('report every window where the holder lives on', async () => {
+    for (const age of [1, 3, 6]) {
+      const world = createWorld(age)
+      await world.run(20 * SECOND)
+      for (let returns = 0; returns < 3; returns += 1) {
+        await world.run(7 * SECOND)
+        await world.restore(2.6 * SECOND, age * SECOND)
+        await world.run(10 * SECOND)
+      }
+      world.stop()
+      assertSameCounts(world.accepted)
+      const windows = [...new Set(world.accepted.map(({ window }) => window))]
+      assert.deepEqual(windows, windows.map((_, index) => windows[0]! + index), `copies of ${age} s`)
+      assert.ok(windows.length >= 14, `${windows.length} windows`)
+    }
+  })
+
   // Guards against duties that nobody does until the next look at their key, since the holder's lease is of before.
   it('are done again within two leases of the return, by one node, and not before one', async () => {
     for (const age of [1, 2, 4, 8]) {
@@ -210,6 +243,7 @@
           case 'restart': world.restart(step.node); break
           case 'lose-replies': world.loseReplies(step.part); break
           case 'delay-writes': world.delayWrites(step.by); break
+          case 'delay-reports': world.delayReports(step.by); break
           case 'lose-reports': world.loseReports(step.loses)
         }
         await world.run(then * STEP)
