A report that was sent without an answer is repeated with the same counts after a return of the store

Cause: a call without an answer was taken for one that wasn't made. A second return before the next report lost windows, since the holder's own present number had shut out its number of before. Change: what was sent last counts, answered or not, under the number that it was sent with last. Tests: reports without answers before a return, failed before (window 7 again); two returns in a row, no window lost.

--- a/src/gateway/duties.ts
+++ b/src/gateway/duties.ts
@@ -57,7 +57,8 @@
       calls,
       heard: fleet.usage,
       members: fleet.memberUsage,
-      isMember: fleet.isMember
+      isMember: fleet.isMember,
+      fencingIsChecked: bounds.fencingIsChecked
     })
     : undefined
   if (settings.duties.scaling) {
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -21,6 +21,8 @@
   readonly quotaMargin: QuotaMargin
   /** A duty's holder is replaced after this time at the earliest. */
   readonly lease: Milliseconds
+  /** The platform refuses calls of duties under a lower number than one that it has seen. */
+  readonly fencingIsChecked: boolean
   /** Length of a usage window. */
   readonly usageWindow: Milliseconds
   /** Time after a window's end at which its report is due. */
--- a/src/gateway/usage-keeper.ts
+++ b/src/gateway/usage-keeper.ts
@@ -12,7 +12,7 @@
 import type { UsageCounts, UsageJournal, UsageWindows } from '../usage/index.js'
 import type { DutyHolder } from './duty-holder.js'
 import type { FollowContext } from './follow.js'
-import type { DutyCalls, DutyProof } from './ports.js'
+import type { DutyCalls, DutyOutcome, DutyProof } from './ports.js'
 
 /** What the keeper needs. */
 export interface UsageKeeperOptions {
@@ -31,6 +31,8 @@
   readonly members: (window: number) => ReadonlyMap<string, UsageCounts>
   /** Another node writes this one's counts with its own. */
   readonly isMember: () => boolean
+  /** The platform refuses a report under a lower number than one that it has seen. */
+  readonly fencingIsChecked: boolean
 }
 
 const COUNTS_PREFIX = 'hornbeamgap-usage/'
@@ -147,24 +149,21 @@
    *
    * The platform takes the last report once more under the number that it was made with, unless it has seen a higher one;
    * then under the present one, so that a report which is still on its way from a holder of before is refused. The same
-   * counts again count once.
+   * counts again count once. A report without an answer may have been accepted: it is repeated like one that was.
    */
   async function openingOf (ended: number, epoch: number, proof: DutyProof): Promise<UsageJournal> {
     const closed: UsageJournal = { window: ended, counts: {}, acknowledged: true, epoch }
-    if (reported === undefined) return closed
-    const { journal } = reported
-    for (const number of [reported.proof, proof]) {
-      duty.acted()
-      const outcome = await calls.reportUsage(number, journal.window, journal.counts, signal)
-      log.info('usage-reported', { window: journal.window, outcome, fencing: number.fencing })
-      if (outcome !== 'accepted') return closed
+    if (lastReport === undefined || !options.fencingIsChecked) return closed
+    const { journal } = lastReport
+    for (const number of [lastReport.proof, proof]) {
+      if (await send(journal, number) !== 'accepted') return closed
     }
     return { ...journal, acknowledged: true, epoch }
   }
 
   let acknowledged = -1
-  /** What the platform has accepted last from this node. */
-  let reported: { readonly journal: UsageJournal, readonly proof: DutyProof } | undefined
+  /** What this node has sent last, answered or not. */
+  let lastReport: { readonly journal: UsageJournal, readonly proof: DutyProof } | undefined
 
   function isDone (window: number): boolean {
     return acknowledged >= window
@@ -173,21 +172,25 @@
   async function report (journal: UsageJournal, revision: number): Promise<void> {
     const proof = duty.proof()
     if (proof === undefined) return
-    duty.acted()
-    const outcome = await calls.reportUsage(proof, journal.window, journal.counts, signal)
-    log.info('usage-reported', { window: journal.window, outcome, fencing: proof.fencing })
-    switch (outcome) {
+    switch (await send(journal, proof)) {
       case 'superseded': return duty.superseded(proof)
       case 'refused':
       case 'unavailable': return
       case 'accepted': {
-        reported = { journal, proof }
         const swap = await store.compareAndSwap(JOURNAL_KEY, revision, JSON.stringify({ ...journal, acknowledged: true }), { signal })
         if (swap.kind === 'swapped') acknowledged = journal.window
       }
     }
   }
 
+  async function send (journal: UsageJournal, proof: DutyProof): Promise<DutyOutcome> {
+    duty.acted()
+    lastReport = { journal, proof }
+    const outcome = await calls.reportUsage(proof, journal.window, journal.counts, signal)
+    log.info('usage-reported', { window: journal.window, outcome, fencing: proof.fencing })
+    return outcome
+  }
+
   store.epochs.onRestore(() => {
     lease = undefined
     written.clear()
--- a/test/gateway/store-restored.test.ts
+++ b/test/gateway/store-restored.test.ts
@@ -66,7 +66,7 @@
   const acts: Act[] = []
   let highest = 0
   let lives = 0
-  let losesReports = false
+  let lostReports = 0
   /** Reports that the platform carries out this long after their caller has given up. */
   let reportsLateBy: Milliseconds = 0
   const late: DirectFaults = { lateBy: 0, lateEvery: 3 }
@@ -91,7 +91,8 @@
       calls: { reportUsage: async (proof, window, counts) => sendReport(proof, window, counts), order: async () => 'accepted' },
       heard: () => new Map(),
       members: () => new Map(),
-      isMember: () => false
+      isMember: () => false,
+      fencingIsChecked: true
     })
     holder.vacant()
     return { holder, store, windows, ending, sawTaken: false }
@@ -107,7 +108,7 @@
     if (proof.fencing < highest) return 'superseded'
     highest = proof.fencing
     accepted.push({ at: clock.now(), proof, window, counts })
-    return losesReports && random.fraction() < 0.5 ? 'unavailable' : 'accepted'
+    return random.fraction() < lostReports ? 'unavailable' : 'accepted'
   }
 
   /** Watches show that the lease's key has vanished, once a node knows the store's epoch. */
@@ -144,7 +145,8 @@
     loseReplies: (part: number) => { faultSwitch.faults.lostReplies = part },
     /** One write in three is carried out this long after its caller has given up; none where it is 0. */
     delayWrites: (by: Milliseconds) => { late.lateBy = by },
-    loseReports: (loses: boolean) => { losesReports = loses },
+    /** Part of the reports that the platform accepts without an answer. */
+    loseReports: (part: number) => { lostReports = part },
     delayReports: (by: Milliseconds) => { reportsLateBy = by },
     restart: (node: number) => {
       members[node]!.ending.abort()
@@ -179,7 +181,7 @@
   fc.record({ kind: fc.constant('lose-replies' as const), part: fc.constantFrom(0, 0.3) }),
   fc.record({ kind: fc.constant('delay-writes' as const), by: fc.constantFrom(0, 1_500, 4_000) }),
   fc.record({ kind: fc.constant('delay-reports' as const), by: fc.constantFrom(0, 2_000, 7_000) }),
-  fc.record({ kind: fc.constant('lose-reports' as const), loses: fc.boolean() })
+  fc.record({ kind: fc.constant('lose-reports' as const), part: fc.constantFrom(0, 0.5, 1) })
 )
 const steps = fc.array(fc.record({ step, then: fc.integer({ min: 0, max: 90 }) }), { minLength: 1, maxLength: 6 })
 
@@ -203,7 +205,9 @@
       for (let returns = 0; returns < 3; returns += 1) {
         await world.run(7 * SECOND)
         await world.restore(2.6 * SECOND, age * SECOND)
-        await world.run(10 * SECOND)
+        // The next return comes before the next report, or after it.
+        await world.run(returns === 0 ? 3.5 * SECOND : 10 * SECOND)
+        if (returns === 0) await world.restore(SECOND, SECOND)
       }
       world.stop()
       assertSameCounts(world.accepted)
@@ -213,6 +217,21 @@
     }
   })
 
+  // Guards against a window whose report was accepted without an answer, just before its record was lost.
+  it('report a window with the same counts whose report was not answered', async () => {
+    for (const part of [3, 4, 5, 6, 7, 8]) {
+      const world = createWorld(part)
+      await world.run(20 * SECOND)
+      world.loseReports(1)
+      await world.run(part * SECOND)
+      await world.restore(SECOND, 8 * SECOND)
+      world.loseReports(0)
+      await world.run(20 * SECOND)
+      world.stop()
+      assertSameCounts(world.accepted)
+    }
+  })
+
   // Guards against duties that nobody does until the next look at their key, since the holder's lease is of before.
   it('are done again within two leases of the return, by one node, and not before one', async () => {
     for (const age of [1, 2, 4, 8]) {
@@ -244,7 +263,7 @@
           case 'lose-replies': world.loseReplies(step.part); break
           case 'delay-writes': world.delayWrites(step.by); break
           case 'delay-reports': world.delayReports(step.by); break
-          case 'lose-reports': world.loseReports(step.loses)
+          case 'lose-reports': world.loseReports(step.part)
         }
         await world.run(then * STEP)
       }
--- a/test/gateway/usage-keeper.test.ts
+++ b/test/gateway/usage-keeper.test.ts
@@ -44,7 +44,8 @@
         },
         heard: () => new Map(),
         members: () => new Map(),
-        isMember: () => false
+        isMember: () => false,
+        fencingIsChecked: false
       })
       return ending
     }
