--- a/src/protocols/restorable-key-value.ts
+++ b/src/protocols/restorable-key-value.ts
@@ -70,7 +70,7 @@
     const asked = epochs.current()
     const answer = await call()
     epochs.observe(answer.epoch)
-    if (asked !== undefined && answer.epoch !== asked) throw pastEpoch('the epoch of the call', 'may-have-run')
+    if (asked !== undefined && answer.epoch !== asked) throw pastEpoch('the call', 'may-have-run')
     return answer
   }
 
--- a/test/gateway/duty-holder.test.ts
+++ b/test/gateway/duty-holder.test.ts
@@ -6,9 +6,9 @@
 import type { Milliseconds } from '../../src/clock.js'
 import { createDutyHolder, DUTY_KEY } from '../../src/gateway/duty-holder.js'
 import type { DutyHolder } from '../../src/gateway/duty-holder.js'
-import type { KeyValue } from '../../src/protocols/key-value.js'
 import { createRandom } from '../../src/random.js'
 import { createFaultSwitch } from '../../stand-ins/faults.js'
+import { reachedUnless } from '../../stand-ins/key-value-cut.js'
 import { createDirectKeyValue } from '../../stand-ins/key-value-direct.js'
 import { createKeyValueStore } from '../../stand-ins/key-value-store.js'
 import { createManualClock } from '../../stand-ins/manual-clock.js'
@@ -98,14 +98,6 @@
   }
 }
 
-function reachedUnless (store: KeyValue, isCut: () => boolean): KeyValue {
-  const guard = <Call extends unknown[], Result>(method: (...call: Call) => Promise<Result>) => async (...call: Call): Promise<Result> => {
-    if (isCut()) throw new Error('no path')
-    return method(...call)
-  }
-  return { ...store, get: guard(store.get), compareAndSwap: guard(store.compareAndSwap), grantLease: guard(store.grantLease), keepAlive: guard(store.keepAlive), revokeLease: guard(store.revokeLease) }
-}
-
 const node = fc.nat(NODES - 1)
 const step = fc.oneof(
   fc.record({ kind: fc.constant('cut' as const), node }),
--- a/test/gateway/store-restored.test.ts
+++ b/test/gateway/store-restored.test.ts
@@ -14,6 +14,7 @@
 import { createUsageWindows } from '../../src/usage/index.js'
 import type { UsageCounts, UsageWindows } from '../../src/usage/index.js'
 import { createFaultSwitch } from '../../stand-ins/faults.js'
+import { reachedUnless } from '../../stand-ins/key-value-cut.js'
 import { createDirectKeyValue } from '../../stand-ins/key-value-direct.js'
 import type { DirectFaults } from '../../stand-ins/key-value-direct.js'
 import { createKeyValueStore } from '../../stand-ins/key-value-store.js'
@@ -164,14 +165,6 @@
   }
 }
 
-function reachedUnless (store: KeyValue, isCut: () => boolean): KeyValue {
-  const guard = <Call extends unknown[], Result>(method: (...call: Call) => Promise<Result>) => async (...call: Call): Promise<Result> => {
-    if (isCut()) throw new Error('no path')
-    return method(...call)
-  }
-  return { ...store, get: guard(store.get), list: guard(store.list), put: guard(store.put), compareAndSwap: guard(store.compareAndSwap), grantLease: guard(store.grantLease), keepAlive: guard(store.keepAlive), revokeLease: guard(store.revokeLease) }
-}
-
 const node = fc.nat(NODES - 1)
 const step = fc.oneof(
   { weight: 4, arbitrary: fc.record({ kind: fc.constant('restore' as const), away: fc.integer({ min: 0, max: 45 }), age: fc.integer({ min: 1, max: 20 }) }) },
--- a/test/protocols/lease-keeper.test.ts
+++ b/test/protocols/lease-keeper.test.ts
@@ -5,9 +5,9 @@
 import type { Clock } from '../../src/clock.js'
 import { incarnationSchema } from '../../src/identifiers.js'
 import { createLeaseKeeper, LEASE_TIME, PLANNER_KEY } from '../../src/protocols/lease-keeper.js'
-import type { KeyValue } from '../../src/protocols/key-value.js'
 import { createRandom } from '../../src/random.js'
 import { createFaultSwitch } from '../../stand-ins/faults.js'
+import { reachedUnless } from '../../stand-ins/key-value-cut.js'
 import { createDirectKeyValue } from '../../stand-ins/key-value-direct.js'
 import { createKeyValueStore } from '../../stand-ins/key-value-store.js'
 import { createManualClock } from '../../stand-ins/manual-clock.js'
@@ -34,21 +34,6 @@
   return { clock, store, faultSwitch, keyValue, planner, cutOff, stop: () => owner.abort() }
 }
 
-/** The service for one planner, whose path to it may be cut. */
-function reachedUnless (keyValue: KeyValue, cut: () => boolean): KeyValue {
-  const answer = <A extends unknown[], R>(method: (...call: A) => Promise<R>) => async (...call: A): Promise<R> => {
-    if (cut()) throw new Error('no path')
-    return method(...call)
-  }
-  return {
-    ...keyValue,
-    get: answer(keyValue.get),
-    grantLease: answer(keyValue.grantLease),
-    keepAlive: answer(keyValue.keepAlive),
-    compareAndSwap: (...call) => answer(keyValue.compareAndSwap)(...call)
-  }
-}
-
 /** A clock whose time goes on while its process is paused: nothing of it runs until the pause ends. */
 function pausable (clock: ManualClock): { clock: Clock, pause: (duration: number) => void } {
   let pausedUntil = 0
