--- a/src/events/story.ts
+++ b/src/events/story.ts
@@ -56,7 +56,7 @@
 const STANDING: ReadonlySet<EventName> = new Set<EventName>(['configuration-in-force', 'shares-dealt', 'node-stopping', 'rollout-stage'])
 
 /** Told while they are near in time. */
-const DEPENDENCIES: ReadonlySet<EventName> = new Set<EventName>(['store-lost', 'store-regained', 'requests-cut-off', 'rollout-stage', 'rollout-stopped'])
+const DEPENDENCIES: ReadonlySet<EventName> = new Set<EventName>(['store-lost', 'store-regained', 'store-restored', 'requests-cut-off', 'rollout-stage', 'rollout-stopped'])
 
 const UPSTREAM_EVENTS: ReadonlySet<EventName> = new Set<EventName>(['upstream-new', 'upstream-leaving', 'upstream-changed', 'upstream-gone', 'upstream-paused', 'upstream-limit', 'upstream-says-leaving', 'upstream-asks-pause'])
 
