--- a/src/events/story.ts
+++ b/src/events/story.ts
@@ -58,7 +58,7 @@
 /** Told while they are near in time. */
 const DEPENDENCIES: ReadonlySet<EventName> = new Set<EventName>(['store-lost', 'store-regained', 'store-restored', 'requests-cut-off', 'rollout-stage', 'rollout-stopped'])
 
-const UPSTREAM_EVENTS: ReadonlySet<EventName> = new Set<EventName>(['upstream-new', 'upstream-leaving', 'upstream-changed', 'upstream-gone', 'upstream-paused', 'upstream-limit', 'upstream-says-leaving', 'upstream-asks-pause'])
+const UPSTREAM_EVENTS: ReadonlySet<EventName> = new Set<EventName>(['upstream-new', 'upstream-leaving', 'upstream-changed', 'upstream-gone', 'upstream-paused', 'upstream-doubtful', 'upstream-limit', 'upstream-says-leaving', 'upstream-asks-pause'])
 
 /** Decisions that may end a request; sending it is none. */
 const DECISIONS: ReadonlySet<EventName> = new Set<EventName>(['quota-refused', 'upstream-not-found', 'repeat-refused', 'move-unanswered', 'attempt-broken', 'send-not-run', 'answer-late'])
