A holder takes its own key over where the store's copy has it

Seen by a manager: usage of one or two windows was never reported after a return, although the node that reported lives: it found its own key under a lease that the copy holds, waited for that to lapse, and eight others asked for it at the same moment. Cause: the key was taken for one that a lost answer left behind, and its lease could not be renewed, since it is of an earlier epoch. Change: a key of its own whose lease is gone is swapped for one under a new lease at once. Test: the stand-in's leases run on from the return, as the platform's were seen to (a renewal answered 200 after the first recorded return); 'report every window where the holder lives on' failed with it before, copies of 3 s, and passes.

--- a/src/protocols/lease-keeper.ts
+++ b/src/protocols/lease-keeper.ts
@@ -109,8 +109,8 @@
     // The answer may have told of something that changes it.
     if (!mayTake()) return
     if (present !== undefined && !present.value.startsWith(valueOf(undefined))) return
-    if (present !== undefined && present.value === valueOf(lease?.id)) return takeBack(present.revision)
-    // Its own key under a lease that it knows no more is of before the service came back from a backup.
+    if (present !== undefined && present.value === valueOf(lease?.id) && await takeBack(present.revision)) return
+    // Its own key under a lease that is gone is of before the service came back from a backup.
     const sentAt = clock.now()
     const id = await keyValue.grantLease(terms.time, signal)
     lease = { id }
@@ -123,11 +123,12 @@
    * wait for its own lease to lapse. The key names the lease that this process granted itself, so it
    * is its own; how long it still has is known only by a renewal.
    */
-  async function takeBack (fencing: number): Promise<void> {
-    if (lease === undefined) return
+  async function takeBack (fencing: number): Promise<boolean> {
+    if (lease === undefined) return false
     const sentAt = clock.now()
     const remaining = await keyValue.keepAlive(lease.id, signal)
     if (remaining > 0) holder.taken(fencing, sentAt, remaining)
+    return remaining > 0
   }
 
   /** Two lives of one process, or two leases of one life, never write the same value. */
--- a/stand-ins/key-value-store.ts
+++ b/stand-ins/key-value-store.ts
@@ -132,7 +132,8 @@
       revision = backup.revision
       leaseCount = backup.leaseCount
       replaceAll(values, backup.values)
-      replaceAll(leases, new Map([...backup.leases].map(([id, lease]) => [id, { ...lease }])))
+      // Leases run on from the return: how long it was away is not known to it.
+      replaceAll(leases, new Map([...backup.leases].map(([id, { timeToLive }]) => [id, { timeToLive, lapsesAt: clock.now() + timeToLive }])))
       history.splice(0, history.length, ...history.filter((change) => revisionOf(change) <= revision))
       const waiting = [...subscriptions]
       subscriptions.clear()
