Wait for an upstream and its choice are modules of their own

Cause: forwarding.ts held the life cycle of a request, the wait for an upstream and the choice of one, and all three are about to be changed by different people. Change: moved as they were to upstream-wait.ts and upstream-choice.ts; no behaviour changed. Checked: linter, types, test/gateway/node.test.ts.

--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -5,11 +5,9 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { readBody } from '../caller/http.js'
 import type { Milliseconds } from '../clock.js'
-import { chooseUpstream, ENGINE_COSTS, PLAIN_COSTS } from '../placement/index.js'
-import type { Choice, PlacementRequest } from '../placement/index.js'
+import type { Choice } from '../placement/index.js'
 import { chooseService } from '../routing/index.js'
 import { toServingError } from '../verdict.js'
-import type { ServingError } from '../verdict.js'
 import { acceptHead, refusal, takeQuota } from './acceptance.js'
 import { recordRequest } from './accounting.js'
 import type { AnswerOutcome, CallerRequest, RequestEnd } from './accounting.js'
@@ -17,18 +15,13 @@
 import type { GatewayContext } from './context.js'
 import type { RunContinuation } from './evacuation.js'
 import { fingerprintOf } from './fingerprint.js'
-import { abortFailure, mayRetry, NO_UPSTREAM_RETRY_AFTER, undispatchedFailure } from './proxied-request.js'
+import { mayRetry } from './proxied-request.js'
 import type { ProxiedRequest } from './proxied-request.js'
 import { dispatchAttempt } from './attempt.js'
 import { mayAdmit } from './stopping-rule.js'
 import { abortAtEnd, createTimeLimit } from './time-limit.js'
 import type { AbortReason } from './time-limit.js'
-
-/** Fraction of the route's target for which a request waits for an available upstream before it is refused. */
-const UPSTREAM_WAIT_FRACTION = 1 / 8
-
-/** Interval at which a waiting request looks for an available upstream. */
-const UPSTREAM_POLL_PERIOD: Milliseconds = 10
+import { waitForUpstream } from './upstream-wait.js'
 
 /**
  * `Retry-After` for a request that crashed upstreams. The quarantine expires after twice this time without another
@@ -123,64 +116,6 @@
   return { upstream, reading: 0, cached: 0, waiting: 0, candidates: 1 }
 }
 
-/**
- * Chooses an upstream. While none is available, waits for up to {@link UPSTREAM_WAIT_FRACTION} of the target.
- *
- * @throws ServingError when no upstream became available
- */
-async function waitForUpstream (context: GatewayContext, proxied: ProxiedRequest): Promise<Choice> {
-  const { clock } = context
-  const waitUntil = Math.min(proxied.limit.end, clock.now() + proxied.accepted.route.target * UPSTREAM_WAIT_FRACTION)
-  for (;;) {
-    const choice = tryChooseUpstream(context, proxied)
-    if (choice !== undefined) {
-      if (proxied.tried.size === 0) context.work.add(proxied.service, choice.reading, proxied.accepted.head.tokens?.generated ?? 0, clock.now())
-      return choice
-    }
-    if (proxied.signal.aborted) throw abortFailure(proxied)
-    const remainingWait = backpressureWait(context, proxied)
-    if (clock.now() + remainingWait >= waitUntil) throw noUpstreamFailure(context, proxied, remainingWait)
-    await clock.sleep(UPSTREAM_POLL_PERIOD, proxied.signal).catch(() => {})
-  }
-}
-
-/**
- * Time until the first upstream accepts requests of this node again, if all of them have asked for fewer requests;
- * otherwise 0. A request that cannot be sent in time is refused at once, with this time as its `Retry-After`.
- */
-function backpressureWait ({ clock, upstreams, backpressure }: GatewayContext, { service, tried }: ProxiedRequest): Milliseconds {
-  const waits = upstreams.notLeaving(service, tried).map(({ incarnation }) => backpressure.wait(incarnation, clock.now()))
-  return waits.length === 0 ? 0 : Math.min(...waits)
-}
-
-function noUpstreamFailure (context: GatewayContext, proxied: ProxiedRequest, remainingWait: Milliseconds): ServingError {
-  const { clock, log, upstreams } = context
-  log.info('upstream-not-found', {
-    request: proxied.accepted.head.id,
-    service: proxied.service,
-    ready: upstreams.candidates(proxied.service, new Set(), clock.now()).length,
-    tried: proxied.tried.size,
-    waited: Math.round(clock.now() - proxied.arrival),
-    withheld: remainingWait > 0 ? Math.round(remainingWait) : undefined,
-    ...context.freshness()
-  })
-  return undispatchedFailure(proxied, 'no-upstream', 'no upstream may take the request now', Math.max(NO_UPSTREAM_RETRY_AFTER, remainingWait))
-}
-
-function tryChooseUpstream (context: GatewayContext, proxied: ProxiedRequest): Choice | undefined {
-  const now = context.clock.now()
-  const { head, route } = proxied.accepted
-  const placementRequest: PlacementRequest = { service: proxied.service, parts: head.parts, promptTokens: head.tokens?.prompt ?? 0, target: route.target, lostOnReclaim: route.kind === 'stream' && !route.resumable }
-  const hasEngines = context.routeTable()?.service(proxied.service)?.hasEngines === true
-  proxied.side ??= context.rollouts.side(proxied.service)
-  // A request that failed at the version being rolled out is retried at the version that already serves.
-  const side = proxied.tried.size === 0 ? proxied.side : 'serving'
-  const candidates = context.upstreams.candidates(proxied.service, proxied.tried, now, (present) => context.rollouts.admit(proxied.service, side, present))
-  const choice = chooseUpstream(placementRequest, candidates, context.settings, hasEngines ? ENGINE_COSTS : PLAIN_COSTS, context.speeds.of(proxied.service))
-  if (choice !== undefined) context.backpressure.taken(choice.upstream.incarnation, now)
-  return choice
-}
-
 function checkHeadSize (context: GatewayContext, request: IncomingMessage): void {
   const limits = context.routeTable()?.configuration.limits
   if (limits === undefined) return
