Plan of sizes: keep running upstreams under overload, and order on-demand ones where there is room

Cause: at the maximum size a rising load shifts the mix to on-demand upstreams. Change: nothing that runs is given back while fewer run than the load needs; what exceeds the room of a domain goes to the next one with room. Two tests, both failing before.

--- a/src/scaling/plan.ts
+++ b/src/scaling/plan.ts
@@ -39,13 +39,20 @@
   const neededAfterReclaim = Math.ceil(load / POST_RECLAIM_UTILISATION)
   const minOnDemand = facts.reclaimablePrice === undefined ? total : clamp(neededAfterReclaim - remainingAfterLoss, 1, total)
   const minServing = facts.reclaimablePrice === undefined ? total : clamp(Math.ceil(load / FALLBACK_UTILISATION), minOnDemand, total)
-  const reclaimablePools = facts.reclaimablePrice === undefined ? [] : distributeEvenly(total - minOnDemand, failureDomains, facts.maxUpstreams)
   const running = countRunning(input.present)
+  const plannedReclaimable = facts.reclaimablePrice === undefined ? [] : distributeEvenly(total - minOnDemand, failureDomains, facts.maxUpstreams)
+  // Failure guarded against: at the maximum size, reclaimable upstreams are given back to make room for on-demand ones,
+  // and the fleet lacks them until these have booted, while the load is highest.
+  const keepsRunning = input.present.filter(({ leaving }) => !leaving).length <= total
+  const reclaimablePools = plannedReclaimable.map(({ failureDomain, count }) => ({ failureDomain, count: keepsRunning ? Math.min(facts.maxUpstreams, Math.max(count, running.get(failureDomain) ?? 0)) : count }))
   const servingByDomain = reclaimablePools.map((pool) => Math.min(pool.count, input.assumeReclaimableRunning ? pool.count : running.get(pool.failureDomain) ?? 0))
   const servingReclaimable = servingByDomain.reduce((sum, count) => sum + count, 0)
   const servingAfterReclaim = servingReclaimable - Math.max(0, ...servingByDomain)
-  const domainsByPrice = sortByPrice(input)
-  const onDemandPools = distributeCheapestFirst(Math.max(minOnDemand, neededAfterReclaim - servingAfterReclaim, minServing - servingReclaimable), domainsByPrice, facts.maxUpstreams)
+  const onDemand = Math.max(minOnDemand, neededAfterReclaim - servingAfterReclaim, minServing - servingReclaimable)
+  const onDemandPools = moveToFreeDomains(distributeCheapestFirst(onDemand, sortByPrice(input), facts.maxUpstreams), (domain) => {
+    const index = reclaimablePools.findIndex(({ failureDomain }) => failureDomain === domain)
+    return facts.maxUpstreams - (servingByDomain[index] ?? 0)
+  })
   const sizes = reclaimablePools.map(({ failureDomain, count }): PoolSize => ({ failureDomain, reclaimable: true, desired: count }))
   for (const { failureDomain, count } of onDemandPools) {
     const reclaimable = reclaimablePools.find((pool) => pool.failureDomain === failureDomain)?.count ?? 0
@@ -74,8 +81,14 @@
   })
 }
 
+/** Number of upstreams of one kind in a failure domain. */
+interface DomainCount {
+  readonly failureDomain: string
+  readonly count: number
+}
+
 /** Distributes a number evenly over failure domains, with at most `max` for each. */
-function distributeEvenly (count: number, domains: readonly string[], max: number): { readonly failureDomain: string, readonly count: number }[] {
+function distributeEvenly (count: number, domains: readonly string[], max: number): DomainCount[] {
   const quotient = Math.floor(count / domains.length)
   const remainder = count % domains.length
   return domains.map((failureDomain, index) => ({ failureDomain, count: Math.min(max, quotient + (index < remainder ? 1 : 0)) }))
@@ -89,12 +102,32 @@
  * cost. A fraction of 0.85 instead of 0.6 lowers the cost of engines on such a day by a tenth, from 16.6% to 15.1% of
  * the revenue (processor time not counted).
  */
-function distributeCheapestFirst (count: number, domains: readonly string[], max: number): { readonly failureDomain: string, readonly count: number }[] {
+function distributeCheapestFirst (count: number, domains: readonly string[], max: number): DomainCount[] {
   const first = Math.min(max, Math.max(Math.ceil(count / domains.length), Math.floor(count * CHEAPEST_DOMAIN_FRACTION)))
   const [cheapest, ...rest] = domains
   return [{ failureDomain: cheapest!, count: first }, ...distributeEvenly(count - first, rest, max)]
 }
 
+/**
+ * Moves what exceeds the room of a failure domain to the next domains with room.
+ *
+ * Failure guarded against: the maximum of a failure domain applies to both kinds together. Upstreams that are ordered
+ * beyond it never start, while the domain whose reclaimable ones have just been reclaimed has room for them.
+ */
+function moveToFreeDomains (counts: readonly DomainCount[], roomOf: (failureDomain: string) => number): DomainCount[] {
+  const fitted = counts.map(({ failureDomain, count }) => ({ failureDomain, count: Math.min(count, Math.max(0, roomOf(failureDomain))) }))
+  let excess = sumCounts(counts) - sumCounts(fitted)
+  return fitted.map(({ failureDomain, count }) => {
+    const moved = Math.min(excess, Math.max(0, roomOf(failureDomain) - count))
+    excess -= moved
+    return { failureDomain, count: count + moved }
+  })
+}
+
+function sumCounts (counts: readonly DomainCount[]): number {
+  return counts.reduce((sum, { count }) => sum + count, 0)
+}
+
 /** Failure domains by price, the cheapest first. Domains without a price come last. */
 function sortByPrice ({ facts, failureDomains }: ScalingInput): string[] {
   const price = (domain: string): number => facts.prices[domain] ?? Infinity
--- a/test/scaling/scaling.test.ts
+++ b/test/scaling/scaling.test.ts
@@ -66,6 +66,25 @@
     assert.equal(total(planPools(afterReclaim), true), total(planPools(calm), true))
   })
 
+  // Failure guarded against: at the maximum size, running reclaimable upstreams are given back while the load rises, and
+  // their on-demand replacements take seconds to boot.
+  it('keeps all running upstreams while the load is more than the maximum size is meant for', () => {
+    for (let load = 3; load <= 20; load += 1) {
+      const sizes = planPools(scalingInput({ load, present: [...running(true, 7, 7, 0), ...running(false, 1, 1, 0)] }))
+      const reclaimableIn = (domain: string): number => sizes.find(({ failureDomain, reclaimable }) => reclaimable && failureDomain === domain)?.desired ?? 0
+      if (load >= 5) assert.deepEqual([reclaimableIn('a') >= 7, reclaimableIn('b') >= 7], [true, true], `load ${load}`)
+    }
+  })
+
+  // Failure guarded against: on-demand upstreams are ordered in the cheapest failure domain, where reclaimable ones have
+  // taken all places, and none where a reclaim has just freed all of them.
+  it('orders on-demand upstreams where there is room for them', () => {
+    const sizes = planPools(scalingInput({ load: 12, present: [...running(true, 7, 7, 0), ...running(false, 1, 1, 0)] }))
+    const onDemandIn = (domain: string): number => sizes.find(({ failureDomain, reclaimable }) => !reclaimable && failureDomain === domain)?.desired ?? 0
+    assert.ok(onDemandIn('c') >= 5, `${onDemandIn('c')}`)
+    assert.ok(onDemandIn('a') <= 1, `${onDemandIn('a')}`)
+  })
+
   it('does not count upstreams that are leaving', () => {
     const leaving = running(true, 3, 2, 2).map((upstream) => ({ ...upstream, leaving: true }))
     assert.equal(total(planPools(scalingInput({ present: leaving })), false), total(planPools(scalingInput()), false))
