--- a/src/scaling/plan.ts
+++ b/src/scaling/plan.ts
@@ -39,12 +39,13 @@
   const neededAfterReclaim = Math.ceil(load / POST_RECLAIM_UTILISATION)
   const minOnDemand = facts.reclaimablePrice === undefined ? total : clamp(neededAfterReclaim - remainingAfterLoss, 1, total)
   const minServing = facts.reclaimablePrice === undefined ? total : clamp(Math.ceil(load / FALLBACK_UTILISATION), minOnDemand, total)
-  const running = countRunning(input.present)
+  const running = countRunning(input.present, true)
   const plannedReclaimable = facts.reclaimablePrice === undefined ? [] : distributeEvenly(total - minOnDemand, failureDomains, facts.maxUpstreams)
   // Failure guarded against: at the maximum size, reclaimable upstreams are given back to make room for on-demand ones,
   // and the fleet lacks them until these have booted, while the load is highest.
-  const keepsRunning = input.present.filter(({ leaving }) => !leaving).length <= total
-  const reclaimablePools = plannedReclaimable.map(({ failureDomain, count }) => ({ failureDomain, count: keepsRunning ? Math.min(facts.maxUpstreams, Math.max(count, running.get(failureDomain) ?? 0)) : count }))
+  const runningCount = input.present.filter(({ leaving }) => !leaving).length
+  const keepsReclaimable = runningCount <= total
+  const reclaimablePools = plannedReclaimable.map(({ failureDomain, count }) => ({ failureDomain, count: keepsReclaimable ? Math.min(facts.maxUpstreams, Math.max(count, running.get(failureDomain) ?? 0)) : count }))
   const servingByDomain = reclaimablePools.map((pool) => Math.min(pool.count, input.assumeReclaimableRunning ? pool.count : running.get(pool.failureDomain) ?? 0))
   const servingReclaimable = servingByDomain.reduce((sum, count) => sum + count, 0)
   const servingAfterReclaim = servingReclaimable - Math.max(0, ...servingByDomain)
@@ -53,10 +54,13 @@
     const index = reclaimablePools.findIndex(({ failureDomain }) => failureDomain === domain)
     return facts.maxUpstreams - (servingByDomain[index] ?? 0)
   })
+  const isOverloaded = load > runningCount * POST_RECLAIM_UTILISATION
+  const runningOnDemand = countRunning(input.present, false)
   const sizes = reclaimablePools.map(({ failureDomain, count }): PoolSize => ({ failureDomain, reclaimable: true, desired: count }))
   for (const { failureDomain, count } of onDemandPools) {
     const reclaimable = reclaimablePools.find((pool) => pool.failureDomain === failureDomain)?.count ?? 0
-    sizes.push({ failureDomain, reclaimable: false, desired: Math.max(count, facts.minUpstreams - reclaimable) })
+    const kept = isOverloaded ? runningOnDemand.get(failureDomain) ?? 0 : 0
+    sizes.push({ failureDomain, reclaimable: false, desired: Math.max(count, kept, facts.minUpstreams - reclaimable) })
   }
   return sizes.filter((pool) => input.now >= input.unavailableUntil(pool))
 }
@@ -134,11 +138,11 @@
   return [...failureDomains].sort((left, right) => price(left) - price(right))
 }
 
-/** Number of reclaimable upstreams that are not leaving, by failure domain. */
-function countRunning (present: readonly PresentUpstream[]): Map<string, number> {
+/** Number of upstreams of one kind that are not leaving, by failure domain. */
+function countRunning (present: readonly PresentUpstream[], reclaimable: boolean): Map<string, number> {
   const counts = new Map<string, number>()
   for (const upstream of present) {
-    if (!upstream.reclaimable || upstream.leaving) continue
+    if (upstream.reclaimable !== reclaimable || upstream.leaving) continue
     counts.set(upstream.failureDomain, (counts.get(upstream.failureDomain) ?? 0) + 1)
   }
   return counts
--- a/test/scaling/scaling.test.ts
+++ b/test/scaling/scaling.test.ts
@@ -76,6 +76,19 @@
     }
   })
 
+  // Failure guarded against: the plan moves an on-demand upstream to another failure domain while requests queue for all
+  // upstreams that run, and nothing serves in its place until the new one has booted.
+  it('gives no on-demand upstream back while more work is offered than the running ones can take', () => {
+    const present = fc.tuple(...[0, 1, 2, 3, 4, 5].map(() => fc.integer({ min: 0, max: 4 })))
+    fc.assert(fc.property(present, fc.double({ min: 1, max: 3, noNaN: true }), ([a, b, c, d, e, f], factor) => {
+      const upstreams = [...running(true, a!, b!, c!), ...running(false, d!, e!, f!)]
+      const sizes = planPools(scalingInput({ load: upstreams.length * factor, present: upstreams }))
+      for (const [index, count] of [d!, e!, f!].entries()) {
+        assert.ok(sizes.some(({ failureDomain, reclaimable, desired }) => !reclaimable && failureDomain === domains[index] && desired >= count), domains[index])
+      }
+    }), { seed: 1 })
+  })
+
   // Failure guarded against: on-demand upstreams are ordered in the cheapest failure domain, where reclaimable ones have
   // taken all places, and none where a reclaim has just freed all of them.
   it('orders on-demand upstreams where there is room for them', () => {
