Slot time is learnt from completed attempts

Cause: the number of engines for streams was computed from two constants, 0.6 of the permitted tokens and 5 ms a token, while slot times differ tenfold between deployments. The product of the two constants (3 ms per permitted token) is assumed until then and weighs as much as 20 attempts. Not counted: attempts that were broken off, left by the caller, moved, resumed or answered with an error, and time in the queue of an upstream, since a full fleet would order engines for its own queues. Services without tokens are counted by requests. load.ts is split in two.

Ruled out: a decay by time, which brings the assumption back after a pause of the callers.

--- a/src/gateway/attempt-records.ts
+++ b/src/gateway/attempt-records.ts
@@ -82,6 +82,17 @@
   context.quarantine.answered(proxied.fingerprint, context.clock.now())
 }
 
+/**
+ * Records the time for which an attempt with a whole answer held a slot of its upstream. Time in the queue of the upstream
+ * is not included: a full fleet would otherwise measure longer slot times and order engines for its own queues.
+ *
+ * @example
+ * recordSlotTime(context, proxied, 240)
+ */
+export function recordSlotTime ({ work }: GatewayContext, { service, accepted }: ProxiedRequest, held: Milliseconds): void {
+  work.attemptEnded(service, accepted.head.tokens?.generated ?? 0, held)
+}
+
 /**
  * Records the start of an answer, which shows that the request runs. Counts the request once in the usage of its
  * organisation, and logs an answer that starts after the route's target, with the load of the candidate upstreams.
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -8,7 +8,7 @@
 import type { GatewayContext } from './context.js'
 import type { RunContinuation, RunLocation, WatchedRun } from './evacuation.js'
 import type { ExchangeStart, UpstreamAnswer } from './exchange.js'
-import { recordAnswerStart, recordBrokenAttempt, recordDispatch, recordNotRun, recordCompleteAnswer } from './attempt-records.js'
+import { recordAnswerStart, recordBrokenAttempt, recordDispatch, recordNotRun, recordCompleteAnswer, recordSlotTime } from './attempt-records.js'
 import { abortFailure, mayRetry, undispatchedFailure } from './proxied-request.js'
 import type { ProxiedRequest } from './proxied-request.js'
 import { eventTimeout, firstAnswerTimeout, startWatchdog } from './response-watchdog.js'
@@ -31,6 +31,9 @@
 /** State of one attempt. */
 interface Attempt {
   readonly upstream: UpstreamRecord
+  readonly choice: Choice
+  /** Whether the upstream generates the answer from its beginning: neither a resumed stream nor a moved run. */
+  readonly isWholeRun: boolean
   readonly open: InFlightRequest
   /** Aborts with the request, or when the upstream timed out and a further attempt was granted. */
   readonly signal: AbortSignal
@@ -100,6 +103,8 @@
   })
   return {
     upstream,
+    choice,
+    isWholeRun: memory === undefined && proxied.progress.events === 0 && proxied.progress.lastId === undefined,
     open,
     signal: AbortSignal.any([proxied.signal, controller.signal]),
     watchdog,
@@ -203,9 +208,13 @@
 async function relayStream (context: GatewayContext, proxied: ProxiedRequest, attempt: Attempt, answer: UpstreamAnswer): Promise<DispatchResult> {
   const { response, progress } = proxied
   let events = 0
+  let firstEventAt: Milliseconds = 0
   const end = await relayEvents(answer, response, progress, (count) => {
     attempt.watchdog.heard(eventTimeout(proxied.accepted.route))
-    if (events === 0) recordPrefillEnd(context, proxied, attempt)
+    if (events === 0) {
+      firstEventAt = context.clock.now()
+      recordPrefillEnd(context, proxied, attempt)
+    }
     if (!response.headersSent) {
       recordAnswerStart(context, proxied, attempt.upstream)
       response.writeHead(answer.status, context.format.answerHeaders(answer.headers))
@@ -220,6 +229,7 @@
   if (location.kind === 'unknown') return handleBrokenAttempt(context, proxied, attempt, 'it may have been moved')
   if (progress.events === 0) return handleBrokenAttempt(context, proxied, attempt, 'the stream had no event')
   recordCompleteAnswer(context, proxied, attempt.upstream)
+  if (attempt.isWholeRun) recordSlotTime(context, proxied, attempt.choice.reading + context.clock.now() - firstEventAt)
   response.end()
   return { kind: 'done', outcome: 'served' }
 }
@@ -234,8 +244,10 @@
     return handleBrokenAttempt(context, proxied, attempt, `the answer broke off: ${String(error)}`)
   }
   attempt.watchdog.stop()
+  const took = context.clock.now() - attempt.since
   if (answer.status >= SERVER_ERROR) attempt.comparison?.failed()
-  else recordAnswerTime(proxied, attempt, context.clock.now() - attempt.since)
+  else recordAnswerTime(proxied, attempt, took)
+  if (attempt.isWholeRun && answer.status < REDIRECTION) recordSlotTime(context, proxied, Math.max(attempt.choice.reading, took - attempt.choice.waiting))
   recordAnswerStart(context, proxied, attempt.upstream)
   recordCompleteAnswer(context, proxied, attempt.upstream)
   if (answer.status >= SERVER_ERROR && mayRetry(context, proxied, 'ran')) {
--- a/src/scaling/index.ts
+++ b/src/scaling/index.ts
@@ -1,7 +1,8 @@
 /** Automatic scaling of services: number of upstreams per failure domain, reclaimable and on-demand. */
-export type { OfferedWork, Pool, PoolSize, PresentUpstream, ScalingInput } from './types.js'
-export { offeredLoad, expectedLoad, createLoadEstimator, sumWork } from './load.js'
-export type { LoadEstimator } from './load.js'
+export type { AttemptSums, OfferedWork, Pool, PoolSize, PresentUpstream, ScalingInput } from './types.js'
+export { offeredLoad, occupiedSlots, expectedLoad, sumWork } from './load.js'
+export { createLoadEstimator } from './load-estimator.js'
+export type { LoadEstimator } from './load-estimator.js'
 export { addOtherVersions, planPools } from './plan.js'
 export { createOrderTracker } from './orders.js'
 export type { OrderAnswer, OrderTracker } from './orders.js'
--- a/src/scaling/load.ts
+++ b/src/scaling/load.ts
@@ -1,13 +1,20 @@
-/** Load of a service, in engines that the offered work keeps busy. The estimate rises quickly and falls slowly. */
+/** Load of a service, in engines that the offered work keeps busy. */
 import type { Milliseconds } from '../clock.js'
 import { SECOND } from '../clock.js'
+import { NO_ATTEMPTS } from './types.js'
 import type { OfferedWork } from './types.js'
 
-/** Mean fraction of the permitted tokens of an answer that is actually generated. */
-const GENERATED_FRACTION = 0.6
+/**
+ * Time for which a request holds a slot, per token that it allows to be generated. Assumed until attempts were measured.
+ * Requests generate about 0.6 of the permitted tokens, and a decoding step with interleaved prefill takes about 5 ms.
+ */
+const ASSUMED_SLOT_TIME_PER_TOKEN: Milliseconds = 3
 
-/** Time per generated token: a decoding step of about 3 ms and the prefill that runs between two steps. */
-const TIME_PER_GENERATED_TOKEN: Milliseconds = 5
+/**
+ * Number of measured attempts that weigh as much as the assumption. The first attempts to end are the shortest, so a few
+ * of them alone would give a slot time that is too low.
+ */
+const ASSUMPTION_WEIGHT = 20
 
 /** Fraction of an engine's slots that streams may occupy on average. The rest is kept for peaks. */
 const TARGET_SLOT_UTILISATION = 0.5
@@ -23,11 +30,27 @@
  *
  * @param slots requests that an engine runs concurrently
  * @example
- * offeredLoad({ requests: 40, reading: 2_900, generatedTokens: 5_000 }, 64) // 2.9
+ * offeredLoad({ requests: 40, reading: 2_900, generatedTokens: 5_000, measured: { attempts: 0, tokens: 0, held: 0 } }, 64) // 2.9
  */
 export function offeredLoad (work: OfferedWork, slots: number): number {
-  const streams = work.generatedTokens * GENERATED_FRACTION * TIME_PER_GENERATED_TOKEN / SECOND
-  return Math.max(work.reading / SECOND, streams / (slots * TARGET_SLOT_UTILISATION))
+  return Math.max(work.reading / SECOND, occupiedSlots(work) / (slots * TARGET_SLOT_UTILISATION))
+}
+
+/**
+ * Mean number of slots that the offered work occupies: the requests per second times the time that each holds a slot.
+ *
+ * Slot times differ tenfold between deployments. They are therefore measured, in relation to the permitted tokens, since
+ * the lengths of answers differ widely within a service. Requests that permit no tokens count by their number.
+ *
+ * @example
+ * occupiedSlots({ requests: 10, reading: 0, generatedTokens: 5_000, measured: { attempts: 400, tokens: 200_000, held: 800_000 } }) // 19.9
+ */
+export function occupiedSlots ({ requests, generatedTokens, measured }: OfferedWork): number {
+  const { attempts, tokens, held } = measured
+  const weight = attempts / (attempts + ASSUMPTION_WEIGHT)
+  if (generatedTokens === 0) return attempts === 0 ? 0 : requests * weight * held / attempts / SECOND
+  const measuredTime = tokens === 0 ? ASSUMED_SLOT_TIME_PER_TOKEN : held / tokens
+  return generatedTokens * (weight * measuredTime + (1 - weight) * ASSUMED_SLOT_TIME_PER_TOKEN) / SECOND
 }
 
 /** Fraction of the sum of all quotas that organisations use on an ordinary day. */
@@ -58,58 +81,18 @@
   const sum: Record<string, OfferedWork> = {}
   for (const nodeWork of workByNode) {
     for (const [service, work] of Object.entries(nodeWork)) {
-      const previous = sum[service] ?? { requests: 0, reading: 0, generatedTokens: 0 }
+      const previous = sum[service] ?? { requests: 0, reading: 0, generatedTokens: 0, measured: NO_ATTEMPTS }
       sum[service] = {
         requests: previous.requests + work.requests,
         reading: previous.reading + work.reading,
-        generatedTokens: previous.generatedTokens + work.generatedTokens
+        generatedTokens: previous.generatedTokens + work.generatedTokens,
+        measured: {
+          attempts: previous.measured.attempts + work.measured.attempts,
+          tokens: previous.measured.tokens + work.measured.tokens,
+          held: previous.measured.held + work.measured.held
+        }
       }
     }
   }
   return sum
 }
-
-/** Smooths a noisy load measurement. The lengths of single prompts differ by a factor of up to a hundred. */
-export interface LoadEstimator {
-  /** Adds a measured load, in busy engines. */
-  observe (load: number, now: Milliseconds): void
-  /** Estimated load, in busy engines. */
-  value (now: Milliseconds): number
-}
-
-/** Time for which a peak is provided for. Replacing an engine costs about as much as keeping it for this time. */
-const PEAK_HOLD_TIME: Milliseconds = 8 * SECOND
-
-/** Time constant of the mean. Within ten seconds the longest 10% of the prompts occur often enough to be represented. */
-const MEAN_TIME_CONSTANT: Milliseconds = 10 * SECOND
-
-/** Fraction of a short peak that is provided for. Such a peak is mostly a coincidence of a few long prompts. */
-const PEAK_FRACTION = 0.8
-
-/**
- * Creates an estimator. The estimate is the mean over about ten seconds, or a fraction of the recent peak if that is
- * higher.
- *
- * Failure guarded against: by chance few long prompts arrive in the first seconds. A fleet that follows this dip shrinks
- * to a third. The next wave of reclaims removes most of that, and too few upstreams remain for the usual load. The mean
- * starts at the expected load and falls slowly, so a short dip does not shrink the fleet.
- *
- * @param initial load expected before any was observed, in busy engines
- * @example
- * const estimator = createLoadEstimator(5.3)
- * estimator.observe(3.2, clock.now())
- */
-export function createLoadEstimator (initial: number): LoadEstimator {
-  let samples: { readonly load: number, readonly at: Milliseconds }[] = []
-  let mean = initial
-  let meanAt: Milliseconds | undefined
-  return {
-    observe: (load, now) => {
-      samples = samples.filter((sample) => now - sample.at < PEAK_HOLD_TIME && sample.load > load)
-      samples.push({ load, at: now })
-      mean += (load - mean) * (1 - Math.exp(-(now - (meanAt ?? now)) / MEAN_TIME_CONSTANT))
-      meanAt = now
-    },
-    value: (now) => Math.max(mean, ...samples.filter((sample) => now - sample.at < PEAK_HOLD_TIME).map((sample) => sample.load * PEAK_FRACTION))
-  }
-}
--- a/src/scaling/types.ts
+++ b/src/scaling/types.ts
@@ -2,13 +2,26 @@
 import type { Milliseconds } from '../clock.js'
 import type { ScalingConfiguration } from '../routing/index.js'
 
-/** Offered work of one service per second. */
+/** Measurements on attempts that ended with a whole answer, as sums over the latest attempts of each node. */
+export interface AttemptSums {
+  readonly attempts: number
+  /** Maximum number of tokens that the requests allowed to be generated. */
+  readonly tokens: number
+  /** Time for which the attempts held a slot of an upstream. */
+  readonly held: Milliseconds
+}
+
+/** Sums before any attempt has ended. */
+export const NO_ATTEMPTS: AttemptSums = { attempts: 0, tokens: 0, held: 0 }
+
+/** Offered work of one service per second, and what was measured on attempts. */
 export interface OfferedWork {
   readonly requests: number
   /** Time that upstreams need for the prefill of the prompts. */
   readonly reading: Milliseconds
   /** Maximum number of tokens that the requests allow to be generated. */
   readonly generatedTokens: number
+  readonly measured: AttemptSums
 }
 
 /** Properties of one upstream that the plan depends on. */
--- a/src/scaling/work-meter.ts
+++ b/src/scaling/work-meter.ts
@@ -1,7 +1,8 @@
-/** Offered work of one node by service, as exponentially decaying rates. */
+/** Offered work of one node by service, as exponentially decaying rates, and the time for which attempts hold a slot. */
 import type { Milliseconds } from '../clock.js'
 import { SECOND } from '../clock.js'
-import type { OfferedWork } from './types.js'
+import { NO_ATTEMPTS } from './types.js'
+import type { AttemptSums, OfferedWork } from './types.js'
 
 /** Measures the rates of offered work. */
 export interface WorkMeter {
@@ -12,6 +13,13 @@
    * @param generatedTokens maximum number of tokens to be generated
    */
   add (service: string, prefillTime: Milliseconds, generatedTokens: number, now: Milliseconds): void
+  /**
+   * Adds an attempt that ended with a whole answer.
+   *
+   * @param generatedTokens maximum number of tokens that the request allowed to be generated
+   * @param held time for which the attempt held a slot of the upstream
+   */
+  attemptEnded (service: string, generatedTokens: number, held: Milliseconds): void
   /** Work per second by service. Services with a negligible rate are omitted. */
   rates (now: Milliseconds): Record<string, OfferedWork>
 }
@@ -26,6 +34,12 @@
 /** Time constant of the decay: short enough to detect a burst within a boot, long enough to smooth out single prompts. */
 const TIME_CONSTANT: Milliseconds = 3 * SECOND
 
+/**
+ * Number of attempts after which the weight of an attempt has fallen to about a third. The sums decay by attempts and not
+ * by time, so that a pause of the callers does not bring the assumption back.
+ */
+const ATTEMPT_MEMORY = 100
+
 /** Increase of a rate, in units per second, by one unit of work. */
 const RATE_WEIGHT = SECOND / TIME_CONSTANT
 
@@ -41,6 +55,7 @@
  */
 export function createWorkMeter (): WorkMeter {
   const meters = new Map<string, Meter>()
+  const measured = new Map<string, AttemptSums>()
 
   function decayed (meter: Meter, now: Milliseconds): Meter {
     const factor = Math.exp(-(now - meter.at) / TIME_CONSTANT)
@@ -57,11 +72,23 @@
         at: now
       })
     },
+    attemptEnded: (service, generatedTokens, held) => {
+      const sums = measured.get(service) ?? NO_ATTEMPTS
+      const kept = 1 - 1 / ATTEMPT_MEMORY
+      measured.set(service, { attempts: sums.attempts * kept + 1, tokens: sums.tokens * kept + generatedTokens, held: sums.held * kept + held })
+    },
     rates: (now) => {
       const rates: Record<string, OfferedWork> = {}
       for (const [service, meter] of meters) {
         const { requests, reading: prefillTime, generatedTokens } = decayed(meter, now)
-        if (requests >= NEGLIGIBLE_RATE) rates[service] = { requests: round(requests), reading: round(prefillTime), generatedTokens: round(generatedTokens) }
+        if (requests < NEGLIGIBLE_RATE) continue
+        const { attempts, tokens, held } = measured.get(service) ?? NO_ATTEMPTS
+        rates[service] = {
+          requests: round(requests),
+          reading: round(prefillTime),
+          generatedTokens: round(generatedTokens),
+          measured: { attempts: round(attempts), tokens: Math.round(tokens), held: Math.round(held) }
+        }
       }
       return rates
     }
--- a/test/scaling/scaling.test.ts
+++ b/test/scaling/scaling.test.ts
@@ -11,6 +11,9 @@
   facts, failureDomains: domains, present: [], load: 4, assumeReclaimableRunning: false, unavailableUntil: () => 0, now: 0, ...more
 })
 
+/** No attempt has ended yet. */
+const measured = { attempts: 0, tokens: 0, held: 0 }
+
 const running = (reclaimable: boolean, ...counts: number[]): PresentUpstream[] =>
   counts.flatMap((count, index) => Array.from({ length: count }, () => ({ failureDomain: domains[index]!, reclaimable, leaving: false })))
 
@@ -134,7 +137,7 @@
   })
 
   it('counts prefill, or the slots that streams occupy if these would fill the batches', () => {
-    assert.equal(offeredLoad({ requests: 40, reading: 2_900, generatedTokens: 5_000 }, 64), 2.9)
-    assert.ok(offeredLoad({ requests: 40, reading: 100, generatedTokens: 60_000 }, 64) > 5)
+    assert.equal(offeredLoad({ requests: 40, reading: 2_900, generatedTokens: 5_000, measured }, 64), 2.9)
+    assert.ok(offeredLoad({ requests: 40, reading: 100, generatedTokens: 60_000, measured }, 64) > 5)
   })
 })
