A node that takes over the duties starts from the load that nodes report

Cause: every node observes the load, so a node that has run for a while takes over with the right one; a node that has just started did not. It assumed the load expected from the quotas for 4 s after it first saw work, and its mean began there, with a time constant of 10 s. Change: reports say for how long the work was measured (`measured.span`, the longest of all nodes). The estimate starts between the expected and the reported load, as a mean that had observed for that time. Where all nodes have just started, the expected load holds for 4 s as before.

Found on the way: a holder that is cut off from most other nodes, but not from the store, saw its own work alone and shrank the fleet to it.

--- a/bench/gateway-gossip.ts
+++ b/bench/gateway-gossip.ts
@@ -74,7 +74,7 @@
     demand: Object.fromEntries(organisations.map((name) => [name, random.integer(20_000)])),
     granted: Object.fromEntries(organisations.map((name) => [name, random.integer(20_000)])),
     inFlight: Object.fromEntries(upstreams.map((id) => [id, { requests: 1 + random.integer(3), reading: random.integer(400) }])),
-    work: { engines: { requests: random.integer(900) / 100, reading: random.integer(90_000) / 100, generatedTokens: random.integer(300_000) / 100, measured: { attempts: 100, tokens: random.integer(50_000), held: random.integer(900_000) / 10 } } },
+    work: { engines: { requests: random.integer(900) / 100, reading: random.integer(90_000) / 100, generatedTokens: random.integer(300_000) / 100, measured: { span: 90_000, attempts: 100, tokens: random.integer(50_000), held: random.integer(900_000) / 10 } } },
     usage: { 356_323_682: Object.fromEntries(organisations.map((name) => [name, random.integer(40)])), 356_323_683: Object.fromEntries(organisations.map((name) => [name, random.integer(40)])) },
     speeds: { service: { base: 30, perThousandTokens: 16, perMillionPairs: 0.37, samples: 240 } },
     crashes: {},
--- a/src/gateway/duties.ts
+++ b/src/gateway/duties.ts
@@ -73,7 +73,8 @@
       carriesTraffic: options.carriesTraffic,
       duty: holder,
       calls,
-      work: () => sumWork([options.work.rates(context.clock.now()), ...fleet.others().map((report) => report.work)])
+      work: () => sumWork([options.work.rates(context.clock.now()), ...fleet.others().map((report) => report.work)]),
+      coverage: () => fleet.others().reduce((sum, { nodes }) => sum + nodes, 1) / fleet.knownNodeCount()
     })
   }
   return {
--- a/src/gateway/scaling-controller.ts
+++ b/src/gateway/scaling-controller.ts
@@ -3,7 +3,7 @@
 import { repeat } from '../repeat.js'
 import type { EngineSpeeds, UpstreamRecord } from '../placement/index.js'
 import type { RouteTable, ScalingConfiguration, Service } from '../routing/index.js'
-import { addOtherVersions, offeredLoad, createLoadEstimator, createOrderTracker, expectedLoad, planPools } from '../scaling/index.js'
+import { addOtherVersions, offeredLoad, createLoadEstimator, createOrderTracker, expectedLoad, planPools, startingLoad } from '../scaling/index.js'
 import type { LoadEstimator, OfferedWork, OrderAnswer, OrderTracker, Pool, PoolSize } from '../scaling/index.js'
 import type { DutyHolder } from './duty-holder.js'
 import type { StoreContext } from './follow.js'
@@ -23,6 +23,8 @@
   readonly calls: DutyCalls
   /** Work per second that all nodes receive, by service. */
   readonly work: () => Readonly<Record<string, OfferedWork>>
+  /** Fraction of the known nodes whose work is included. */
+  readonly coverage: () => number
 }
 
 /** Pause between two rounds of planning. */
@@ -31,16 +33,17 @@
 /** Assumed load of a service without requests so far, as a fraction of its present upstreams. Used if the quotas give no estimate. */
 const INITIAL_LOAD_FRACTION = 0.3
 
-/** Measured rates of work are too low for this time after the first request. */
-const RATE_SETTLING_TIME: Milliseconds = 4_000
+/** Fraction of the known nodes whose work must be known for a measured load to count. */
+const MIN_COVERAGE = 0.5
 
 /** Time from the end of the boot of a new upstream until its record is known. */
 const REGISTRATION_DELAY: Milliseconds = 2_000
 
 interface ScaledService {
   readonly orders: OrderTracker
-  readonly load: LoadEstimator
-  /** Load to assume until the rates of work have settled, in busy upstreams. */
+  /** Undefined until the rates of work have settled. */
+  load: LoadEstimator | undefined
+  /** Load to assume until then, in busy upstreams. */
   readonly initialLoad: number
   /** Time at which the first work was seen. */
   firstWorkAt: Milliseconds | undefined
@@ -52,7 +55,7 @@
  * Starts the periodic planning and ordering. They end with the signal of the context.
  *
  * @example
- * startScalingController({ context, failureDomains, table, upstreams, speeds, carriesTraffic, duty, calls, work })
+ * startScalingController({ context, failureDomains, table, upstreams, speeds, carriesTraffic, duty, calls, work, coverage })
  */
 export function startScalingController (options: ScalingControllerOptions): void {
   const { context, table, upstreams, duty, calls } = options
@@ -67,7 +70,7 @@
     const expected = expectedLoad(quotaTokens(), options.speeds.of(service.name).perThousandTokens)
     if (expected === 0 && present === 0) return undefined
     const initialLoad = expected > 0 ? expected : present * INITIAL_LOAD_FRACTION
-    const created: ScaledService = { orders: createOrderTracker(), load: createLoadEstimator(initialLoad), initialLoad, firstWorkAt: undefined, since: clock.now() }
+    const created: ScaledService = { orders: createOrderTracker(), load: undefined, initialLoad, firstWorkAt: undefined, since: clock.now() }
     services.set(service.name, created)
     return created
   }
@@ -79,12 +82,23 @@
     return isBounded ? quotas.reduce((sum, quota) => sum + quota.rate, 0) : 0
   }
 
-  /** Updates the load of a service. Every node does so, to know the load if it takes over the duties. */
-  function observeLoad (service: Service, scaled: ScaledService, slots: number, bootTime: Milliseconds, now: Milliseconds): number {
-    const work = options.work()[service.name]
-    if (work !== undefined && scaled.firstWorkAt === undefined) scaled.firstWorkAt = now
-    if (scaled.firstWorkAt === undefined || now - scaled.firstWorkAt < RATE_SETTLING_TIME) return scaled.initialLoad
-    scaled.load.observe(work === undefined ? 0 : offeredLoad(work, slots), bootTime, now)
+  /**
+   * Updates the load of a service. Every node does so, to know the load if it takes over the duties.
+   *
+   * Failure guarded against: a holder that is cut off from most other nodes sees little more than its own work and shrinks
+   * the fleet for all. Until reports cover half of the nodes again, it keeps its estimate.
+   */
+  function observeLoad (scaled: ScaledService, work: OfferedWork | undefined, slots: number, bootTime: Milliseconds, now: Milliseconds): number {
+    if (work !== undefined) scaled.firstWorkAt ??= now
+    if (scaled.firstWorkAt === undefined) return scaled.initialLoad
+    if (options.coverage() < MIN_COVERAGE) return scaled.load?.value() ?? scaled.initialLoad
+    const load = work === undefined ? 0 : offeredLoad(work, slots)
+    if (scaled.load === undefined) {
+      const start = startingLoad(scaled.initialLoad, load, Math.max(now - scaled.firstWorkAt, work?.measured.span ?? 0))
+      if (start === undefined) return scaled.initialLoad
+      scaled.load = createLoadEstimator(start)
+    }
+    scaled.load.observe(load, bootTime, now)
     return scaled.load.value()
   }
 
@@ -93,7 +107,7 @@
     const present = upstreams.all().filter((upstream) => upstream.service === service.name)
     const scaled = stateOf(service, present.length)
     if (scaled === undefined) return
-    const load = observeLoad(service, scaled, Math.min(...present.map((upstream) => upstream.slots)), facts.bootTime, now)
+    const load = observeLoad(scaled, options.work()[service.name], Math.min(...present.map((upstream) => upstream.slots)), facts.bootTime, now)
     const proof = duty.proof()
     if (proof === undefined) return
     if (proof.fencing !== lastFencing) scaled.orders.reset()
--- a/src/gossip/types.ts
+++ b/src/gossip/types.ts
@@ -12,8 +12,8 @@
   /** Milliseconds of prefill. */
   reading: z.number(),
   generatedTokens: z.number(),
-  /** Sums over completed attempts; zero in reports of nodes that do not measure them. */
-  measured: z.object({ attempts: z.number(), tokens: z.number(), held: z.number() }).default({ attempts: 0, tokens: 0, held: 0 })
+  /** Time since the first request, and sums over completed attempts; zero in reports of nodes that do not measure them. */
+  measured: z.object({ span: z.number(), attempts: z.number(), tokens: z.number(), held: z.number() }).default({ span: 0, attempts: 0, tokens: 0, held: 0 })
 })
 
 /** Speed of a service's engines as a node has estimated it. */
--- a/src/scaling/index.ts
+++ b/src/scaling/index.ts
@@ -1,7 +1,7 @@
 /** Automatic scaling of services: number of upstreams per failure domain, reclaimable and on-demand. */
-export type { AttemptSums, OfferedWork, Pool, PoolSize, PresentUpstream, ScalingInput } from './types.js'
+export type { Measurements, OfferedWork, Pool, PoolSize, PresentUpstream, ScalingInput } from './types.js'
 export { offeredLoad, occupiedSlots, expectedLoad, sumWork } from './load.js'
-export { createLoadEstimator } from './load-estimator.js'
+export { createLoadEstimator, startingLoad } from './load-estimator.js'
 export type { LoadEstimator } from './load-estimator.js'
 export { addOtherVersions, planPools } from './plan.js'
 export { createOrderTracker } from './orders.js'
--- a/src/scaling/load-estimator.ts
+++ b/src/scaling/load-estimator.ts
@@ -18,6 +18,26 @@
 /** Time constant of the mean. Within ten seconds the longest 10% of the prompts occur often enough to be represented. */
 const MEAN_TIME_CONSTANT: Milliseconds = 10 * SECOND
 
+/** Rates of work that were measured for less than this time are too low. */
+const RATE_SETTLING_TIME: Milliseconds = 4 * SECOND
+
+/**
+ * Load from which an estimate starts, between the expected and the measured one. The weight of the expected load falls
+ * with the time of the measurement, as in the mean of an estimator that has observed since then.
+ *
+ * Failure guarded against: a node that has just started takes over the duties in the middle of a day. If its mean started
+ * at the expected load, it would change the size of the fleet for about 20 s, although the other nodes know the load.
+ *
+ * @param span time for which any node has measured the work
+ * @returns undefined as long as the measured rates of work are too low
+ * @example
+ * startingLoad(5.3, 9.1, 60_000) // 9.09
+ */
+export function startingLoad (expected: number, measured: number, span: Milliseconds): number | undefined {
+  if (span < RATE_SETTLING_TIME) return undefined
+  return measured + (expected - measured) * Math.exp(-(span - RATE_SETTLING_TIME) / MEAN_TIME_CONSTANT)
+}
+
 /** Fraction of the present load that is provided for. Short peaks are mostly coincidences of a few long prompts. */
 const PEAK_FRACTION = 0.8
 
--- a/src/scaling/load.ts
+++ b/src/scaling/load.ts
@@ -1,7 +1,7 @@
 /** Load of a service, in engines that the offered work keeps busy. */
 import type { Milliseconds } from '../clock.js'
 import { SECOND } from '../clock.js'
-import { NO_ATTEMPTS } from './types.js'
+import { NO_MEASUREMENTS } from './types.js'
 import type { OfferedWork } from './types.js'
 
 /**
@@ -30,7 +30,7 @@
  *
  * @param slots requests that an engine runs concurrently
  * @example
- * offeredLoad({ requests: 40, reading: 2_900, generatedTokens: 5_000, measured: { attempts: 0, tokens: 0, held: 0 } }, 64) // 2.9
+ * offeredLoad({ requests: 40, reading: 2_900, generatedTokens: 5_000, measured: { span: 0, attempts: 0, tokens: 0, held: 0 } }, 64) // 2.9
  */
 export function offeredLoad (work: OfferedWork, slots: number): number {
   return Math.max(work.reading / SECOND, occupiedSlots(work) / (slots * TARGET_SLOT_UTILISATION))
@@ -43,7 +43,7 @@
  * the lengths of answers differ widely within a service. Requests that permit no tokens count by their number.
  *
  * @example
- * occupiedSlots({ requests: 10, reading: 0, generatedTokens: 5_000, measured: { attempts: 400, tokens: 200_000, held: 800_000 } }) // 19.9
+ * occupiedSlots({ requests: 10, reading: 0, generatedTokens: 5_000, measured: { span: 60_000, attempts: 400, tokens: 200_000, held: 800_000 } }) // 19.9
  */
 export function occupiedSlots ({ requests, generatedTokens, measured }: OfferedWork): number {
   const { attempts, tokens, held } = measured
@@ -81,12 +81,13 @@
   const sum: Record<string, OfferedWork> = {}
   for (const nodeWork of workByNode) {
     for (const [service, work] of Object.entries(nodeWork)) {
-      const previous = sum[service] ?? { requests: 0, reading: 0, generatedTokens: 0, measured: NO_ATTEMPTS }
+      const previous = sum[service] ?? { requests: 0, reading: 0, generatedTokens: 0, measured: NO_MEASUREMENTS }
       sum[service] = {
         requests: previous.requests + work.requests,
         reading: previous.reading + work.reading,
         generatedTokens: previous.generatedTokens + work.generatedTokens,
         measured: {
+          span: Math.max(previous.measured.span, work.measured.span),
           attempts: previous.measured.attempts + work.measured.attempts,
           tokens: previous.measured.tokens + work.measured.tokens,
           held: previous.measured.held + work.measured.held
--- a/src/scaling/types.ts
+++ b/src/scaling/types.ts
@@ -3,7 +3,9 @@
 import type { ScalingConfiguration } from '../routing/index.js'
 
 /** Measurements on attempts that ended with a whole answer, as sums over the latest attempts of each node. */
-export interface AttemptSums {
+export interface Measurements {
+  /** Time since the first request of the service; the longest where several nodes measured. */
+  readonly span: Milliseconds
   readonly attempts: number
   /** Maximum number of tokens that the requests allowed to be generated. */
   readonly tokens: number
@@ -11,8 +13,8 @@
   readonly held: Milliseconds
 }
 
-/** Sums before any attempt has ended. */
-export const NO_ATTEMPTS: AttemptSums = { attempts: 0, tokens: 0, held: 0 }
+/** Measurements before the first request. */
+export const NO_MEASUREMENTS: Measurements = { span: 0, attempts: 0, tokens: 0, held: 0 }
 
 /** Offered work of one service per second, and what was measured on attempts. */
 export interface OfferedWork {
@@ -21,7 +23,7 @@
   readonly reading: Milliseconds
   /** Maximum number of tokens that the requests allow to be generated. */
   readonly generatedTokens: number
-  readonly measured: AttemptSums
+  readonly measured: Measurements
 }
 
 /** Properties of one upstream that the plan depends on. */
--- a/src/scaling/work-meter.ts
+++ b/src/scaling/work-meter.ts
@@ -1,8 +1,8 @@
 /** Offered work of one node by service, as exponentially decaying rates, and the time for which attempts hold a slot. */
 import type { Milliseconds } from '../clock.js'
 import { SECOND } from '../clock.js'
-import { NO_ATTEMPTS } from './types.js'
-import type { AttemptSums, OfferedWork } from './types.js'
+import { NO_MEASUREMENTS } from './types.js'
+import type { Measurements, OfferedWork } from './types.js'
 
 /** Measures the rates of offered work. */
 export interface WorkMeter {
@@ -25,6 +25,8 @@
 }
 
 interface Meter {
+  /** Time of the first request. */
+  readonly since: Milliseconds
   requests: number
   reading: Milliseconds
   generatedTokens: number
@@ -55,17 +57,18 @@
  */
 export function createWorkMeter (): WorkMeter {
   const meters = new Map<string, Meter>()
-  const measured = new Map<string, AttemptSums>()
+  const measured = new Map<string, Omit<Measurements, 'span'>>()
 
   function decayed (meter: Meter, now: Milliseconds): Meter {
     const factor = Math.exp(-(now - meter.at) / TIME_CONSTANT)
-    return { requests: meter.requests * factor, reading: meter.reading * factor, generatedTokens: meter.generatedTokens * factor, at: now }
+    return { since: meter.since, requests: meter.requests * factor, reading: meter.reading * factor, generatedTokens: meter.generatedTokens * factor, at: now }
   }
 
   return {
     add: (service, prefillTime, generatedTokens, now) => {
-      const meter = decayed(meters.get(service) ?? { requests: 0, reading: 0, generatedTokens: 0, at: now }, now)
+      const meter = decayed(meters.get(service) ?? { since: now, requests: 0, reading: 0, generatedTokens: 0, at: now }, now)
       meters.set(service, {
+        since: meter.since,
         requests: meter.requests + RATE_WEIGHT,
         reading: meter.reading + prefillTime * RATE_WEIGHT,
         generatedTokens: meter.generatedTokens + generatedTokens * RATE_WEIGHT,
@@ -73,7 +76,7 @@
       })
     },
     attemptEnded: (service, generatedTokens, held) => {
-      const sums = measured.get(service) ?? NO_ATTEMPTS
+      const sums = measured.get(service) ?? NO_MEASUREMENTS
       const kept = 1 - 1 / ATTEMPT_MEMORY
       measured.set(service, { attempts: sums.attempts * kept + 1, tokens: sums.tokens * kept + generatedTokens, held: sums.held * kept + held })
     },
@@ -82,12 +85,12 @@
       for (const [service, meter] of meters) {
         const { requests, reading: prefillTime, generatedTokens } = decayed(meter, now)
         if (requests < NEGLIGIBLE_RATE) continue
-        const { attempts, tokens, held } = measured.get(service) ?? NO_ATTEMPTS
+        const { attempts, tokens, held } = measured.get(service) ?? NO_MEASUREMENTS
         rates[service] = {
           requests: round(requests),
           reading: round(prefillTime),
           generatedTokens: round(generatedTokens),
-          measured: { attempts: round(attempts), tokens: Math.round(tokens), held: Math.round(held) }
+          measured: { span: Math.round(now - meter.since), attempts: round(attempts), tokens: Math.round(tokens), held: Math.round(held) }
         }
       }
       return rates
--- a/test/scaling/scaling.test.ts
+++ b/test/scaling/scaling.test.ts
@@ -12,7 +12,7 @@
 })
 
 /** No attempt has ended yet. */
-const measured = { attempts: 0, tokens: 0, held: 0 }
+const measured = { span: 0, attempts: 0, tokens: 0, held: 0 }
 
 const running = (reclaimable: boolean, ...counts: number[]): PresentUpstream[] =>
   counts.flatMap((count, index) => Array.from({ length: count }, () => ({ failureDomain: domains[index]!, reclaimable, leaving: false })))
--- a/test/scaling/slot-time.test.ts
+++ b/test/scaling/slot-time.test.ts
@@ -78,12 +78,11 @@
   // Failure guarded against: while a fleet is updated node by node, nodes discard the reports of the other build.
   it('are understood between nodes of this build and of the build before the field', () => {
     const earlier = fleetReportSchema.parse({ ...base, work: { plans: { requests: 10, reading: 200, generatedTokens: 4_000 } } })
-    assert.deepEqual(earlier.work.plans?.measured, { attempts: 0, tokens: 0, held: 0 })
+    assert.deepEqual(earlier.work.plans?.measured, { span: 0, attempts: 0, tokens: 0, held: 0 })
     const report: FleetReport = { ...base, work: meterOf(4_000, 30).rates(30 * SECOND) }
     assert.deepEqual(fleetReportSchema.parse(JSON.parse(JSON.stringify(report))), report)
     assert.equal(earlierWorkSchema.parse(report.work.plans).requests, report.work.plans?.requests)
-    const merged = mergeReports([earlier, report])?.work.plans
-    assert.deepEqual(merged?.measured, report.work.plans?.measured)
+    for (const reports of [[earlier, report], [report, earlier]]) assert.deepEqual(mergeReports(reports)?.work.plans?.measured, report.work.plans?.measured)
   })
 })
 
