--- a/src/gateway/scaling-controller.ts
+++ b/src/gateway/scaling-controller.ts
@@ -3,7 +3,7 @@
 import { repeat } from '../repeat.js'
 import type { EngineSpeeds, UpstreamRecord } from '../placement/index.js'
 import type { RouteTable, ScalingConfiguration, Service } from '../routing/index.js'
-import { addOtherVersions, offeredLoad, createLoadEstimator, createOrderTracker, expectedLoad, planPools, startingLoad } from '../scaling/index.js'
+import { addOtherVersions, bindingConstraint, offeredLoad, createLoadEstimator, createOrderTracker, expectedLoad, planPools, startingLoad } from '../scaling/index.js'
 import type { LoadEstimator, OfferedWork, OrderAnswer, OrderTracker, Pool, PoolSize } from '../scaling/index.js'
 import type { DutyHolder } from './duty-holder.js'
 import type { StoreContext } from './follow.js'
@@ -45,6 +45,8 @@
   load: LoadEstimator | undefined
   /** Load to assume until then, in busy upstreams. */
   readonly initialLoad: number
+  /** Slots of the smallest upstream, as last seen. */
+  slots: number
   /** Time at which the first work was seen. */
   firstWorkAt: Milliseconds | undefined
   /** Time at which this node first planned the service. */
@@ -70,7 +72,7 @@
     const expected = expectedLoad(quotaTokens(), options.speeds.of(service.name).perThousandTokens)
     if (expected === 0 && present === 0) return undefined
     const initialLoad = expected > 0 ? expected : present * INITIAL_LOAD_FRACTION
-    const created: ScaledService = { orders: createOrderTracker(), load: undefined, initialLoad, firstWorkAt: undefined, since: clock.now() }
+    const created: ScaledService = { orders: createOrderTracker(), load: undefined, initialLoad, slots: Infinity, firstWorkAt: undefined, since: clock.now() }
     services.set(service.name, created)
     return created
   }
@@ -88,11 +90,11 @@
    * Failure guarded against: a holder that is cut off from most other nodes sees little more than its own work and shrinks
    * the fleet for all. Until reports cover half of the nodes again, it keeps its estimate.
    */
-  function observeLoad (scaled: ScaledService, work: OfferedWork | undefined, slots: number, bootTime: Milliseconds, now: Milliseconds): number {
+  function observeLoad (scaled: ScaledService, work: OfferedWork | undefined, bootTime: Milliseconds, now: Milliseconds): number {
     if (work !== undefined) scaled.firstWorkAt ??= now
     if (scaled.firstWorkAt === undefined) return scaled.initialLoad
     if (options.coverage() < MIN_COVERAGE) return scaled.load?.value() ?? scaled.initialLoad
-    const load = work === undefined ? 0 : offeredLoad(work, slots)
+    const load = work === undefined ? 0 : offeredLoad(work, scaled.slots)
     if (scaled.load === undefined) {
       const start = startingLoad(scaled.initialLoad, load, Math.max(now - scaled.firstWorkAt, work?.measured.span ?? 0))
       if (start === undefined) return scaled.initialLoad
@@ -107,7 +109,10 @@
     const present = upstreams.all().filter((upstream) => upstream.service === service.name)
     const scaled = stateOf(service, present.length)
     if (scaled === undefined) return
-    const load = observeLoad(scaled, options.work()[service.name], Math.min(...present.map((upstream) => upstream.slots)), facts.bootTime, now)
+    const work = options.work()[service.name]
+    // Without the last known slots, a service would need none at all while all of its upstreams are gone.
+    if (present.length > 0) scaled.slots = Math.min(...present.map((upstream) => upstream.slots))
+    const load = observeLoad(scaled, work, facts.bootTime, now)
     const proof = duty.proof()
     if (proof === undefined) return
     if (proof.fencing !== lastFencing) scaled.orders.reset()
@@ -121,11 +126,12 @@
       unavailableUntil: scaled.orders.unavailableUntil,
       now
     })
+    const constraint = work === undefined ? 'prefill' : bindingConstraint(work, scaled.slots)
     const sizes = addOtherVersions(planned, present.filter((upstream) => !options.carriesTraffic(upstream)), facts.maxUpstreams)
     for (const size of scaled.orders.due(sizes, running, now)) {
       const answer = await sendOrder(proof, service.name, size)
       scaled.orders.answered(size, answer, clock.now())
-      log.info('upstreams-ordered', { service: service.name, failureDomain: size.failureDomain, reclaimable: size.reclaimable, desired: size.desired, running: running(size), load: Math.round(load * 100) / 100, answer: answer ?? 'none', fencing: proof.fencing })
+      log.info('upstreams-ordered', { service: service.name, failureDomain: size.failureDomain, reclaimable: size.reclaimable, desired: size.desired, running: running(size), load: Math.round(load * 100) / 100, constraint, answer: answer ?? 'none', fencing: proof.fencing })
       if (answer === 'superseded') return duty.superseded(proof)
     }
   }
--- a/src/scaling/index.ts
+++ b/src/scaling/index.ts
@@ -1,6 +1,7 @@
 /** Automatic scaling of services: number of upstreams per failure domain, reclaimable and on-demand. */
 export type { Measurements, OfferedWork, Pool, PoolSize, PresentUpstream, ScalingInput } from './types.js'
-export { offeredLoad, occupiedSlots, expectedLoad, sumWork } from './load.js'
+export { bindingConstraint, offeredLoad, occupiedSlots, expectedLoad, sumWork } from './load.js'
+export type { BindingConstraint } from './load.js'
 export { createLoadEstimator, startingLoad } from './load-estimator.js'
 export type { LoadEstimator } from './load-estimator.js'
 export { addOtherVersions, planPools } from './plan.js'
--- a/src/scaling/load.ts
+++ b/src/scaling/load.ts
@@ -33,7 +33,24 @@
  * offeredLoad({ requests: 40, reading: 2_900, generatedTokens: 5_000, measured: { span: 0, attempts: 0, tokens: 0, held: 0 } }, 64) // 2.9
  */
 export function offeredLoad (work: OfferedWork, slots: number): number {
-  return Math.max(work.reading / SECOND, occupiedSlots(work) / (slots * TARGET_SLOT_UTILISATION))
+  return Math.max(work.reading / SECOND, enginesForSlots(work, slots))
+}
+
+/** What limits the engines of a service: the time for prefill, or the slots. */
+export type BindingConstraint = 'prefill' | 'slots'
+
+/**
+ * The constraint that determines {@link offeredLoad}.
+ *
+ * @example
+ * bindingConstraint({ requests: 40, reading: 2_900, generatedTokens: 5_000, measured: { span: 0, attempts: 0, tokens: 0, held: 0 } }, 64) // 'prefill'
+ */
+export function bindingConstraint (work: OfferedWork, slots: number): BindingConstraint {
+  return enginesForSlots(work, slots) > work.reading / SECOND ? 'slots' : 'prefill'
+}
+
+function enginesForSlots (work: OfferedWork, slots: number): number {
+  return occupiedSlots(work) / (slots * TARGET_SLOT_UTILISATION)
 }
 
 /**
--- a/test/no-fitting.test.ts
+++ b/test/no-fitting.test.ts
@@ -15,6 +15,9 @@
 /** Prefill rates, step times, attention costs, memory and prompt sizes from the data sheets of customers. */
 const FIGURES = /\b(61\.8|92\.1|3\.09|3\.03|0\.367|684_?373|650_?152|630_?045|681_?860|630_?314|5_?382|6_?610)\b/
 
+/** Constants that were replaced by measurements at run time. */
+const REPLACED = /\b(GENERATED_FRACTION|TIME_PER_GENERATED_TOKEN)\b/
+
 function programs (): { readonly path: string, readonly text: string }[] {
   return PROGRAM_FOLDERS.flatMap((folder) => readdirSync(join(ROOT, folder), { recursive: true, encoding: 'utf8' }).map((file) => join(folder, file)))
     .filter((path) => PROGRAM_FILES.test(path))
@@ -37,4 +40,9 @@
   it('contain no value from the data sheet of a customer', () => {
     assert.deepEqual(all.filter(({ text }) => FIGURES.test(text)).map(({ path, text }) => `${path}: ${FIGURES.exec(text)?.[0]}`), [])
   })
+
+  // Guards against a fleet of the wrong size. Slot times differ tenfold between deployments, so they are measured.
+  it('contain no constant in place of the measured slot time', () => {
+    assert.deepEqual(all.filter(({ text }) => REPLACED.test(text)).map(({ path, text }) => `${path}: ${REPLACED.exec(text)?.[0]}`), [])
+  })
 })
--- a/test/scaling/controller.test.ts
+++ b/test/scaling/controller.test.ts
@@ -145,6 +145,37 @@
     assert.ok(node.desired() < before)
   })
 
+  // Failure guarded against: a fleet grows because streams fill the slots, and the operator looks for long prompts.
+  it('names the constraint that an order follows from', async () => {
+    for (const [held, constraint] of [[300, 'prefill'], [30_000, 'slots']] as const) {
+      const node = startNode()
+      node.work = workOf(4, 600 * SECOND, { measured: { span: 600 * SECOND, attempts: 1_700, tokens: 170_000, held: 1_700 * held } })
+      await node.pass(SECOND)
+      node.holdsDuties = true
+      node.running.push({ service: 'plans', failureDomain: 'a', reclaimable: true, leaving: false, slots: 128 } as unknown as UpstreamRecord)
+      await node.pass(SECOND)
+      assert.deepEqual([...new Set(node.lines.map((line) => line.constraint))], [constraint])
+      shutdown.abort()
+      shutdown = new AbortController()
+    }
+  })
+
+  // Failure guarded against: all engines of a service whose streams fill the slots are gone at once. Without their number
+  // of slots the streams seem to need no engine, and the fleet is ordered for the prefill alone.
+  it('remembers the slots of the upstreams while all are gone', async () => {
+    const node = startNode()
+    node.holdsDuties = true
+    node.work = workOf(1, 600 * SECOND, { measured: { span: 600 * SECOND, attempts: 1_700, tokens: 170_000, held: 1_700 * 500 } })
+    for (let round = 0; round < 20; round += 1) {
+      await node.pass(SECOND)
+      runOrdered(node)
+    }
+    const before = node.load()
+    node.running.length = 0
+    await node.pass(30 * SECOND)
+    assert.ok(before > 5 && node.load() > before * 0.99, `${node.load()} instead of ${before}`)
+  })
+
   it('writes lines as the catalogue describes them', async () => {
     const node = startNode()
     node.holdsDuties = true
