--- a/src/scaling/index.ts
+++ b/src/scaling/index.ts
@@ -1,7 +1,9 @@
 /** Automatic scaling of services: number of upstreams per failure domain, reclaimable and on-demand. */
-export type { OfferedWork, Pool, PoolSize, PresentUpstream, ScalingInput } from './types.js'
-export { offeredLoad, expectedLoad, createLoadEstimator, sumWork } from './load.js'
-export type { LoadEstimator } from './load.js'
+export type { Measurements, OfferedWork, Pool, PoolSize, PresentUpstream, ScalingInput } from './types.js'
+export { bindingConstraint, offeredLoad, occupiedSlots, expectedLoad, sumWork } from './load.js'
+export type { BindingConstraint } from './load.js'
+export { createLoadEstimator, startingLoad } from './load-estimator.js'
+export type { LoadEstimator } from './load-estimator.js'
 export { addOtherVersions, planPools } from './plan.js'
 export { createOrderTracker } from './orders.js'
 export type { OrderAnswer, OrderTracker } from './orders.js'
--- a/src/scaling/types.ts
+++ b/src/scaling/types.ts
@@ -2,13 +2,28 @@
 import type { Milliseconds } from '../clock.js'
 import type { ScalingConfiguration } from '../routing/index.js'
 
-/** Offered work of one service per second. */
+/** Measurements on attempts that ended with a whole answer, as sums over the latest attempts of each node. */
+export interface Measurements {
+  /** Time since the first request of the service; the longest where several nodes measured. */
+  readonly span: Milliseconds
+  readonly attempts: number
+  /** Maximum number of tokens that the requests allowed to be generated. */
+  readonly tokens: number
+  /** Time for which the attempts held a slot of an upstream. */
+  readonly held: Milliseconds
+}
+
+/** Measurements before the first request. */
+export const NO_MEASUREMENTS: Measurements = { span: 0, attempts: 0, tokens: 0, held: 0 }
+
+/** Offered work of one service per second, and what was measured on attempts. */
 export interface OfferedWork {
   readonly requests: number
   /** Time that upstreams need for the prefill of the prompts. */
   readonly reading: Milliseconds
   /** Maximum number of tokens that the requests allow to be generated. */
   readonly generatedTokens: number
+  readonly measured: Measurements
 }
 
 /** Properties of one upstream that the plan depends on. */
