Expected wait at an upstream: age only the summed prefill, and count the wait for a slot

Cause: each node reduced the prefill of its requests by the time since the oldest one, and receivers reduced each node's figure by its age, so that with 17 nodes an engine was credited with 17 ms of prefill per millisecond. A request in flight cost 2 ms whether or not the engine had free slots; plain upstreams were assumed to need 15 ms.

Nodes now report the prefill of all unanswered requests and their number (unanswered, 0 from older nodes). The sum is reduced once, by its mean age weighted by prefill, and not below the prefill of the latest own unanswered request. The expected wait is the longer of that and the wait for a slot; Choice.waiting is the expected wait.

test/gateway/upstream-view.test.ts: the expected load of a noted prompt and a sum follows the new rule (one reduction by the mean age); the other changes to tests add the new field.

--- a/bench/gateway-placement.ts
+++ b/bench/gateway-placement.ts
@@ -6,7 +6,7 @@
  */
 import type { Milliseconds } from '../src/clock.js'
 import { SECOND } from '../src/clock.js'
-import { ASSUMED_SPEED, chooseUpstream, ENGINE_COSTS, incarnationOf, prefillTime } from '../src/placement/index.js'
+import { ASSUMED_SPEED, assumedSlotTime, chooseUpstream, ENGINE_COSTS, incarnationOf, prefillTime } from '../src/placement/index.js'
 import type { Candidate, PlacementCosts, PlacementRequest } from '../src/placement/index.js'
 import { createRandom } from '../src/random.js'
 import type { Random } from '../src/random.js'
@@ -118,7 +118,7 @@
     const ages = Array.from({ length: site.nodes }, () => random.fraction() * site.oldest)
     for (const engine of engines) while (engine.open.length > 0 && engine.open[0]!.endsAt < now - site.oldest) engine.open.shift()
     const candidates = engines.map((engine) => candidateOf(engine, node, ages, now))
-    const choice = chooseUpstream(work, candidates, { name: `node-${node}`, failureDomain: 'a' }, variant.costs, ASSUMED_SPEED)
+    const choice = chooseUpstream(work, candidates, { name: `node-${node}`, failureDomain: 'a' }, variant.costs, { speed: ASSUMED_SPEED, slotTime: assumedSlotTime(true) })
     const engine = engines.find(({ id }) => id === choice!.upstream.id)!
     const { reading, readAt } = send(engine, work, node, now, kind.run)
     if (now < WARM_UP) continue
@@ -140,14 +140,20 @@
 function candidateOf (engine: Engine, node: number, ages: readonly Milliseconds[], now: Milliseconds): Candidate {
   let requests = 0
   let reading = 0
+  let unanswered = 0
+  let progress = 0
   for (const request of engine.open) {
     const asOf = request.node === node ? now : now - ages[request.node]!
     if (request.since > asOf || request.endsAt < asOf) continue
     requests += 1
-    // A node takes the reading of others as going on since it heard of it.
-    if (request.readAt > asOf) reading += Math.max(0, request.reading - (now - asOf))
+    if (request.readAt <= asOf) continue
+    unanswered += 1
+    reading += request.reading
+    progress += request.reading * (now - asOf)
   }
-  return { upstream: { id: engine.id, incarnation: incarnationOf(engine.id, undefined), service: 's', version: '', address: '', failureDomain: 'a', slots: 64, leaving: false, leavesIn: undefined, reclaimable: false }, load: { requests, reading } }
+  // The sum is reduced once, by the mean age of its parts.
+  if (reading > 0) reading = Math.max(0, reading - progress / reading)
+  return { upstream: { id: engine.id, incarnation: incarnationOf(engine.id, undefined), service: 's', version: '', address: '', failureDomain: 'a', slots: 64, leaving: false, leavesIn: undefined, reclaimable: false }, load: { requests, reading, unanswered } }
 }
 
 function send (engine: Engine, work: PlacementRequest, node: number, now: Milliseconds, run: Milliseconds): { reading: Milliseconds, readAt: Milliseconds } {
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -1,7 +1,7 @@
 /** One attempt of a request at one upstream, including the relay of its answer. */
 import type { Milliseconds } from '../clock.js'
 import { prefillTime } from '../placement/index.js'
-import type { Choice, PrefillSample, UpstreamRecord } from '../placement/index.js'
+import type { Choice, InFlightRequest, PrefillSample, UpstreamRecord } from '../placement/index.js'
 import { ServingError } from '../verdict.js'
 import type { Verdict } from '../verdict.js'
 import type { AnswerOutcome } from './accounting.js'
@@ -16,7 +16,6 @@
 import { relayEvents } from './stream-relay.js'
 import type { VersionObservation } from './rollouts.js'
 import type { AbortReason } from './time-limit.js'
-import type { InFlightRequest } from './upstream-view.js'
 
 /** Result of an attempt. */
 export type DispatchResult =
@@ -84,7 +83,7 @@
     return await handleExchangeStart(context, proxied, attempt, started)
   } finally {
     attempt.watchdog.stop()
-    attempt.open.end()
+    attempt.open.end(context.clock.now())
     attempt.watchedRun?.end()
   }
 }
@@ -142,8 +141,9 @@
 /** Records the first event of a stream, which shows that the prefill is complete. */
 function recordPrefillEnd ({ clock, speeds }: GatewayContext, proxied: ProxiedRequest, attempt: Attempt): void {
   const { open, prefillSample: sample, since } = attempt
-  const took = clock.now() - since
-  open.prefillFinished()
+  const now = clock.now()
+  const took = now - since
+  open.answered(now)
   if (sample !== undefined) speeds.observe(proxied.service, { ...sample, took })
   recordAnswerTime(proxied, attempt, took)
 }
@@ -234,6 +234,7 @@
     return handleBrokenAttempt(context, proxied, attempt, `the answer broke off: ${String(error)}`)
   }
   attempt.watchdog.stop()
+  attempt.open.answered(context.clock.now())
   if (answer.status >= SERVER_ERROR) attempt.comparison?.failed()
   else recordAnswerTime(proxied, attempt, context.clock.now() - attempt.since)
   recordAnswerStart(context, proxied, attempt.upstream)
--- a/src/gateway/rollout-duty.ts
+++ b/src/gateway/rollout-duty.ts
@@ -65,7 +65,7 @@
 
   /** Requests of all nodes that are in flight at upstreams of other versions than the ordered one. */
   function runningBefore (order: RolloutOrder): number {
-    const loadsByNode = [upstreams.inFlight(clock.now()), ...fleet.loads().values()]
+    const loadsByNode = [upstreams.inFlight(), ...fleet.loads().values()]
     return upstreams.all()
       .filter((upstream) => upstream.service === order.service && rollouts.roleOf(upstream) !== 'tried')
       .reduce((sum, { incarnation }) => sum + loadsByNode.reduce((requests, loads) => requests + (loads[incarnation]?.requests ?? 0), 0), 0)
--- a/src/gateway/upstream-view.ts
+++ b/src/gateway/upstream-view.ts
@@ -1,17 +1,7 @@
 /** This node's view of the upstreams: their registry records, and the load that this node and the other nodes put on them. */
 import type { Milliseconds } from '../clock.js'
-import { createUpstreamHealth } from '../placement/index.js'
-import type { Candidate, InFlight, NodeLoad, UpstreamHealth, UpstreamIncarnation, UpstreamRecord } from '../placement/index.js'
-
-const NO_LOAD: NodeLoad = { requests: 0, reading: 0 }
-
-/** Handle of a request in flight at an upstream. */
-export interface InFlightRequest {
-  /** The engine has finished the prefill of the prompt. */
-  prefillFinished (): void
-  /** The request has ended. Further calls have no effect. */
-  end (): void
-}
+import { createUpstreamHealth, createUpstreamLoads } from '../placement/index.js'
+import type { Candidate, UpstreamHealth, UpstreamIncarnation, UpstreamLoads, UpstreamRecord } from '../placement/index.js'
 
 /** Effect of a record on the view: a new incarnation, a notice of leaving, or another address. */
 export type UpstreamChange = 'new' | 'leaving' | 'changed'
@@ -33,7 +23,7 @@
 const ALWAYS_AVAILABLE: UpstreamAvailability = { isLeaving: () => false, accepts: () => true }
 
 /** The upstreams that this node knows, and their load. */
-export interface UpstreamView {
+export interface UpstreamView extends Pick<UpstreamLoads, 'begin' | 'inFlight' | 'observe' | 'notePrefill'> {
   /** Stores a record that the registry has at this revision. @returns the change, or undefined if nothing changed or the record is outdated */
   put (record: UpstreamRecord, revision: number): UpstreamChange | undefined
   /** The registry has no usable record under this id from this revision on. @returns the record that was removed, if any */
@@ -56,14 +46,6 @@
   candidates (service: string, excluded: ReadonlySet<UpstreamIncarnation>, now: Milliseconds, admit?: (present: readonly UpstreamRecord[]) => readonly UpstreamRecord[]): Candidate[]
   /** Upstreams of a service that are not leaving, whether or not they accept a request now. */
   notLeaving (service: string, excluded: ReadonlySet<UpstreamIncarnation>): readonly UpstreamRecord[]
-  /** Counts a request that is dispatched to an upstream, with the expected time of its prefill. */
-  begin (incarnation: UpstreamIncarnation, prefillTime: Milliseconds, now: Milliseconds): InFlightRequest
-  /** Requests of this node in flight, by upstream incarnation. */
-  inFlight (now: Milliseconds): InFlight
-  /** Takes the requests in flight that the other live nodes last reported, by node incarnation. */
-  observe (others: ReadonlyMap<string, InFlight>, now: Milliseconds): void
-  /** Another node has just dispatched a long prompt. */
-  notePrefill (node: string, incarnation: UpstreamIncarnation, prefillTime: Milliseconds, now: Milliseconds): void
   readonly health: UpstreamHealth
 }
 
@@ -73,26 +55,6 @@
   readonly hasNotice: boolean
 }
 
-interface OwnRequest {
-  reading: Milliseconds
-  readonly since: Milliseconds
-}
-
-/** A long prompt dispatched by a node whose load this node receives only as part of a sum over several nodes. */
-interface PrefillNote {
-  readonly incarnation: UpstreamIncarnation
-  readonly reading: Milliseconds
-  readonly at: Milliseconds
-}
-
-/** Time after which a noted prompt is part of the reported sums: two reports and one exchange between aggregators. */
-const NOTE_LIFETIME: Milliseconds = 1_200
-
-interface ReportedLoad {
-  load: NodeLoad
-  readonly at: Milliseconds
-}
-
 /**
  * @param availability signals that upstreams have given this node in their answers
  * @example
@@ -102,10 +64,7 @@
  */
 export function createUpstreamView (availability: UpstreamAvailability = ALWAYS_AVAILABLE): UpstreamView {
   const records = new Map<string, KnownUpstream>()
-  const ownRequests = new Map<UpstreamIncarnation, Set<OwnRequest>>()
-  const reportedLoads = new Map<string, Map<UpstreamIncarnation, ReportedLoad>>()
-  const lastReports = new Map<string, InFlight>()
-  let prefillNotes: PrefillNote[] = []
+  const loads = createUpstreamLoads()
   const health = createUpstreamHealth()
 
   /**
@@ -149,35 +108,6 @@
     return all().filter((upstream) => upstream.service === service && !upstream.leaving && !excluded.has(upstream.incarnation))
   }
 
-  function ownLoad (incarnation: UpstreamIncarnation, now: Milliseconds): NodeLoad {
-    const requests = ownRequests.get(incarnation)
-    if (requests === undefined) return NO_LOAD
-    let prefillTime = 0
-    let oldest = now
-    for (const request of requests) {
-      if (request.reading === 0) continue
-      prefillTime += request.reading
-      oldest = Math.min(oldest, request.since)
-    }
-    return { requests: requests.size, reading: Math.max(0, prefillTime - (now - oldest)) }
-  }
-
-  function loadOf (incarnation: UpstreamIncarnation, now: Milliseconds): NodeLoad {
-    let { requests, reading: prefillTime } = ownLoad(incarnation, now)
-    for (const loads of reportedLoads.values()) {
-      const other = loads.get(incarnation)
-      if (other === undefined) continue
-      requests += other.load.requests
-      prefillTime += Math.max(0, other.load.reading - (now - other.at))
-    }
-    for (const note of prefillNotes) {
-      if (note.incarnation !== incarnation || now - note.at > NOTE_LIFETIME) continue
-      requests += 1
-      prefillTime += Math.max(0, note.reading - (now - note.at))
-    }
-    return { requests, reading: prefillTime }
-  }
-
   return {
     put,
     remove: (id, revision) => {
@@ -203,50 +133,12 @@
       const present = admit(notLeaving(service, excluded).filter(({ incarnation }) => availability.accepts(incarnation, now)))
       const usable = present.filter((upstream) => health.usable(upstream.incarnation, now))
       // If all upstreams have failed recently, an attempt at one of them is better than a certain refusal.
-      return (usable.length > 0 ? usable : present).map((upstream): Candidate => ({ upstream, load: loadOf(upstream.incarnation, now) }))
-    },
-    begin: (incarnation, prefillTime, now) => {
-      const request: OwnRequest = { reading: prefillTime, since: now }
-      const requests = ownRequests.get(incarnation) ?? new Set()
-      requests.add(request)
-      ownRequests.set(incarnation, requests)
-      return {
-        prefillFinished: () => { request.reading = 0 },
-        end: () => {
-          requests.delete(request)
-          if (requests.size === 0 && ownRequests.get(incarnation) === requests) ownRequests.delete(incarnation)
-        }
-      }
-    },
-    inFlight: (now) => Object.fromEntries([...ownRequests.keys()].map((incarnation) => {
-      const { requests, reading: prefillTime } = ownLoad(incarnation, now)
-      return [incarnation, { requests, reading: Math.round(prefillTime) }]
-    })),
-    observe: (others, now) => {
-      for (const node of reportedLoads.keys()) {
-        if (others.has(node)) continue
-        reportedLoads.delete(node)
-        lastReports.delete(node)
-      }
-      for (const [node, loads] of others) {
-        // Prefills of a known report progress with time. Only a new report restarts its time.
-        if (lastReports.get(node) === loads) continue
-        lastReports.set(node, loads)
-        reportedLoads.set(node, new Map(Object.entries(loads).map(([incarnation, load]) => [incarnation as UpstreamIncarnation, { load, at: now }])))
-      }
-    },
-    notePrefill: (node, incarnation, prefillTime, now) => {
-      // A node that reports individually includes the prompt in its next report. Otherwise the sums include it later.
-      if (!lastReports.has(node) && lastReports.size > 0) {
-        prefillNotes = prefillNotes.filter(({ at }) => now - at <= NOTE_LIFETIME)
-        prefillNotes.push({ incarnation, reading: prefillTime, at: now })
-        return
-      }
-      const loads = reportedLoads.get(node) ?? new Map<UpstreamIncarnation, ReportedLoad>()
-      const { load } = loads.get(incarnation) ?? { load: NO_LOAD }
-      loads.set(incarnation, { load: { requests: load.requests + 1, reading: load.reading + prefillTime }, at: now })
-      reportedLoads.set(node, loads)
+      return (usable.length > 0 ? usable : present).map((upstream): Candidate => ({ upstream, load: loads.of(upstream.incarnation, now) }))
     },
+    begin: loads.begin,
+    inFlight: loads.inFlight,
+    observe: loads.observe,
+    notePrefill: loads.notePrefill,
     health
   }
 }
--- a/src/gossip/merge.ts
+++ b/src/gossip/merge.ts
@@ -49,7 +49,7 @@
     for (const [name, load] of Object.entries(inFlight)) {
       const incarnation = name as UpstreamIncarnation
       const known = sum[incarnation]
-      sum[incarnation] = known === undefined ? load : { requests: known.requests + load.requests, reading: known.reading + load.reading }
+      sum[incarnation] = known === undefined ? load : { requests: known.requests + load.requests, reading: known.reading + load.reading, unanswered: known.unanswered + load.unanswered }
     }
   }
   return sum
--- a/src/gossip/types.ts
+++ b/src/gossip/types.ts
@@ -26,8 +26,11 @@
   demand: countsSchema,
   /** Units per second that are granted, by organisation. */
   granted: countsSchema,
-  /** Requests in flight by incarnation of an upstream, and the prefill that they still need, in milliseconds. */
-  inFlight: z.record(upstreamIncarnationSchema, z.object({ requests: z.number(), reading: z.number() })),
+  /**
+   * Requests in flight by incarnation of an upstream, how many of them have no first answer, and the prefill of these, in
+   * milliseconds.
+   */
+  inFlight: z.record(upstreamIncarnationSchema, z.object({ requests: z.number(), reading: z.number(), unanswered: z.number().default(0) })),
   /** Offered work by service. */
   work: z.record(z.string(), workSchema),
   /** Estimated prefill speed of the engines, by service. */
--- a/src/placement/choose.ts
+++ b/src/placement/choose.ts
@@ -4,10 +4,11 @@
  * Requests about one subject share all prompt parts except the last. Rendezvous hashing of the last shared part
  * gives all nodes the same preferred upstream without communication. That upstream probably has the shared parts in its
  * cache, so they need no prefill there. The cost of an upstream is the delay in milliseconds that the request would see:
- * its own prefill plus the prefill that is already queued there, plus fixed costs.
+ * the expected wait there and its own prefill, plus fixed costs.
  */
 import type { Milliseconds } from '../clock.js'
 import { score } from '../membership/rendezvous.js'
+import { expectedWait } from './expected-wait.js'
 import { prefillTime } from './speed.js'
 import type { EngineSpeed } from './speed.js'
 import type { NodeLoad, PromptPart, UpstreamRecord, PlacementRequest } from './types.js'
@@ -23,6 +24,11 @@
 export interface PlacementCosts {
   /** Added for each request that already runs at the upstream. */
   readonly perRequest: Milliseconds
+  /**
+   * Fraction of the slot time that is added where all slots are occupied, and proportionally less where some are free. The
+   * load is known with a delay, and free slots may be occupied by the time the request arrives.
+   */
+  readonly occupancy: number
   /** Added where the upstream is in another failure domain than the node. */
   readonly otherDomain: Milliseconds
   /** Added where the upstream is reclaimable and a reclaim would lose the request. */
@@ -31,6 +37,13 @@
   readonly preferredUpstreams: number
 }
 
+/** Times of a service's upstreams, as learnt. */
+export interface ServiceTimes {
+  readonly speed: EngineSpeed
+  /** Mean time for which a request holds a slot. */
+  readonly slotTime: Milliseconds
+}
+
 /** The node that places the request. */
 export interface PlacingNode {
   readonly name: string
@@ -44,13 +57,13 @@
   readonly reading: Milliseconds
   /** Prompt tokens that are probably in the upstream's cache. */
   readonly cached: number
-  /** Prefill time already queued at the upstream. */
+  /** Expected time until the upstream begins the request. */
   readonly waiting: Milliseconds
   /** Number of upstreams that were compared. */
   readonly candidates: number
 }
 
-/** Fraction of the request's target. Where more prefill than that is queued, upstreams of any rank are considered. */
+/** Fraction of the request's target. Where the expected wait is longer, upstreams of any rank are considered. */
 const MAX_WAITING_FRACTION = 0.5
 
 /**
@@ -61,29 +74,29 @@
  * would lose. `preferredUpstreams`: in simulations of 64 nodes whose states are up to 2.4 s old, 94.9 % of the first
  * tokens come in time with six preferred upstreams, and 92.7 % if all upstreams are compared.
  */
-export const ENGINE_COSTS: PlacementCosts = { perRequest: 2, otherDomain: 2, reclaimable: 60, preferredUpstreams: 6 }
+export const ENGINE_COSTS: PlacementCosts = { perRequest: 2, occupancy: 0, otherDomain: 2, reclaimable: 60, preferredUpstreams: 6 }
 
-/** Costs for plain services. A plain request holds one of six slots for some 30 ms, and a service has three upstreams. */
-export const PLAIN_COSTS: PlacementCosts = { perRequest: 15, otherDomain: 5, reclaimable: 0, preferredUpstreams: Infinity }
+/** Costs for plain services, which have few upstreams with few slots. */
+export const PLAIN_COSTS: PlacementCosts = { perRequest: 0, occupancy: 1, otherDomain: 5, reclaimable: 0, preferredUpstreams: Infinity }
 
 /**
  * Chooses the candidate with the lowest cost.
  *
  * @param candidates upstreams that may take the request, in any order
  * @param node the node that places the request
- * @param speed estimated speed of the service's engines
+ * @param times estimated times of the service's upstreams
  * @returns undefined when there are no candidates
  * @example
- * chooseUpstream(request, candidates, { name: 'entry-1', failureDomain: 'lisbon-a' }, ENGINE_COSTS, speeds.of('plans'))?.upstream.id
+ * chooseUpstream(request, candidates, { name: 'entry-1', failureDomain: 'lisbon-a' }, ENGINE_COSTS, { speed: speeds.of('plans'), slotTime: 600 })?.upstream.id
  */
-export function chooseUpstream (request: PlacementRequest, candidates: readonly Candidate[], node: PlacingNode, costs: PlacementCosts, speed: EngineSpeed): Choice | undefined {
+export function chooseUpstream (request: PlacementRequest, candidates: readonly Candidate[], node: PlacingNode, costs: PlacementCosts, times: ServiceTimes): Choice | undefined {
   const cacheKey = request.parts.at(-2)?.id
-  if (cacheKey === undefined) return findCheapest(request, candidates, undefined, node, costs, speed)
+  if (cacheKey === undefined) return findCheapest(request, candidates, undefined, node, costs, times)
   const ranked = rankByRendezvous(cacheKey, candidates)
   const preferred = ranked[0]?.upstream
-  const choice = findCheapest(request, ranked.slice(0, costs.preferredUpstreams), preferred, node, costs, speed)
+  const choice = findCheapest(request, ranked.slice(0, costs.preferredUpstreams), preferred, node, costs, times)
   if (choice === undefined || choice.waiting < request.target * MAX_WAITING_FRACTION || ranked.length <= costs.preferredUpstreams) return choice
-  return findCheapest(request, candidates, preferred, node, costs, speed)
+  return findCheapest(request, candidates, preferred, node, costs, times)
 }
 
 /**
@@ -98,21 +111,23 @@
   return sum
 }
 
-function findCheapest (request: PlacementRequest, candidates: readonly Candidate[], preferred: UpstreamRecord | undefined, node: PlacingNode, costs: PlacementCosts, speed: EngineSpeed): Choice | undefined {
+function findCheapest (request: PlacementRequest, candidates: readonly Candidate[], preferred: UpstreamRecord | undefined, node: PlacingNode, costs: PlacementCosts, times: ServiceTimes): Choice | undefined {
   const shared = Math.min(request.promptTokens, sharedTokens(request.parts))
-  const fullPrefill = prefillTime(request.promptTokens, 0, speed)
-  const remainingPrefill = prefillTime(request.promptTokens - shared, shared, speed)
+  const fullPrefill = prefillTime(request.promptTokens, 0, times.speed)
+  const remainingPrefill = prefillTime(request.promptTokens - shared, shared, times.speed)
   let best: Choice | undefined
   let lowestCost = Infinity
   for (const { upstream, load } of candidates) {
     const prefill = upstream === preferred ? remainingPrefill : fullPrefill
-    const cost = load.reading + prefill + load.requests * costs.perRequest +
+    const waiting = expectedWait(load, upstream.slots, times.slotTime)
+    const running = Math.min(load.requests, upstream.slots)
+    const cost = waiting + prefill + running * (costs.perRequest + costs.occupancy * times.slotTime / upstream.slots) +
       (upstream.failureDomain === node.failureDomain ? 0 : costs.otherDomain) +
       (request.lostOnReclaim && upstream.reclaimable ? costs.reclaimable : 0) +
       tieBreaker(node.name, upstream.id)
     if (cost < lowestCost) {
       lowestCost = cost
-      best = { upstream, reading: prefill, cached: upstream === preferred ? shared : 0, waiting: load.reading, candidates: candidates.length }
+      best = { upstream, reading: prefill, cached: upstream === preferred ? shared : 0, waiting, candidates: candidates.length }
     }
   }
   return best
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -67,8 +67,10 @@
 /** Requests of one node in flight at one upstream. */
 export interface NodeLoad {
   readonly requests: number
-  /** Prefill time still needed for these requests, before new ones can be answered. */
+  /** Prefill time of the requests without a first answer, not reduced by the time that has elapsed since their dispatch. */
   readonly reading: Milliseconds
+  /** Requests without a first answer. */
+  readonly unanswered: number
 }
 
 /** Loads by incarnation of an upstream. */
--- a/test/gateway/upstream-view.test.ts
+++ b/test/gateway/upstream-view.test.ts
@@ -32,7 +32,7 @@
     view.health.failed(record(1).incarnation, 0)
     view.put(record(2), 2)
     const [candidate] = view.candidates('s', new Set([record(1).incarnation]), 1)
-    assert.deepEqual(candidate?.load, { requests: 0, reading: 0 })
+    assert.deepEqual(candidate?.load, { requests: 0, reading: 0, unanswered: 0 })
     assert.equal(view.health.usable(record(2).incarnation, 1), true)
   })
 
@@ -143,12 +143,13 @@
   it('counts a long prompt of a node that is known only as part of a sum until the sum includes it', () => {
     const view = createUpstreamView()
     view.put(record(1), 1)
-    view.observe(new Map([['others', { [record(1).incarnation]: { requests: 2, reading: 100 } }]]), 0)
+    view.observe(new Map([['others', { [record(1).incarnation]: { requests: 2, reading: 100, unanswered: 1 } }]]), 0)
     view.notePrefill('node-9', record(1).incarnation, 1_500, 50)
-    view.observe(new Map([['others', { [record(1).incarnation]: { requests: 2, reading: 100 } }]]), 400)
+    view.observe(new Map([['others', { [record(1).incarnation]: { requests: 2, reading: 100, unanswered: 1 } }]]), 400)
     const loadAt = (now: number) => view.candidates('s', new Set(), now)[0]?.load
-    assert.deepEqual(loadAt(450), { requests: 3, reading: 50 + 1_100 })
-    view.observe(new Map([['others', { [record(1).incarnation]: { requests: 3, reading: 400 } }]]), 1_300)
-    assert.deepEqual(loadAt(1_300), { requests: 3, reading: 400 }, 'the sum includes the prompt now')
+    // The prompts were known for 50 and 400 ms, 378 ms on average by prefill. The engine has worked on one of them at a time.
+    assert.deepEqual(loadAt(450), { requests: 3, reading: 1_600 - (100 * 50 + 1_500 * 400) / 1_600, unanswered: 2 })
+    view.observe(new Map([['others', { [record(1).incarnation]: { requests: 3, reading: 400, unanswered: 2 } }]]), 1_300)
+    assert.deepEqual(loadAt(1_300), { requests: 3, reading: 400, unanswered: 2 }, 'the sum includes the prompt now')
   })
 })
--- a/test/gossip/merge.test.ts
+++ b/test/gossip/merge.test.ts
@@ -15,7 +15,7 @@
   configuration: fc.nat(50),
   demand: counts,
   granted: counts,
-  inFlight: fc.dictionary(fc.constantFrom('i-1', 'i-2', 'i-3'), fc.record({ requests: fc.nat(9), reading: fc.nat(900) })).map((loads) => Object.fromEntries(Object.entries(loads).map(([id, load]) => [incarnationOf(id, 1), load]))),
+  inFlight: fc.dictionary(fc.constantFrom('i-1', 'i-2', 'i-3'), fc.record({ requests: fc.nat(9), reading: fc.nat(900), unanswered: fc.nat(9) })).map((loads) => Object.fromEntries(Object.entries(loads).map(([id, load]) => [incarnationOf(id, 1), load]))),
   work: fc.constant({}),
   speeds: fc.constant({}),
   crashes: fc.dictionary(fc.constantFrom('f-1', 'f-2'), fc.constantFrom(ANSWERED, 1, 2)),
--- a/test/placement/placement.test.ts
+++ b/test/placement/placement.test.ts
@@ -1,15 +1,17 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import fc from 'fast-check'
-import { ASSUMED_SPEED, chooseUpstream, createUpstreamHealth, ENGINE_COSTS, prefillTime, sharedTokens } from '../../src/placement/index.js'
+import { ASSUMED_SPEED, assumedSlotTime, chooseUpstream, createUpstreamHealth, ENGINE_COSTS, prefillTime, sharedTokens } from '../../src/placement/index.js'
 import type { Candidate, PlacementRequest } from '../../src/placement/index.js'
 import { upstreamRecord } from './records.js'
 
+const times = { speed: ASSUMED_SPEED, slotTime: assumedSlotTime(true) }
+
 const node = { name: 'entry-1', failureDomain: 'a' }
 
 const candidate = (id: string, prefill = 0, requests = 0): Candidate => ({
   upstream: upstreamRecord(id),
-  load: { requests, reading: prefill }
+  load: { requests, reading: prefill, unanswered: prefill > 0 ? 1 : 0 }
 })
 
 const requestFor = (subject: string, unsharedTokens: number): PlacementRequest => ({
@@ -20,13 +22,13 @@
   const idle = Array.from({ length: 9 }, (_, index) => candidate(`i-${index}`))
 
   it('sends requests about one subject to one upstream, from all nodes and in any order of the candidates', () => {
-    const first = chooseUpstream(requestFor('subject', 100), idle, node, ENGINE_COSTS, ASSUMED_SPEED)
-    const other = chooseUpstream(requestFor('subject', 6_000), [...idle].reverse(), { name: 'entry-7', failureDomain: 'a' }, ENGINE_COSTS, ASSUMED_SPEED)
+    const first = chooseUpstream(requestFor('subject', 100), idle, node, ENGINE_COSTS, times)
+    const other = chooseUpstream(requestFor('subject', 6_000), [...idle].reverse(), { name: 'entry-7', failureDomain: 'a' }, ENGINE_COSTS, times)
     assert.equal(first?.upstream.id, other?.upstream.id)
   })
 
   it('spreads subjects evenly over the upstreams', () => {
-    const chosen = Array.from({ length: 300 }, (_, index) => chooseUpstream(requestFor(`subject-${index}`, 100), idle, node, ENGINE_COSTS, ASSUMED_SPEED)?.upstream.id)
+    const chosen = Array.from({ length: 300 }, (_, index) => chooseUpstream(requestFor(`subject-${index}`, 100), idle, node, ENGINE_COSTS, times)?.upstream.id)
     for (const { upstream } of idle) {
       const count = chosen.filter((id) => id === upstream.id).length
       assert.ok(count > 15 && count < 55, `${upstream.id}: ${count}`)
@@ -38,14 +40,14 @@
   it('depends on the queued prefill rather than on the number of requests', () => {
     const busy = idle.map(({ upstream }, index) => candidate(upstream.id, index === 4 ? 0 : 1_500, index === 4 ? 10 : 3))
     for (let subject = 0; subject < 50; subject += 1) {
-      assert.equal(chooseUpstream(requestFor(`subject-${subject}`, 1_000), busy, node, ENGINE_COSTS, ASSUMED_SPEED)?.upstream.id, 'i-4')
+      assert.equal(chooseUpstream(requestFor(`subject-${subject}`, 1_000), busy, node, ENGINE_COSTS, times)?.upstream.id, 'i-4')
     }
   })
 
   it('chooses one of the candidates if there is any', () => {
     fc.assert(fc.property(fc.array(fc.nat(5_000), { maxLength: 8 }), (queuedPrefills) => {
       const candidates = queuedPrefills.map((prefill, index) => candidate(`i-${index}`, prefill))
-      const choice = chooseUpstream({ service: 's', parts: [], promptTokens: 0, target: 800, lostOnReclaim: false }, candidates, node, ENGINE_COSTS, ASSUMED_SPEED)
+      const choice = chooseUpstream({ service: 's', parts: [], promptTokens: 0, target: 800, lostOnReclaim: false }, candidates, node, ENGINE_COSTS, times)
       assert.equal(choice === undefined, queuedPrefills.length === 0)
     }))
   })
