Learn the mean slot time by service, and report it to the other nodes

The time is measured from the dispatch to the end of an attempt that was answered and had a free slot when it was dispatched; attempts that wait for a slot would count the slot times of others too. The report has the new field holdTime, which is empty from older nodes.

Changes to existing tests add the new field.

--- a/src/gateway/upstream-choice.ts
+++ b/src/gateway/upstream-choice.ts
@@ -1,5 +1,5 @@
 /** Chooses the upstream for the next attempt of a request. */
-import { assumedSlotTime, chooseUpstream, ENGINE_COSTS, PLAIN_COSTS } from '../placement/index.js'
+import { chooseUpstream, ENGINE_COSTS, PLAIN_COSTS } from '../placement/index.js'
 import type { Choice, PlacementRequest } from '../placement/index.js'
 import type { GatewayContext } from './context.js'
 import type { ProxiedRequest } from './proxied-request.js'
@@ -20,7 +20,7 @@
   // A request that failed at the version being rolled out is retried at the version that already serves.
   const side = proxied.tried.size === 0 ? proxied.side : 'serving'
   const candidates = context.upstreams.candidates(proxied.service, proxied.tried, now, (present) => context.rollouts.admit(proxied.service, side, present))
-  const choice = chooseUpstream(placementRequest, candidates, context.settings, hasEngines ? ENGINE_COSTS : PLAIN_COSTS, { speed: context.speeds.of(proxied.service), slotTime: assumedSlotTime(hasEngines) })
+  const choice = chooseUpstream(placementRequest, candidates, context.settings, hasEngines ? ENGINE_COSTS : PLAIN_COSTS, { speed: context.speeds.of(proxied.service), slotTime: context.upstreams.slotTimes.of(proxied.service, hasEngines) })
   if (choice !== undefined) context.backpressure.taken(choice.upstream.incarnation, now)
   return choice
 }
--- a/src/gateway/upstream-view.ts
+++ b/src/gateway/upstream-view.ts
@@ -1,7 +1,7 @@
 /** This node's view of the upstreams: their registry records, and the load that this node and the other nodes put on them. */
 import type { Milliseconds } from '../clock.js'
-import { createUpstreamHealth, createUpstreamLoads } from '../placement/index.js'
-import type { Candidate, UpstreamHealth, UpstreamIncarnation, UpstreamLoads, UpstreamRecord } from '../placement/index.js'
+import { createSlotTimes, createUpstreamHealth, createUpstreamLoads } from '../placement/index.js'
+import type { Candidate, InFlight, InFlightRequest, MeanTimes, SlotTimes, UpstreamHealth, UpstreamIncarnation, UpstreamLoads, UpstreamRecord } from '../placement/index.js'
 
 /** Effect of a record on the view: a new incarnation, a notice of leaving, or another address. */
 export type UpstreamChange = 'new' | 'leaving' | 'changed'
@@ -23,7 +23,7 @@
 const ALWAYS_AVAILABLE: UpstreamAvailability = { isLeaving: () => false, accepts: () => true }
 
 /** The upstreams that this node knows, and their load. */
-export interface UpstreamView extends Pick<UpstreamLoads, 'begin' | 'inFlight' | 'observe' | 'notePrefill'> {
+export interface UpstreamView extends Pick<UpstreamLoads, 'inFlight' | 'observe' | 'notePrefill'> {
   /** Stores a record that the registry has at this revision. @returns the change, or undefined if nothing changed or the record is outdated */
   put (record: UpstreamRecord, revision: number): UpstreamChange | undefined
   /** The registry has no usable record under this id from this revision on. @returns the record that was removed, if any */
@@ -46,6 +46,11 @@
   candidates (service: string, excluded: ReadonlySet<UpstreamIncarnation>, now: Milliseconds, admit?: (present: readonly UpstreamRecord[]) => readonly UpstreamRecord[]): Candidate[]
   /** Upstreams of a service that are not leaving, whether or not they accept a request now. */
   notLeaving (service: string, excluded: ReadonlySet<UpstreamIncarnation>): readonly UpstreamRecord[]
+  /** Counts a request that is dispatched to an upstream, with the expected time of its prefill. */
+  begin (upstream: UpstreamRecord, prefillTime: Milliseconds, now: Milliseconds): InFlightRequest
+  /** What this node reports to the other nodes. */
+  told (): { readonly inFlight: InFlight, readonly holdTime: MeanTimes }
+  readonly slotTimes: SlotTimes
   readonly health: UpstreamHealth
 }
 
@@ -65,6 +70,7 @@
 export function createUpstreamView (availability: UpstreamAvailability = ALWAYS_AVAILABLE): UpstreamView {
   const records = new Map<string, KnownUpstream>()
   const loads = createUpstreamLoads()
+  const slotTimes = createSlotTimes()
   const health = createUpstreamHealth()
 
   /**
@@ -108,6 +114,24 @@
     return all().filter((upstream) => upstream.service === service && !upstream.leaving && !excluded.has(upstream.incarnation))
   }
 
+  function begin ({ incarnation, service, slots }: UpstreamRecord, prefillTime: Milliseconds, now: Milliseconds): InFlightRequest {
+    // The time of a request that waits for a slot would count the slot times of the requests before it as well.
+    const hasSlot = loads.of(incarnation, now).requests < slots
+    const open = loads.begin(incarnation, prefillTime, now)
+    let isAnswered = false
+    return {
+      answered: (answeredAt) => {
+        isAnswered = true
+        open.answered(answeredAt)
+      },
+      end: (endedAt) => {
+        open.end(endedAt)
+        if (isAnswered && hasSlot) slotTimes.observe(service, endedAt - now)
+        isAnswered = false
+      }
+    }
+  }
+
   return {
     put,
     remove: (id, revision) => {
@@ -135,10 +159,12 @@
       // If all upstreams have failed recently, an attempt at one of them is better than a certain refusal.
       return (usable.length > 0 ? usable : present).map((upstream): Candidate => ({ upstream, load: loads.of(upstream.incarnation, now) }))
     },
-    begin: loads.begin,
+    begin,
+    told: () => ({ inFlight: loads.inFlight(), holdTime: slotTimes.own() }),
     inFlight: loads.inFlight,
     observe: loads.observe,
     notePrefill: loads.notePrefill,
+    slotTimes,
     health
   }
 }
--- a/src/gossip/types.ts
+++ b/src/gossip/types.ts
@@ -31,6 +31,8 @@
    * milliseconds.
    */
   inFlight: z.record(upstreamIncarnationSchema, z.object({ requests: z.number(), reading: z.number(), unanswered: z.number().default(0) })),
+  /** Mean time for which a request holds a slot, by service; empty from nodes of an older build. */
+  holdTime: z.record(z.string(), z.object({ mean: z.number().nonnegative(), samples: z.number().nonnegative() })).default({}),
   /** Offered work by service. */
   work: z.record(z.string(), workSchema),
   /** Estimated prefill speed of the engines, by service. */
--- a/test/placement/load-replay.ts
+++ b/test/placement/load-replay.ts
@@ -6,8 +6,8 @@
 import { SECOND } from '../../src/clock.js'
 import { createUpstreamView } from '../../src/gateway/upstream-view.js'
 import type { UpstreamView } from '../../src/gateway/upstream-view.js'
-import { ASSUMED_SPEED, assumedSlotTime, chooseUpstream, ENGINE_COSTS, prefillTime } from '../../src/placement/index.js'
-import type { Choice, InFlight, PlacementRequest, UpstreamIncarnation, UpstreamRecord } from '../../src/placement/index.js'
+import { ASSUMED_SPEED, chooseUpstream, ENGINE_COSTS, prefillTime } from '../../src/placement/index.js'
+import type { Choice, PlacementRequest, UpstreamIncarnation, UpstreamRecord } from '../../src/placement/index.js'
 import { createRandom } from '../../src/random.js'
 import type { Random } from '../../src/random.js'
 import { upstreamRecord } from './records.js'
@@ -133,16 +133,20 @@
   }
 }
 
+interface Report extends ReturnType<UpstreamView['told']> {
+  readonly at: Milliseconds
+}
+
 interface ReplayedNode {
   readonly name: string
   readonly view: UpstreamView
   /** Reports with the times at which they were written, the latest last. */
-  readonly reports: { readonly at: Milliseconds, readonly inFlight: InFlight }[]
+  readonly reports: Report[]
 }
 
 function choose (node: ReplayedNode, request: PlacementRequest, now: Milliseconds): Choice {
   const candidates = node.view.candidates('s', new Set(), now)
-  return chooseUpstream(request, candidates, { name: node.name, failureDomain: 'a' }, ENGINE_COSTS, { speed: ASSUMED_SPEED, slotTime: assumedSlotTime(true) })!
+  return chooseUpstream(request, candidates, { name: node.name, failureDomain: 'a' }, ENGINE_COSTS, { speed: ASSUMED_SPEED, slotTime: node.view.slotTimes.of('s', true) })!
 }
 
 /**
@@ -164,9 +168,11 @@
     for (const { record } of engines) node.view.put(record, 1)
     const delays = nodes.map(() => MIN_REPORT_DELAY + (MAX_REPORT_DELAY - MIN_REPORT_DELAY) * random.fraction())
     const exchange = (now: Milliseconds): void => {
-      node.reports.push({ at: now, inFlight: node.view.inFlight() })
+      node.reports.push({ at: now, ...node.view.told() })
       if (node.reports.length > MAX_REPORT_DELAY / REPORT_PERIOD + 4) node.reports.shift()
-      node.view.observe(receivedReports(nodes, node, delays, now), now)
+      const received = receivedReports(nodes, node, delays, now)
+      node.view.observe(new Map([...received].map(([name, { inFlight }]) => [name, inFlight])), now)
+      node.view.slotTimes.receive([...received.values()].map(({ holdTime }) => holdTime))
       queue.at(now + REPORT_PERIOD * (0.75 + 0.5 * random.fraction()), exchange)
     }
     queue.at(REPORT_PERIOD * random.fraction(), exchange)
@@ -188,7 +194,7 @@
     const engine = engines[index]!
     const placed: PlacedRequest = { class: kind.name, at: now, engine: index, inFlight: engine.inFlight(), waiting: choice.waiting, firstAfter: undefined, target: kind.target }
     requests.push(placed)
-    const open = node.view.begin(choice.upstream.incarnation, choice.reading, now)
+    const open = node.view.begin(choice.upstream, choice.reading, now)
     engine.begin(request, kind.run * (0.5 + random.fraction()), now, (answeredAt) => {
       placed.firstAfter = answeredAt - now
       open.answered(answeredAt)
@@ -204,11 +210,11 @@
   return { requests, samples }
 }
 
-function receivedReports (nodes: readonly ReplayedNode[], receiver: ReplayedNode, delays: readonly Milliseconds[], now: Milliseconds): Map<string, InFlight> {
-  const received = new Map<string, InFlight>()
+function receivedReports (nodes: readonly ReplayedNode[], receiver: ReplayedNode, delays: readonly Milliseconds[], now: Milliseconds): Map<string, Report> {
+  const received = new Map<string, Report>()
   nodes.forEach((node, index) => {
     const report = node === receiver ? undefined : node.reports.findLast(({ at }) => at <= now - delays[index]!)
-    if (report !== undefined) received.set(node.name, report.inFlight)
+    if (report !== undefined) received.set(node.name, report)
   })
   return received
 }
