--- a/src/gateway/upstream-choice.ts
+++ b/src/gateway/upstream-choice.ts
@@ -20,7 +20,7 @@
   // A request that failed at the version being rolled out is retried at the version that already serves.
   const side = proxied.tried.size === 0 ? proxied.side : 'serving'
   const candidates = context.upstreams.candidates(proxied.service, proxied.tried, now, (present) => context.rollouts.admit(proxied.service, side, present))
-  const choice = chooseUpstream(placementRequest, candidates, context.settings, hasEngines ? ENGINE_COSTS : PLAIN_COSTS, context.speeds.of(proxied.service))
+  const choice = chooseUpstream(placementRequest, candidates, context.settings, hasEngines ? ENGINE_COSTS : PLAIN_COSTS, { speed: context.speeds.of(proxied.service), slotTime: context.upstreams.slotTimes.of(proxied.service, hasEngines) })
   if (choice !== undefined) context.backpressure.taken(choice.upstream.incarnation, now)
   return choice
 }
--- a/test/scaling/slot-time.test.ts
+++ b/test/scaling/slot-time.test.ts
@@ -72,7 +72,7 @@
 })
 
 describe('reported slot times', () => {
-  const base = { nodes: 1, configuration: 0, demand: {}, granted: {}, inFlight: {}, speeds: {}, crashes: {}, rollouts: {}, limits: {}, departures: [] }
+  const base = { nodes: 1, configuration: 0, demand: {}, granted: {}, inFlight: {}, speeds: {}, holdTime: {}, crashes: {}, rollouts: {}, limits: {}, departures: [] }
   const earlierWorkSchema = z.object({ requests: z.number(), reading: z.number(), generatedTokens: z.number() })
 
   // Failure guarded against: while a fleet is updated node by node, nodes discard the reports of the other build.
@@ -120,7 +120,7 @@
       log: { info: none },
       metrics: { record: none, count: none },
       rollouts: { begin: () => undefined, roleOf: () => 'serving' },
-      upstreams: { begin: () => ({ end: none, prefillFinished: none }), health: { answered: none, failed: none, usable: () => true }, candidates: () => [] },
+      upstreams: { begin: () => ({ end: none, answered: none }), health: { answered: none, failed: none, usable: () => true }, candidates: () => [] },
       quarantine: { answered: none, broken: none },
       speeds: { of: () => ({ base: 10 }), observe: none },
       usage: { recordStart: none },
