--- a/src/bin/hornbeamgap.ts
+++ b/src/bin/hornbeamgap.ts
@@ -8,9 +8,10 @@
 import type { ChangeCommandOptions } from '../operator/command/change.js'
 import { createOperatorClient, resolveSettings } from '../operator/command/connection.js'
 import type { ConnectionOptions, OperatorClient } from '../operator/command/connection.js'
+import { dayCommand } from '../operator/command/day.js'
+import type { DayCommandOptions } from '../operator/command/day.js'
 import { explainCommand, plannerCommand, statusCommand } from '../operator/command/look.js'
-import { dayFromLogs, explainFromLogs, readLogs } from '../operator/command/logs.js'
-import type { DayCommandOptions } from '../operator/command/logs.js'
+import { explainFromLogs, readLogs } from '../operator/command/logs.js'
 import { createProcessOutput } from '../operator/command/output.js'
 import { reportCommand } from '../operator/command/report.js'
 import type { ReportCommandOptions } from '../operator/command/report.js'
@@ -50,8 +51,11 @@
   program.command('day <...logs>', 'Tell what became of requests over time, from files of nodes\' lines (- for standard input)')
     .option('--json', 'Write JSON')
     .option('--html <file>', 'Write a page with a plot')
-    .option('--step <seconds>', 'Length of a part')
-    .action((logs: string[], options: DayCommandOptions) => dayFromLogs(readLogs(logs), output, options))
+    .option('--step <seconds>', 'Length of a part (default: 2, with --load 1)')
+    .option('--load', 'Tell the load by class, organisation, size of the prompt and upstream')
+    .option('--by <groups>', 'With --load, only some of: class,organisation,size,upstream,quota,queue')
+    .option('--totals', 'With --load, leave out the single parts')
+    .action((logs: string[], options: DayCommandOptions) => dayCommand(logs, output, options))
   addConnectionOptions(program.command('planner', 'Tell what the planner did, and why'))
     .action((options: CommandOptions) => withClient(options, (client) => plannerCommand(client, output, options)))
   program.help()
--- a/src/events/day.ts
+++ b/src/events/day.ts
@@ -30,6 +30,47 @@
   readonly processes: readonly string[]
 }
 
+/** Adds up the sums in log lines. */
+export interface DaySumsReader {
+  /** Takes a line. Lines may come in any order. */
+  add (line: LoggedLine): void
+  /** Returns undefined if no line contained sums. */
+  summary (): DaySummary | undefined
+}
+
+/**
+ * Creates a reader that keeps sums only, so logs of any length can be read.
+ *
+ * @param step length of an interval
+ * @example
+ * const day = createDaySumsReader(2_000)
+ * for (const line of lines) day.add(line)
+ * day.summary()?.total.served
+ */
+export function createDaySumsReader (step: Milliseconds): DaySumsReader {
+  const intervals = new Map<number, Record<DayOutcome, number>>()
+  const processes = new Set<string>()
+  return {
+    add: ({ time, process, event, facts }) => {
+      processes.add(process)
+      if (event !== 'requests-summed') return
+      const index = Math.floor(time / step)
+      const sums = intervals.get(index) ?? emptySums()
+      intervals.set(index, sums)
+      for (const outcome of DAY_OUTCOMES) sums[outcome] += Number(facts[outcome] ?? 0)
+    },
+    summary: () => {
+      if (intervals.size === 0) return undefined
+      const indexes = [...intervals.keys()].sort((left, right) => left - right)
+      const first = indexes[0]!
+      const parts = Array.from({ length: indexes.at(-1)! - first + 1 }, (_, offset) => ({ from: (first + offset) * step, sums: intervals.get(first + offset) ?? emptySums() }))
+      const total = emptySums()
+      for (const sums of intervals.values()) for (const outcome of DAY_OUTCOMES) total[outcome] += sums[outcome]
+      return { parts, step, total, processes: [...processes].sort() }
+    }
+  }
+}
+
 /**
  * Adds up the sums in log lines by intervals.
  *
@@ -38,21 +79,10 @@
  * @example
  * summarizeDay(lines, 2_000)?.total.served
  */
-export function summarizeDay (lines: readonly LoggedLine[], step: Milliseconds): DaySummary | undefined {
-  const sumLines = lines.filter(({ event }) => event === 'requests-summed')
-  if (sumLines.length === 0) return undefined
-  const times = sumLines.map(({ time }) => Math.floor(time / step))
-  const first = Math.min(...times)
-  const parts = Array.from({ length: Math.max(...times) - first + 1 }, (_, index) => ({ from: (first + index) * step, sums: emptySums() }))
-  const total = emptySums()
-  sumLines.forEach((line, index) => {
-    for (const outcome of DAY_OUTCOMES) {
-      const count = Number(line.facts[outcome] ?? 0)
-      parts[times[index]! - first]!.sums[outcome] += count
-      total[outcome] += count
-    }
-  })
-  return { parts, step, total, processes: [...new Set(lines.map(({ process }) => process))].sort() }
+export function summarizeDay (lines: Iterable<LoggedLine>, step: Milliseconds): DaySummary | undefined {
+  const reader = createDaySumsReader(step)
+  for (const line of lines) reader.add(line)
+  return reader.summary()
 }
 
 function emptySums (): Record<DayOutcome, number> {
--- a/src/gateway/accounting.ts
+++ b/src/gateway/accounting.ts
@@ -39,7 +39,7 @@
   const organisation = accepted?.organisation?.name ?? 'none'
   switch (end.kind) {
     case 'answered':
-      if (proxied !== undefined) logAnswered(context, proxied, elapsed)
+      if (proxied !== undefined) logAnswered(context, proxied, end.outcome, elapsed)
       metrics.count('requests', { route, organisation, outcome: end.outcome, verdict: 'ran' })
       break
     case 'failed':
@@ -51,7 +51,7 @@
   if (proxied?.timeToFirstAnswer !== undefined) metrics.record('rest', elapsed - proxied.timeToFirstAnswer, { route })
 }
 
-function logAnswered ({ log }: GatewayContext, proxied: ProxiedRequest, elapsed: Milliseconds): void {
+function logAnswered ({ log }: GatewayContext, proxied: ProxiedRequest, outcome: AnswerOutcome, elapsed: Milliseconds): void {
   const { accepted } = proxied
   log.info('request-served', {
     request: accepted.head.id,
@@ -61,6 +61,10 @@
     attempts: proxied.attempts,
     unrun: proxied.unrun,
     events: proxied.progress.events,
+    promptTokens: accepted.head.tokens?.prompt,
+    late: isLate(proxied) ?? false,
+    // Left out of the lines of successful answers, which are most.
+    failed: outcome === 'upstream-failed' ? true : undefined,
     firstAfter: Math.round(proxied.timeToFirstAnswer ?? elapsed),
     after: Math.round(elapsed)
   })
@@ -76,6 +80,8 @@
     reason: failure.message,
     attempts: proxied?.attempts,
     unrun: proxied?.unrun,
+    promptTokens: head.tokens?.prompt,
+    late: proxied === undefined ? undefined : isLate(proxied),
     after: Math.round(elapsed),
     retryAfter: failure.retryAfter === undefined ? undefined : Math.round(failure.retryAfter),
     ...freshness()
@@ -86,11 +92,16 @@
   switch (end.kind) {
     case 'answered':
       if (end.outcome === 'upstream-failed') return 'lost'
-      return (proxied?.timeToFirstAnswer ?? 0) > (proxied?.accepted.route.target ?? Infinity) ? 'late' : 'served'
+      return proxied !== undefined && isLate(proxied) === true ? 'late' : 'served'
     case 'failed': return end.failure.code === 'cancelled' ? 'left' : dayOutcomeOfVerdict(end.failure.verdict)
   }
 }
 
+/** Whether the answer started after the route's target. Undefined if none has started. */
+function isLate ({ timeToFirstAnswer, accepted }: ProxiedRequest): boolean | undefined {
+  return timeToFirstAnswer === undefined ? undefined : timeToFirstAnswer > accepted.route.target
+}
+
 function dayOutcomeOfVerdict (verdict: Verdict): DayOutcome {
   return verdict === 'not-run' ? 'refused' : 'lost'
 }
--- a/src/operator/command/logs.ts
+++ b/src/operator/command/logs.ts
@@ -1,34 +1,17 @@
-/** Commands `explain ID FILE...` and `day FILE...`, which evaluate the nodes' log files. */
+/** Command `explain ID FILE...`, which evaluates the nodes' log files. */
 import { readFileSync } from 'node:fs'
 import type { Milliseconds } from '../../clock.js'
-import { SECOND } from '../../clock.js'
-import { DAY_OUTCOMES, readLine, summarizeDay, reconstructTimeline } from '../../events/index.js'
+import { readLine, reconstructTimeline } from '../../events/index.js'
 import type { LoggedLine, RequestTimeline, TimelineEnd, TimelineEntry } from '../../events/index.js'
 import { countText } from '../../report/index.js'
 import { ServingError } from '../../verdict.js'
-import { dayPage } from './day-page.js'
-import { alignColumns, usageError, jsonText, writeTextFile } from './output.js'
+import { clockText, STANDARD_INPUT } from './log-lines.js'
+import { alignColumns, jsonText, usageError } from './output.js'
 import type { CommandOutput } from './output.js'
 
-/** Options of the `day` command. */
-export interface DayCommandOptions {
-  /** Prints the summary as JSON. */
-  readonly json?: boolean | undefined
-  /** Path of the HTML page to write. */
-  readonly html?: string | undefined
-  /** Length of a time interval, in seconds. */
-  readonly step?: number | undefined
-}
-
-/** File name that denotes standard input. */
-const STANDARD_INPUT = '-'
-
 /** File descriptor of standard input. */
 const STANDARD_INPUT_DESCRIPTOR = 0
 
-/** Default length of a time interval, in seconds. Nodes log their sums at the same interval. */
-const DEFAULT_STEP_SECONDS = 2
-
 /**
  * Reads the nodes' log lines from files. Lines that are not log lines of a node are skipped.
  *
@@ -61,29 +44,6 @@
   for (const text of gapTexts(story)) output.note(text)
 }
 
-/**
- * `hornbeamgap day FILE...`: shows the requests over time by outcome.
- *
- * @throws ServingError `not-found` if no line contains sums; `invalid-request` for an invalid interval or a file that cannot
- *   be written
- * @example
- * dayFromLogs(readLogs(['node-1.log']), output, { html: 'day.html' })
- */
-export function dayFromLogs (lines: readonly LoggedLine[], output: CommandOutput, options: DayCommandOptions): void {
-  const step = Number(options.step ?? DEFAULT_STEP_SECONDS) * SECOND
-  if (!(step > 0)) throw usageError(`--step ${options.step}: must be a number of seconds above 0`)
-  const day = summarizeDay(lines, step)
-  if (day === undefined) throw new ServingError(`no line of ${countText(lines.length)} has sums of requests`, { code: 'not-found', verdict: 'not-run' })
-  if (options.html !== undefined) {
-    writeTextFile(options.html, dayPage(day))
-    output.note(`written to ${options.html}`)
-  }
-  if (options.json === true) return output.out(jsonText(day))
-  if (options.html !== undefined) return
-  const rows = [...day.parts.map((part) => [clockText(part.from), ...DAY_OUTCOMES.map((outcome) => countText(part.sums[outcome]))]), ['all', ...DAY_OUTCOMES.map((outcome) => countText(day.total[outcome]))]]
-  output.out(alignColumns(['time', ...DAY_OUTCOMES], rows))
-}
-
 function endText (end: TimelineEnd): string {
   switch (end.kind) {
     case 'served': return end.late ? 'answered late' : 'answered in time'
@@ -112,11 +72,6 @@
   return counts.length === 0 ? 'nothing was left out' : `${countText(counts.reduce((sum, count) => sum + count, 0))} lines were left out to bound the volume`
 }
 
-/** Formats the UTC time of day with milliseconds. */
-function clockText (time: Milliseconds): string {
-  return new Date(time).toISOString().slice(11, 23)
-}
-
 function readInput (file: string): string {
   try {
     return readFileSync(file === STANDARD_INPUT ? STANDARD_INPUT_DESCRIPTOR : file, 'utf8')
