--- a/src/events/day-load-summary.ts
+++ b/src/events/day-load-summary.ts
@@ -23,6 +23,9 @@
   readonly left: number
 }
 
+/** Kinds of outcomes of requests. */
+export type OutcomeKind = Exclude<keyof LoadCounts, 'requests'>
+
 /** Load of one upstream. Requests are counted at the upstream of their latest attempt. */
 export interface UpstreamLoad extends LoadCounts {
   /** Attempts that the upstream did not run, and attempts that broke off, of requests with any outcome. */
@@ -99,7 +102,7 @@
   const step = spans.step()
   const merged = createCounters()
   for (const { counters } of all) merged.merge(counters)
-  const sizes = new Map(merged.names(['prompt']).map((name) => [name, sizesOfBuckets(bucketCounts(merged, ['prompt', name]))]))
+  const sizes = new Map(merged.names(['prompt']).map((name) => [name, sizesOfBuckets(promptBuckets(merged, name))]))
   const from = all[0]?.from ?? 0
   const to = (all.at(-1)?.from ?? 0) + step
   const part = (counters: Counters, from: Milliseconds, to: Milliseconds): LoadPart => summarizePart({ counters, from, to, step, sizes, upstreams })
@@ -117,13 +120,12 @@
 
 function summarizePart (options: PartOptions): LoadPart {
   const { counters, from, sizes } = options
-  const group = (kind: string): Record<string, LoadCounts> => recordOf(counters.names([kind]), (name) => countsOf(counters, [kind, name]))
   const inFlight = inFlightByUpstream(options)
   return {
     from,
-    classes: group('class'),
-    organisations: group('organisation'),
-    sizes: sizeCounts(counters, sizes),
+    classes: countsByName(counters, ['class']),
+    organisations: countsByName(counters, ['organisation']),
+    sizes: countsBySize(counters, sizes),
     upstreams: summarizeUpstreams(counters, inFlight),
     inFlight: inFlightByService(inFlight, options.upstreams),
     quotaRefused: recordOf(counters.names(['quotaRefused']), (name) => numbersOf(counters, ['quotaRefused', name])),
@@ -131,44 +133,54 @@
   }
 }
 
-function countsOf (counters: Counters, path: readonly string[]): LoadCounts {
-  const sum = (outcome: string): number => counters.sum([...path, outcome])
-  return {
-    requests: counters.sum(path),
-    inTime: sum('inTime'),
-    late: sum('late'),
-    refused: numbersOf(counters, [...path, 'refused']),
-    failed: numbersOf(counters, [...path, 'failed']),
-    left: sum('left')
-  }
+type MutableCounts = { -readonly [Name in keyof LoadCounts]: LoadCounts[Name] extends number ? number : Record<string, number> }
+
+/** Counts of the requests under a path, where the kind, the code and the name follow the path. */
+function countsByName (counters: Counters, path: readonly string[]): Record<string, LoadCounts> {
+  const counts = new Map<string, MutableCounts>()
+  addCounts(counts, counters, path, (name) => name)
+  return recordOf([...counts.keys()], (name) => counts.get(name)!)
 }
 
-function sizeCounts (counters: Counters, sizes: SizesByClass): Partial<Record<PromptSize, LoadCounts>> {
-  const bySize = createCounters()
-  for (const name of counters.names(['prompt'])) {
-    for (const bucket of counters.names(['prompt', name])) {
-      const size = sizes.get(name)?.get(bucket) ?? 'unknown'
-      addOutcomes(bySize, size, counters, ['prompt', name, bucket])
+function addCounts<Name extends string> (counts: Map<Name, MutableCounts>, counters: Counters, path: readonly string[], rename: (name: string) => Name): void {
+  for (const kind of counters.names(path) as OutcomeKind[]) {
+    for (const code of counters.names([...path, kind])) {
+      for (const name of counters.names([...path, kind, code])) addCount(counts, rename(name), kind, code, counters.sum([...path, kind, code, name]))
     }
   }
-  const present = new Set(bySize.names([]))
-  return recordOf(PROMPT_SIZES.filter((size) => present.has(size)), (size) => countsOf(bySize, [size]))
 }
 
-function addOutcomes (target: Counters, size: PromptSize, source: Counters, path: readonly string[]): void {
-  for (const outcome of source.names(path)) {
-    const codes = source.names([...path, outcome])
-    if (codes.length === 0) target.add([size, outcome], source.sum([...path, outcome]))
-    for (const code of codes) target.add([size, outcome, code], source.sum([...path, outcome, code]))
-  }
+function addCount<Name extends string> (counts: Map<Name, MutableCounts>, name: Name, kind: OutcomeKind, code: string, count: number): void {
+  const target = counts.get(name) ?? noRequests()
+  counts.set(name, target)
+  target.requests += count
+  if (kind === 'refused' || kind === 'failed') target[kind][code] = (target[kind][code] ?? 0) + count
+  else target[kind] += count
+}
+
+function noRequests (): MutableCounts {
+  return { requests: 0, inTime: 0, late: 0, refused: {}, failed: {}, left: 0 }
+}
+
+function countsBySize (counters: Counters, sizes: SizesByClass): Partial<Record<PromptSize, LoadCounts>> {
+  const counts = new Map<PromptSize, MutableCounts>()
+  for (const name of counters.names(['prompt'])) addCounts(counts, counters, ['prompt', name], (bucket) => sizes.get(name)?.get(bucket) ?? 'unknown')
+  return Object.fromEntries(PROMPT_SIZES.filter((size) => counts.has(size)).map((size) => [size, counts.get(size)!]))
+}
+
+/** Numbers of prompts of a class by bucket. */
+function promptBuckets (counters: Counters, name: string): BucketCount[] {
+  const path = ['prompt', name]
+  return counters.names(path).flatMap((kind) => counters.names([...path, kind]).flatMap((code) => bucketCounts(counters, [...path, kind, code])))
 }
 
 function summarizeUpstreams (counters: Counters, inFlight: ReadonlyMap<string, number>): Record<string, UpstreamLoad> {
-  const names = new Set([...counters.names(['upstream']), ...counters.names(['attempts']), ...inFlight.keys()])
-  return recordOf([...names], (name) => ({
-    ...countsOf(counters, ['upstream', name]),
-    attemptsNotRun: counters.sum(['attempts', name, 'notRun']),
-    attemptsBroken: counters.sum(['attempts', name, 'broken']),
+  const counts = countsByName(counters, ['upstream'])
+  const attempts = [...counters.names(['attempts', 'notRun']), ...counters.names(['attempts', 'broken'])]
+  return recordOf([...new Set([...Object.keys(counts), ...attempts, ...inFlight.keys()])], (name) => ({
+    ...counts[name] ?? noRequests(),
+    attemptsNotRun: counters.sum(['attempts', 'notRun', name]),
+    attemptsBroken: counters.sum(['attempts', 'broken', name]),
     inFlight: inFlight.get(name),
     firstAnswer: firstAnswerOf(bucketCounts(counters, ['firstAnswer', name]))
   }))
--- a/src/events/day-load.ts
+++ b/src/events/day-load.ts
@@ -7,7 +7,7 @@
 import type { OpenRequest } from './day-attempts.js'
 import { bucketOf } from './day-buckets.js'
 import { summarizeLoad } from './day-load-summary.js'
-import type { LoadSummary } from './day-load-summary.js'
+import type { LoadSummary, OutcomeKind } from './day-load-summary.js'
 import { UNKNOWN_BUCKET } from './day-sizes.js'
 import { createSpans } from './day-spans.js'
 import { createUpstreamDirectory } from './day-upstreams.js'
@@ -29,8 +29,8 @@
 /** Name of a cause that nodes of an older build do not state. */
 const UNKNOWN_CAUSE = 'unknown'
 
-/** How a request ended, with the code of a refusal or failure. */
-type Outcome = readonly ['inTime' | 'late' | 'left'] | readonly ['refused' | 'failed', string]
+/** How a request ended, with the code of a refusal or failure. The code of the other outcomes is empty. */
+type Outcome = readonly [kind: OutcomeKind, code: string]
 
 /**
  * Creates empty sums.
@@ -70,10 +70,10 @@
         if (typeof facts.target === 'number') targets.set(targetKey(line), facts.target)
         break
       case 'send-not-run':
-        spans.at(time).add(['attempts', upstreamName(facts.upstream), 'notRun'], 1)
+        spans.at(time).add(['attempts', 'notRun', upstreamName(facts.upstream)], 1)
         break
       case 'attempt-broken':
-        spans.at(time).add(['attempts', upstreamName(facts.upstream), 'broken'], 1)
+        spans.at(time).add(['attempts', 'broken', upstreamName(facts.upstream)], 1)
         break
       case 'quota-refused':
         spans.at(time).add(['quotaRefused', String(facts.organisation), String(facts.cause ?? UNKNOWN_CAUSE)], 1)
@@ -101,15 +101,16 @@
     const counters = spans.at(time)
     const route = String(facts.route ?? NONE)
     const promptTokens = typeof facts.promptTokens === 'number' ? facts.promptTokens : open?.promptTokens
-    counters.add(['class', route, ...outcome], 1)
-    counters.add(['organisation', String(facts.organisation ?? NONE), ...outcome], 1)
-    counters.add(['prompt', route, promptTokens === undefined ? UNKNOWN_BUCKET : bucketOf(promptTokens), ...outcome], 1)
-    counters.add(['upstream', upstreamName(event === 'request-served' ? facts.upstream : open?.upstream), ...outcome], 1)
+    // Names come last. A map for each of several hundred upstreams in each span would take several times the memory.
+    counters.add(['class', ...outcome, route], 1)
+    counters.add(['organisation', ...outcome, String(facts.organisation ?? NONE)], 1)
+    counters.add(['prompt', route, ...outcome, promptTokens === undefined ? UNKNOWN_BUCKET : bucketOf(promptTokens)], 1)
+    counters.add(['upstream', ...outcome, upstreamName(event === 'request-served' ? facts.upstream : open?.upstream)], 1)
   }
 
   function servedOutcome (line: LoggedLine, open: OpenRequest | undefined): Outcome {
     if (line.facts.failed === true) return ['failed', 'upstream-failed']
-    return isLate(line, open) ? ['late'] : ['inTime']
+    return isLate(line, open) ? ['late', ''] : ['inTime', '']
   }
 
   /** Nodes of an older build state the target and that an answer is late in `answer-late` only, which may have been left out. */
@@ -157,7 +158,7 @@
 }
 
 function failedOutcome ({ code, verdict }: Facts): Outcome {
-  if (code === 'cancelled') return ['left']
+  if (code === 'cancelled') return ['left', '']
   return [verdict === 'not-run' ? 'refused' : 'failed', String(code)]
 }
 
--- a/src/events/day-sizes.ts
+++ b/src/events/day-sizes.ts
@@ -17,12 +17,14 @@
  * Assigns sizes to the buckets of the prompts of one class. Equal prompts have the same size, so a size can be larger or
  * smaller than its fraction.
  *
- * @param counts numbers of prompts by bucket of their tokens
+ * @param counts numbers of prompts by bucket of their tokens; a bucket may be there several times
  * @example
  * sizesOfBuckets([{ bucket: bucketOf(400), count: 12 }]).get(bucketOf(400))
  */
 export function sizesOfBuckets (counts: readonly BucketCount[]): ReadonlyMap<string, PromptSize> {
-  const known = counts.filter(({ bucket }) => bucket !== UNKNOWN_BUCKET)
+  const byBucket = new Map<string, number>()
+  for (const { bucket, count } of counts) if (bucket !== UNKNOWN_BUCKET) byBucket.set(bucket, (byBucket.get(bucket) ?? 0) + count)
+  const known = [...byBucket].map(([bucket, count]) => ({ bucket, count }))
   const total = known.reduce((sum, { count }) => sum + count, 0)
   const sizes = new Map<string, PromptSize>([[UNKNOWN_BUCKET, 'unknown']])
   let before = 0
--- a/src/events/day-spans.ts
+++ b/src/events/day-spans.ts
@@ -15,11 +15,8 @@
   all (): readonly { readonly from: Milliseconds, readonly counters: Counters }[]
 }
 
-/**
- * Maximum number of spans, which is a quarter of an hour at one second. With a hundred upstreams, a thousand spans take
- * about 100 MB.
- */
-const MAX_SPANS = 1_000
+/** Maximum number of spans. With a hundred upstreams, 455 spans take about 140 MB. */
+const MAX_SPANS = 500
 
 /**
  * Creates empty spans. When there are too many of them, their length is doubled.
