--- a/src/gateway/scaling-controller.ts
+++ b/src/gateway/scaling-controller.ts
@@ -90,18 +90,18 @@
    * Failure guarded against: a holder that is cut off from most other nodes sees little more than its own work and shrinks
    * the fleet for all. Until reports cover half of the nodes again, it keeps its estimate.
    */
-  function observeLoad (scaled: ScaledService, work: OfferedWork | undefined, bootTime: Milliseconds, now: Milliseconds): number {
+  function observeLoad (scaled: ScaledService, work: OfferedWork | undefined, now: Milliseconds): number {
     if (work !== undefined) scaled.firstWorkAt ??= now
     if (scaled.firstWorkAt === undefined) return scaled.initialLoad
-    if (options.coverage() < MIN_COVERAGE) return scaled.load?.value() ?? scaled.initialLoad
+    if (options.coverage() < MIN_COVERAGE) return scaled.load?.value(now) ?? scaled.initialLoad
     const load = work === undefined ? 0 : offeredLoad(work, scaled.slots)
     if (scaled.load === undefined) {
       const start = startingLoad(scaled.initialLoad, load, Math.max(now - scaled.firstWorkAt, work?.measured.span ?? 0))
       if (start === undefined) return scaled.initialLoad
       scaled.load = createLoadEstimator(start)
     }
-    scaled.load.observe(load, bootTime, now)
-    return scaled.load.value()
+    scaled.load.observe(load, now)
+    return scaled.load.value(now)
   }
 
   async function scale (service: Service, facts: ScalingConfiguration): Promise<void> {
@@ -112,7 +112,7 @@
     const work = options.work()[service.name]
     // Without the last known slots, a service would need none at all while all of its upstreams are gone.
     if (present.length > 0) scaled.slots = Math.min(...present.map((upstream) => upstream.slots))
-    const load = observeLoad(scaled, work, facts.bootTime, now)
+    const load = observeLoad(scaled, work, now)
     const proof = duty.proof()
     if (proof === undefined) return
     if (proof.fencing !== lastFencing) scaled.orders.reset()
--- a/src/scaling/load-estimator.ts
+++ b/src/scaling/load-estimator.ts
@@ -1,20 +1,18 @@
-/** Smooths the measured load of a service. The estimate rises with the load and falls slowly, except after short bursts. */
+/** Smooths the measured load of a service. The estimate rises quickly and falls slowly. */
 import type { Milliseconds } from '../clock.js'
 import { SECOND } from '../clock.js'
 
 /** Smooths a noisy load measurement. The lengths of single prompts differ by a factor of up to a hundred. */
 export interface LoadEstimator {
-  /**
-   * Adds a measured load.
-   *
-   * @param load in busy engines
-   * @param bootTime time that an engine ordered now takes to boot
-   */
-  observe (load: number, bootTime: Milliseconds, now: Milliseconds): void
+  /** Adds a measured load, in busy engines. */
+  observe (load: number, now: Milliseconds): void
   /** Estimated load, in busy engines. */
-  value (): number
+  value (now: Milliseconds): number
 }
 
+/** Time for which a peak is provided for. Replacing an engine costs about as much as keeping it for this time. */
+const PEAK_HOLD_TIME: Milliseconds = 8 * SECOND
+
 /** Time constant of the mean. Within ten seconds the longest 10% of the prompts occur often enough to be represented. */
 const MEAN_TIME_CONSTANT: Milliseconds = 10 * SECOND
 
@@ -38,61 +36,33 @@
   return measured + (expected - measured) * Math.exp(-(span - RATE_SETTLING_TIME) / MEAN_TIME_CONSTANT)
 }
 
-/** Fraction of the present load that is provided for. Short peaks are mostly coincidences of a few long prompts. */
+/** Fraction of a short peak that is provided for. Such a peak is mostly a coincidence of a few long prompts. */
 const PEAK_FRACTION = 0.8
 
 /**
- * Creates an estimator. The estimate is the mean over about ten seconds, or a fraction of the present load if that is
- * higher. A load whose fraction exceeds the mean is a peak.
+ * Creates an estimator. The estimate is the mean over about ten seconds, or a fraction of the recent peak if that is
+ * higher.
  *
  * Failure guarded against: by chance few long prompts arrive in the first seconds. A fleet that follows this dip shrinks
  * to a third. The next wave of reclaims removes most of that, and too few upstreams remain for the usual load. The mean
  * starts at the expected load and falls slowly, so a short dip does not shrink the fleet.
  *
- * Failure guarded against: the fleet keeps engines for a burst of 3 to 6 s which were ready only at its end. A peak raises
- * the mean only to the extent that it lasts longer than an engine boots: its first `bootTime` is added to the mean
- * afterwards, at the rate at which the peak continues. A lasting rise is therefore followed at once, by the fraction of the
- * present load, and the mean has caught up before it exceeds this fraction.
- *
  * @param initial load expected before any was observed, in busy engines
  * @example
  * const estimator = createLoadEstimator(5.3)
- * estimator.observe(3.2, facts.bootTime, clock.now())
+ * estimator.observe(3.2, clock.now())
  */
 export function createLoadEstimator (initial: number): LoadEstimator {
+  let samples: { readonly load: number, readonly at: Milliseconds }[] = []
   let mean = initial
-  let present = 0
-  let observedAt: Milliseconds | undefined
-  let peakSince: Milliseconds | undefined
-  /** Load of the present peak that the mean does not contain yet, in busy engines times milliseconds. */
-  let deferred = 0
-
-  /** Load by which the mean is to change now. */
-  function countedLoad (load: number, elapsed: Milliseconds, bootTime: Milliseconds, now: Milliseconds): number {
-    const threshold = mean / PEAK_FRACTION
-    if (load <= threshold) {
-      peakSince = undefined
-      deferred = 0
-      return load
-    }
-    peakSince ??= now
-    const excess = (load - threshold) * elapsed
-    if (now - peakSince < bootTime) {
-      deferred += excess
-      return threshold
-    }
-    const added = Math.min(deferred, excess)
-    deferred -= added
-    return elapsed > 0 ? load + added / elapsed : load
-  }
-
+  let meanAt: Milliseconds | undefined
   return {
-    observe: (load, bootTime, now) => {
-      const elapsed = now - (observedAt ?? now)
-      mean += (countedLoad(load, elapsed, bootTime, now) - mean) * (1 - Math.exp(-elapsed / MEAN_TIME_CONSTANT))
-      present = load
-      observedAt = now
+    observe: (load, now) => {
+      samples = samples.filter((sample) => now - sample.at < PEAK_HOLD_TIME && sample.load > load)
+      samples.push({ load, at: now })
+      mean += (load - mean) * (1 - Math.exp(-(now - (meanAt ?? now)) / MEAN_TIME_CONSTANT))
+      meanAt = now
     },
-    value: () => Math.max(mean, present * PEAK_FRACTION)
+    value: (now) => Math.max(mean, ...samples.filter((sample) => now - sample.at < PEAK_HOLD_TIME).map((sample) => sample.load * PEAK_FRACTION))
   }
 }
--- a/test/scaling/scaling.test.ts
+++ b/test/scaling/scaling.test.ts
@@ -150,10 +150,10 @@
 
   it('raises the estimate within a second and lowers it after a while', () => {
     const estimator = createLoadEstimator(0)
-    for (let now = 0; now <= 1_000; now += 400) estimator.observe(5, facts.bootTime, now)
-    assert.ok(estimator.value() >= 4, `${estimator.value()}`)
-    for (let now = 1_400; now <= 60_000; now += 400) estimator.observe(1, facts.bootTime, now)
-    assert.ok(Math.abs(estimator.value() - 1) < 0.1, `${estimator.value()}`)
+    for (let now = 0; now <= 1_000; now += 400) estimator.observe(5, now)
+    assert.ok(estimator.value(1_000) >= 4, `${estimator.value(1_000)}`)
+    for (let now = 1_400; now <= 60_000; now += 400) estimator.observe(1, now)
+    assert.ok(Math.abs(estimator.value(60_000) - 1) < 0.1, `${estimator.value(60_000)}`)
   })
 
   // Failure guarded against: by chance few long prompts arrive in the first seconds and the fleet shrinks from eighteen
@@ -162,10 +162,10 @@
   it('does not lower the estimate much during some seconds with few long prompts', () => {
     const estimator = createLoadEstimator(5)
     // Load every 0.4 s as at the start of a simulated day: low for six seconds, then at its usual level.
-    for (let now = 0; now < 6_000; now += 400) estimator.observe(1.7, facts.bootTime, now)
-    assert.ok(estimator.value() > 3, `${estimator.value()} after the lull`)
-    for (let now = 6_000; now < 16_000; now += 400) estimator.observe(4 + Math.sin(now / 700), facts.bootTime, now)
-    assert.ok(estimator.value() > 3.3 && estimator.value() < 5, `${estimator.value()}`)
+    for (let now = 0; now < 6_000; now += 400) estimator.observe(1.7, now)
+    assert.ok(estimator.value(6_000) > 3, `${estimator.value(6_000)} after the lull`)
+    for (let now = 6_000; now < 16_000; now += 400) estimator.observe(4 + Math.sin(now / 700), now)
+    assert.ok(estimator.value(16_000) > 3.3 && estimator.value(16_000) < 5, `${estimator.value(16_000)}`)
   })
 
   it('counts prefill, or the slots that streams occupy if these would fill the batches', () => {
