Benchmark of the processor time of a request and of an idle node

Cause: the processor time of a request bounds what a node serves, and no measurement shows what it consists of. npm run bench -- request-cost starts the built node in a process of its own in front of stand-ins, with the flags of deploy/system.toml, and reports processor time (process.cpuUsage) of the first 100 and the next 200 requests by kind, counts per request from a second process (promises, timers, abort listeners, ticks, JSON, log lines), warnings of Node.js, and on request an idle node alone, as a member and as an aggregator.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -16,6 +16,7 @@
   'entry-overhead': () => import('./entry-overhead.js'),
   overload: () => import('./overload.js'),
   fairness: () => import('./fairness.js'),
+  'request-cost': () => import('./request-cost.js'),
   routing: () => import('./routing.js'),
   'gateway-placement': () => import('./gateway-placement.js'),
   'gateway-gossip': () => import('./gateway-gossip.js'),
