Calls with a timeout leave no timer and no abort listener behind

Cause of MaxListenersExceededWarning (11 abort listeners): createTimeoutSignal added a listener to its parent and removed it only at its timeout, not at the end of the call. A watch of the store whose long polls are answered at once (a burst of changes) left one listener per poll on its combined signal for 3.6 s, and exchanges between nodes left one each for 0.8 s on the signal of the shutdown.

--- a/src/gateway/gossip-exchange.ts
+++ b/src/gateway/gossip-exchange.ts
@@ -1,5 +1,5 @@
 /** Push-pull gossip of node states between aggregators, and answers to the reports of members. */
-import { createTimeoutSignal } from '../timeout-signal.js'
+import { createTimeoutSignal, startCallTimeout } from '../timeout-signal.js'
 import type { Clock, Milliseconds } from '../clock.js'
 import { createGossipTable, gossipMessageSchema, mergeReports } from '../gossip/index.js'
 import type { AggregatorAnswer, FleetReport, GossipMessage, GossipTable, MemberMessage, StoreUpdate, NodeState, SharedWallClock } from '../gossip/index.js'
@@ -112,16 +112,18 @@
   }
 
   async function exchangeWith (address: string): Promise<void> {
-    const timeoutSignal = createTimeoutSignal(EXCHANGE_TIMEOUT, signal)
+    const timeout = startCallTimeout(EXCHANGE_TIMEOUT, signal)
     try {
-      const reply = unpack(gossipMessageSchema, await link(address).exchange.mutate(pack(messageFor(incarnations.get(address))), { signal: timeoutSignal }))
+      const reply = unpack(gossipMessageSchema, await link(address).exchange.mutate(pack(messageFor(incarnations.get(address))), { signal: timeout.signal }))
       incarnations.set(address, reply.from)
       applyMessage(reply)
       reachable.regained(address)
-      await fetchConfiguration(address, configurationOf(reply), timeoutSignal)
+      await fetchConfiguration(address, configurationOf(reply), timeout.signal)
     } catch (error) {
       incarnations.delete(address)
       reachable.lost(address, error)
+    } finally {
+      timeout.end()
     }
   }
 
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -1,7 +1,6 @@
 /** Assembles a gateway node from its parts, starts it and stops it. */
 import type { Server } from 'node:http'
 import { randomBytes } from 'node:crypto'
-import { setMaxListeners } from 'node:events'
 import { listen } from '../protocols/listen.js'
 import { addressSchema } from '../identifiers.js'
 import type { Clock, Milliseconds } from '../clock.js'
@@ -102,8 +101,6 @@
   const { bounds } = settings
   const incarnation = `${settings.name}-${randomBytes(4).toString('hex')}`
   const shutdown = new AbortController()
-  // Each call to the store and each sleep adds a listener. Node.js warns of a leak at more than ten by default.
-  setMaxListeners(0, shutdown.signal)
   const storeUpdates = createStoreUpdateExchange(clock)
   const followContext: StoreContext & { readonly storeUpdates: StoreUpdateExchange } = { store: platform.store, clock, random, log, signal: shutdown.signal, storeUpdates }
   platform.store.epochs.onRestore((restore) => log.warn('store-restored', { ...restore }))
--- a/src/gateway/reporting.ts
+++ b/src/gateway/reporting.ts
@@ -1,5 +1,5 @@
 /** Reports of a member: sends its state to an aggregator and receives the sums of the other nodes and store updates. */
-import { createTimeoutSignal } from '../timeout-signal.js'
+import { startCallTimeout } from '../timeout-signal.js'
 import type { Clock, Milliseconds } from '../clock.js'
 import { aggregatorAnswerSchema, LIVENESS_TIMEOUT } from '../gossip/index.js'
 import type { AggregatorAnswer, FleetReport, MemberMessage, SharedWallClock } from '../gossip/index.js'
@@ -64,18 +64,20 @@
   let lastAnswer: { readonly others: FleetReport | undefined, readonly at: Milliseconds } | undefined
 
   async function reportTo (address: string): Promise<boolean> {
-    const timeoutSignal = createTimeoutSignal(REPORT_TIMEOUT, signal)
+    const timeout = startCallTimeout(REPORT_TIMEOUT, signal)
     try {
       const sentAt = clock.now()
       const message: MemberMessage = { state: options.localState(), wall: clock.wall(), known: storeUpdates.known() }
-      const answer = unpack(aggregatorAnswerSchema, await link(address).report.mutate(pack(message), { signal: timeoutSignal }))
+      const answer = unpack(aggregatorAnswerSchema, await link(address).report.mutate(pack(message), { signal: timeout.signal }))
       reachable.regained(address)
       applyAnswer(answer, sentAt)
-      await options.fetchConfiguration(address, answer.others?.configuration ?? 0, timeoutSignal)
+      await options.fetchConfiguration(address, answer.others?.configuration ?? 0, timeout.signal)
       return true
     } catch (error) {
       reachable.lost(address, error)
       return false
+    } finally {
+      timeout.end()
     }
   }
 
--- a/src/protocols/epochs.ts
+++ b/src/protocols/epochs.ts
@@ -2,7 +2,6 @@
  * Epochs of a key-value service. A new epoch begins when the service is restored from a backup: everything written since
  * the backup is lost, and the service assigns the same revisions again.
  */
-import { setMaxListeners } from 'node:events'
 
 /** The service was restored from a backup. */
 export interface RestoreEvent {
@@ -42,7 +41,7 @@
 export function createEpochTracker (): EpochTracker {
   const listeners: ((restore: RestoreEvent) => void)[] = []
   let current: number | undefined
-  let epochController = createEpochController()
+  let epochController = new AbortController()
 
   return {
     current: () => current,
@@ -54,16 +53,9 @@
       current = epoch
       if (before === undefined) return
       const previousController = epochController
-      epochController = createEpochController()
+      epochController = new AbortController()
       previousController.abort()
       for (const listener of listeners) listener({ before, epoch })
     }
   }
 }
-
-/** Creates the controller that ends an epoch. Every watch listens to its signal, so Node's warning at more than ten listeners is turned off. */
-function createEpochController (): AbortController {
-  const controller = new AbortController()
-  setMaxListeners(0, controller.signal)
-  return controller
-}
--- a/src/timeout-signal.ts
+++ b/src/timeout-signal.ts
@@ -1,6 +1,15 @@
 /** Abort signals with a timeout. */
+import { onAbort } from './abort-listeners.js'
 import type { Milliseconds } from './clock.js'
 
+/** Time limit of one call. */
+export interface CallTimeout {
+  /** Aborts after the timeout, or together with its parent. */
+  readonly signal: AbortSignal
+  /** The call has ended. Removes the timer and the callback at the parent. */
+  end (): void
+}
+
 /**
  * Creates a signal that aborts after `timeout`, or together with its parent signal.
  *
@@ -17,21 +26,43 @@
  * await store.get(key, createTimeoutSignal(2 * SECOND, signal))
  */
 export function createTimeoutSignal (timeout: Milliseconds, parent?: AbortSignal): AbortSignal {
+  return startCallTimeout(timeout, parent).signal
+}
+
+/**
+ * Starts the time limit of a call whose end is known. Otherwise as {@link createTimeoutSignal}.
+ *
+ * Failure guarded against: a long poll that is answered at once leaves its timer and its callback at the parent for the
+ * seconds of its timeout. During a burst of changes hundreds of them accumulate.
+ *
+ * @example
+ * const callTimeout = startCallTimeout(2 * SECOND, signal)
+ * try {
+ *   return await store.get(key, callTimeout.signal)
+ * } finally {
+ *   callTimeout.end()
+ * }
+ */
+export function startCallTimeout (timeout: Milliseconds, parent?: AbortSignal): CallTimeout {
   const controller = new AbortController()
   if (parent?.aborted) {
     controller.abort(parent.reason)
-    return controller.signal
+    return { signal: controller.signal, end: () => {} }
   }
   const timer = setTimeout(() => {
-    parent?.removeEventListener('abort', abortWithParent)
+    stopListening?.()
     controller.abort(new DOMException(`no answer within ${timeout} ms`, 'TimeoutError'))
   }, timeout)
   timer.unref()
-  parent?.addEventListener('abort', abortWithParent, { once: true })
-  return controller.signal
-
-  function abortWithParent (): void {
+  const stopListening = parent && onAbort(parent, () => {
     clearTimeout(timer)
-    controller.abort(parent?.reason)
+    controller.abort(parent.reason)
+  })
+  return {
+    signal: controller.signal,
+    end: () => {
+      clearTimeout(timer)
+      stopListening?.()
+    }
   }
 }
