request-cost counts instructions outside of the kernel, and takes the flags from each build's system.toml

Cause: with other work on the machine (load 20 to 23 on 12 cores) the processor time of the same build ranges from 2.1 to 3.7 ms, more than the differences to be measured. Instructions are counted by perf where it is permitted; otherwise the column says that they are not counted.

--- a/bench/request-cost.ts
+++ b/bench/request-cost.ts
@@ -60,13 +60,13 @@
   const costs = await alternate(builds, rounds, ({ program }) => Promise.all(REQUEST_KINDS.map((kind) => measureRequests(clock, program, kind, false))))
   return {
     title: 'Processor time per request in milliseconds',
-    columns: ['kind', 'build', `first ${FIRST_REQUESTS}`, 'range', `next ${LATER_REQUESTS}`, 'range', 'failed'],
+    columns: ['kind', 'build', `first ${FIRST_REQUESTS}`, 'range', 'instructions', `next ${LATER_REQUESTS}`, 'range', 'instructions', 'failed'],
     rows: REQUEST_KINDS.flatMap((kind, index) => builds.map(({ name }) => {
       const runs = costs.get(name)!.map((run) => run[index]!)
       const [first, later] = [runs.map((run) => run.first), runs.map((run) => run.later)]
-      return [kind.name, name, median(first), range(first), median(later), range(later), runs.reduce((sum, run) => sum + run.failed, 0)]
+      return [kind.name, name, median(first), range(first), millions(runs.map((run) => run.firstInstructions)), median(later), range(later), millions(runs.map((run) => run.laterInstructions)), runs.reduce((sum, run) => sum + run.failed, 0)]
     })),
-    note: `Medians of ${rounds} alternating runs, each in a new process. ${loadNote()}`
+    note: `Medians of ${rounds} alternating runs, each in a new process. Instructions are millions per request outside of the kernel. ${loadNote()}`
   }
 }
 
@@ -106,6 +106,12 @@
   return results
 }
 
+/** Median of the numbers of instructions. */
+function millions (values: readonly (number | undefined)[]): number | string {
+  const counted = values.filter((value) => value !== undefined)
+  return counted.length === 0 ? 'not counted' : median(counted)
+}
+
 function median (values: readonly number[]): number {
   const sorted = [...values].sort((left, right) => left - right)
   const middle = sorted.length >> 1
--- a/bench/request-cost/gateway.ts
+++ b/bench/request-cost/gateway.ts
@@ -1,11 +1,11 @@
 /** Starts a built gateway node in a process of its own, as `deploy/system.toml` does, and reads what the process has used. */
 import { fork } from 'node:child_process'
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
 import { request as sendRequest } from 'node:http'
 import { createServer } from 'node:net'
 import type { AddressInfo } from 'node:net'
 import { tmpdir } from 'node:os'
-import { join } from 'node:path'
+import { dirname, join } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import { NODE_PATH } from '../../platform/names.js'
 import type { Clock, Milliseconds } from '../../src/clock.js'
@@ -24,6 +24,7 @@
 /** A running gateway process. */
 export interface GatewayProcess {
   readonly frontPort: number
+  readonly pid: number
   usage (): Promise<Usage>
   stop (): Promise<void>
 }
@@ -39,8 +40,8 @@
   readonly counting: boolean
 }
 
-/** The flags of `deploy/system.toml`. V8 rejects the code cache under other flags. */
-const FLAGS = ['--max-old-space-size=158', '--liftoff-only']
+/** Command of `system.toml` that starts the program, with the flags of Node.js. */
+const COMMAND = /^run = "node (.*) deploy\/gateway\.cjs"$/m
 
 const LOOPBACK = '127.0.0.1'
 const PROBE = fileURLToPath(new URL('./probe.cjs', import.meta.url))
@@ -69,7 +70,7 @@
     `cloudApi = { address = "${deployment.api.address}", duties = ["usage", "autoscale"] }`
   ].join('\n'))
   const child = fork(program, ['--settings', settingsFile], {
-    execArgv: [...FLAGS, '--require', PROBE],
+    execArgv: [...readFlags(program), '--require', PROBE],
     env: { ...process.env, NODE_OPTIONS: '', ...(counting ? { REQUEST_COST_COUNTS: '1' } : {}) },
     stdio: ['ignore', 'pipe', 'inherit', 'ipc']
   })
@@ -83,6 +84,7 @@
 
   return {
     frontPort: front,
+    pid: child.pid ?? 0,
     usage: () => new Promise((resolve) => {
       child.once('message', (usage) => resolve(usage as Usage))
       child.send('usage')
@@ -95,6 +97,14 @@
   }
 }
 
+/** Flags with which the build is started. V8 rejects the code cache under other flags. */
+function readFlags (program: string): string[] {
+  const text = readFileSync(join(dirname(program), 'system.toml'), 'utf8')
+  const flags = COMMAND.exec(text)?.[1]
+  if (flags === undefined) throw new Error(`no command in the system.toml of ${program}`)
+  return flags.split(' ')
+}
+
 function statusOf (port: number, path: string): Promise<number> {
   return new Promise((resolve) => {
     const outgoing = sendRequest({ host: LOOPBACK, port, path }, (response) => {
--- a/bench/request-cost/requests.ts
+++ b/bench/request-cost/requests.ts
@@ -5,6 +5,7 @@
 import { createMachineDeployment } from '../../stand-ins/machines/deployment.js'
 import { serveUpstream } from '../../stand-ins/machines/upstream.js'
 import { startGatewayProcess } from './gateway.js'
+import { countInstructions } from './instructions.js'
 import type { Usage } from './gateway.js'
 
 /** A kind of request. */
@@ -20,6 +21,10 @@
   readonly first: Milliseconds
   /** Processor time per request of the {@link LATER_REQUESTS} after them. */
   readonly later: Milliseconds
+  /** Instructions outside of the kernel per request of the first, in millions; undefined where they cannot be counted. */
+  readonly firstInstructions: number | undefined
+  /** The same of the later requests. */
+  readonly laterInstructions: number | undefined
   /** Counts per later request. */
   readonly counts: Readonly<Record<string, number>>
   readonly warnings: readonly string[]
@@ -74,16 +79,23 @@
         if (!isComplete) failed += 1
       }))
     }
-    const start = await gateway.usage()
-    await sendAll(FIRST_REQUESTS, 'first')
-    const middle = await gateway.usage()
-    await sendAll(LATER_REQUESTS, 'later')
-    const end = await gateway.usage()
+    const measure = async (count: number, prefix: string): Promise<{ before: Usage, after: Usage, instructions: number | undefined }> => {
+      const stopCounting = await countInstructions(clock, gateway.pid)
+      const before = await gateway.usage()
+      await sendAll(count, prefix)
+      const after = await gateway.usage()
+      const instructions = await stopCounting()
+      return { before, after, instructions: instructions === undefined ? undefined : instructions / count }
+    }
+    const first = await measure(FIRST_REQUESTS, 'first')
+    const later = await measure(LATER_REQUESTS, 'later')
     return {
-      first: (middle.processor - start.processor) / FIRST_REQUESTS,
-      later: (end.processor - middle.processor) / LATER_REQUESTS,
-      counts: countsPerRequest(middle, end),
-      warnings: end.warnings,
+      first: (first.after.processor - first.before.processor) / FIRST_REQUESTS,
+      later: (later.after.processor - later.before.processor) / LATER_REQUESTS,
+      firstInstructions: first.instructions,
+      laterInstructions: later.instructions,
+      counts: countsPerRequest(later.before, later.after),
+      warnings: later.after.warnings,
       failed
     }
   } finally {
