--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,7 +3,8 @@
 /** Folders that hold pure decisions: they may import no I/O, no timers and no platform clients. */
 const decisionFolders = [
   'request', 'admission', 'upstream', 'membership', 'configuration', 'lease', 'capacity', 'report',
-  'routing', 'quota', 'placement', 'usage', 'scaling', 'gossip', 'quarantine', 'rollout', 'backpressure'
+  'routing', 'quota', 'placement', 'usage', 'scaling', 'gossip', 'quarantine', 'rollout', 'backpressure',
+  'dispatch-queue', 'queueing'
 ]
 
 /** Modules that perform I/O, or folders that do. */
--- a/src/admission/victim.ts
+++ b/src/admission/victim.ts
@@ -1,7 +1,7 @@
 /** Choice of the waiting attempt to refuse when not all of them can meet their targets. */
 import type { Milliseconds } from '../clock.js'
 import type { OrganisationName } from '../identifiers.js'
-import type { FairShare } from './fair-share.js'
+import type { FairShare } from '../queueing/index.js'
 import type { WaitingAttempt } from './waiting.js'
 
 /**
--- a/src/admission/fair-share.ts
+++ b/src/queueing/fair-share.ts
@@ -26,8 +26,8 @@
   relative (organisation: OrganisationName, now: Milliseconds): number
 }
 
-/** Time constant of the decay. */
-const TIME_CONSTANT: Milliseconds = 30 * SECOND
+/** Time constant of the decay if none is given. */
+const DEFAULT_TIME_CONSTANT: Milliseconds = 30 * SECOND
 
 /** Organisations with less recent work than this are removed. In milliseconds of one upstream. */
 const NEGLIGIBLE_WORK = 0.5
@@ -44,15 +44,25 @@
 /**
  * Creates an empty record of use.
  *
+ * @param timeConstant time constant of the decay
  * @example
  * const shares = createFairShare()
  * shares.admitted(organisation, requestClass, work, now)
  * shares.relative(organisation, now)
  */
-export function createFairShare (): FairShare {
+export function createFairShare (timeConstant: Milliseconds = DEFAULT_TIME_CONSTANT): FairShare {
   const organisations = new Map<OrganisationName, OrganisationUse>()
   const total: Use = { work: 0, at: 0 }
 
+  function workOf (use: Use | undefined, now: Milliseconds): number {
+    return use === undefined ? 0 : use.work * Math.exp((use.at - now) / timeConstant)
+  }
+
+  function addWork (use: Use, work: number, now: Milliseconds): void {
+    use.work = Math.max(0, workOf(use, now) + work)
+    use.at = now
+  }
+
   function useOf (organisation: OrganisationName, now: Milliseconds): OrganisationUse {
     const known = organisations.get(organisation)
     if (known !== undefined) return known
@@ -91,12 +101,3 @@
     }
   }
 }
-
-function workOf (use: Use | undefined, now: Milliseconds): number {
-  return use === undefined ? 0 : use.work * Math.exp((use.at - now) / TIME_CONSTANT)
-}
-
-function addWork (use: Use, work: number, now: Milliseconds): void {
-  use.work = Math.max(0, workOf(use, now) + work)
-  use.at = now
-}
--- a/src/admission/retry-after.ts
+++ b/src/queueing/retry-after.ts
@@ -3,11 +3,17 @@
 import { SECOND } from '../clock.js'
 import type { Random } from '../random.js'
 
-const MIN_RETRY_AFTER: Milliseconds = 500
-const MAX_RETRY_AFTER: Milliseconds = 30 * SECOND
+/** Bounds of a retry delay before its random extension. */
+export interface RetryBounds {
+  readonly min: Milliseconds
+  /** Takes precedence over `min`. */
+  readonly max: Milliseconds
+}
+
+const DEFAULT_BOUNDS: RetryBounds = { min: 500, max: 30 * SECOND }
 
 /** Maximum random extension of the delay, as a share of it. */
-const JITTER = 0.5
+export const RETRY_JITTER = 0.5
 
 /**
  * Time after which a refused caller should retry, with random jitter.
@@ -16,10 +22,11 @@
  * together again. The jitter spreads their retries.
  *
  * @param backlog time that the waiting work will take
+ * @param bounds bounds of the delay before its random extension
  * @example
  * retryAfter(4 * SECOND, random) // 4 to 6 s
  */
-export function retryAfter (backlog: Milliseconds, random: Random): Milliseconds {
-  const earliest = Math.min(MAX_RETRY_AFTER, Math.max(MIN_RETRY_AFTER, backlog))
-  return Math.round(earliest * (1 + JITTER * random.fraction()))
+export function retryAfter (backlog: Milliseconds, random: Random, { min, max }: RetryBounds = DEFAULT_BOUNDS): Milliseconds {
+  const earliest = Math.min(max, Math.max(min, backlog))
+  return Math.round(earliest * (1 + RETRY_JITTER * random.fraction()))
 }
--- a/src/admission/service-rate.ts
+++ b/src/queueing/service-rate.ts
@@ -29,7 +29,7 @@
  * Failure guarded against: a measurement that starts anew with each queue misses the dispatch that ends the queue. The
  * measured rate is then only a third of the real one, and callers are refused without need.
  */
-const INTERVAL: Milliseconds = 3 * SECOND
+const DEFAULT_INTERVAL: Milliseconds = 3 * SECOND
 
 /** Weight of one measurement in the smoothed rate. */
 const SMOOTHING = 0.25
@@ -41,13 +41,14 @@
 /**
  * Creates a service rate that equals the expected rate until a measurement is complete.
  *
+ * @param interval waiting time that one measurement covers
  * @example
  * const rate = createServiceRate()
  * rate.update(true, now)
  * rate.dispatched(120)
  * rate.value(fleet.size() * fleet.share())
  */
-export function createServiceRate (): ServiceRate {
+export function createServiceRate (interval: Milliseconds = DEFAULT_INTERVAL): ServiceRate {
   let factor = 1
   let lastExpected = 1
   let updatedAt: Milliseconds | undefined
@@ -65,7 +66,7 @@
     update: (waiting, now) => {
       if (updatedAt !== undefined && waiting) waitingTime += now - updatedAt
       updatedAt = now
-      if (waitingTime >= INTERVAL) measure()
+      if (waitingTime >= interval) measure()
     },
     dispatched: (amount) => {
       work += amount
--- a/test/admission/service-rate.test.ts
+++ b/test/queueing/service-rate.test.ts
@@ -1,7 +1,7 @@
 /** Measurement of the rate at which the upstreams of a service accept work from a node. */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { createServiceRate } from '../../src/admission/service-rate.js'
+import { createServiceRate } from '../../src/queueing/index.js'
 
 test('short queues give the same rate as long ones', () => {
   // Failure guarded against: attempts wait half a second each, are dispatched one at a time, and the queue is empty in
