Gateway: requests wait in the dispatch queue instead of polling

waitForUpstream polled every 10 ms for an eighth of the target, and sent a request to a full upstream otherwise. Requests now join the dispatch queue of their service. It decides again when an own request begins, is answered or ends, when loads are reported, when upstreams or roll-outs change, and by one timer per service.

An upstream that is only considered is not charged with the request (backpressure.taken), and a request counts as offered work from the time at which an upstream is first considered for it. A request that was aborted before it needed an upstream is not dispatched any more.

--- a/src/events/story.ts
+++ b/src/events/story.ts
@@ -72,7 +72,7 @@
 const UPSTREAM_EVENTS: ReadonlySet<EventName> = new Set<EventName>(['upstream-new', 'upstream-leaving', 'upstream-changed', 'upstream-gone', 'upstream-paused', 'upstream-doubtful', 'upstream-limit', 'upstream-says-leaving', 'upstream-asks-pause'])
 
 /** Decisions that may lead to the end of a request. Dispatching an attempt is not such a decision. */
-const DECISION_EVENTS: ReadonlySet<EventName> = new Set<EventName>(['quota-refused', 'upstream-not-found', 'repeat-refused', 'move-unanswered', 'attempt-broken', 'send-not-run', 'answer-late'])
+const DECISION_EVENTS: ReadonlySet<EventName> = new Set<EventName>(['quota-refused', 'overload-refused', 'upstream-not-found', 'repeat-refused', 'move-unanswered', 'attempt-broken', 'send-not-run', 'answer-late'])
 
 /**
  * Reconstructs the timeline of a request.
@@ -150,6 +150,7 @@
   const { facts } = decisive
   switch (decisive.event) {
     case 'quota-refused': return `${facts.organisation} had used up its quota of ${facts.rate} a second; ${facts.offered} a second were asked of all ${facts.nodes} nodes.`
+    case 'overload-refused': return describeOverload(facts)
     case 'upstream-not-found': return describeNotFound(facts)
     case 'attempt-broken': return `Upstream ${facts.upstream} broke off after ${facts.events} events (${facts.reason})${describeUpstreamEnd(decisive, entries)}.`
     case 'send-not-run': return `Upstream ${facts.upstream} did not run it (${facts.reason})${describeUpstreamEnd(decisive, entries)}.`
@@ -159,6 +160,11 @@
   }
 }
 
+function describeOverload ({ service, cause, backlog, left, queued }: LoggedLine['facts']): string {
+  if (cause === 'full') return `The node had no room for more waiting requests; ${queued} waited for ${service}.`
+  return `An upstream of ${service} was expected to begin it after ${backlog} ms, with ${left} ms left to its limit; ${queued} requests waited for the service.`
+}
+
 function describeNotFound ({ service, ready, tried, withheld, upstreamsAge }: LoggedLine['facts']): string {
   if (withheld !== undefined) return `All upstreams of ${service} had asked for fewer requests; the first takes one of this node again after ${withheld} ms.`
   return `Of ${ready} ready upstreams of ${service}, known as of ${upstreamsAge ?? '?'} ms before, ${tried} had been tried and none was left.`
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -9,6 +9,7 @@
 import type { WorkMeter } from '../scaling/index.js'
 import type { UsageWindows } from '../usage/index.js'
 import type { Backpressure } from './backpressure.js'
+import type { DispatchQueues } from './dispatch-queues.js'
 import type { Evacuation } from './evacuation.js'
 import type { UpstreamConnections } from './exchange.js'
 import type { GatewayMetrics } from './metrics.js'
@@ -52,6 +53,7 @@
   readonly quotas: QuotaLimiter
   readonly quarantine: Quarantine
   readonly backpressure: Backpressure
+  readonly dispatchQueues: DispatchQueues
   readonly evacuation: Evacuation
   readonly rollouts: Rollouts
   readonly usage: UsageWindows
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -20,6 +20,7 @@
 import { createBackpressure } from './backpressure.js'
 import { createConfigurationWatcher } from './configuration-watcher.js'
 import type { GatewayContext, StateFreshness, StopTimes } from './context.js'
+import { createDispatchQueues, wakeOnChange } from './dispatch-queues.js'
 import { startDuties } from './duties.js'
 import { createDutyHolder, DUTY_KEY } from './duty-holder.js'
 import type { DutyHolder } from './duty-holder.js'
@@ -109,7 +110,9 @@
   platform.store.epochs.onRestore((restore) => log.warn('store-restored', { ...restore }))
   const metrics = createGatewayMetrics()
   const backpressure = createBackpressure({ node: settings.name, clock, log, upstreams: () => upstreams })
-  const upstreams = createUpstreamView(backpressure)
+  const dispatchQueues = createDispatchQueues({ clock, random, log, upstreamCount: (service) => upstreams.notLeaving(service, new Set()).length })
+  const upstreams = wakeOnChange(createUpstreamView(backpressure), dispatchQueues.wake)
+  metrics.family('dispatch_queue', 'service', dispatchQueues.sizes)
   const connections = createUpstreamConnections(platform.format, clock, (took) => metrics.record('connecting', took), backpressure.heard)
   const speeds = createEngineSpeeds()
   const quotas = createQuotaLimiter(random, bounds.quotaMargin)
@@ -135,7 +138,10 @@
   server.maxConnections = maxCallerConnections(settings.mostDescriptors)
   const front = await listenAt(server, settings.front)
 
-  const rolloutRecords = watchRolloutRecords(followContext, platform.registry.rollouts, bounds.configurationApplies, (service) => rollouts.changed(service))
+  const rolloutRecords = watchRolloutRecords(followContext, platform.registry.rollouts, bounds.configurationApplies, (service) => {
+    rollouts.changed(service)
+    dispatchQueues.wake()
+  })
   const configuration = createConfigurationWatcher(followContext, platform.registry, bounds.configurationApplies, applyLimits, rolloutRecords.handler)
   const rollouts = createRollouts({ clock, random, log, bounds: bounds.rollout, records: rolloutRecords, nodes: () => fleet.maxNodeCount(), ordersReceivedAt: configuration.subscription.lastContactAt })
   const holder: DutyHolder = createDutyHolder({ context: followContext, node: settings.name, incarnation, leaseTime: bounds.lease, firstStart: settings.firstStart, isCandidate: () => context !== undefined && !fleet.isMember() })
@@ -184,6 +190,7 @@
     quotas,
     quarantine,
     backpressure,
+    dispatchQueues,
     evacuation,
     rollouts,
     usage,
--- a/src/gateway/upstream-wait.ts
+++ b/src/gateway/upstream-wait.ts
@@ -1,51 +1,126 @@
-/** Waits until an upstream may take a request, or refuses the request. */
+/** Waits until a request is dispatched to an upstream, or refuses it. */
 import type { Milliseconds } from '../clock.js'
+import type { QueuedRequest } from '../dispatch-queue/index.js'
+import type { OrganisationName } from '../identifiers.js'
 import type { Choice } from '../placement/index.js'
 import type { ServingError } from '../verdict.js'
 import type { GatewayContext } from './context.js'
+import type { DispatchDecision } from './dispatch-queues.js'
 import { abortFailure, NO_UPSTREAM_RETRY_AFTER, undispatchedFailure } from './proxied-request.js'
 import type { ProxiedRequest } from './proxied-request.js'
 import { tryChooseUpstream } from './upstream-choice.js'
 
-/** Fraction of the route's target for which a request waits for an available upstream before it is refused. */
-const UPSTREAM_WAIT_FRACTION = 1 / 8
+/** Organisation of requests without a key. */
+const ANONYMOUS = '' as OrganisationName
 
-/** Interval at which a waiting request looks for an available upstream. */
-const UPSTREAM_POLL_PERIOD: Milliseconds = 10
+type Refusal = DispatchDecision & { readonly kind: 'refuse' }
+
+const OVERLOAD_MESSAGES = { overloaded: 'no upstream can answer the request in its time', full: 'too many requests wait' }
 
 /**
- * Chooses an upstream. While none is available, waits for up to {@link UPSTREAM_WAIT_FRACTION} of the target.
+ * Chooses an upstream. While all are busy or none is available, the request waits in the dispatch queue of its service.
  *
- * @throws ServingError when no upstream became available
+ * @throws ServingError when the request is refused, its time is up or its caller has left
  * @example
  * const choice = await waitForUpstream(context, proxied)
  */
 export async function waitForUpstream (context: GatewayContext, proxied: ProxiedRequest): Promise<Choice> {
-  const { clock } = context
-  const waitUntil = Math.min(proxied.limit.end, clock.now() + proxied.accepted.route.target * UPSTREAM_WAIT_FRACTION)
-  for (;;) {
-    const choice = tryChooseUpstream(context, proxied)
-    if (choice !== undefined) {
-      if (proxied.tried.size === 0) context.work.add(proxied.service, choice.reading, proxied.accepted.head.tokens?.generated ?? 0, clock.now())
-      return choice
+  const { dispatchQueues } = context
+  const { service, signal } = proxied
+  if (signal.aborted) throw abortFailure(proxied)
+  let lastOffer: Choice | undefined
+  const request = createQueuedRequest(context, proxied, (choice) => { lastOffer = choice })
+  let decision = dispatchQueues.join(service, request)
+  if (decision === undefined) {
+    logQueued(context, proxied, request, lastOffer)
+    decision = await dispatchQueues.decision(service, request, signal)
+  }
+  if (decision === undefined) throw abortFailure(proxied)
+  if (decision.kind === 'refuse') throw refusalFailure(context, proxied, decision)
+  context.backpressure.taken(decision.choice.upstream.incarnation, context.clock.now())
+  return decision.choice
+}
+
+/** @param onOffer called with each upstream that is considered, or undefined where none is available */
+function createQueuedRequest (context: GatewayContext, proxied: ProxiedRequest, onOffer: (choice: Choice | undefined) => void): QueuedRequest<Choice> {
+  const { accepted, service, limit } = proxied
+  const considering = withoutTaking(context)
+  let isCounted = proxied.tried.size > 0
+
+  function choose (): Choice | undefined {
+    const choice = tryChooseUpstream(considering, proxied)
+    onOffer(choice)
+    if (choice !== undefined && !isCounted) {
+      isCounted = true
+      context.work.add(service, choice.reading, accepted.head.tokens?.generated ?? 0, context.clock.now())
     }
-    if (proxied.signal.aborted) throw abortFailure(proxied)
-    const remainingWait = backpressureWait(context, proxied)
-    if (clock.now() + remainingWait >= waitUntil) throw noUpstreamFailure(context, proxied, remainingWait)
-    await clock.sleep(UPSTREAM_POLL_PERIOD, proxied.signal).catch(() => {})
+    return choice
+  }
+
+  return {
+    rank: accepted.priority,
+    organisation: accepted.organisation === undefined ? ANONYMOUS : accepted.organisation.name as OrganisationName,
+    arrival: proxied.arrival,
+    target: accepted.route.target,
+    limit: limit.end,
+    deadline: limit.deadline,
+    base: context.speeds.of(service).base,
+    bytes: proxied.body?.length ?? 0,
+    answering: proxied.progress.events > 0,
+    // Few upstreams are left to a request that has tried some, and to one that tries the version of a roll-out.
+    get restricted () { return proxied.tried.size > 0 || proxied.side === 'tried' },
+    choose,
+    withheld: () => backpressureWait(context, proxied)
   }
 }
 
+/** An upstream that is only considered has not been sent the request, so the rate that it allows is not used up. */
+function withoutTaking (context: GatewayContext): GatewayContext {
+  return { ...context, backpressure: { ...context.backpressure, taken: () => {} } }
+}
+
 /**
  * Time until the first upstream accepts requests of this node again, if all of them have asked for fewer requests;
- * otherwise 0. A request that cannot be sent in time is refused at once, with this time as its `Retry-After`.
+ * otherwise 0.
  */
 function backpressureWait ({ clock, upstreams, backpressure }: GatewayContext, { service, tried }: ProxiedRequest): Milliseconds {
   const waits = upstreams.notLeaving(service, tried).map(({ incarnation }) => backpressure.wait(incarnation, clock.now()))
   return waits.length === 0 ? 0 : Math.min(...waits)
 }
 
-function noUpstreamFailure (context: GatewayContext, proxied: ProxiedRequest, remainingWait: Milliseconds): ServingError {
+/** @param offer the upstream that the request would go to now */
+function logQueued ({ dispatchQueues, log }: GatewayContext, { accepted, service, tried }: ProxiedRequest, request: QueuedRequest<Choice>, offer: Choice | undefined): void {
+  const before = dispatchQueues.positionOf(service, request)
+  log.info('request-queued', { request: accepted.head.id, service, rank: request.rank, waiting: offer && Math.round(offer.waiting), before: before.requests, work: Math.round(before.work), tried: tried.size })
+}
+
+function refusalFailure (context: GatewayContext, proxied: ProxiedRequest, refused: Refusal): ServingError {
+  switch (refused.cause) {
+    case 'no-upstream': return noUpstreamFailure(context, proxied, refused.backlog)
+    case 'overloaded': return overloadFailure(context, proxied, refused, refused.cause)
+    case 'full': return overloadFailure(context, proxied, refused, refused.cause)
+  }
+}
+
+function overloadFailure (context: GatewayContext, proxied: ProxiedRequest, { request, backlog, retryAfter }: Refusal, cause: keyof typeof OVERLOAD_MESSAGES): ServingError {
+  const { clock, log, dispatchQueues } = context
+  const now = clock.now()
+  log.info('overload-refused', {
+    request: proxied.accepted.head.id,
+    service: proxied.service,
+    rank: request.rank,
+    cause,
+    backlog: Math.round(backlog),
+    left: Math.round(proxied.limit.left(now)),
+    waited: Math.round(now - proxied.arrival),
+    queued: dispatchQueues.sizes()[proxied.service] ?? 0,
+    tried: proxied.tried.size,
+    retryAfter
+  })
+  return undispatchedFailure(proxied, 'overloaded', OVERLOAD_MESSAGES[cause], retryAfter)
+}
+
+function noUpstreamFailure (context: GatewayContext, proxied: ProxiedRequest, withheld: Milliseconds): ServingError {
   const { clock, log, upstreams } = context
   log.info('upstream-not-found', {
     request: proxied.accepted.head.id,
@@ -53,8 +128,8 @@
     ready: upstreams.candidates(proxied.service, new Set(), clock.now()).length,
     tried: proxied.tried.size,
     waited: Math.round(clock.now() - proxied.arrival),
-    withheld: remainingWait > 0 ? Math.round(remainingWait) : undefined,
+    withheld: withheld > 0 ? Math.round(withheld) : undefined,
     ...context.freshness()
   })
-  return undispatchedFailure(proxied, 'no-upstream', 'no upstream may take the request now', Math.max(NO_UPSTREAM_RETRY_AFTER, remainingWait))
+  return undispatchedFailure(proxied, 'no-upstream', 'no upstream may take the request now', Math.max(NO_UPSTREAM_RETRY_AFTER, withheld))
 }
--- a/test/events/story.test.ts
+++ b/test/events/story.test.ts
@@ -59,6 +59,14 @@
     assert.match(timeline?.cause ?? '', /Of 0 ready upstreams of s, known as of 300 ms before/)
   })
 
+  it('reports how long an upstream would have taken to begin a request that was refused', () => {
+    const facts = { request: 'r', service: 's', rank: 0, backlog: 3_200, left: 2_000, waited: 0, queued: 40, tried: 0, retryAfter: 600 }
+    const failed = line(1, 'request-failed', { request: 'r', code: 'overloaded', verdict: 'not-run', reason: 'x', after: 1, nodes: 9 })
+    const cause = (refusal: 'overloaded' | 'full'): string | undefined => reconstructTimeline([line(0, 'overload-refused', { ...facts, cause: refusal }), failed], 'r')?.cause
+    assert.equal(cause('overloaded'), 'An upstream of s was expected to begin it after 3200 ms, with 2000 ms left to its limit; 40 requests waited for the service.')
+    assert.equal(cause('full'), 'The node had no room for more waiting requests; 40 waited for s.')
+  })
+
   it('reports that all upstreams had asked for fewer requests', () => {
     const lines = [
       line(0, 'upstream-not-found', { request: 'r', service: 's', ready: 0, tried: 0, waited: 0, withheld: 900, nodes: 9 }),
