--- a/src/dispatch-queue/queue.ts
+++ b/src/dispatch-queue/queue.ts
@@ -49,7 +49,7 @@
  * Failure guarded against: a burst of less urgent requests becomes overdue all at once, and fills the queues inside the
  * upstreams before the urgent requests.
  */
-const OVERDUE_PERIOD: Milliseconds = 250
+const OVERDUE_PERIOD: Milliseconds = 500
 
 /** Delay of the next decision for a request that was due in this one and was not reached. */
 const NEXT_DECISION_DELAY: Milliseconds = 10
--- a/src/dispatch-queue/recent-targets.ts
+++ b/src/dispatch-queue/recent-targets.ts
@@ -22,7 +22,7 @@
 const RETENTION: Milliseconds = 10 * SECOND
 
 /** Share of a target that may be spent waiting inside an upstream behind less urgent requests. */
-const MAX_WAIT_FRACTION = 1 / 4
+const MAX_WAIT_FRACTION = 1 / 8
 
 /**
  * @example
