--- a/bench/main.ts
+++ b/bench/main.ts
@@ -22,6 +22,7 @@
   outliers: () => import('./outliers.js'),
   recovery: () => import('./recovery.js'),
   'decision-time': () => import('./decision-time.js'),
+  'dispatch-queue': () => import('./dispatch-queue.js'),
   'partial-view': () => import('./partial-view.js'),
   reclaim: () => import('./reclaim.js'),
   'reclaim-notices': () => import('./reclaim-notices.js'),
