Observed delays by upstream incarnation, and a random choice among nearly equal upstreams

Delays: the time by which an own request is overdue counts at once; the delay of an answer decays with a half-life of 0.5 s from the time at which the answer was due. Nodes report their 16 largest delays (new field delays, empty from older nodes). A reported delay counts as a tenth: with larger fractions, all nodes avoid the same upstreams at once.

Choice: upstreams within 10 ms of the cheapest are chosen at random, weighted by free slots. Upstreams with a higher fixed cost (prefill, failure domain, reclaim) take no part, so that cached parts and the own domain stay preferred.

Changes to existing tests add the new fields and the source of random numbers.

--- a/bench/gateway-gossip.ts
+++ b/bench/gateway-gossip.ts
@@ -74,6 +74,7 @@
     demand: Object.fromEntries(organisations.map((name) => [name, random.integer(20_000)])),
     granted: Object.fromEntries(organisations.map((name) => [name, random.integer(20_000)])),
     inFlight: Object.fromEntries(upstreams.map((id) => [id, { requests: 1 + random.integer(3), reading: random.integer(400), unanswered: random.integer(2) }])),
+    delays: Object.fromEntries(upstreams.slice(0, 3).map((id) => [id, 50 + random.integer(900)])),
     holdTime: { engines: { mean: 640, samples: 100 } },
     work: { engines: { requests: random.integer(900) / 100, reading: random.integer(90_000) / 100, generatedTokens: random.integer(300_000) / 100 } },
     usage: { 356_323_682: Object.fromEntries(organisations.map((name) => [name, random.integer(40)])), 356_323_683: Object.fromEntries(organisations.map((name) => [name, random.integer(40)])) },
--- a/bench/gateway-placement.ts
+++ b/bench/gateway-placement.ts
@@ -118,7 +118,7 @@
     const ages = Array.from({ length: site.nodes }, () => random.fraction() * site.oldest)
     for (const engine of engines) while (engine.open.length > 0 && engine.open[0]!.endsAt < now - site.oldest) engine.open.shift()
     const candidates = engines.map((engine) => candidateOf(engine, node, ages, now))
-    const choice = chooseUpstream(work, candidates, { name: `node-${node}`, failureDomain: 'a' }, variant.costs, { speed: ASSUMED_SPEED, slotTime: assumedSlotTime(true) })
+    const choice = chooseUpstream(work, candidates, { name: `node-${node}`, failureDomain: 'a' }, variant.costs, { speed: ASSUMED_SPEED, slotTime: assumedSlotTime(true) }, random)
     const engine = engines.find(({ id }) => id === choice!.upstream.id)!
     const { reading, readAt } = send(engine, work, node, now, kind.run)
     if (now < WARM_UP) continue
@@ -133,7 +133,7 @@
   const own = Math.max(20, Math.round(kind.own * Math.exp(SIGMA * normal(random) - SIGMA * SIGMA / 2)))
   // A few subjects get most requests.
   const subject = Math.floor(kind.subjects * random.fraction() ** 2)
-  return { service: 's', parts: [{ id: `${isPlan ? 'plan' : 'question'}-${subject}`, tokens: kind.shared }, { id: 'own', tokens: own }], promptTokens: kind.shared + own, target: kind.target, lostOnReclaim: isPlan }
+  return { service: 's', parts: [{ id: `${isPlan ? 'plan' : 'question'}-${subject}`, tokens: kind.shared }, { id: 'own', tokens: own }], promptTokens: kind.shared + own, target: kind.target, lostOnReclaim: isPlan, streams: true }
 }
 
 /** What a node takes an engine's load for: its own as it is, that of others as it was. */
@@ -153,7 +153,7 @@
   }
   // The sum is reduced once, by the mean age of its parts.
   if (reading > 0) reading = Math.max(0, reading - progress / reading)
-  return { upstream: { id: engine.id, incarnation: incarnationOf(engine.id, undefined), service: 's', version: '', address: '', failureDomain: 'a', slots: 64, leaving: false, leavesIn: undefined, reclaimable: false }, load: { requests, reading, unanswered } }
+  return { upstream: { id: engine.id, incarnation: incarnationOf(engine.id, undefined), service: 's', version: '', address: '', failureDomain: 'a', slots: 64, leaving: false, leavesIn: undefined, reclaimable: false }, load: { requests, reading, unanswered }, delay: 0 }
 }
 
 function send (engine: Engine, work: PlacementRequest, node: number, now: Milliseconds, run: Milliseconds): { reading: Milliseconds, readAt: Milliseconds } {
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -92,7 +92,7 @@
   const { upstream, reading: prefill, waiting } = choice
   const controller = new AbortController()
   const comparison = memory === undefined ? context.rollouts.begin(proxied.accepted.route.name, upstream) : undefined
-  const open = context.upstreams.begin(upstream, prefill, context.clock.now())
+  const open = context.upstreams.begin(choice, context.clock.now())
   if (prefill >= LONG_PREFILL) context.announcePrefill(upstream.incarnation, prefill)
   const watchdog = startWatchdog(context.clock, firstAnswerTimeout(proxied.accepted.route, waiting + prefill, context.speeds.of(proxied.service).base), () => {
     if (mayRetry(context, proxied, 'may-have-run')) controller.abort()
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -164,7 +164,7 @@
     chooseTarget: (source, excluded) => {
       const { service } = source
       const candidates = upstreams.candidates(service, excluded, clock.now(), (present) => present.filter((target) => rollouts.mayMove(source, target)))
-      const target = chooseUpstream({ service, parts: [], promptTokens: 0, target: Infinity, lostOnReclaim: true }, candidates, settings, ENGINE_COSTS, { speed: speeds.of(service), slotTime: upstreams.slotTimes.of(service, true) })?.upstream
+      const target = chooseUpstream({ service, parts: [], promptTokens: 0, target: Infinity, lostOnReclaim: true, streams: true }, candidates, settings, ENGINE_COSTS, { speed: speeds.of(service), slotTime: upstreams.slotTimes.of(service, true) }, random)?.upstream
       if (target !== undefined) backpressure.taken(target.incarnation, clock.now())
       return target
     },
@@ -258,7 +258,7 @@
       configuration: configuration.table()?.configuration.version ?? 0,
       demand: quotas.demand(now),
       granted: quotas.granted(now),
-      ...upstreams.told(),
+      ...upstreams.told(now),
       work: work.rates(now),
       speeds: speeds.ownEstimates(),
       usage: Object.fromEntries(windows.map((window) => [window, usage.counts(window)])),
@@ -272,7 +272,7 @@
   function applyReports (): void {
     const others = fleet.others()
     upstreams.observe(fleet.loads(), clock.now())
-    upstreams.slotTimes.receive(others.map((report) => report.holdTime))
+    upstreams.receiveTimes(others, clock.now())
     speeds.receive(others.map((report) => report.speeds))
     quarantine.observe(fleet.brokenRuns())
     rollouts.observe(others.map((report) => report.rollouts))
--- a/src/gateway/upstream-view.ts
+++ b/src/gateway/upstream-view.ts
@@ -1,7 +1,7 @@
 /** This node's view of the upstreams: their registry records, and the load that this node and the other nodes put on them. */
 import type { Milliseconds } from '../clock.js'
-import { createSlotTimes, createUpstreamHealth, createUpstreamLoads } from '../placement/index.js'
-import type { Candidate, InFlight, InFlightRequest, MeanTimes, SlotTimes, UpstreamHealth, UpstreamIncarnation, UpstreamLoads, UpstreamRecord } from '../placement/index.js'
+import { createSlotTimes, createUpstreamDelays, createUpstreamHealth, createUpstreamLoads } from '../placement/index.js'
+import type { Candidate, Choice, InFlight, InFlightRequest, MeanTimes, ReportedDelays, SlotTimes, UpstreamHealth, UpstreamIncarnation, UpstreamLoads, UpstreamRecord } from '../placement/index.js'
 
 /** Effect of a record on the view: a new incarnation, a notice of leaving, or another address. */
 export type UpstreamChange = 'new' | 'leaving' | 'changed'
@@ -22,6 +22,12 @@
 
 const ALWAYS_AVAILABLE: UpstreamAvailability = { isLeaving: () => false, accepts: () => true }
 
+/** Times of upstreams that a node has observed. */
+export interface UpstreamTimes {
+  readonly holdTime: MeanTimes
+  readonly delays: ReportedDelays
+}
+
 /** The upstreams that this node knows, and their load. */
 export interface UpstreamView extends Pick<UpstreamLoads, 'inFlight' | 'observe' | 'notePrefill'> {
   /** Stores a record that the registry has at this revision. @returns the change, or undefined if nothing changed or the record is outdated */
@@ -46,10 +52,12 @@
   candidates (service: string, excluded: ReadonlySet<UpstreamIncarnation>, now: Milliseconds, admit?: (present: readonly UpstreamRecord[]) => readonly UpstreamRecord[]): Candidate[]
   /** Upstreams of a service that are not leaving, whether or not they accept a request now. */
   notLeaving (service: string, excluded: ReadonlySet<UpstreamIncarnation>): readonly UpstreamRecord[]
-  /** Counts a request that is dispatched to an upstream, with the expected time of its prefill. */
-  begin (upstream: UpstreamRecord, prefillTime: Milliseconds, now: Milliseconds): InFlightRequest
+  /** Counts a request that is dispatched to an upstream. */
+  begin (choice: Choice, now: Milliseconds): InFlightRequest
   /** What this node reports to the other nodes. */
-  told (): { readonly inFlight: InFlight, readonly holdTime: MeanTimes }
+  told (now: Milliseconds): UpstreamTimes & { readonly inFlight: InFlight }
+  /** Takes what the other live nodes last reported of their upstreams' times. */
+  receiveTimes (others: readonly UpstreamTimes[], now: Milliseconds): void
   readonly slotTimes: SlotTimes
   readonly health: UpstreamHealth
 }
@@ -71,6 +79,7 @@
   const records = new Map<string, KnownUpstream>()
   const loads = createUpstreamLoads()
   const slotTimes = createSlotTimes()
+  const delays = createUpstreamDelays()
   const health = createUpstreamHealth()
 
   /**
@@ -114,18 +123,22 @@
     return all().filter((upstream) => upstream.service === service && !upstream.leaving && !excluded.has(upstream.incarnation))
   }
 
-  function begin ({ incarnation, service, slots }: UpstreamRecord, prefillTime: Milliseconds, now: Milliseconds): InFlightRequest {
+  function begin ({ upstream, reading, waiting, firstAnswer = Infinity }: Choice, now: Milliseconds): InFlightRequest {
+    const { incarnation, service, slots } = upstream
     // The time of a request that waits for a slot would count the slot times of the requests before it as well.
     const hasSlot = loads.of(incarnation, now).requests < slots
-    const open = loads.begin(incarnation, prefillTime, now)
+    const open = loads.begin(incarnation, reading, now)
+    const finished = delays.begin(incarnation, now + waiting + firstAnswer)
     let isAnswered = false
     return {
       answered: (answeredAt) => {
         isAnswered = true
         open.answered(answeredAt)
+        finished(true, answeredAt)
       },
       end: (endedAt) => {
         open.end(endedAt)
+        finished(false, endedAt)
         if (isAnswered && hasSlot) slotTimes.observe(service, endedAt - now)
         isAnswered = false
       }
@@ -157,10 +170,14 @@
       const present = admit(notLeaving(service, excluded).filter(({ incarnation }) => availability.accepts(incarnation, now)))
       const usable = present.filter((upstream) => health.usable(upstream.incarnation, now))
       // If all upstreams have failed recently, an attempt at one of them is better than a certain refusal.
-      return (usable.length > 0 ? usable : present).map((upstream): Candidate => ({ upstream, load: loads.of(upstream.incarnation, now) }))
+      return (usable.length > 0 ? usable : present).map((upstream): Candidate => ({ upstream, load: loads.of(upstream.incarnation, now), delay: delays.of(upstream.incarnation, now) }))
     },
     begin,
-    told: () => ({ inFlight: loads.inFlight(), holdTime: slotTimes.own() }),
+    told: (now) => ({ inFlight: loads.inFlight(), holdTime: slotTimes.own(), delays: delays.own(now) }),
+    receiveTimes: (others, now) => {
+      slotTimes.receive(others.map(({ holdTime }) => holdTime))
+      delays.receive(others.map((report) => report.delays), now)
+    },
     inFlight: loads.inFlight,
     observe: loads.observe,
     notePrefill: loads.notePrefill,
--- a/src/gossip/merge.ts
+++ b/src/gossip/merge.ts
@@ -1,6 +1,6 @@
 /** Merges the reports of several nodes, so that the volume that a node receives does not grow with the number of nodes. */
 import { mergeLimits } from '../backpressure/index.js'
-import { combineSpeeds, mergeMeanTimes, roundSpeed } from '../placement/index.js'
+import { combineSpeeds, mergeDelays, mergeMeanTimes, roundSpeed } from '../placement/index.js'
 import type { NodeLoad, UpstreamIncarnation } from '../placement/index.js'
 import { ANSWERED } from '../quarantine/index.js'
 import { mergeEvidence } from '../rollout/index.js'
@@ -26,6 +26,7 @@
     demand: sumCounts(reports.map(({ demand }) => demand)),
     granted: sumCounts(reports.map(({ granted }) => granted)),
     inFlight: sumLoads(reports),
+    delays: mergeDelays(reports.map(({ delays }) => delays)),
     holdTime: mergeMeanTimes(reports.map(({ holdTime }) => holdTime)),
     work: sumWork(reports.map(({ work }) => work)),
     speeds: mergeSpeeds(reports),
--- a/src/gossip/types.ts
+++ b/src/gossip/types.ts
@@ -33,6 +33,8 @@
   inFlight: z.record(upstreamIncarnationSchema, z.object({ requests: z.number(), reading: z.number(), unanswered: z.number().default(0) })),
   /** Mean time for which a request holds a slot, by service; empty from nodes of an older build. */
   holdTime: z.record(z.string(), z.object({ mean: z.number().nonnegative(), samples: z.number().nonnegative() })).default({}),
+  /** Largest recent delays of first answers, by incarnation of an upstream, in milliseconds; empty from nodes of an older build. */
+  delays: z.record(upstreamIncarnationSchema, z.number()).default({}),
   /** Offered work by service. */
   work: z.record(z.string(), workSchema),
   /** Estimated prefill speed of the engines, by service. */
--- a/src/placement/choose.ts
+++ b/src/placement/choose.ts
@@ -8,6 +8,7 @@
  */
 import type { Milliseconds } from '../clock.js'
 import { score } from '../membership/rendezvous.js'
+import type { Random } from '../random.js'
 import { expectedWait } from './expected-wait.js'
 import { prefillTime } from './speed.js'
 import type { EngineSpeed } from './speed.js'
@@ -18,6 +19,8 @@
   readonly upstream: UpstreamRecord
   /** Requests of all nodes in flight there, as far as known. */
   readonly load: NodeLoad
+  /** Delay of first answers that was recently observed there. */
+  readonly delay: Milliseconds
 }
 
 /** Costs of placing a request, expressed as delay of that request. */
@@ -61,8 +64,13 @@
   readonly waiting: Milliseconds
   /** Number of upstreams that were compared. */
   readonly candidates: number
+  /** Time from the beginning of the request at the upstream to its first answer; undefined where it cannot be predicted. */
+  readonly firstAnswer?: Milliseconds
 }
 
+/** Difference of costs below which upstreams count as equal. It is within the error of the expected wait. */
+const NEARLY_EQUAL: Milliseconds = 10
+
 /** Fraction of the request's target. Where the expected wait is longer, upstreams of any rank are considered. */
 const MAX_WAITING_FRACTION = 0.5
 
@@ -85,18 +93,19 @@
  * @param candidates upstreams that may take the request, in any order
  * @param node the node that places the request
  * @param times estimated times of the service's upstreams
+ * @param random breaks ties
  * @returns undefined when there are no candidates
  * @example
- * chooseUpstream(request, candidates, { name: 'entry-1', failureDomain: 'lisbon-a' }, ENGINE_COSTS, { speed: speeds.of('plans'), slotTime: 600 })?.upstream.id
+ * chooseUpstream(request, candidates, { name: 'entry-1', failureDomain: 'lisbon-a' }, ENGINE_COSTS, { speed: speeds.of('plans'), slotTime: 600 }, random)?.upstream.id
  */
-export function chooseUpstream (request: PlacementRequest, candidates: readonly Candidate[], node: PlacingNode, costs: PlacementCosts, times: ServiceTimes): Choice | undefined {
+export function chooseUpstream (request: PlacementRequest, candidates: readonly Candidate[], node: PlacingNode, costs: PlacementCosts, times: ServiceTimes, random: Random): Choice | undefined {
   const cacheKey = request.parts.at(-2)?.id
-  if (cacheKey === undefined) return findCheapest(request, candidates, undefined, node, costs, times)
+  if (cacheKey === undefined) return findCheapest(request, candidates, undefined, node, costs, times, random)
   const ranked = rankByRendezvous(cacheKey, candidates)
   const preferred = ranked[0]?.upstream
-  const choice = findCheapest(request, ranked.slice(0, costs.preferredUpstreams), preferred, node, costs, times)
+  const choice = findCheapest(request, ranked.slice(0, costs.preferredUpstreams), preferred, node, costs, times, random)
   if (choice === undefined || choice.waiting < request.target * MAX_WAITING_FRACTION || ranked.length <= costs.preferredUpstreams) return choice
-  return findCheapest(request, candidates, preferred, node, costs, times)
+  return findCheapest(request, candidates, preferred, node, costs, times, random)
 }
 
 /**
@@ -111,26 +120,57 @@
   return sum
 }
 
-function findCheapest (request: PlacementRequest, candidates: readonly Candidate[], preferred: UpstreamRecord | undefined, node: PlacingNode, costs: PlacementCosts, times: ServiceTimes): Choice | undefined {
+function findCheapest (request: PlacementRequest, candidates: readonly Candidate[], preferred: UpstreamRecord | undefined, node: PlacingNode, costs: PlacementCosts, times: ServiceTimes, random: Random): Choice | undefined {
   const shared = Math.min(request.promptTokens, sharedTokens(request.parts))
   const fullPrefill = prefillTime(request.promptTokens, 0, times.speed)
   const remainingPrefill = prefillTime(request.promptTokens - shared, shared, times.speed)
-  let best: Choice | undefined
-  let lowestCost = Infinity
-  for (const { upstream, load } of candidates) {
-    const prefill = upstream === preferred ? remainingPrefill : fullPrefill
-    const waiting = expectedWait(load, upstream.slots, times.slotTime)
-    const running = Math.min(load.requests, upstream.slots)
-    const cost = waiting + prefill + running * (costs.perRequest + costs.occupancy * times.slotTime / upstream.slots) +
-      (upstream.failureDomain === node.failureDomain ? 0 : costs.otherDomain) +
-      (request.lostOnReclaim && upstream.reclaimable ? costs.reclaimable : 0) +
-      tieBreaker(node.name, upstream.id)
-    if (cost < lowestCost) {
-      lowestCost = cost
-      best = { upstream, reading: prefill, cached: upstream === preferred ? shared : 0, waiting, candidates: candidates.length }
-    }
+  const perRunningRequest = (slots: number): Milliseconds => costs.perRequest + costs.occupancy * times.slotTime / slots
+  const priced = candidates.map(({ upstream, load, delay }): PricedCandidate => {
+    const reading = upstream === preferred ? remainingPrefill : fullPrefill
+    const waiting = expectedWait(load, upstream.slots, times.slotTime, delay)
+    const fixed = reading + (upstream.failureDomain === node.failureDomain ? 0 : costs.otherDomain) +
+      (request.lostOnReclaim && upstream.reclaimable ? costs.reclaimable : 0)
+    const cost = fixed + waiting + Math.min(load.requests, upstream.slots) * perRunningRequest(upstream.slots)
+    return { upstream, reading, waiting, fixed, cost, freeSlots: Math.max(1, upstream.slots - load.requests) }
+  })
+  const chosen = pickNearlyCheapest(priced, random)
+  if (chosen === undefined) return undefined
+  const { upstream, reading, waiting } = chosen
+  return { upstream, reading, cached: upstream === preferred ? shared : 0, waiting, candidates: candidates.length, firstAnswer: request.streams ? times.speed.base + reading : times.slotTime }
+}
+
+interface PricedCandidate {
+  readonly upstream: UpstreamRecord
+  readonly reading: Milliseconds
+  readonly waiting: Milliseconds
+  /** Part of the cost that does not depend on the load. */
+  readonly fixed: Milliseconds
+  readonly cost: Milliseconds
+  readonly freeSlots: number
+}
+
+/**
+ * Picks at random among the cheapest candidate and those that are nearly as cheap, weighted by their free slots.
+ *
+ * Failure guarded against: nodes with the same old information all send their requests to the upstream that was idle one second
+ * ago. Candidates with a higher fixed cost take no part, so that cached prompts and the own failure domain stay preferred.
+ */
+function pickNearlyCheapest (priced: readonly PricedCandidate[], random: Random): PricedCandidate | undefined {
+  let cheapest = priced[0]
+  for (const candidate of priced) if (candidate.cost < cheapest!.cost) cheapest = candidate
+  if (cheapest === undefined) return undefined
+  const { cost, fixed } = cheapest
+  const isNearlyCheapest = (candidate: PricedCandidate): boolean => candidate.cost <= cost + NEARLY_EQUAL && candidate.fixed <= fixed
+  let freeSlots = 0
+  for (const candidate of priced) if (isNearlyCheapest(candidate)) freeSlots += candidate.freeSlots
+  if (freeSlots === cheapest.freeSlots) return cheapest
+  let remaining = random.fraction() * freeSlots
+  for (const candidate of priced) {
+    if (!isNearlyCheapest(candidate)) continue
+    remaining -= candidate.freeSlots
+    if (remaining < 0) return candidate
   }
-  return best
+  return cheapest
 }
 
 /** Ranks the upstreams for a cache key, in the same order at all nodes. */
@@ -140,11 +180,3 @@
     .sort((left, right) => right.weight - left.weight)
     .map(({ candidate }) => candidate)
 }
-
-/**
- * Less than a millisecond. Each node breaks ties in its own order, so that not all nodes choose the same one of several
- * equal upstreams.
- */
-function tieBreaker (node: string, id: string): Milliseconds {
-  return score(node, id) / 2 ** 32
-}
--- a/src/placement/expected-wait.ts
+++ b/src/placement/expected-wait.ts
@@ -31,12 +31,13 @@
 }
 
 /**
- * Expected time until the upstream begins a new request. Queued prefill and occupied slots pass at the same time, so the
- * longer of the two counts.
+ * Expected time until the upstream begins a new request. Queued prefill, occupied slots and the observed delay are three views
+ * of the same wait, so the longest of them counts.
  *
+ * @param delay recently observed there
  * @example
- * expectedWait({ requests: 19, reading: 40, unanswered: 4 }, 16, 800) // 200
+ * expectedWait({ requests: 19, reading: 40, unanswered: 4 }, 16, 800, 0) // 200
  */
-export function expectedWait (load: NodeLoad, slots: number, slotTime: Milliseconds): Milliseconds {
-  return Math.max(load.reading, slotWait(load.requests, slots, slotTime))
+export function expectedWait (load: NodeLoad, slots: number, slotTime: Milliseconds, delay: Milliseconds): Milliseconds {
+  return Math.max(load.reading, slotWait(load.requests, slots, slotTime), delay)
 }
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -62,6 +62,8 @@
    * Whether a reclaim of the upstream loses the request: it cannot be moved once begun and runs for longer than the notice.
    */
   readonly lostOnReclaim: boolean
+  /** Whether the first answer comes after the prefill, rather than at the end of the request. */
+  readonly streams: boolean
 }
 
 /** Requests of one node in flight at one upstream. */
--- a/test/gateway/upstream-view.test.ts
+++ b/test/gateway/upstream-view.test.ts
@@ -27,7 +27,7 @@
   it('does not carry load, failures and exclusions over to the next incarnation', () => {
     const view = createUpstreamView()
     view.put(record(1), 1)
-    view.begin(record(1), 9_000, 0)
+    view.begin({ upstream: record(1), reading: 9_000, cached: 0, waiting: 0, candidates: 1 }, 0)
     view.notePrefill('other', record(1).incarnation, 5_000, 0)
     view.health.failed(record(1).incarnation, 0)
     view.put(record(2), 2)
--- a/test/gossip/merge.test.ts
+++ b/test/gossip/merge.test.ts
@@ -16,6 +16,7 @@
   demand: counts,
   granted: counts,
   inFlight: fc.dictionary(fc.constantFrom('i-1', 'i-2', 'i-3'), fc.record({ requests: fc.nat(9), reading: fc.nat(900), unanswered: fc.nat(9) })).map((loads) => Object.fromEntries(Object.entries(loads).map(([id, load]) => [incarnationOf(id, 1), load]))),
+  delays: fc.dictionary(fc.constantFrom('i-1', 'i-2', 'i-3'), fc.integer({ min: 50, max: 900 })).map((delays) => Object.fromEntries(Object.entries(delays).map(([id, delay]) => [incarnationOf(id, 1), delay]))),
   holdTime: fc.dictionary(fc.constantFrom('plans', 'lookups'), fc.record({ mean: fc.constant(800), samples: fc.nat(100) })),
   work: fc.constant({}),
   speeds: fc.constant({}),
@@ -34,7 +35,7 @@
   })
 
   it('clear a crash fingerprint that any node has answered completely', () => {
-    const base = { nodes: 1, configuration: 0, demand: {}, granted: {}, inFlight: {}, holdTime: {}, work: {}, speeds: {}, rollouts: {}, limits: {}, departures: [] }
+    const base = { nodes: 1, configuration: 0, demand: {}, granted: {}, inFlight: {}, delays: {}, holdTime: {}, work: {}, speeds: {}, rollouts: {}, limits: {}, departures: [] }
     assert.deepEqual(mergeReports([{ ...base, crashes: { f: 2 } }, { ...base, crashes: { f: ANSWERED } }, { ...base, crashes: { f: 1 } }])?.crashes, { f: ANSWERED })
     assert.equal(mergeReports([]), undefined)
   })
--- a/test/placement/load-replay.ts
+++ b/test/placement/load-replay.ts
@@ -144,9 +144,9 @@
   readonly reports: Report[]
 }
 
-function choose (node: ReplayedNode, request: PlacementRequest, now: Milliseconds): Choice {
+function choose (node: ReplayedNode, request: PlacementRequest, now: Milliseconds, random: Random): Choice {
   const candidates = node.view.candidates('s', new Set(), now)
-  return chooseUpstream(request, candidates, { name: node.name, failureDomain: 'a' }, ENGINE_COSTS, { speed: ASSUMED_SPEED, slotTime: node.view.slotTimes.of('s', true) })!
+  return chooseUpstream(request, candidates, { name: node.name, failureDomain: 'a' }, ENGINE_COSTS, { speed: ASSUMED_SPEED, slotTime: node.view.slotTimes.of('s', true) }, random)!
 }
 
 /**
@@ -157,6 +157,8 @@
  */
 export function replayLoad (replay: Replay): ReplayResult {
   const random = createRandom(replay.seed)
+  // Numbers of its own, so that replays of different decisions have the same arrivals.
+  const tieBreaker = createRandom(replay.seed + 1_000)
   const queue = createQueue()
   const engines = Array.from({ length: replay.engines }, (_, index) => createEngine(index, replay.slots, queue, (now) => replay.slowness?.(index, now) ?? 1))
   const byIncarnation = new Map<UpstreamIncarnation, number>(engines.map(({ record }, index) => [record.incarnation, index]))
@@ -168,11 +170,11 @@
     for (const { record } of engines) node.view.put(record, 1)
     const delays = nodes.map(() => MIN_REPORT_DELAY + (MAX_REPORT_DELAY - MIN_REPORT_DELAY) * random.fraction())
     const exchange = (now: Milliseconds): void => {
-      node.reports.push({ at: now, ...node.view.told() })
+      node.reports.push({ at: now, ...node.view.told(now) })
       if (node.reports.length > MAX_REPORT_DELAY / REPORT_PERIOD + 4) node.reports.shift()
       const received = receivedReports(nodes, node, delays, now)
       node.view.observe(new Map([...received].map(([name, { inFlight }]) => [name, inFlight])), now)
-      node.view.slotTimes.receive([...received.values()].map(({ holdTime }) => holdTime))
+      node.view.receiveTimes([...received.values()], now)
       queue.at(now + REPORT_PERIOD * (0.75 + 0.5 * random.fraction()), exchange)
     }
     queue.at(REPORT_PERIOD * random.fraction(), exchange)
@@ -189,12 +191,12 @@
   function place (kind: ReplayedClass, now: Milliseconds): void {
     const request = requestOf(kind, random)
     const node = random.pick(nodes)
-    const choice = choose(node, request, now)
+    const choice = choose(node, request, now, tieBreaker)
     const index = byIncarnation.get(choice.upstream.incarnation)!
     const engine = engines[index]!
     const placed: PlacedRequest = { class: kind.name, at: now, engine: index, inFlight: engine.inFlight(), waiting: choice.waiting, firstAfter: undefined, target: kind.target }
     requests.push(placed)
-    const open = node.view.begin(choice.upstream, choice.reading, now)
+    const open = node.view.begin(choice, now)
     engine.begin(request, kind.run * (0.5 + random.fraction()), now, (answeredAt) => {
       placed.firstAfter = answeredAt - now
       open.answered(answeredAt)
@@ -223,7 +225,7 @@
   // A few subjects get most requests.
   const subject = Math.floor(kind.subjects * random.fraction() ** 2)
   const own = Math.max(20, Math.round(kind.ownTokens * -Math.log(1 - random.fraction())))
-  return { service: 's', parts: [{ id: `${kind.name}-${subject}`, tokens: kind.sharedTokens }, { id: 'own', tokens: own }], promptTokens: kind.sharedTokens + own, target: kind.target, lostOnReclaim: false }
+  return { service: 's', parts: [{ id: `${kind.name}-${subject}`, tokens: kind.sharedTokens }, { id: 'own', tokens: own }], promptTokens: kind.sharedTokens + own, target: kind.target, lostOnReclaim: false, streams: true }
 }
 
 /** Share of the requests of a class that were answered within their targets, among those placed in a period. */
--- a/test/placement/load.test.ts
+++ b/test/placement/load.test.ts
@@ -68,7 +68,7 @@
   it('includes the wait for a slot where all slots are occupied', () => {
     assert.equal(slotWait(15, 16, 800), 0)
     assert.equal(slotWait(16, 16, 800), 50)
-    assert.equal(expectedWait({ requests: 36, reading: 40, unanswered: 20 }, 16, 800), 21 * 50)
-    assert.equal(expectedWait({ requests: 36, reading: 2_000, unanswered: 20 }, 16, 800), 2_000)
+    assert.equal(expectedWait({ requests: 36, reading: 40, unanswered: 20 }, 16, 800, 0), 21 * 50)
+    assert.equal(expectedWait({ requests: 36, reading: 2_000, unanswered: 20 }, 16, 800, 0), 2_000)
   })
 })
--- a/test/placement/slot-times.test.ts
+++ b/test/placement/slot-times.test.ts
@@ -5,6 +5,7 @@
 import { createUpstreamView } from '../../src/gateway/upstream-view.js'
 import { fleetReportSchema, mergeReports } from '../../src/gossip/index.js'
 import { assumedSlotTime, createSlotTimes, mergeMeanTimes } from '../../src/placement/index.js'
+import type { Choice } from '../../src/placement/index.js'
 import { upstreamRecord } from './records.js'
 
 describe('the slot time of a service', () => {
@@ -60,16 +61,18 @@
 describe('an attempt', () => {
   const upstream = upstreamRecord('i', { slots: 2 })
 
+  const choice: Choice = { upstream, reading: 40, cached: 0, waiting: 0, candidates: 1 }
+
   const observed = (run: (view: ReturnType<typeof createUpstreamView>) => void): unknown => {
     const view = createUpstreamView()
     view.put(upstream, 1)
     run(view)
-    return view.told().holdTime
+    return view.told(5_000).holdTime
   }
 
   it('counts with the time from its dispatch to its end, once', () => {
     assert.deepEqual(observed((view) => {
-      const open = view.begin(upstream, 40, 1_000)
+      const open = view.begin(choice, 1_000)
       open.answered(1_100)
       open.end(1_900)
       open.end(2_000)
@@ -78,16 +81,16 @@
 
   // Failure guarded against: upstreams that refuse at once, or wait for a connection, make the slot time look short or long.
   it('does not count if it was not answered', () => {
-    assert.deepEqual(observed((view) => view.begin(upstream, 40, 1_000).end(1_400)), {})
+    assert.deepEqual(observed((view) => view.begin(choice, 1_000).end(1_400)), {})
   })
 
   // Failure guarded against: the time of a request that waits for a slot includes the slot times of others, so that the
   // expected wait grows with the square of the queue.
   it('does not count if it had to wait for a slot', () => {
     assert.deepEqual(observed((view) => {
-      view.begin(upstream, 40, 1_000)
-      view.begin(upstream, 40, 1_000)
-      const third = view.begin(upstream, 40, 1_000)
+      view.begin(choice, 1_000)
+      view.begin(choice, 1_000)
+      const third = view.begin(choice, 1_000)
       third.answered(3_000)
       third.end(4_000)
     }), {})
