Log and show upstreams where requests would wait or that are lastingly slow

Events upstream-slow and upstream-recovered mark changes of state: expected wait above half of the smallest target of the upstream's routes, or more than 2 times slower than the median of its service; recovered below half of both. The gauge family upstream_wait_ms has the expected wait by upstream.

--- a/src/events/story.ts
+++ b/src/events/story.ts
@@ -69,7 +69,7 @@
 const DEPENDENCY_EVENTS: ReadonlySet<EventName> = new Set<EventName>(['store-lost', 'store-regained', 'store-restored', 'requests-cut-off', 'rollout-stage', 'rollout-stopped'])
 
 /** Events about one upstream, included if the upstream is relevant to the request. */
-const UPSTREAM_EVENTS: ReadonlySet<EventName> = new Set<EventName>(['upstream-new', 'upstream-leaving', 'upstream-changed', 'upstream-gone', 'upstream-paused', 'upstream-doubtful', 'upstream-limit', 'upstream-says-leaving', 'upstream-asks-pause'])
+const UPSTREAM_EVENTS: ReadonlySet<EventName> = new Set<EventName>(['upstream-new', 'upstream-leaving', 'upstream-changed', 'upstream-gone', 'upstream-paused', 'upstream-slow', 'upstream-doubtful', 'upstream-limit', 'upstream-says-leaving', 'upstream-asks-pause'])
 
 /** Decisions that may lead to the end of a request. Dispatching an attempt is not such a decision. */
 const DECISION_EVENTS: ReadonlySet<EventName> = new Set<EventName>(['quota-refused', 'upstream-not-found', 'repeat-refused', 'move-unanswered', 'attempt-broken', 'send-not-run', 'answer-late'])
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -43,6 +43,7 @@
 import { addressOf } from './settings.js'
 import type { GatewaySettings, HostPort } from './settings.js'
 import { STOP_MARGIN, stopNode } from './stopping.js'
+import { createSlownessReporter } from './upstream-slowness.js'
 import { watchUpstreams } from './upstream-watcher.js'
 import { createUpstreamView } from './upstream-view.js'
 
@@ -204,9 +205,11 @@
   // Failure guarded against: no node is a candidate for the duties while the nodes start. Without this call the duties stay
   // vacant until the next periodic check of their key about ten seconds later, and surplus upstreams run on at full cost.
   holder.onLeaseDeleted()
+  const reportSlowness = createSlownessReporter({ clock, log, metrics, upstreams, routeTable: configuration.table })
   repeat({ clock, log, signal: shutdown.signal }, 'shares', SHARE_PERIOD, () => {
     backpressure.setNodes(fleet.nodeNames())
     applyShares()
+    reportSlowness()
   })
   repeat({ clock, log, signal: shutdown.signal }, 'speeds', SPEED_PERIOD, speeds.update)
   exposeNodeMetrics({ metrics, clock, log, signal: shutdown.signal, sums, sources, fleet, upstreams, connections, backpressure, quotas, budgets, rollouts: rollouts.sums, inFlight: () => inFlight, holdsDuties: () => holder.proof() !== undefined })
--- a/src/gateway/upstream-view.ts
+++ b/src/gateway/upstream-view.ts
@@ -1,7 +1,7 @@
 /** This node's view of the upstreams: their registry records, and the load that this node and the other nodes put on them. */
 import type { Milliseconds } from '../clock.js'
-import { createSlotTimes, createSpeedRatios, createUpstreamDelays, createUpstreamHealth, createUpstreamLoads } from '../placement/index.js'
-import type { Candidate, Choice, InFlight, InFlightRequest, MeanTimes, ReportedDelays, SlotTimes, UpstreamHealth, UpstreamIncarnation, UpstreamLoads, UpstreamRecord } from '../placement/index.js'
+import { createSlotTimes, createSpeedRatios, createUpstreamDelays, createUpstreamHealth, createUpstreamLoads, expectedWait } from '../placement/index.js'
+import type { Candidate, Choice, InFlight, InFlightRequest, MeanTimes, ReportedDelays, SlotTimes, UpstreamHealth, UpstreamIncarnation, UpstreamLoads, UpstreamRecord, UpstreamState } from '../placement/index.js'
 
 /** Effect of a record on the view: a new incarnation, a notice of leaving, or another address. */
 export type UpstreamChange = 'new' | 'leaving' | 'changed'
@@ -52,6 +52,8 @@
   candidates (service: string, excluded: ReadonlySet<UpstreamIncarnation>, now: Milliseconds, admit?: (present: readonly UpstreamRecord[]) => readonly UpstreamRecord[]): Candidate[]
   /** Upstreams of a service that are not leaving, whether or not they accept a request now. */
   notLeaving (service: string, excluded: ReadonlySet<UpstreamIncarnation>): readonly UpstreamRecord[]
+  /** What a request would see at each upstream that is not leaving. */
+  states (hasEngines: (service: string) => boolean, now: Milliseconds): UpstreamState[]
   /** Counts a request that is dispatched to an upstream. */
   begin (choice: Choice, now: Milliseconds): InFlightRequest
   /** What this node reports to the other nodes. */
@@ -124,6 +126,11 @@
     return all().filter((upstream) => upstream.service === service && !upstream.leaving && !excluded.has(upstream.incarnation))
   }
 
+  function candidateOf (upstream: UpstreamRecord, now: Milliseconds): Candidate {
+    const { incarnation, service } = upstream
+    return { upstream, load: loads.of(incarnation, now), delay: delays.of(incarnation, now), slowness: speedRatios.of(service, incarnation, now) }
+  }
+
   function begin ({ upstream, reading, waiting, firstAnswer = Infinity, slowness = 1 }: Choice, now: Milliseconds): InFlightRequest {
     const { incarnation, service, slots } = upstream
     // The time of a request that waits for a slot would count the slot times of the requests before it as well.
@@ -172,8 +179,12 @@
       const present = admit(notLeaving(service, excluded).filter(({ incarnation }) => availability.accepts(incarnation, now)))
       const usable = present.filter((upstream) => health.usable(upstream.incarnation, now))
       // If all upstreams have failed recently, an attempt at one of them is better than a certain refusal.
-      return (usable.length > 0 ? usable : present).map((upstream): Candidate => ({ upstream, load: loads.of(upstream.incarnation, now), delay: delays.of(upstream.incarnation, now), slowness: speedRatios.of(service, upstream.incarnation, now) }))
+      return (usable.length > 0 ? usable : present).map((upstream) => candidateOf(upstream, now))
     },
+    states: (hasEngines, now) => all().filter(({ leaving }) => !leaving).map((upstream) => {
+      const { load, delay, slowness } = candidateOf(upstream, now)
+      return { upstream, slowness, waiting: expectedWait(load, upstream.slots, slotTimes.of(upstream.service, hasEngines(upstream.service)) * slowness, delay) }
+    }),
     begin,
     told: (now) => ({ inFlight: loads.inFlight(), holdTime: slotTimes.own(), delays: delays.own(now) }),
     receiveTimes: (others, now) => {
