Second attempts of idempotent requests by the upstream's own answer times

An answer is overdue after 1.5 times the 0.95 quantile of the recent answers of the same upstream and route, and not before a quarter of the target or the predicted time. With fewer than 20 samples the fraction of the target applies as before. Attempts that are given up count with the time until then, so that an upstream that has become slower does not have all its requests repeated. Retry budget, maximum number of attempts and requests that may run only once: unchanged.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -89,13 +89,16 @@
 }
 
 function beginAttempt (context: GatewayContext, proxied: ProxiedRequest, choice: Choice, memory: string | undefined): Attempt {
-  const { upstream, reading: prefill, waiting } = choice
+  const { upstream, reading: prefill } = choice
   const controller = new AbortController()
   const comparison = memory === undefined ? context.rollouts.begin(proxied.accepted.route.name, upstream) : undefined
   const open = context.upstreams.begin(choice, context.clock.now())
   if (prefill >= LONG_PREFILL) context.announcePrefill(upstream.incarnation, prefill)
-  const watchdog = startWatchdog(context.clock, firstAnswerTimeout(proxied.accepted.route, waiting + prefill, context.speeds.of(proxied.service).base), () => {
-    if (mayRetry(context, proxied, 'may-have-run')) controller.abort()
+  const since = context.clock.now()
+  const watchdog = startWatchdog(context.clock, answerTimeout(context, proxied, choice), () => {
+    if (!mayRetry(context, proxied, 'may-have-run')) return
+    observeAnswerTime(context, proxied, upstream, since)
+    controller.abort()
   })
   return {
     upstream,
@@ -104,13 +107,26 @@
     watchdog,
     isTimedOut: () => controller.signal.aborted,
     prefillSample: memory === undefined ? prefillSampleOf(proxied, choice) : undefined,
-    since: context.clock.now(),
+    since,
     comparison,
     expected: comparison === undefined ? 0 : expectedTime(context, proxied, choice, comparison),
     watchedRun: watchRun(context, proxied, upstream)
   }
 }
 
+/** Time after which a further attempt is made, if the route and the retry budget of the service allow one. */
+function answerTimeout ({ speeds, upstreams }: GatewayContext, { accepted, service }: ProxiedRequest, { upstream, reading, waiting, firstAnswer = 0 }: Choice): Milliseconds {
+  const { route } = accepted
+  const overdueAfter = route.kind === 'idempotent' ? upstreams.answerTimes.overdueAfter(upstream.incarnation, route.name, route.target, waiting + firstAnswer) : undefined
+  return overdueAfter ?? firstAnswerTimeout(route, waiting + reading, speeds.of(service).base)
+}
+
+/** Adds the time of an answer, or of an attempt that is given up, to those from which overdue answers are recognised. */
+function observeAnswerTime ({ clock, upstreams }: GatewayContext, { accepted }: ProxiedRequest, { incarnation }: UpstreamRecord, since: Milliseconds): void {
+  const now = clock.now()
+  if (accepted.route.kind === 'idempotent') upstreams.answerTimes.observe(incarnation, accepted.route.name, now - since, now)
+}
+
 /**
  * Returns undefined for a prompt that waits behind others and for a resumed stream, since neither shows the prefill
  * speed.
@@ -235,6 +251,7 @@
   }
   attempt.watchdog.stop()
   attempt.open.answered(context.clock.now())
+  observeAnswerTime(context, proxied, attempt.upstream, attempt.since)
   if (answer.status >= SERVER_ERROR) attempt.comparison?.failed()
   else recordAnswerTime(proxied, attempt, context.clock.now() - attempt.since)
   recordAnswerStart(context, proxied, attempt.upstream)
--- a/src/gateway/upstream-view.ts
+++ b/src/gateway/upstream-view.ts
@@ -1,7 +1,7 @@
 /** This node's view of the upstreams: their registry records, and the load that this node and the other nodes put on them. */
 import type { Milliseconds } from '../clock.js'
-import { createSlotTimes, createSpeedRatios, createUpstreamDelays, createUpstreamHealth, createUpstreamLoads, expectedWait } from '../placement/index.js'
-import type { Candidate, Choice, InFlight, InFlightRequest, MeanTimes, ReportedDelays, SlotTimes, UpstreamHealth, UpstreamIncarnation, UpstreamLoads, UpstreamRecord, UpstreamState } from '../placement/index.js'
+import { createAnswerTimes, createSlotTimes, createSpeedRatios, createUpstreamDelays, createUpstreamHealth, createUpstreamLoads, expectedWait } from '../placement/index.js'
+import type { AnswerTimes, Candidate, Choice, InFlight, InFlightRequest, MeanTimes, ReportedDelays, SlotTimes, UpstreamHealth, UpstreamIncarnation, UpstreamLoads, UpstreamRecord, UpstreamState } from '../placement/index.js'
 
 /** Effect of a record on the view: a new incarnation, a notice of leaving, or another address. */
 export type UpstreamChange = 'new' | 'leaving' | 'changed'
@@ -61,6 +61,7 @@
   /** Takes what the other live nodes last reported of their upstreams' times. */
   receiveTimes (others: readonly UpstreamTimes[], now: Milliseconds): void
   readonly slotTimes: SlotTimes
+  readonly answerTimes: AnswerTimes
   readonly health: UpstreamHealth
 }
 
@@ -195,6 +196,7 @@
     observe: loads.observe,
     notePrefill: loads.notePrefill,
     slotTimes,
+    answerTimes: createAnswerTimes(),
     health
   }
 }
