--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -43,6 +43,7 @@
 import { addressOf } from './settings.js'
 import type { GatewaySettings, HostPort } from './settings.js'
 import { STOP_MARGIN, stopNode } from './stopping.js'
+import { createSlownessReporter } from './upstream-slowness.js'
 import { watchUpstreams } from './upstream-watcher.js'
 import { createUpstreamView } from './upstream-view.js'
 
@@ -167,7 +168,7 @@
     chooseTarget: (source, excluded) => {
       const { service } = source
       const candidates = upstreams.candidates(service, excluded, clock.now(), (present) => present.filter((target) => rollouts.mayMove(source, target)))
-      const target = chooseUpstream({ service, parts: [], promptTokens: 0, target: Infinity, lostOnReclaim: true }, candidates, settings, ENGINE_COSTS, { speed: speeds.of(service), slotTime: upstreams.slotTimes.of(service, true) })?.upstream
+      const target = chooseUpstream({ service, parts: [], promptTokens: 0, target: Infinity, lostOnReclaim: true, streams: true }, candidates, settings, ENGINE_COSTS, { speed: speeds.of(service), slotTime: upstreams.slotTimes.of(service, true) }, random)?.upstream
       if (target !== undefined) backpressure.taken(target.incarnation, clock.now())
       return target
     },
@@ -208,9 +209,11 @@
   // Failure guarded against: no node is a candidate for the duties while the nodes start. Without this call the duties stay
   // vacant until the next periodic check of their key about ten seconds later, and surplus upstreams run on at full cost.
   holder.onLeaseDeleted()
+  const reportSlowness = createSlownessReporter({ clock, log, metrics, upstreams, routeTable: configuration.table })
   repeat({ clock, log, signal: shutdown.signal }, 'shares', SHARE_PERIOD, () => {
     backpressure.setNodes(fleet.nodeNames())
     applyShares()
+    reportSlowness()
   })
   repeat({ clock, log, signal: shutdown.signal }, 'speeds', SPEED_PERIOD, speeds.update)
   exposeNodeMetrics({ metrics, clock, log, signal: shutdown.signal, sums, sources, fleet, upstreams, connections, backpressure, quotas, budgets, rollouts: rollouts.sums, inFlight: () => inFlight, holdsDuties: () => holder.proof() !== undefined })
@@ -262,7 +265,7 @@
       configuration: configuration.table()?.configuration.version ?? 0,
       demand: quotas.demand(now),
       granted: quotas.granted(now),
-      ...upstreams.told(),
+      ...upstreams.told(now),
       work: work.rates(now),
       speeds: speeds.ownEstimates(),
       usage: Object.fromEntries(windows.map((window) => [window, usage.counts(window)])),
@@ -276,7 +279,7 @@
   function applyReports (): void {
     const others = fleet.others()
     upstreams.observe(fleet.loads(), clock.now())
-    upstreams.slotTimes.receive(others.map((report) => report.holdTime))
+    upstreams.receiveTimes(others, clock.now())
     speeds.receive(others.map((report) => report.speeds))
     quarantine.observe(fleet.brokenRuns())
     rollouts.observe(others.map((report) => report.rollouts))
--- a/test/gateway/upstream-wait.test.ts
+++ b/test/gateway/upstream-wait.test.ts
@@ -33,6 +33,11 @@
   readonly open: () => InFlightRequest
 }
 
+/** Choice of an upstream for a request with this prefill. */
+function choiceOf (id: string, reading: Milliseconds): Choice {
+  return { upstream: upstreamRecord(id), reading, cached: 0, waiting: 0, candidates: 1 }
+}
+
 function createFixture () {
   const manual = createManualClock()
   const sleeps: Milliseconds[] = []
@@ -47,6 +52,7 @@
   const context = {
     settings: { name: 'n', failureDomain: 'a' },
     clock,
+    random: createRandom(1),
     log,
     upstreams,
     backpressure,
@@ -68,7 +74,7 @@
     let open: InFlightRequest | undefined
     waitForUpstream(context, proxied).then((chosen) => {
       choice = chosen
-      open = upstreams.begin(chosen.upstream, chosen.reading, clock.now())
+      open = upstreams.begin(chosen, clock.now())
     }, (error) => { failure = error })
     return { controller, proxied, choice: () => choice, failure: () => failure, open: () => open! }
   }
@@ -119,7 +125,7 @@
     const taken: string[] = []
     const original = backpressure.taken
     backpressure.taken = (incarnation, now) => { taken.push(incarnation); original(incarnation, now) }
-    const busy = upstreams.begin(upstreamRecord('u'), 1_500, 0)
+    const busy = upstreams.begin(choiceOf('u', 1_500), 0)
     const request = ask()
     await clock.advance(10)
     assert.equal(request.choice(), undefined)
@@ -133,7 +139,7 @@
   it('counts once as offered work, from the time at which an upstream is known', async () => {
     const { put, ask, upstreams, offered, clock } = createFixture()
     put('u')
-    const busy = upstreams.begin(upstreamRecord('u'), 1_500, 0)
+    const busy = upstreams.begin(choiceOf('u', 1_500), 0)
     ask()
     assert.equal(offered.length, 1)
     await clock.advance(100)
@@ -145,7 +151,7 @@
   it('is refused at once if the upstreams cannot begin it before its limit', async () => {
     const { put, ask, upstreams, lines } = createFixture()
     put('u')
-    upstreams.begin(upstreamRecord('u'), 5_000, 0)
+    upstreams.begin(choiceOf('u', 5_000), 0)
     const request = ask()
     await flushPromises()
     assert.deepEqual([request.failure()?.code, request.failure()?.verdict], ['overloaded', 'not-run'])
@@ -156,7 +162,7 @@
   it('does not promise that it was not run if an earlier attempt may have run', async () => {
     const { put, ask, upstreams } = createFixture()
     put('u')
-    upstreams.begin(upstreamRecord('u'), 5_000, 0)
+    upstreams.begin(choiceOf('u', 5_000), 0)
     const request = ask({ tried: ['other'], attempts: 1 })
     await flushPromises()
     assert.equal(request.failure()?.verdict, 'may-have-run')
@@ -168,7 +174,7 @@
   function createBusyFixture () {
     const fixture = createFixture()
     fixture.put('u')
-    return { ...fixture, busy: fixture.upstreams.begin(upstreamRecord('u'), 1_500, 0) }
+    return { ...fixture, busy: fixture.upstreams.begin(choiceOf('u', 1_500), 0) }
   }
 
   it('is dispatched when the first answer there begins', async () => {
