--- a/test/events/day-load.test.ts
+++ b/test/events/day-load.test.ts
@@ -142,7 +142,9 @@
 
   // Failure guarded against: an upstream answers with errors, and counts as the best one since it does so at once.
   it('counts an error of an upstream as failed', () => {
-    assert.deepEqual(load(served('r', 0, 5, { failed: true })).total.classes.plans, counts({ requests: 1, failed: { 'upstream-failed': 1 } }))
+    const { classes, upstreams } = load(served('r', 0, 5, { failed: true })).total
+    assert.deepEqual(classes.plans, counts({ requests: 1, failed: { 'upstream-failed': 1 } }))
+    assert.equal(upstreams['i-1']?.firstAnswer, undefined)
   })
 
   // Failure guarded against: the lines of nodes are added up node by node, and the result depends on the order of the files.
@@ -166,8 +168,9 @@
   it('tells lateness and size of older lines from answer-late', () => {
     const old = { route: 'plans', organisation: 'o-1', upstream: 'i-1', attempts: 1, unrun: 0, events: 1 }
     const { source, total } = load([
-      line(0, 'answer-late', { request: 'r1', route: 'plans', upstream: 'i-1', failureDomain: 'z', target: 500, waited: 600, sends: 1, promptTokens: 900, loads: '' }),
-      line(100, 'request-served', { ...old, request: 'r1', firstAfter: 600, after: 700 }),
+      line(0, 'answer-late', { request: 'r1', route: 'plans', upstream: 'i-1', failureDomain: 'z', target: 500, waited: 500, sends: 1, promptTokens: 900, loads: '' }),
+      // After 500.3 ms; lines state whole milliseconds.
+      line(100, 'request-served', { ...old, request: 'r1', firstAfter: 500, after: 700 }),
       // Its line of the late answer was left out; the target is known from the other one.
       line(200, 'request-served', { ...old, request: 'r2', firstAfter: 501, after: 700 }),
       line(300, 'request-served', { ...old, request: 'r3', firstAfter: 500, after: 700 }),
