Prefill speed is learnt under load again

Cause: since the expected wait is known, prompts that wait were left out of the samples, and the speed became that of idle engines. Change: they count again.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -133,12 +133,12 @@
 }
 
 /**
- * Returns undefined for a prompt that waits behind others and for a resumed stream, since neither shows the prefill
- * speed.
+ * Returns undefined for a resumed stream, which does not show the prefill speed. Prompts that wait behind others count: the
+ * sizes follow from the speed under load, and the estimate is a low quantile.
  */
-function prefillSampleOf ({ accepted, progress }: ProxiedRequest, { cached, waiting }: Choice): Attempt['prefillSample'] {
+function prefillSampleOf ({ accepted, progress }: ProxiedRequest, { cached }: Choice): Attempt['prefillSample'] {
   const { tokens } = accepted.head
-  if (tokens === undefined || waiting > 0 || progress.lastId !== undefined) return undefined
+  if (tokens === undefined || progress.lastId !== undefined) return undefined
   return { tokens: tokens.prompt - cached, cached }
 }
 
