A measured slot time below the assumed one does not shrink the fleet

Change: engines for slots follow the larger of both, so that only deployments with longer slot times change.

--- a/src/scaling/load.ts
+++ b/src/scaling/load.ts
@@ -49,8 +49,10 @@
   return enginesForSlots(work, slots) > work.reading / SECOND ? 'slots' : 'prefill'
 }
 
+/** A measured slot time below the assumed one does not shrink the fleet, since it leaves no reserve for bursts. */
 function enginesForSlots (work: OfferedWork, slots: number): number {
-  return occupiedSlots(work) / (slots * TARGET_SLOT_UTILISATION)
+  const assumed = work.generatedTokens * ASSUMED_SLOT_TIME_PER_TOKEN / SECOND
+  return Math.max(assumed, occupiedSlots(work)) / (slots * TARGET_SLOT_UTILISATION)
 }
 
 /**
