Quotas count the grants of all nodes in the window, and debts by late reports are limited

Cause: an organisation that rose from 0.55 to 3.4 times its rate was granted all of it until reports arrived.

Each node now counts the grants of all nodes in the window, those of others at the time that the reports are about, and assumes those that are not reported yet. The probability of admission never exceeds what can go on until the excess has left the window. Debts that other nodes cause are limited to what the rate refills in 250 ms. Rising demand is estimated from the difference of the reported rates. Sums of reports are computed once per exchange.

QuotaLimiter.observe takes the time, since the reported rates are integrated; the tests that call it pass it. Their checks are unchanged.

--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -285,7 +285,7 @@
     if (context === undefined) return
     const nodes = fleet.maxNodeCount()
     const others = fleet.others()
-    quotas.observe(others, nodes)
+    quotas.observe(others, nodes, clock.now())
     for (const budget of budgets.values()) budget.setNodeCount(nodes)
     if (nodes === sharedAmong) return
     sharedAmong = nodes
--- a/src/quota/demand.ts
+++ b/src/quota/demand.ts
@@ -6,6 +6,8 @@
 export interface DemandRates {
   /** Counts units used at `now`. */
   add (organisation: string, units: number, now: Milliseconds): void
+  /** Rate of one organisation at `now`. */
+  rate (organisation: string, now: Milliseconds): number
   /** Rates at `now`, rounded; organisations with a rate of 0 are left out. */
   rates (now: Milliseconds): Record<string, number>
 }
@@ -21,16 +23,21 @@
 export function createDemandRates (halfLife: Milliseconds): DemandRates {
   const decay = Math.LN2 / halfLife
   const ratesByOrganisation = new Map<string, { rate: number, at: Milliseconds }>()
+
+  function rate (organisation: string, now: Milliseconds): number {
+    const known = ratesByOrganisation.get(organisation)
+    return known === undefined ? 0 : known.rate * Math.exp(-decay * (now - known.at))
+  }
+
   return {
     add: (organisation, units, now) => {
-      const previous = ratesByOrganisation.get(organisation)
-      const rate = (previous === undefined ? 0 : previous.rate * Math.exp(-decay * (now - previous.at))) + units * decay * SECOND
-      ratesByOrganisation.set(organisation, { rate, at: now })
+      ratesByOrganisation.set(organisation, { rate: rate(organisation, now) + units * decay * SECOND, at: now })
     },
+    rate,
     rates: (now) => {
       const rates: Record<string, number> = {}
-      for (const [organisation, { rate, at }] of ratesByOrganisation) {
-        const present = Math.round(rate * Math.exp(-decay * (now - at)))
+      for (const organisation of ratesByOrganisation.keys()) {
+        const present = Math.round(rate(organisation, now))
         if (present > 0) rates[organisation] = present
       }
       return rates
--- a/src/quota/level.ts
+++ b/src/quota/level.ts
@@ -1,5 +1,6 @@
 /**
- * One node's estimate of the token bucket that all nodes share for an organisation.
+ * One node's estimate of the token bucket that all nodes share for an organisation, and of the units that all nodes granted
+ * in the window of the operators' bound.
  *
  * Load pattern: hundreds of nodes and prompts of 50,000 tokens. If each node had its own share of the rate, the share would
  * be less than one prompt. A long prompt would block an organisation at its node for seconds while it uses half of its
@@ -9,11 +10,18 @@
  * level lasts, all requests of the organisation are admitted at any node. If they arrive faster than the rate, each is
  * admitted at random, with the same probability at all nodes and for all sizes, so that large requests are not starved.
  *
- * Why the sum keeps to the quota: grants of the other nodes are reported and deducted within one or two seconds. An excess
- * granted before that is compensated afterwards, because the probability falls to 0 with the level.
+ * Load pattern: an organisation's demand rises sixfold, and for two seconds the nodes grant it without knowing of each
+ * other. A level that went into debt by all of it would refuse every request for seconds. Therefore grants of other nodes
+ * put the level into debt by at most {@link MAX_DEBT_TIME}, and the bound on the window is kept separately: the rate at
+ * which requests are admitted never exceeds the rate that can go on until the excess has left the window.
+ *
+ * Grants of other nodes are counted by their reports, at the time {@link REPORT_LAG} before these arrive. Those of the time
+ * since are assumed to be what callers request of other nodes now, reduced by this node's own probability of that time.
  */
 import type { Milliseconds } from '../clock.js'
 import { SECOND } from '../clock.js'
+import { BUCKET } from './grant-window.js'
+import type { GrantWindow } from './grant-window.js'
 
 /** Rates of an organisation over all nodes, in units per second. */
 export interface ObservedRates {
@@ -25,36 +33,70 @@
   readonly grantedByOthers: number
 }
 
+/** Bound on the units that all nodes grant in any window. */
+export interface WindowBound {
+  readonly length: Milliseconds
+  readonly allowance: number
+  /** Grants counted so far. */
+  readonly grants: GrantWindow
+}
+
+/** What limits the admission of requests. */
+export type LevelLimit = 'rate' | 'window'
+
 /** Level of one organisation's bucket. */
 export interface QuotaLevel {
+  /** Counts the grants of other nodes since the last call. Called before their rates change. */
+  advance (rates: ObservedRates, now: Milliseconds): void
   /**
    * Applies the refill and the grants of other nodes since the last call.
    *
    * @returns the probability with which a request is to be admitted now
    */
   admitProbability (rates: ObservedRates, now: Milliseconds): number
-  /** Deducts the cost of an admitted request; the level may become negative. */
-  take (cost: number): void
+  /**
+   * Deducts the cost of a request admitted at the time of the last call; the level may become negative. `fleetCost` includes
+   * what nodes without reports are assumed to have granted meanwhile.
+   */
+  take (cost: number, fleetCost?: number): void
   /** Returns the cost of an admitted request that did not run. */
   refund (cost: number): void
-  /** Sets a new rate and size; a positive level keeps its fraction of the size. */
-  resize (rate: number, size: number): void
+  /** Sets a new rate, size and allowance; a positive level keeps its fraction of the size. */
+  resize (rate: number, size: number, allowance?: number): void
   /** Time until the level is expected to be positive again, with a refill of at least half of the rate. */
   wait (rates: ObservedRates): Milliseconds
+  /** What limited the last probability. */
+  limit (): LevelLimit
+  /** Fraction of the window's allowance that was granted, as of the last call. */
+  windowFraction (): number
 }
 
 /**
- * Time over which the remaining level is spent under overload that arrives entirely at other nodes. It is about twice the
- * delay of reports between nodes. A shorter time makes the level oscillate. A longer time makes the burst available too
- * late.
+ * Time over which the remaining level is spent under overload that arrives entirely at other nodes. A shorter time makes the
+ * level oscillate. A longer time refuses requests while much of the burst is left.
  */
-const SPEND_DOWN_TIME: Milliseconds = 2 * SECOND
+const SPEND_DOWN_TIME: Milliseconds = 1 * SECOND
 
 /**
- * Delay of reports between nodes. Units beyond the rate that are requested at other nodes within this time may have been
- * granted without a report so far, so as many are held back.
+ * Mean time from a grant at another node until it is seen in the reports: their age of 0.8 to 2 s, and the mean lag of the
+ * reported rate.
  */
-const REPORT_DELAY: Milliseconds = 1.2 * SECOND
+export const REPORT_LAG: Milliseconds = 8 * BUCKET
+
+/** Grants of other nodes put the level into debt by at most what the rate refills in this time. */
+const MAX_DEBT_TIME: Milliseconds = 250
+
+/** Time over which a debt caused by other nodes is paid back, by admitting less than the rate. */
+const PAY_BACK_TIME: Milliseconds = 1 * SECOND
+
+/** Fraction of the rate that must remain available for as long as the present grants are in the window. */
+const SUSTAINED_FRACTION = 0.7
+
+/**
+ * Fraction by which grants that are not reported yet are overestimated in the window. Demand that rises is known late, so
+ * that they are underestimated just when the window fills up.
+ */
+const UNREPORTED_EXCESS = 0.4
 
 /** Shortest time after which a refused caller is asked to retry. */
 const MIN_RETRY_AFTER: Milliseconds = 100
@@ -62,6 +104,11 @@
 /** Longest time after which a refused caller is asked to retry. */
 export const MAX_RETRY_AFTER: Milliseconds = 5 * SECOND
 
+interface OwnGrant {
+  readonly at: Milliseconds
+  cost: number
+}
+
 /**
  * Creates the level of an organisation's bucket.
  *
@@ -69,34 +116,151 @@
  * @param size maximum level in units
  * @param initialFill fraction of the size that is available at the start
  * @param now time of the start
+ * @param bound bound on the window; none if left out
+ * @param admitted fraction of requests that other nodes admitted lately
  * @example
  * const level = createQuotaLevel(20_000, 20_000, 0.5, clock.now())
  * if (random.fraction() < level.admitProbability(rates, clock.now())) level.take(1_540)
  */
-export function createQuotaLevel (rate: number, size: number, initialFill: number, now: Milliseconds): QuotaLevel {
-  let remaining = size * initialFill
+export function createQuotaLevel (rate: number, size: number, initialFill: number, now: Milliseconds, bound?: WindowBound, admitted = 1): QuotaLevel {
+  const window = bound?.grants
+  /** Level at `settledAt`, which is {@link REPORT_LAG} ago. The grants of all nodes until then are known. */
+  let settled = size * initialFill
+  let settledAt = window === undefined ? now : now - REPORT_LAG
+  /** Level now, with assumed grants of other nodes since `settledAt`. */
+  let remaining = settled
+  /** Level of a bucket that only this node's grants are deducted from. */
+  let ownLevel = settled
   let updatedAt = now
+  const ownGrants: OwnGrant[] = []
+  /** Latest probability in each bucket of time since `settledAt`. */
+  const probabilities = new Float64Array(REPORT_LAG / BUCKET + 2).fill(admitted)
+  let latestBucket = Math.floor(now / BUCKET)
+  let probability = 1
+  let limit: LevelLimit = 'rate'
+  let allowance = bound?.allowance ?? Infinity
+  let unreported = 0
+
+  function refill (level: number, elapsed: Milliseconds, granted: number): number {
+    const next = Math.min(size, level + (rate - granted) * elapsed / SECOND)
+    const floor = -rate * MAX_DEBT_TIME / SECOND
+    return next < floor && granted > rate ? Math.max(next, Math.min(level, floor)) : next
+  }
+
+  /** Applies the own grants until `until` and a constant rate of other grants to a level. @returns it, and the next own grant */
+  function applyGrants (level: number, from: Milliseconds, until: Milliseconds, granted: number, first: number): { level: number, next: number } {
+    let next = first
+    for (; next < ownGrants.length && ownGrants[next]!.at <= until; next += 1) {
+      const { at, cost } = ownGrants[next]!
+      level = refill(level, at - from, granted) - cost
+      from = at
+    }
+    return { level: refill(level, until - from, granted), next }
+  }
+
+  function settle (granted: number, now: Milliseconds): void {
+    const until = now - REPORT_LAG
+    if (until <= settledAt) return
+    const { level, next } = applyGrants(settled, settledAt, until, granted, 0)
+    ownGrants.splice(0, next)
+    window?.addRate(granted, settledAt, until)
+    settled = level
+    settledAt = until
+  }
+
+  /** Estimates the level from what is known until `settledAt` and what is assumed since. */
+  function estimate (offeredToOthers: number, now: Milliseconds): void {
+    let level = settled
+    let next = 0
+    unreported = 0
+    for (let from = settledAt; from < now;) {
+      const bucket = Math.floor(from / BUCKET)
+      const until = Math.min(now, (bucket + 1) * BUCKET)
+      const granted = offeredToOthers * probabilities[slot(bucket)]!
+      const applied = applyGrants(level, from, until, granted, next)
+      level = applied.level
+      next = applied.next
+      unreported += granted * (until - from) / SECOND
+      from = until
+    }
+    for (; next < ownGrants.length; next += 1) level -= ownGrants[next]!.cost
+    remaining = level
+  }
+
+  function slot (bucket: number): number {
+    const { length } = probabilities
+    return ((bucket % length) + length) % length
+  }
+
+  function startBuckets (now: Milliseconds): void {
+    const bucket = Math.floor(now / BUCKET)
+    for (let started = Math.max(latestBucket + 1, bucket - probabilities.length + 1); started <= bucket; started += 1) probabilities[slot(started)] = probability
+    latestBucket = bucket
+  }
+
+  function usableRate (spendingTime: Milliseconds): number {
+    if (remaining > 0) return rate + remaining / spendingTime * SECOND
+    return ownLevel <= 0 ? 0 : Math.max(0, rate + remaining / PAY_BACK_TIME * SECOND)
+  }
+
+  function usableWindowRate (spendingTime: Milliseconds): number {
+    if (window === undefined) return Infinity
+    const { sustainable, spare } = window.headroom(allowance, rate * SUSTAINED_FRACTION, unreported * (1 + UNREPORTED_EXCESS), bound!.length - REPORT_LAG, updatedAt)
+    return spare < 0 ? sustainable : rate * SUSTAINED_FRACTION + spare / spendingTime * SECOND
+  }
+
+  function update (rates: ObservedRates, now: Milliseconds): void {
+    ownLevel = Math.min(size, ownLevel + rate * Math.max(0, now - updatedAt) / SECOND)
+    updatedAt = Math.max(updatedAt, now)
+    settle(rates.grantedByOthers, updatedAt)
+    startBuckets(updatedAt)
+    estimate(rates.offeredToOthers, updatedAt)
+    const spendingTime = Math.max(1, SPEND_DOWN_TIME * rates.offeredToOthers / Math.max(1, rates.offered))
+    const usable = usableRate(spendingTime)
+    const windowRate = usableWindowRate(spendingTime)
+    limit = windowRate < usable ? 'window' : 'rate'
+    const least = Math.min(usable, windowRate)
+    probability = least <= 0 ? 0 : rates.offered <= least ? 1 : least / rates.offered
+    probabilities[slot(latestBucket)] = probability
+  }
 
   return {
-    admitProbability: ({ offered, offeredToOthers, grantedByOthers }, now) => {
-      remaining = Math.min(size, remaining + (rate - grantedByOthers) * Math.max(0, now - updatedAt) / SECOND)
-      updatedAt = Math.max(updatedAt, now)
-      if (remaining <= 0) return 0
-      const unreported = Math.max(0, offeredToOthers - rate) * REPORT_DELAY / SECOND
-      const spendingTime = SPEND_DOWN_TIME * offeredToOthers / Math.max(1, offered)
-      const usableRate = rate + Math.max(0, remaining - unreported) / Math.max(1, spendingTime) * SECOND
-      return offered <= usableRate ? 1 : usableRate / offered
+    advance: update,
+    admitProbability: (rates, now) => {
+      update(rates, now)
+      return probability
     },
-    take: (cost) => { remaining -= cost },
-    refund: (cost) => { remaining = Math.min(size, remaining + cost) },
-    resize: (newRate, newSize) => {
-      remaining = remaining > 0 && size > 0 ? remaining * newSize / size : Math.min(remaining, newSize)
+    take: (cost, fleetCost = cost) => {
+      remaining -= fleetCost
+      ownLevel -= cost
+      ownGrants.push({ at: updatedAt, cost: fleetCost })
+      window?.add(fleetCost, updatedAt)
+    },
+    refund: (cost) => {
+      remaining = Math.min(size, remaining + cost)
+      ownLevel = Math.min(size, ownLevel + cost)
+      window?.remove(cost)
+      for (let index = ownGrants.length - 1; index >= 0 && cost > 0; index -= 1) {
+        const returned = Math.min(cost, ownGrants[index]!.cost)
+        ownGrants[index]!.cost -= returned
+        cost -= returned
+      }
+      settled = Math.min(size, settled + cost)
+    },
+    resize: (newRate, newSize, newAllowance = Infinity) => {
+      const resized = (level: number): number => level > 0 && size > 0 ? level * newSize / size : Math.min(level, newSize)
+      settled = resized(settled)
+      remaining = resized(remaining)
+      ownLevel = resized(ownLevel)
       rate = newRate
       size = newSize
+      allowance = newAllowance
     },
     wait: ({ grantedByOthers }) => {
       const refill = Math.max(rate / 2, rate - grantedByOthers)
       return Math.min(MAX_RETRY_AFTER, Math.max(MIN_RETRY_AFTER, (1 - remaining) / refill * SECOND))
-    }
+    },
+    limit: () => limit,
+    windowFraction: () => window === undefined ? 0 : (window.sum(updatedAt) + unreported) / allowance
   }
 }
--- a/src/quota/limiter.ts
+++ b/src/quota/limiter.ts
@@ -4,8 +4,12 @@
 import type { Random } from '../random.js'
 import type { Organisation, Quota } from '../routing/index.js'
 import { createDemandRates } from './demand.js'
-import { createQuotaLevel, MAX_RETRY_AFTER } from './level.js'
-import type { ObservedRates, QuotaLevel } from './level.js'
+import { createGrantWindow } from './grant-window.js'
+import type { GrantWindow } from './grant-window.js'
+import { createQuotaLevel, MAX_RETRY_AFTER, REPORT_LAG } from './level.js'
+import type { LevelLimit, ObservedRates, QuotaLevel } from './level.js'
+import { createReportedDemandEstimate } from './reported-demand.js'
+import type { ReportedDemandEstimate } from './reported-demand.js'
 import { ASSUMED_NODES } from './nodes.js'
 import { shareOf } from './share.js'
 import { createTokenBucket } from './token-bucket.js'
@@ -18,7 +22,13 @@
    * Over the quota. The request may be retried after `retryAfter`. `offered` is what callers request at all nodes, in units
    * per second.
    */
-  | { readonly kind: 'over', readonly retryAfter: Milliseconds, readonly offered: number }
+  | { readonly kind: 'over', readonly retryAfter: Milliseconds, readonly offered: number, readonly cause: QuotaLimit }
+
+/**
+ * Limit that refused a request: the organisation's rate and burst, the bound on the units granted in a window, or this
+ * node's share of the rate.
+ */
+export type QuotaLimit = LevelLimit | 'node'
 
 /** Units per second by organisation. */
 export type UnitRates = Readonly<Record<string, number>>
@@ -51,15 +61,25 @@
   refund (organisation: Organisation, cost: number): void
   /**
    * Takes over the latest reports of the other live nodes. `nodes` is the number of all nodes that may serve, including
-   * this node.
+   * this node. Until the next call, the reported rates are assumed to go on.
    */
-  observe (others: readonly ReportedUsage[], nodes: number): void
+  observe (others: readonly ReportedUsage[], nodes: number, now: Milliseconds): void
   /** Units that callers request at this node. */
   demand (now: Milliseconds): UnitRates
   /** Units that this node grants. */
   granted (now: Milliseconds): UnitRates
 }
 
+/** What is known of an organisation, whether or not this node has received a request of it. */
+interface TrackedOrganisation {
+  /** Sums of the latest reports. */
+  reported: ReportedRates
+  readonly grants: GrantWindow
+  readonly estimate: ReportedDemandEstimate
+  /** Undefined until this node has received a request of the organisation. */
+  quota: TrackedQuota | undefined
+}
+
 interface TrackedQuota {
   /** Level of the bucket shared by all nodes. */
   readonly level: QuotaLevel
@@ -73,6 +93,12 @@
   burst: number
 }
 
+/** What other nodes report of one organisation, in units per second. */
+interface ReportedRates {
+  readonly demand: number
+  readonly granted: number
+}
+
 /**
  * Fraction of a quota's burst that a new process starts with. Failure guarded against: a killed process may have granted
  * the whole burst, and a successor that starts with a full level would grant it a second time.
@@ -94,6 +120,8 @@
 /** A node's bucket is resized when its share has changed by more than this. */
 const MIN_SHARE_CHANGE = 0.01
 
+const NOTHING_REPORTED: ReportedRates = { demand: 0, granted: 0 }
+
 /** Half-life of the granted rates, which matches the interval of reports between nodes. */
 const GRANTED_HALF_LIFE: Milliseconds = 400
 
@@ -110,86 +138,136 @@
  * limiter.take(organisation, 1_540, clock.now()).kind
  */
 export function createQuotaLimiter (random: Random, margin: QuotaMargin): QuotaLimiter {
-  const trackedQuotas = new Map<string, TrackedQuota>()
+  const organisations = new Map<string, TrackedOrganisation>()
   const demand = createDemandRates(DEMAND_HALF_LIFE)
   const granted = createDemandRates(GRANTED_HALF_LIFE)
-  let others: readonly ReportedUsage[] = []
+  let startedAt: Milliseconds | undefined
+  /** Time of the last {@link QuotaLimiter.observe}. */
+  let observedAt = 0
+  /** Number of other nodes that the reports cover. */
+  let reportedNodes = 0
   let nodes = ASSUMED_NODES
+  /** Number of nodes by that of nodes whose use is known. */
+  let unreportedFactor = nodes
+
+  /** Units that all nodes may plan to grant in a window. */
+  function allowanceOf ({ rate, burst }: Quota): number {
+    const nominal = rate * margin.window / SECOND + burst
+    return nominal + USABLE_MARGIN_FRACTION * (margin.overshoot * nominal + margin.slack)
+  }
 
-  function bucketSizeOf ({ rate, burst }: Quota): number {
-    return burst + USABLE_MARGIN_FRACTION * (margin.overshoot * (rate * margin.window / SECOND + burst) + margin.slack)
+  function organisationOf (name: string, now: Milliseconds): TrackedOrganisation {
+    const known = organisations.get(name)
+    if (known !== undefined) return known
+    const created = { reported: NOTHING_REPORTED, grants: createGrantWindow(margin.window, now), estimate: createReportedDemandEstimate(), quota: undefined }
+    organisations.set(name, created)
+    return created
   }
 
-  function trackedQuotaOf (organisation: Organisation, now: Milliseconds): TrackedQuota {
+  /**
+   * Failure guarded against: a process that has just started does not know what was granted before. It assumes that the
+   * rate was granted, and the missing part of the bucket just before the start.
+   */
+  function createLevel ({ rate, burst }: Quota, size: number, allowance: number, { reported, grants }: TrackedOrganisation, now: Milliseconds): QuotaLevel {
+    const started = startedAt ?? now
+    let level = size
+    if (now - started < margin.window) {
+      level = INITIAL_FILL_FRACTION * burst
+      grants.addRate(rate, now - margin.window, started)
+      grants.add(size - level, started - 1)
+    }
+    const bound = { length: margin.window, allowance, grants }
+    const admitted = reported.demand > 0 ? Math.min(1, reported.granted / reported.demand) : 1
+    return createQuotaLevel(rate, size, level / size, now, bound, admitted)
+  }
+
+  function quotaOf (organisation: Organisation, tracked: TrackedOrganisation, now: Milliseconds): TrackedQuota {
     const { quota, name } = organisation
     const { rate, burst } = quota
-    const size = bucketSizeOf(quota)
-    const reported = { demand: sumOf(others, 'demand', name), nodes: others.reduce((sum, one) => sum + one.nodes, 0) }
-    const share = shareOf(demand.rates(now)[name] ?? 0, reported, nodes)
+    const known = tracked.quota
+    const share = shareOf(demand.rate(name, now), { demand: tracked.reported.demand, nodes: reportedNodes }, nodes)
+    if (known !== undefined && known.rate === rate && known.burst === burst && Math.abs(known.share - share) <= MIN_SHARE_CHANGE) return known
+    const allowance = allowanceOf(quota)
+    const size = allowance - rate * margin.window / SECOND
     const nodeBucketSize = size * share + margin.slack * NODE_SLACK_FRACTION
-    const tracked = trackedQuotas.get(name)
-    if (tracked === undefined) {
-      const created = { level: createQuotaLevel(rate, size, INITIAL_FILL_FRACTION * burst / size, now), part: createTokenBucket(rate * share, nodeBucketSize, now), rate, burst, share }
-      created.part.take(burst * share * (1 - INITIAL_FILL_FRACTION), now)
-      trackedQuotas.set(name, created)
-      return created
+    if (known === undefined) {
+      const part = createTokenBucket(rate * share, nodeBucketSize, now)
+      part.take(burst * share * (1 - INITIAL_FILL_FRACTION), now)
+      tracked.quota = { level: createLevel(quota, size, allowance, tracked, now), part, rate, burst, share }
+      return tracked.quota
     }
-    const isChanged = tracked.rate !== rate || tracked.burst !== burst
-    if (isChanged) tracked.level.resize(rate, size)
-    if (isChanged || Math.abs(tracked.share - share) > MIN_SHARE_CHANGE) {
-      tracked.part.resize(rate * share, nodeBucketSize, now)
-      Object.assign(tracked, { rate, burst, share })
-    }
-    return tracked
+    if (known.rate !== rate || known.burst !== burst) known.level.resize(rate, size, allowance)
+    known.part.resize(rate * share, nodeBucketSize, now)
+    return Object.assign(known, { rate, burst, share })
   }
 
   /**
    * Failure guarded against: a node that has just started or is partitioned has no reports of others and would grant the
    * whole rate. Nodes that may serve but have not reported are counted with the mean of the known rates.
    */
-  function observedRatesOf (organisation: string, now: Milliseconds): ObservedRates {
-    const reportingNodes = others.reduce((sum, one) => sum + one.nodes, 1)
-    const unreportedNodes = Math.max(0, nodes - reportingNodes)
-    const ownGranted = granted.rates(now)[organisation] ?? 0
-    const reportedDemand = sumOf(others, 'demand', organisation)
-    const ownDemand = demand.rates(now)[organisation] ?? 0
-    const offered = (reportedDemand + ownDemand) * (reportingNodes + unreportedNodes) / reportingNodes
-    const grantedByOthers = sumOf(others, 'granted', organisation)
+  function observedRatesOf (name: string, { reported, estimate }: TrackedOrganisation, now: Milliseconds): ObservedRates {
+    const offeredToOthers = estimate.rate(now) * unreportedFactor
     return {
-      offered,
-      offeredToOthers: offered - ownDemand,
-      grantedByOthers: grantedByOthers + unreportedNodes * (grantedByOthers + ownGranted) / reportingNodes
+      offered: offeredToOthers + demand.rate(name, now) * unreportedFactor,
+      offeredToOthers,
+      grantedByOthers: reported.granted * unreportedFactor
     }
   }
 
+  /** Counts what the other nodes granted according to the reports that are replaced now. */
+  function countReported (name: string, tracked: TrackedOrganisation, now: Milliseconds): void {
+    if (tracked.quota !== undefined) return tracked.quota.level.advance(observedRatesOf(name, tracked, now), now)
+    tracked.grants.addRate(tracked.reported.granted * unreportedFactor, observedAt - REPORT_LAG, now - REPORT_LAG)
+  }
+
   return {
     take: (organisation, cost, now) => {
       const { name } = organisation
+      startedAt ??= now
       demand.add(name, cost, now)
       if (organisation.quota.rate <= 0) return { kind: 'granted' }
-      const { level, part: nodeBucket } = trackedQuotaOf(organisation, now)
-      const rates = observedRatesOf(name, now)
+      const tracked = organisationOf(name, now)
+      const { level, part: nodeBucket } = quotaOf(organisation, tracked, now)
+      const rates = observedRatesOf(name, tracked, now)
       const probability = level.admitProbability(rates, now)
       const isAdmitted = probability >= 1 || random.fraction() < probability
-      if (!isAdmitted || !nodeBucket.take(cost, now)) return { kind: 'over', retryAfter: Math.min(MAX_RETRY_AFTER, Math.max(level.wait(rates), nodeBucket.wait(now))), offered: rates.offered }
-      level.take(cost)
+      if (!isAdmitted || !nodeBucket.take(cost, now)) {
+        const retryAfter = Math.min(MAX_RETRY_AFTER, Math.max(level.wait(rates), nodeBucket.wait(now)))
+        return { kind: 'over', retryAfter, offered: rates.offered, cause: isAdmitted ? 'node' : level.limit() }
+      }
+      level.take(cost, cost * unreportedFactor)
       granted.add(name, cost, now)
       return { kind: 'granted' }
     },
     refund: (organisation, cost) => {
-      const quota = trackedQuotas.get(organisation.name)
+      const quota = organisations.get(organisation.name)?.quota
       quota?.level.refund(cost)
       quota?.part.refund(cost)
     },
-    observe: (reports, count) => {
-      others = reports
+    observe: (reports, count, now) => {
+      startedAt ??= now
+      for (const [name, tracked] of organisations) countReported(name, tracked, now)
+      observedAt = now
+      reportedNodes = reports.reduce((sum, one) => sum + one.nodes, 0)
       nodes = Math.max(1, count)
+      unreportedFactor = Math.max(1, nodes / (reportedNodes + 1))
+      for (const { demand } of reports) for (const name of Object.keys(demand)) organisationOf(name, now)
+      for (const [name, tracked] of organisations) {
+        tracked.reported = sumOf(reports, name)
+        tracked.estimate.observe(tracked.reported.demand, tracked.reported.granted, now)
+      }
     },
     demand: demand.rates,
     granted: granted.rates
   }
 }
 
-function sumOf (reports: readonly ReportedUsage[], rates: 'demand' | 'granted', organisation: string): number {
-  return reports.reduce((sum, one) => sum + (one[rates][organisation] ?? 0), 0)
+function sumOf (reports: readonly ReportedUsage[], organisation: string): ReportedRates {
+  let demand = 0
+  let granted = 0
+  for (const report of reports) {
+    demand += report.demand[organisation] ?? 0
+    granted += report.granted[organisation] ?? 0
+  }
+  return { demand, granted }
 }
--- a/test/quota/many-nodes.test.ts
+++ b/test/quota/many-nodes.test.ts
@@ -75,7 +75,7 @@
       for (let index = 0; index < lapsed; index += 1) departed.gone(`node-${index}`, partition!.from + RECORD_LIFETIME)
       limiters.forEach((limiter, index) => {
         const known = isPartitioned(index) ? nodes : nodes - lapsed + departed.count(now)
-        limiter.observe(received.filter((_, other) => other !== index && isPartitioned(other) === isPartitioned(index)), known)
+        limiter.observe(received.filter((_, other) => other !== index && isPartitioned(other) === isPartitioned(index)), known, now)
       })
     }
     if (restarted !== undefined && now >= restarted.from && now < restarted.until) {
@@ -83,7 +83,7 @@
       const index = nodes - 1 - Math.floor((now - restarted.from) / restartInterval)
       if ((now - restarted.from) % restartInterval < STEP) {
         limiters[index] = createQuotaLimiter(random, MARGIN)
-        limiters[index].observe([], nodes)
+        limiters[index].observe([], nodes, now)
       }
     }
     for (backlog += loadAt(now) * rate * STEP / SECOND; backlog > 0;) {
--- a/test/quota/quota.test.ts
+++ b/test/quota/quota.test.ts
@@ -90,7 +90,7 @@
     for (let now = 0; now < 20 * SECOND; now += 20) {
       if (now % 400 === 0) {
         const reports = limiters.map((limiter) => ({ nodes: 1, demand: limiter.demand(now), granted: limiter.granted(now) }))
-        limiters.forEach((limiter, index) => limiter.observe(reports.filter((_, other) => other !== index), 9))
+        limiters.forEach((limiter, index) => limiter.observe(reports.filter((_, other) => other !== index), 9, now))
       }
       const limiter = limiters[(now / 20) % 9]!
       if (limiter.take(tejo, 8_000, now).kind === 'granted') granted.push({ at: now, cost: 8_000 })
@@ -111,7 +111,7 @@
     const limiters = Array.from({ length: 9 }, () => createQuotaLimiter(createRandom(1), MARGIN))
     for (let now = 0; now < 3 * SECOND; now += 20) {
       const known = Math.min(9, Math.floor(now / 300))
-      if (now % 400 === 0 && known > 0) limiters.forEach((limiter) => limiter.observe(limiters.slice(1, known).map((other) => ({ nodes: 1, demand: other.demand(now), granted: other.granted(now) })), 9))
+      if (now % 400 === 0 && known > 0) limiters.forEach((limiter) => limiter.observe(limiters.slice(1, known).map((other) => ({ nodes: 1, demand: other.demand(now), granted: other.granted(now) })), 9, now))
       for (const limiter of limiters) if (limiter.take(tejo, 2_000, now).kind === 'granted') taken += 2_000
     }
     assert.ok(taken <= 100_000 * 3 + 100_000, `${taken}`)
@@ -119,7 +119,7 @@
 
   it('gives an equal share to a node without reports of others', () => {
     const limiter = createQuotaLimiter(createRandom(1), MARGIN)
-    limiter.observe([], 9)
+    limiter.observe([], 9, 0)
     const tejo = organisation(90_000, 9_000)
     let taken = 0
     for (let now = 0; now < 10 * SECOND; now += 10) if (limiter.take(tejo, 500, now).kind === 'granted') taken += 500
@@ -133,7 +133,7 @@
 
   it('refunds requests that did not run', () => {
     const limiter = createQuotaLimiter(createRandom(1), { ...MARGIN, slack: 0 })
-    limiter.observe([], 1)
+    limiter.observe([], 1, 0)
     const tejo = organisation(10, 1_000)
     while (limiter.take(tejo, 400, 0).kind === 'granted');
     assert.equal(limiter.take(tejo, 400, 0).kind, 'over')
