Retry-After of a refused request follows the retries announced before it

Cause: half of the refused callers were told to retry within 100 ms, and found nothing available. Each node now books the units of announced retries against its share of the rate, and announces the next retry after these, within 100 ms and 5 s and with jitter of up to a quarter. The time does not depend on the size of the request.

--- a/src/quota/level.ts
+++ b/src/quota/level.ts
@@ -107,7 +107,7 @@
 const UNREPORTED_EXCESS = 0.4
 
 /** Shortest time after which a refused caller is asked to retry. */
-const MIN_RETRY_AFTER: Milliseconds = 100
+export const MIN_RETRY_AFTER: Milliseconds = 100
 
 /** Longest time after which a refused caller is asked to retry. */
 export const MAX_RETRY_AFTER: Milliseconds = 5 * SECOND
--- a/src/quota/limiter.ts
+++ b/src/quota/limiter.ts
@@ -4,10 +4,12 @@
 import type { Random } from '../random.js'
 import type { Organisation, Quota } from '../routing/index.js'
 import { createDemandRates } from './demand.js'
+import { createAnnouncedRetries } from './announced-retries.js'
+import type { AnnouncedRetries } from './announced-retries.js'
 import { withRetries } from './assumed-grants.js'
 import { createGrantWindow } from './grant-window.js'
 import type { GrantWindow } from './grant-window.js'
-import { createQuotaLevel, MAX_RETRY_AFTER, REPORT_LAG } from './level.js'
+import { createQuotaLevel, REPORT_LAG } from './level.js'
 import type { LevelLimit, ObservedRates, QuotaLevel } from './level.js'
 import { createReportedDemandEstimate } from './reported-demand.js'
 import type { ReportedDemandEstimate } from './reported-demand.js'
@@ -92,6 +94,7 @@
    * share is larger than a request.
    */
   readonly part: TokenBucket
+  readonly retries: AnnouncedRetries
   share: number
   rate: number
   burst: number
@@ -201,7 +204,7 @@
     if (known === undefined) {
       const part = createTokenBucket(rate * share, nodeBucketSize, now)
       part.take(burst * share * (1 - INITIAL_FILL_FRACTION), now)
-      tracked.quota = { level: createLevel(quota, tracked, now), part, rate, burst, share }
+      tracked.quota = { level: createLevel(quota, tracked, now), part, retries: createAnnouncedRetries(random), rate, burst, share }
       return tracked.quota
     }
     if (known.rate !== rate || known.burst !== burst) known.level.resize(rate, size, { allowance, reserve })
@@ -241,13 +244,13 @@
       demand.add(name, cost, now)
       if (organisation.quota.rate <= 0) return { kind: 'granted' }
       const tracked = organisationOf(name, now)
-      const { level, part: nodeBucket } = quotaOf(organisation, tracked, now)
+      const { level, part: nodeBucket, retries, rate, share } = quotaOf(organisation, tracked, now)
       const rates = observedRatesOf(name, tracked, now)
       tracked.surge.add(cost, now)
       const probability = level.admitProbability(rates, now)
       const isAdmitted = probability >= 1 || random.fraction() < probability
       if (!isAdmitted || !nodeBucket.take(cost, now)) {
-        const retryAfter = Math.min(MAX_RETRY_AFTER, Math.max(level.wait(rates), nodeBucket.wait(now)))
+        const retryAfter = retries.announce(cost, rate * share, Math.max(level.wait(rates), nodeBucket.wait(now)), now)
         return { kind: 'over', retryAfter, offered: rates.offered, cause: isAdmitted ? 'node' : level.limit() }
       }
       level.take(cost, cost * unreportedFactor)
--- a/test/quota/fleet-model.ts
+++ b/test/quota/fleet-model.ts
@@ -19,8 +19,8 @@
 /** Time between two reports of a node. */
 const EXCHANGE_PERIOD: Milliseconds = 400
 
-/** Longest time after which a refused caller retries, even if its Retry-After is longer. */
-const MAX_CALLER_WAIT: Milliseconds = 1 * SECOND
+/** Default of `callerWait`. */
+const CALLER_WAIT: Milliseconds = 1 * SECOND
 
 /** An interval of virtual time. */
 export interface Interval {
@@ -38,6 +38,8 @@
   /** Fraction of the rate that callers request at a time, without their retries. */
   readonly loadAt: (now: Milliseconds) => number
   readonly costOf?: (random: Random) => number
+  /** Longest time that refused callers wait before they retry, even if their Retry-After is longer. */
+  readonly callerWait?: Milliseconds
   /** Age of reports in exchange periods: the smallest, and by how much it may be exceeded. */
   readonly age?: { readonly least: number, readonly spread: number }
   /** Number of nodes that receive no reports and whose reports reach nobody, while their callers still reach them. */
@@ -73,7 +75,7 @@
 
 /** Plays a load, and returns each request and retry in the order of time. */
 export function playFleet (load: FleetLoad): Attempt[] {
-  const { nodes, rate, seed, length, loadAt, cutOff, killed, costOf = hundredfoldCost, age = { least: 2, spread: 3 } } = load
+  const { nodes, rate, seed, length, loadAt, cutOff, killed, callerWait = CALLER_WAIT, costOf = hundredfoldCost, age = { least: 2, spread: 3 } } = load
   const random = createRandom(seed)
   const organisation: Organisation = { name: 'tejo', keys: [], priority: undefined, quota: { unit: 'tokens', rate, burst: rate, plainCost: 200 } }
   const limiters: QuotaLimiter[] = Array.from({ length: nodes }, () => createQuotaLimiter(random, MARGIN))
@@ -108,7 +110,7 @@
     const retryAfter = decision.kind === 'over' ? decision.retryAfter : undefined
     attempts.push({ at: now, cost, isRetry, isGranted: decision.kind === 'granted', retryAfter })
     if (isRetry || retryAfter === undefined) return
-    const step = Math.ceil((now + Math.min(MAX_CALLER_WAIT, retryAfter)) / STEP)
+    const step = Math.ceil((now + Math.min(callerWait, retryAfter)) / STEP)
     const list = retries[step] ?? []
     retries[step] = list
     list.push({ at: now, cost })
