--- a/src/gateway/acceptance.ts
+++ b/src/gateway/acceptance.ts
@@ -57,7 +57,7 @@
   switch (decision.kind) {
     case 'granted': return () => context.quotas.refund(organisation, cost)
     case 'over':
-      context.log.info('quota-refused', { request: head.id, organisation: organisation.name, cost, rate: organisation.quota.rate, offered: Math.round(decision.offered), retryAfter: Math.round(decision.retryAfter), nodes: context.freshness().nodes })
+      context.log.info('quota-refused', { request: head.id, organisation: organisation.name, cost, rate: organisation.quota.rate, offered: Math.round(decision.offered), retryAfter: Math.round(decision.retryAfter), cause: decision.cause, nodes: context.freshness().nodes })
       throw refusal('organisation-limit', `the quota of ${organisation.name} is used up`, decision.retryAfter)
   }
 }
--- a/src/gateway/node-metrics.ts
+++ b/src/gateway/node-metrics.ts
@@ -55,6 +55,7 @@
   metrics.gauge('duties_held', () => options.holdsDuties() ? 1 : 0)
   metrics.gauge('resident_bytes', () => process.memoryUsage.rss())
   metrics.family('quota_granted', 'organisation', () => quotas.granted(clock.now()))
+  metrics.family('quota_window_fraction', 'organisation', quotas.windowFractions)
   metrics.family('rollout_exposed', 'service', () => mapValues(options.rollouts(), ({ exposed }) => exposed))
   metrics.family('rollout_sent', 'service', () => mapValues(options.rollouts(), ({ sent }) => sent))
   metrics.family('retries_left', 'service', () => Object.fromEntries([...budgets].map(([service, budget]) => [service, budget.left(clock.now())])))
--- a/src/quota/index.ts
+++ b/src/quota/index.ts
@@ -1,8 +1,9 @@
 /** Quotas of organisations and the retry budget, both shared by all nodes without a remote call per request. */
 export { createQuotaLimiter } from './limiter.js'
-export type { QuotaDecision, QuotaLimiter, QuotaMargin, ReportedUsage, UnitRates } from './limiter.js'
+export type { QuotaDecision, QuotaLimit, QuotaLimiter, QuotaMargin } from './limiter.js'
+export type { ReportedUsage, UnitRates } from './reported-usage.js'
 export { createQuotaLevel } from './level.js'
-export type { ObservedRates, QuotaLevel } from './level.js'
+export type { LevelLimit, ObservedRates, QuotaLevel, WindowBound } from './level.js'
 export { createRetryBudget } from './retry-budget.js'
 export type { RetryBudget, RetryBudgetOptions } from './retry-budget.js'
 export { EVEN_FRACTION, shareOf } from './share.js'
--- a/src/quota/limiter.ts
+++ b/src/quota/limiter.ts
@@ -14,6 +14,8 @@
 import { createReportedDemandEstimate } from './reported-demand.js'
 import type { ReportedDemandEstimate } from './reported-demand.js'
 import { ASSUMED_NODES } from './nodes.js'
+import { NOTHING_REPORTED, sumReports } from './reported-usage.js'
+import type { ReportedRates, ReportedUsage, UnitRates } from './reported-usage.js'
 import { shareOf } from './share.js'
 import { createSurgeDetector } from './surge.js'
 import type { SurgeDetector } from './surge.js'
@@ -35,19 +37,6 @@
  */
 export type QuotaLimit = LevelLimit | 'node'
 
-/** Units per second by organisation. */
-export type UnitRates = Readonly<Record<string, number>>
-
-/** Use of quotas as reported for one or more nodes. */
-export interface ReportedUsage {
-  /** Number of nodes that the report covers. */
-  readonly nodes: number
-  /** Units that callers request. */
-  readonly demand: UnitRates
-  /** Units that were granted. */
-  readonly granted: UnitRates
-}
-
 /** How far the sum over all nodes may exceed a quota. */
 export interface QuotaMargin {
   /** Length of the sliding window in which use is counted. */
@@ -73,6 +62,8 @@
   demand (now: Milliseconds): UnitRates
   /** Units that this node grants. */
   granted (now: Milliseconds): UnitRates
+  /** Fraction of the allowance that all nodes have granted in the window, by organisation of which this node had requests. */
+  windowFractions (): UnitRates
 }
 
 /** What is known of an organisation, whether or not this node has received a request of it. */
@@ -100,12 +91,6 @@
   burst: number
 }
 
-/** What other nodes report of one organisation, in units per second. */
-interface ReportedRates {
-  readonly demand: number
-  readonly granted: number
-}
-
 /**
  * Fraction of a quota's burst that a new process starts with. Failure guarded against: a killed process may have granted
  * the whole burst, and a successor that starts with a full level would grant it a second time.
@@ -113,12 +98,15 @@
 const INITIAL_FILL_FRACTION = 0.5
 
 /**
- * Fraction of the margin that organisations may use at once, in addition to their burst. The rest covers what nodes grant
+ * Fraction of the overshoot that organisations may use at once, in addition to their burst. The rest covers what nodes grant
  * before they receive each other's reports.
  */
-const USABLE_MARGIN_FRACTION = 0.5
+const USABLE_OVERSHOOT_FRACTION = 0.5
+
+/** Same of the slack. It is the larger part at low rates, where the sum varies by chance by several large prompts. */
+const USABLE_SLACK_FRACTION = 0.1
 
-/** Fraction of the margin that may be used in addition, so that an organisation above its rate is not starved. */
+/** Fraction of the whole margin that may be used in addition, so that an organisation above its rate is not starved. */
 const RESERVE_MARGIN_FRACTION = 0.25
 
 /**
@@ -130,8 +118,6 @@
 /** A node's bucket is resized when its share has changed by more than this. */
 const MIN_SHARE_CHANGE = 0.01
 
-const NOTHING_REPORTED: ReportedRates = { demand: 0, granted: 0 }
-
 /** Half-life of the granted rates, which matches the interval of reports between nodes. */
 const GRANTED_HALF_LIFE: Milliseconds = 400
 
@@ -152,7 +138,6 @@
   const demand = createDemandRates(DEMAND_HALF_LIFE)
   const granted = createDemandRates(GRANTED_HALF_LIFE)
   let startedAt: Milliseconds | undefined
-  /** Time of the last {@link QuotaLimiter.observe}. */
   let observedAt = 0
   /** Number of other nodes that the reports cover. */
   let reportedNodes = 0
@@ -163,9 +148,9 @@
   /** What all nodes may grant in a window, and in addition to their rate. */
   function sizesOf ({ rate, burst }: Quota): { size: number, allowance: number, reserve: number } {
     const rateInWindow = rate * margin.window / SECOND
-    const total = margin.overshoot * (rateInWindow + burst) + margin.slack
-    const size = burst + USABLE_MARGIN_FRACTION * total
-    return { size, allowance: rateInWindow + size, reserve: RESERVE_MARGIN_FRACTION * total }
+    const overshoot = margin.overshoot * (rateInWindow + burst)
+    const size = burst + USABLE_OVERSHOOT_FRACTION * overshoot + USABLE_SLACK_FRACTION * margin.slack
+    return { size, allowance: rateInWindow + size, reserve: RESERVE_MARGIN_FRACTION * (overshoot + margin.slack) }
   }
 
   function organisationOf (name: string, now: Milliseconds): TrackedOrganisation {
@@ -182,9 +167,9 @@
    */
   function createLevel (quota: Quota, { reported, grants }: TrackedOrganisation, now: Milliseconds): QuotaLevel {
     const { rate, burst } = quota
-    const { size, allowance, reserve } = sizesOf(quota)
+    const { size, ...window } = sizesOf(quota)
     const started = startedAt ?? now
-    const bound = { length: margin.window, allowance, reserve, grants }
+    const bound = { length: margin.window, ...window, grants }
     const admitted = reported.demand > 0 ? Math.min(1, reported.granted / reported.demand) : 1
     if (now - started >= margin.window) return createQuotaLevel(rate, size, 1, now - REPORT_LAG, bound, admitted)
     const level = INITIAL_FILL_FRACTION * burst
@@ -199,7 +184,7 @@
     const known = tracked.quota
     const share = shareOf(demand.rate(name, now), { demand: tracked.reported.demand, nodes: reportedNodes }, nodes)
     if (known !== undefined && known.rate === rate && known.burst === burst && Math.abs(known.share - share) <= MIN_SHARE_CHANGE) return known
-    const { size, allowance, reserve } = sizesOf(quota)
+    const { size, ...window } = sizesOf(quota)
     const nodeBucketSize = size * share + margin.slack * NODE_SLACK_FRACTION
     if (known === undefined) {
       const part = createTokenBucket(rate * share, nodeBucketSize, now)
@@ -207,7 +192,7 @@
       tracked.quota = { level: createLevel(quota, tracked, now), part, retries: createAnnouncedRetries(random), rate, burst, share }
       return tracked.quota
     }
-    if (known.rate !== rate || known.burst !== burst) known.level.resize(rate, size, { allowance, reserve })
+    if (known.rate !== rate || known.burst !== burst) known.level.resize(rate, size, window)
     known.part.resize(rate * share, nodeBucketSize, now)
     return Object.assign(known, { rate, burst, share })
   }
@@ -271,21 +256,16 @@
       unreportedFactor = Math.max(1, nodes / (reportedNodes + 1))
       for (const { demand } of reports) for (const name of Object.keys(demand)) organisationOf(name, now)
       for (const [name, tracked] of organisations) {
-        tracked.reported = sumOf(reports, name)
+        tracked.reported = sumReports(reports, name)
         tracked.estimate.observe(tracked.reported.demand, tracked.reported.granted, now)
       }
     },
     demand: demand.rates,
-    granted: granted.rates
-  }
-}
-
-function sumOf (reports: readonly ReportedUsage[], organisation: string): ReportedRates {
-  let demand = 0
-  let granted = 0
-  for (const report of reports) {
-    demand += report.demand[organisation] ?? 0
-    granted += report.granted[organisation] ?? 0
+    granted: granted.rates,
+    windowFractions: () => {
+      const fractions: Record<string, number> = {}
+      for (const [name, { quota }] of organisations) if (quota !== undefined) fractions[name] = Math.round(quota.level.windowFraction() * 1_000) / 1_000
+      return fractions
+    }
   }
-  return { demand, granted }
 }
--- a/src/quota/reported-demand.ts
+++ b/src/quota/reported-demand.ts
@@ -36,6 +36,9 @@
 /** Minimum weight of an observation in the variance. */
 const VARIANCE_WEIGHT = 0.035
 
+/** Minimum time between observations that count for the variance. Reports that arrive in between are mostly the same. */
+const VARIANCE_PERIOD: Milliseconds = 300
+
 /** Number of observations from which the variance is known well enough. */
 const MIN_OBSERVATIONS = 10
 
@@ -56,6 +59,7 @@
   /** Variance of the difference per unit of demand, since it is proportional to the demand. */
   let variance = 0
   let observations = 0
+  let variedAt = -Infinity
 
   function isRise (demand: number, granted: number, usual: number, deviation: number): boolean {
     if (granted <= demand || demand <= usual || observations < MIN_OBSERVATIONS) return false
@@ -75,9 +79,10 @@
           risen = estimated
           risenAt = now
         }
-      } else if (demand > 0 && (granted > 0.9 * demand || granted - demand > -2 * deviation)) {
+      } else if (demand > 0 && now - variedAt >= VARIANCE_PERIOD && (granted > 0.9 * demand || granted - demand > -2 * deviation)) {
         // Where requests are refused, the difference does not show chance.
         observations += 1
+        variedAt = now
         variance += ((granted - demand) ** 2 / demand - variance) * Math.max(1 / observations, VARIANCE_WEIGHT)
       }
       usual += (demand - usual) * (1 - 2 ** (-elapsed / USUAL_HALF_LIFE))
