--- a/src/quota/limiter.ts
+++ b/src/quota/limiter.ts
@@ -4,10 +4,21 @@
 import type { Random } from '../random.js'
 import type { Organisation, Quota } from '../routing/index.js'
 import { createDemandRates } from './demand.js'
-import { createQuotaLevel, MAX_RETRY_AFTER } from './level.js'
-import type { ObservedRates, QuotaLevel } from './level.js'
+import { createAnnouncedRetries } from './announced-retries.js'
+import type { AnnouncedRetries } from './announced-retries.js'
+import { withRetries } from './assumed-grants.js'
+import { createGrantWindow } from './grant-window.js'
+import type { GrantWindow } from './grant-window.js'
+import { createQuotaLevel, REPORT_LAG } from './level.js'
+import type { LevelLimit, ObservedRates, QuotaLevel } from './level.js'
+import { createReportedDemandEstimate } from './reported-demand.js'
+import type { ReportedDemandEstimate } from './reported-demand.js'
 import { ASSUMED_NODES } from './nodes.js'
+import { NOTHING_REPORTED, sumReports } from './reported-usage.js'
+import type { ReportedRates, ReportedUsage, UnitRates } from './reported-usage.js'
 import { shareOf } from './share.js'
+import { createSurgeDetector } from './surge.js'
+import type { SurgeDetector } from './surge.js'
 import { createTokenBucket } from './token-bucket.js'
 import type { TokenBucket } from './token-bucket.js'
 
@@ -18,20 +29,13 @@
    * Over the quota. The request may be retried after `retryAfter`. `offered` is what callers request at all nodes, in units
    * per second.
    */
-  | { readonly kind: 'over', readonly retryAfter: Milliseconds, readonly offered: number }
-
-/** Units per second by organisation. */
-export type UnitRates = Readonly<Record<string, number>>
-
-/** Use of quotas as reported for one or more nodes. */
-export interface ReportedUsage {
-  /** Number of nodes that the report covers. */
-  readonly nodes: number
-  /** Units that callers request. */
-  readonly demand: UnitRates
-  /** Units that were granted. */
-  readonly granted: UnitRates
-}
+  | { readonly kind: 'over', readonly retryAfter: Milliseconds, readonly offered: number, readonly cause: QuotaLimit }
+
+/**
+ * Limit that refused a request: the organisation's rate and burst, the bound on the units granted in a window, or this
+ * node's share of the rate.
+ */
+export type QuotaLimit = LevelLimit | 'node'
 
 /** How far the sum over all nodes may exceed a quota. */
 export interface QuotaMargin {
@@ -51,13 +55,26 @@
   refund (organisation: Organisation, cost: number): void
   /**
    * Takes over the latest reports of the other live nodes. `nodes` is the number of all nodes that may serve, including
-   * this node.
+   * this node. Until the next call, the reported rates are assumed to go on.
    */
-  observe (others: readonly ReportedUsage[], nodes: number): void
+  observe (others: readonly ReportedUsage[], nodes: number, now: Milliseconds): void
   /** Units that callers request at this node. */
   demand (now: Milliseconds): UnitRates
   /** Units that this node grants. */
   granted (now: Milliseconds): UnitRates
+  /** Fraction of the allowance that all nodes have granted in the window, by organisation of which this node had requests. */
+  windowFractions (): UnitRates
+}
+
+/** What is known of an organisation, whether or not this node has received a request of it. */
+interface TrackedOrganisation {
+  /** Sums of the latest reports. */
+  reported: ReportedRates
+  readonly grants: GrantWindow
+  readonly estimate: ReportedDemandEstimate
+  readonly surge: SurgeDetector
+  /** Undefined until this node has received a request of the organisation. */
+  quota: TrackedQuota | undefined
 }
 
 interface TrackedQuota {
@@ -68,6 +85,7 @@
    * share is larger than a request.
    */
   readonly part: TokenBucket
+  readonly retries: AnnouncedRetries
   share: number
   rate: number
   burst: number
@@ -80,10 +98,16 @@
 const INITIAL_FILL_FRACTION = 0.5
 
 /**
- * Fraction of the margin that organisations may use at once, in addition to their burst. The rest covers what nodes grant
+ * Fraction of the overshoot that organisations may use at once, in addition to their burst. The rest covers what nodes grant
  * before they receive each other's reports.
  */
-const USABLE_MARGIN_FRACTION = 0.5
+const USABLE_OVERSHOOT_FRACTION = 0.5
+
+/** Same of the slack. It is the larger part at low rates, where the sum varies by chance by several large prompts. */
+const USABLE_SLACK_FRACTION = 0.1
+
+/** Fraction of the whole margin that may be used in addition, so that an organisation above its rate is not starved. */
+const RESERVE_MARGIN_FRACTION = 0.25
 
 /**
  * Fraction of the slack that is added to each node's bucket. The bucket then holds one or two long prompts, so that it does
@@ -110,86 +134,138 @@
  * limiter.take(organisation, 1_540, clock.now()).kind
  */
 export function createQuotaLimiter (random: Random, margin: QuotaMargin): QuotaLimiter {
-  const trackedQuotas = new Map<string, TrackedQuota>()
+  const organisations = new Map<string, TrackedOrganisation>()
   const demand = createDemandRates(DEMAND_HALF_LIFE)
   const granted = createDemandRates(GRANTED_HALF_LIFE)
-  let others: readonly ReportedUsage[] = []
+  let startedAt: Milliseconds | undefined
+  let observedAt = 0
+  /** Number of other nodes that the reports cover. */
+  let reportedNodes = 0
   let nodes = ASSUMED_NODES
+  /** Number of nodes by that of nodes whose use is known. */
+  let unreportedFactor = nodes
 
-  function bucketSizeOf ({ rate, burst }: Quota): number {
-    return burst + USABLE_MARGIN_FRACTION * (margin.overshoot * (rate * margin.window / SECOND + burst) + margin.slack)
+  /** What all nodes may grant in a window, and in addition to their rate. */
+  function sizesOf ({ rate, burst }: Quota): { size: number, allowance: number, reserve: number } {
+    const rateInWindow = rate * margin.window / SECOND
+    const overshoot = margin.overshoot * (rateInWindow + burst)
+    const size = burst + USABLE_OVERSHOOT_FRACTION * overshoot + USABLE_SLACK_FRACTION * margin.slack
+    return { size, allowance: rateInWindow + size, reserve: RESERVE_MARGIN_FRACTION * (overshoot + margin.slack) }
   }
 
-  function trackedQuotaOf (organisation: Organisation, now: Milliseconds): TrackedQuota {
+  function organisationOf (name: string, now: Milliseconds): TrackedOrganisation {
+    const known = organisations.get(name)
+    if (known !== undefined) return known
+    const created = { reported: NOTHING_REPORTED, grants: createGrantWindow(margin.window, now), estimate: createReportedDemandEstimate(), surge: createSurgeDetector(now), quota: undefined }
+    organisations.set(name, created)
+    return created
+  }
+
+  /**
+   * Failure guarded against: a process that has just started does not know what was granted before. It assumes that the
+   * rate was granted, and the missing part of the bucket just before the start.
+   */
+  function createLevel (quota: Quota, { reported, grants }: TrackedOrganisation, now: Milliseconds): QuotaLevel {
+    const { rate, burst } = quota
+    const { size, ...window } = sizesOf(quota)
+    const started = startedAt ?? now
+    const bound = { length: margin.window, ...window, grants }
+    const admitted = reported.demand > 0 ? Math.min(1, reported.granted / reported.demand) : 1
+    if (now - started >= margin.window) return createQuotaLevel(rate, size, 1, now - REPORT_LAG, bound, admitted)
+    const level = INITIAL_FILL_FRACTION * burst
+    grants.addRate(rate, now - margin.window, started)
+    grants.add(size - level, started - 1)
+    return createQuotaLevel(rate, size, level / size, Math.max(started, now - REPORT_LAG), bound, admitted)
+  }
+
+  function quotaOf (organisation: Organisation, tracked: TrackedOrganisation, now: Milliseconds): TrackedQuota {
     const { quota, name } = organisation
     const { rate, burst } = quota
-    const size = bucketSizeOf(quota)
-    const reported = { demand: sumOf(others, 'demand', name), nodes: others.reduce((sum, one) => sum + one.nodes, 0) }
-    const share = shareOf(demand.rates(now)[name] ?? 0, reported, nodes)
+    const known = tracked.quota
+    const share = shareOf(demand.rate(name, now), { demand: tracked.reported.demand, nodes: reportedNodes }, nodes)
+    if (known !== undefined && known.rate === rate && known.burst === burst && Math.abs(known.share - share) <= MIN_SHARE_CHANGE) return known
+    const { size, ...window } = sizesOf(quota)
     const nodeBucketSize = size * share + margin.slack * NODE_SLACK_FRACTION
-    const tracked = trackedQuotas.get(name)
-    if (tracked === undefined) {
-      const created = { level: createQuotaLevel(rate, size, INITIAL_FILL_FRACTION * burst / size, now), part: createTokenBucket(rate * share, nodeBucketSize, now), rate, burst, share }
-      created.part.take(burst * share * (1 - INITIAL_FILL_FRACTION), now)
-      trackedQuotas.set(name, created)
-      return created
-    }
-    const isChanged = tracked.rate !== rate || tracked.burst !== burst
-    if (isChanged) tracked.level.resize(rate, size)
-    if (isChanged || Math.abs(tracked.share - share) > MIN_SHARE_CHANGE) {
-      tracked.part.resize(rate * share, nodeBucketSize, now)
-      Object.assign(tracked, { rate, burst, share })
+    if (known === undefined) {
+      const part = createTokenBucket(rate * share, nodeBucketSize, now)
+      part.take(burst * share * (1 - INITIAL_FILL_FRACTION), now)
+      tracked.quota = { level: createLevel(quota, tracked, now), part, retries: createAnnouncedRetries(random), rate, burst, share }
+      return tracked.quota
     }
-    return tracked
+    if (known.rate !== rate || known.burst !== burst) known.level.resize(rate, size, window)
+    known.part.resize(rate * share, nodeBucketSize, now)
+    return Object.assign(known, { rate, burst, share })
   }
 
   /**
    * Failure guarded against: a node that has just started or is partitioned has no reports of others and would grant the
    * whole rate. Nodes that may serve but have not reported are counted with the mean of the known rates.
    */
-  function observedRatesOf (organisation: string, now: Milliseconds): ObservedRates {
-    const reportingNodes = others.reduce((sum, one) => sum + one.nodes, 1)
-    const unreportedNodes = Math.max(0, nodes - reportingNodes)
-    const ownGranted = granted.rates(now)[organisation] ?? 0
-    const reportedDemand = sumOf(others, 'demand', organisation)
-    const ownDemand = demand.rates(now)[organisation] ?? 0
-    const offered = (reportedDemand + ownDemand) * (reportingNodes + unreportedNodes) / reportingNodes
-    const grantedByOthers = sumOf(others, 'granted', organisation)
+  function observedRatesOf (name: string, { reported, estimate, surge, quota }: TrackedOrganisation, now: Milliseconds): ObservedRates {
+    const own = demand.rate(name, now)
+    const risen = estimate.risen(now)
+    const probability = quota?.level.lastProbability() ?? 1
+    const reportedDemand = withRetries(estimate.latest(), risen, probability)
+    const factor = surge.factor((reportedDemand + own) / (reportedNodes + 1), now)
     return {
-      offered,
-      offeredToOthers: offered - ownDemand,
-      grantedByOthers: grantedByOthers + unreportedNodes * (grantedByOthers + ownGranted) / reportingNodes
+      offered: (reportedDemand * factor + own) * unreportedFactor,
+      offeredToOthers: estimate.latest() * unreportedFactor,
+      risen: risen * unreportedFactor,
+      grantedByOthers: reported.granted * unreportedFactor,
+      surge: factor
     }
   }
 
+  /** Counts what the other nodes granted according to the reports that are replaced now. */
+  function countReported (name: string, tracked: TrackedOrganisation, now: Milliseconds): void {
+    if (tracked.quota !== undefined) return tracked.quota.level.advance(observedRatesOf(name, tracked, now), now)
+    tracked.grants.addRate(tracked.reported.granted * unreportedFactor, observedAt - REPORT_LAG, now - REPORT_LAG)
+  }
+
   return {
     take: (organisation, cost, now) => {
       const { name } = organisation
+      startedAt ??= now
       demand.add(name, cost, now)
       if (organisation.quota.rate <= 0) return { kind: 'granted' }
-      const { level, part: nodeBucket } = trackedQuotaOf(organisation, now)
-      const rates = observedRatesOf(name, now)
+      const tracked = organisationOf(name, now)
+      const { level, part: nodeBucket, retries, rate, share } = quotaOf(organisation, tracked, now)
+      const rates = observedRatesOf(name, tracked, now)
+      tracked.surge.add(cost, now)
       const probability = level.admitProbability(rates, now)
       const isAdmitted = probability >= 1 || random.fraction() < probability
-      if (!isAdmitted || !nodeBucket.take(cost, now)) return { kind: 'over', retryAfter: Math.min(MAX_RETRY_AFTER, Math.max(level.wait(rates), nodeBucket.wait(now))), offered: rates.offered }
-      level.take(cost)
+      if (!isAdmitted || !nodeBucket.take(cost, now)) {
+        const retryAfter = retries.announce(cost, rate * share, Math.max(level.wait(rates), nodeBucket.wait(now)), now)
+        return { kind: 'over', retryAfter, offered: rates.offered, cause: isAdmitted ? 'node' : level.limit() }
+      }
+      level.take(cost, cost * unreportedFactor)
       granted.add(name, cost, now)
       return { kind: 'granted' }
     },
     refund: (organisation, cost) => {
-      const quota = trackedQuotas.get(organisation.name)
+      const quota = organisations.get(organisation.name)?.quota
       quota?.level.refund(cost)
       quota?.part.refund(cost)
     },
-    observe: (reports, count) => {
-      others = reports
+    observe: (reports, count, now) => {
+      startedAt ??= now
+      for (const [name, tracked] of organisations) countReported(name, tracked, now)
+      observedAt = now
+      reportedNodes = reports.reduce((sum, one) => sum + one.nodes, 0)
       nodes = Math.max(1, count)
+      unreportedFactor = Math.max(1, nodes / (reportedNodes + 1))
+      for (const { demand } of reports) for (const name of Object.keys(demand)) organisationOf(name, now)
+      for (const [name, tracked] of organisations) {
+        tracked.reported = sumReports(reports, name)
+        tracked.estimate.observe(tracked.reported.demand, tracked.reported.granted, now)
+      }
     },
     demand: demand.rates,
-    granted: granted.rates
+    granted: granted.rates,
+    windowFractions: () => {
+      const fractions: Record<string, number> = {}
+      for (const [name, { quota }] of organisations) if (quota !== undefined) fractions[name] = Math.round(quota.level.windowFraction() * 1_000) / 1_000
+      return fractions
+    }
   }
 }
-
-function sumOf (reports: readonly ReportedUsage[], rates: 'demand' | 'granted', organisation: string): number {
-  return reports.reduce((sum, one) => sum + (one[rates][organisation] ?? 0), 0)
-}
