Answers of upstreams go from the HTTP parser to their reader without a stream

Cause: undici's request() wraps each answer in a readable stream, and the relay read it by an asynchronous iterator: several promises and ticks for each event of a stream, and an asynchronous resource with its listeners for each request. exchange.ts now passes a handler to dispatch(), and upstream-body.ts hands the chunks to the one reader of the body: chunks of one read of the socket together, in order, with the upstream paused until a slow caller has taken a chunk and while more than 64 KiB are unread. A reader that fails closes the connection; a body that is cut short is rejected as before.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -229,7 +229,7 @@
   const { response } = proxied
   let body: Buffer
   try {
-    body = Buffer.from(await answer.body.arrayBuffer())
+    body = await answer.body.bytes()
   } catch (error) {
     return handleBrokenAttempt(context, proxied, attempt, `the answer broke off: ${String(error)}`)
   }
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -7,12 +7,15 @@
  */
 import { buildConnector, Pool } from 'undici'
 import type { Dispatcher } from 'undici'
+import { onAbort } from '../abort-listeners.js'
 import type { UpstreamSignals } from '../backpressure/index.js'
 import type { Clock, Milliseconds } from '../clock.js'
 import type { UpstreamIncarnation, UpstreamRecord } from '../placement/index.js'
 import { connectionFailure } from '../protocols/http.js'
 import { addressSchema } from '../identifiers.js'
 import type { AnswerHead, Headers, RequestFormat } from './ports.js'
+import { createIncomingBody } from './upstream-body.js'
+import type { IncomingBody, UpstreamBody } from './upstream-body.js'
 
 /** A request in the form in which it is sent to an upstream. */
 export interface UpstreamRequest {
@@ -28,7 +31,7 @@
 export interface UpstreamAnswer {
   readonly status: number
   readonly headers: Headers
-  readonly body: Dispatcher.ResponseData['body']
+  readonly body: UpstreamBody
 }
 
 /**
@@ -83,6 +86,7 @@
 /** Maximum number of connections to one upstream of a service without a configured limit. */
 const DEFAULT_MAX_CONNECTIONS = 64
 
+const SUCCESS = 200
 const NO_CONTENT = 204
 const NOT_MODIFIED = 304
 const MISDIRECTED = 421
@@ -130,23 +134,40 @@
     })
   }
 
-  async function start (upstream: UpstreamRecord, request: UpstreamRequest, signal: AbortSignal): Promise<ExchangeStart> {
+  function start (upstream: UpstreamRecord, request: UpstreamRequest, signal: AbortSignal): Promise<ExchangeStart> {
     const sentAt = clock.now()
-    try {
-      const { statusCode, headers, body } = await poolOf(upstream).request({
-        method: request.method as Dispatcher.HttpMethod,
-        path: request.path,
-        headers: request.headers,
-        body: request.body ?? null,
-        signal
+    return new Promise((resolve) => {
+      let controller: Dispatcher.DispatchController | undefined
+      let incoming: IncomingBody | undefined
+      let isStarted = false
+      // A request that waits for a connection is aborted as soon as it has one.
+      const stopListening = onAbort(signal, () => controller?.abort(abortReason(signal)))
+
+      poolOf(upstream).dispatch({ method: request.method as Dispatcher.HttpMethod, path: request.path, headers: request.headers, body: request.body ?? null }, {
+        onRequestStart: (started) => {
+          controller = started
+          if (signal.aborted) started.abort(abortReason(signal))
+        },
+        onResponseStart: (started, status, headers) => {
+          if (status < SUCCESS) return
+          incoming = createIncomingBody(started)
+          const head = format.readAnswer(headers, status)
+          if (isFromUpstream(upstream, request.id, head, status)) onSignals(upstream, head.signals, sentAt)
+          resolve(classifyAnswer(request.id, { status, headers, body: incoming.body }, head))
+          isStarted = true
+        },
+        onResponseData: (_controller, chunk) => incoming?.push(chunk),
+        onResponseEnd: () => {
+          stopListening()
+          incoming?.end()
+        },
+        onResponseError: (_controller, error) => {
+          stopListening()
+          if (!isStarted) resolve(failedStart(upstream, error))
+          incoming?.fail(error)
+        }
       })
-      const head = format.readAnswer(headers, statusCode)
-      if (isFromUpstream(upstream, request.id, head, statusCode)) onSignals(upstream, head.signals, sentAt)
-      return classifyAnswer(request.id, { status: statusCode, headers, body }, head)
-    } catch (error) {
-      const failure = connectionFailure(error, addressSchema.parse(upstream.address))
-      return failure.verdict === 'not-run' ? { kind: 'not-run', reason: 'unreachable' } : { kind: 'broken', reason: failure.message }
-    }
+    })
   }
 
   return {
@@ -164,6 +185,16 @@
   }
 }
 
+function failedStart (upstream: UpstreamRecord, error: unknown): ExchangeStart {
+  const failure = connectionFailure(error, addressSchema.parse(upstream.address))
+  return failure.verdict === 'not-run' ? { kind: 'not-run', reason: 'unreachable' } : { kind: 'broken', reason: failure.message }
+}
+
+/** Undici replaces a missing reason by an error of its own. */
+function abortReason (signal: AbortSignal): Error {
+  return signal.reason as Error
+}
+
 /**
  * Failure guarded against: the address has been reassigned to another upstream, and the signals in its answer are
  * attributed to the previous one. Signals count only if the answer carries the request's id and does not name another
@@ -207,14 +238,12 @@
 
 /** Reads and drops the short body, so that the connection can be reused. */
 function drainBody (answer: UpstreamAnswer, result: ExchangeStart): ExchangeStart {
-  answer.body.on('error', () => {})
-  answer.body.resume()
+  answer.body.discard()
   return result
 }
 
 /** Destroys the body, which closes the connection. */
 function discardConnection (answer: UpstreamAnswer, result: ExchangeStart): ExchangeStart {
-  answer.body.on('error', () => {})
   answer.body.destroy()
   return result
 }
--- a/src/gateway/stream-relay.ts
+++ b/src/gateway/stream-relay.ts
@@ -29,14 +29,14 @@
 export async function relayEvents (answer: UpstreamAnswer, response: ServerResponse, progress: StreamProgress, onEvents: (events: number) => void, signal: AbortSignal): Promise<RelayEnd> {
   const splitter = createEventSplitter()
   try {
-    for await (const chunk of answer.body) {
-      const events = splitter.push(chunk as Buffer)
-      if (events.count === 0) continue
+    await answer.body.read((chunk) => {
+      const events = splitter.push(chunk)
+      if (events.count === 0) return
       onEvents(events.count)
       progress.events += events.count
       progress.lastId = events.lastId ?? progress.lastId
-      await writeWithBackpressure(response, events.bytes, signal)
-    }
+      return writeWithBackpressure(response, events.bytes, signal)
+    })
   } catch (error) {
     return { kind: 'broken', reason: String((error as Error).message) }
   }
