Bodies of callers are read by listeners; an attempt's signal follows the request's by a callback

Cause: an asynchronous iterator over the body of a request, Promise.race with the time limit and AbortSignal.any for each attempt cost ten promises and a combined signal with weak references per request. readBody() collects the chunks in listeners; the attempt has one controller, which its watchdog or a callback at the request's signal aborts and which is detached when the attempt ends.

--- a/src/caller/http.ts
+++ b/src/caller/http.ts
@@ -15,6 +15,8 @@
 /** Request as passed to a handler by restana. */
 export type ApiRequest = IncomingMessage & { params: Record<string, string>, query: Record<string, string | string[]> }
 
+const EMPTY = Buffer.alloc(0)
+
 /** Maximum time for which a caller may accept no data before its connection is destroyed. */
 const STALL_TIMEOUT: Milliseconds = 60_000
 
@@ -89,20 +91,45 @@
  * @example
  * const bytes = await readBody(request, 1_048_576)
  */
-export async function readBody (request: IncomingMessage, limit: number): Promise<Buffer> {
+export function readBody (request: IncomingMessage, limit: number): Promise<Buffer> {
   const chunks: Buffer[] = []
   let size = 0
-  try {
-    for await (const chunk of request.iterator({ destroyOnReturn: false })) {
-      size += (chunk as Buffer).length
-      if (size > limit) throw new ServingError(`the body is larger than ${limit} bytes`, { code: 'too-large', verdict: 'not-run' })
-      chunks.push(chunk as Buffer)
+  return new Promise((resolve, reject) => {
+    if (request.readableEnded) return resolve(EMPTY)
+    if (request.destroyed) return endEarly()
+    request.on('data', take)
+    request.on('end', finish)
+    request.on('error', endEarly)
+    request.on('close', endEarly)
+
+    function take (chunk: Buffer): void {
+      size += chunk.length
+      if (size <= limit) {
+        chunks.push(chunk)
+        return
+      }
+      request.pause()
+      stopListening()
+      reject(new ServingError(`the body is larger than ${limit} bytes`, { code: 'too-large', verdict: 'not-run' }))
     }
-  } catch (error) {
-    if (error instanceof ServingError) throw error
-    throw new ServingError('the body ended early', { code: 'invalid-request', verdict: 'not-run', cause: error })
-  }
-  return Buffer.concat(chunks)
+
+    function finish (): void {
+      stopListening()
+      resolve(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks, size))
+    }
+
+    function endEarly (error?: Error): void {
+      stopListening()
+      reject(new ServingError('the body ended early', { code: 'invalid-request', verdict: 'not-run', ...(error === undefined ? {} : { cause: error }) }))
+    }
+
+    function stopListening (): void {
+      request.removeListener('data', take)
+      request.removeListener('end', finish)
+      request.removeListener('close', endEarly)
+      // The listener for errors stays: without one, an error after this is thrown and ends the process.
+    }
+  })
 }
 
 /**
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -1,4 +1,5 @@
 /** One attempt of a request at one upstream, including the relay of its answer. */
+import { onAbort } from '../abort-listeners.js'
 import type { Milliseconds } from '../clock.js'
 import { prefillTime } from '../placement/index.js'
 import type { Choice, PrefillSample, UpstreamRecord } from '../placement/index.js'
@@ -34,6 +35,8 @@
   readonly open: InFlightRequest
   /** Aborts with the request, or when the upstream timed out and a further attempt was granted. */
   readonly signal: AbortSignal
+  /** Ends the dependence of the signal on that of the request. */
+  readonly unlink: () => void
   readonly watchdog: Watchdog
   readonly isTimedOut: () => boolean
   /** Sample of the engine's prefill speed, completed by the first event; undefined if that time includes other delays. */
@@ -84,6 +87,7 @@
     return await handleExchangeStart(context, proxied, attempt, started)
   } finally {
     attempt.watchdog.stop()
+    attempt.unlink()
     attempt.open.end()
     attempt.watchedRun?.end()
   }
@@ -92,18 +96,23 @@
 function beginAttempt (context: GatewayContext, proxied: ProxiedRequest, choice: Choice, memory: string | undefined): Attempt {
   const { upstream, reading: prefill, waiting } = choice
   const controller = new AbortController()
+  let isTimedOut = false
+  const unlink = onAbort(proxied.signal, () => controller.abort(proxied.signal.reason))
   const comparison = memory === undefined ? context.rollouts.begin(proxied.accepted.route.name, upstream) : undefined
   const open = context.upstreams.begin(upstream.incarnation, prefill, context.clock.now())
   if (prefill >= LONG_PREFILL) context.announcePrefill(upstream.incarnation, prefill)
   const watchdog = startWatchdog(context.clock, firstAnswerTimeout(proxied.accepted.route, waiting + prefill, context.speeds.of(proxied.service).base), () => {
-    if (mayRetry(context, proxied, 'may-have-run')) controller.abort()
+    if (!mayRetry(context, proxied, 'may-have-run')) return
+    isTimedOut = true
+    controller.abort()
   })
   return {
     upstream,
     open,
-    signal: AbortSignal.any([proxied.signal, controller.signal]),
+    signal: controller.signal,
+    unlink,
     watchdog,
-    isTimedOut: () => controller.signal.aborted,
+    isTimedOut: () => isTimedOut,
     prefillSample: memory === undefined ? prefillSampleOf(proxied, choice) : undefined,
     since: context.clock.now(),
     comparison,
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -3,6 +3,7 @@
  * accounting.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import { onAbort } from '../abort-listeners.js'
 import { readBody } from '../caller/http.js'
 import type { Milliseconds } from '../clock.js'
 import type { Choice } from '../placement/index.js'
@@ -131,8 +132,8 @@
   const { headers } = request
   if (headers['content-length'] === undefined && headers['transfer-encoding'] === undefined) return undefined
   const maxBytes = context.routeTable()?.configuration.limits.bodyBytes ?? Infinity
-  const timedOut = new Promise<never>((_resolve, reject) => {
-    signal.addEventListener('abort', () => reject(refusal('request-timeout', 'the body did not come in time')), { once: true })
+  return new Promise((resolve, reject) => {
+    const stopListening = onAbort(signal, () => reject(refusal('request-timeout', 'the body did not come in time')))
+    readBody(request, maxBytes).then(resolve, reject).finally(stopListening)
   })
-  return Promise.race([readBody(request, maxBytes), timedOut])
 }
