--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -1,4 +1,5 @@
 /** One attempt of a request at one upstream, including the relay of its answer. */
+import { onAbort } from '../abort-listeners.js'
 import type { Milliseconds } from '../clock.js'
 import { prefillTime } from '../placement/index.js'
 import type { Choice, InFlightRequest, PrefillSample, UpstreamRecord } from '../placement/index.js'
@@ -36,6 +37,8 @@
   readonly open: InFlightRequest
   /** Aborts with the request, or when the upstream timed out and a further attempt was granted. */
   readonly signal: AbortSignal
+  /** Ends the dependence of the signal on that of the request. */
+  readonly unlink: () => void
   readonly watchdog: Watchdog
   readonly isTimedOut: () => boolean
   /** Sample of the engine's prefill speed, completed by the first event; undefined if that time includes other delays. */
@@ -86,6 +89,7 @@
     return await handleExchangeStart(context, proxied, attempt, started)
   } finally {
     attempt.watchdog.stop()
+    attempt.unlink()
     attempt.open.end(context.clock.now())
     attempt.watchedRun?.end()
   }
@@ -94,6 +98,8 @@
 function beginAttempt (context: GatewayContext, proxied: ProxiedRequest, choice: Choice, memory: string | undefined): Attempt {
   const { upstream, reading: prefill } = choice
   const controller = new AbortController()
+  let isTimedOut = false
+  const unlink = onAbort(proxied.signal, () => controller.abort(proxied.signal.reason))
   const comparison = memory === undefined ? context.rollouts.begin(proxied.accepted.route.name, upstream) : undefined
   const open = context.upstreams.begin(choice, context.clock.now())
   if (prefill >= LONG_PREFILL) context.announcePrefill(upstream.incarnation, prefill)
@@ -101,6 +107,7 @@
   const watchdog = startWatchdog(context.clock, answerTimeout(context, proxied, choice), () => {
     if (!mayRetry(context, proxied, 'may-have-run')) return
     observeAnswerTime(context, proxied, upstream, since)
+    isTimedOut = true
     controller.abort()
   })
   return {
@@ -108,9 +115,10 @@
     choice,
     isWholeRun: memory === undefined && proxied.progress.events === 0 && proxied.progress.lastId === undefined,
     open,
-    signal: AbortSignal.any([proxied.signal, controller.signal]),
+    signal: controller.signal,
+    unlink,
     watchdog,
-    isTimedOut: () => controller.signal.aborted,
+    isTimedOut: () => isTimedOut,
     prefillSample: memory === undefined ? prefillSampleOf(proxied, choice) : undefined,
     since,
     comparison,
@@ -255,7 +263,7 @@
   const { response } = proxied
   let body: Buffer
   try {
-    body = Buffer.from(await answer.body.arrayBuffer())
+    body = await answer.body.bytes()
   } catch (error) {
     return handleBrokenAttempt(context, proxied, attempt, `the answer broke off: ${String(error)}`)
   }
