Design note on placement under load

bench gateway-placement has random numbers of its own for the choice, so that all variants keep the same arrivals.

--- a/bench/gateway-placement.ts
+++ b/bench/gateway-placement.ts
@@ -105,6 +105,8 @@
 
 function simulate (site: Site, variant: Variant, seed: number): Outcome {
   const random = createRandom(seed)
+  // Numbers of its own, so that all variants have the same arrivals.
+  const tieBreaker = createRandom(seed + 1_000)
   const engines: Engine[] = Array.from({ length: site.engines }, (_, index) => ({ id: `i-${seed}-${index}`, freeAt: 0, kept: new Map(), open: [] }))
   const rate = (site.plansPerSecond + site.questionsPerSecond) / SECOND
   let inTime = 0
@@ -118,7 +120,7 @@
     const ages = Array.from({ length: site.nodes }, () => random.fraction() * site.oldest)
     for (const engine of engines) while (engine.open.length > 0 && engine.open[0]!.endsAt < now - site.oldest) engine.open.shift()
     const candidates = engines.map((engine) => candidateOf(engine, node, ages, now))
-    const choice = chooseUpstream(work, candidates, { name: `node-${node}`, failureDomain: 'a' }, variant.costs, { speed: ASSUMED_SPEED, slotTime: assumedSlotTime(true) }, random)
+    const choice = chooseUpstream(work, candidates, { name: `node-${node}`, failureDomain: 'a' }, variant.costs, { speed: ASSUMED_SPEED, slotTime: assumedSlotTime(true) }, tieBreaker)
     const engine = engines.find(({ id }) => id === choice!.upstream.id)!
     const { reading, readAt } = send(engine, work, node, now, kind.run)
     if (now < WARM_UP) continue
