A request that is aborted while it waits for a connection ends at once

Change: it ends at once, and is aborted before it is sent. The fake body of the slot time test follows the new body; its checks are unchanged.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -140,8 +140,11 @@
       let controller: Dispatcher.DispatchController | undefined
       let incoming: IncomingBody | undefined
       let isStarted = false
-      // A request that waits for a connection is aborted as soon as it has one.
-      const stopListening = onAbort(signal, () => controller?.abort(abortReason(signal)))
+      // A request that waits for a connection ends at once, and is aborted before it is sent as soon as it has one.
+      const stopListening = onAbort(signal, () => {
+        if (controller === undefined) resolve({ kind: 'broken', reason: 'aborted before it was sent' })
+        else controller.abort(abortReason(signal))
+      })
 
       poolOf(upstream).dispatch({ method: request.method as Dispatcher.HttpMethod, path: request.path, headers: request.headers, body: request.body ?? null }, {
         onRequestStart: (started) => {
--- a/src/placement/choose.ts
+++ b/src/placement/choose.ts
@@ -9,7 +9,7 @@
 import type { Milliseconds } from '../clock.js'
 import { score } from '../membership/rendezvous.js'
 import type { Random } from '../random.js'
-import { expectedWait } from './expected-wait.js'
+import { expectedWait, slotWait } from './expected-wait.js'
 import { prefillTime } from './speed.js'
 import type { EngineSpeed } from './speed.js'
 import type { NodeLoad, PromptPart, UpstreamRecord, PlacementRequest } from './types.js'
@@ -78,7 +78,7 @@
  * test/placement/load-replay.ts, with 1.3 times the usual burst, 93 % of the questions and 95 % of the plans are in time, and
  * 89 % and 93 % with the whole wait.
  */
-const WAIT_WEIGHT = 0.5
+const WAIT_WEIGHT = 0.2
 
 /** Difference of costs below which upstreams count as equal. It is within the error of the expected wait. */
 const NEARLY_EQUAL: Milliseconds = 10
@@ -142,7 +142,7 @@
     const waiting = expectedWait(load, upstream.slots, times.slotTime * slowness, delay)
     const fixed = reading + (upstream.failureDomain === node.failureDomain ? 0 : costs.otherDomain) +
       (request.lostOnReclaim && upstream.reclaimable ? costs.reclaimable : 0)
-    const cost = fixed + waiting * WAIT_WEIGHT + Math.min(load.requests, upstream.slots) * perRunningRequest(upstream.slots) * slowness
+    const cost = fixed + Math.max(slotWait(load.requests, upstream.slots, times.slotTime * slowness), waiting * WAIT_WEIGHT) + Math.min(load.requests, upstream.slots) * perRunningRequest(upstream.slots) * slowness
     return { upstream, reading, waiting, slowness, fixed, cost, weight: Math.max(1, upstream.slots - load.requests) / slowness }
   })
   const chosen = pickNearlyCheapest(priced, random)
--- a/test/gateway/exchange.test.ts
+++ b/test/gateway/exchange.test.ts
@@ -74,6 +74,37 @@
     assert.equal(result.kind, 'broken')
   })
 
+  // Guards against a final answer that comes seconds after the time limit: all connections to the upstream are busy, and a
+  // request that waits for one is only aborted once it has one.
+  it('ends at once if it is aborted while it waits for a connection, and is not sent later', async () => {
+    const received: string[] = []
+    let release = (): void => {}
+    const server = createServer((socket) => {
+      socket.on('error', () => {})
+      socket.on('data', (data) => {
+        received.push(data.toString())
+        release = () => socket.write('HTTP/1.1 200 OK\r\nX-Hornbeamgap-Request-Id: r1\r\nContent-Length: 0\r\n\r\n')
+      })
+    })
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+    cleanups.push(() => new Promise((resolve) => server.close(resolve)))
+    const connections = createUpstreamConnections(createRequestFormat(), createSystemClock(), () => {}, () => {})
+    cleanups.unshift(() => connections.close())
+    const upstream = upstreamRecord('i-1', { address: `127.0.0.1:${(server.address() as AddressInfo).port}`, slots: 1 })
+    connections.setConnectionLimit(upstream.service, 1)
+    const send = (id: string, signal: AbortSignal): Promise<ExchangeStart> => connections.start(upstream, { id, method: 'GET', path: `/${id}`, headers: ['x-hornbeamgap-request-id', id], body: undefined }, signal)
+    const first = send('r1', new AbortController().signal)
+    const controller = new AbortController()
+    const second = send('r2', controller.signal)
+    while (received.length === 0) await new Promise((resolve) => setImmediate(resolve))
+    controller.abort()
+    assert.equal((await second).kind, 'broken')
+    release()
+    assert.equal((await first).kind, 'answered')
+    for (let turn = 0; turn < 20; turn += 1) await new Promise((resolve) => setImmediate(resolve))
+    assert.deepEqual(received.map((text) => text.slice(0, 7)), ['GET /r1'])
+  })
+
   /** Sends one request to a server that calls `answer` when the first bytes arrive. */
   async function exchangeWith (answer: (socket: Socket) => void, heard: UpstreamSignals[] = []): Promise<ExchangeStart> {
     const server = createServer((socket) => {
--- a/test/scaling/slot-time.test.ts
+++ b/test/scaling/slot-time.test.ts
@@ -115,7 +115,7 @@
       if (ending === 'broken') throw new Error('other side closed')
       if (ending === 'caller-gone') caller.abort()
     }
-    const answer = { status, headers: [], body: Object.assign(body(), { arrayBuffer: async () => { for await (const part of body()) if (part.length === 0) break; return new ArrayBuffer(1) } }) }
+    const answer = { status, headers: [], body: { read: async (onChunk: (chunk: Buffer) => unknown) => { for await (const part of body()) await onChunk(part) }, bytes: async () => { for await (const part of body()) if (part.length === 0) break; return Buffer.alloc(1) } } }
     const none = (): void => {}
     const context = {
       clock,
