--- a/bench/request-cost/probe.cjs
+++ b/bench/request-cost/probe.cjs
@@ -54,4 +54,6 @@
   const { user, system } = process.cpuUsage()
   process.send({ processor: (user + system) / 1_000, counts: { ...counts }, warnings: [...warnings] })
 })
+// A benchmark that is ended by a signal leaves no node behind.
+process.on('disconnect', () => process.exit())
 process.channel.unref()
