--- a/test/quota/quota.test.ts
+++ b/test/quota/quota.test.ts
@@ -4,6 +4,8 @@
 import { SECOND } from '../../src/clock.js'
 import { createQuotaLevel, createQuotaLimiter, createRetryBudget, createTokenBucket, shareOf } from '../../src/quota/index.js'
 import { createRandom } from '../../src/random.js'
+import type { Milliseconds } from '../../src/clock.js'
+import type { QuotaLimiter } from '../../src/quota/index.js'
 import type { Organisation } from '../../src/routing/index.js'
 
 /** Margin by which the sum of all nodes may exceed a quota in these tests. */
@@ -164,3 +166,33 @@
     }))
   })
 })
+
+describe('a refusal', () => {
+  const tejo = organisation(10_000, 10_000)
+
+  function causesOf (limiter: QuotaLimiter, cost: number, from: Milliseconds, until: Milliseconds): Set<string> {
+    const causes = new Set<string>()
+    for (let now = from; now < until; now += 20) {
+      const decision = limiter.take(tejo, cost, now)
+      if (decision.kind === 'over') causes.add(decision.cause)
+    }
+    return causes
+  }
+
+  // Guards against operators who raise a rate in vain: the log names the limit that applied.
+  it('names the rate, the window or the share of the node', () => {
+    const alone = createQuotaLimiter(createRandom(1), { ...MARGIN, slack: 0 })
+    alone.observe([], 1, 0)
+    causesOf(alone, 20, 0, 20 * SECOND)
+    assert.deepEqual([...causesOf(alone, 300, 20 * SECOND, 24 * SECOND)], ['rate'])
+
+    const late = createQuotaLimiter(createRandom(1), { ...MARGIN, slack: 0 })
+    for (let now = 0; now <= 8 * SECOND; now += 400) late.observe([{ nodes: 8, demand: { tejo: 60_000 }, granted: { tejo: now < 4 * SECOND ? 60_000 : 2_000 } }], 9, now)
+    assert.deepEqual([...causesOf(late, 20, 8 * SECOND, 8.5 * SECOND)], ['window'])
+    assert.ok(late.windowFractions().tejo! > 1)
+
+    const small = createQuotaLimiter(createRandom(1), { ...MARGIN, slack: 4_000 })
+    small.observe([{ nodes: 8, demand: { tejo: 3_000 }, granted: { tejo: 3_000 } }], 9, 0)
+    assert.deepEqual([...causesOf(small, 2_000, 9 * SECOND, 9.2 * SECOND)], ['node'])
+  })
+})
--- a/test/quota/window-bound.test.ts
+++ b/test/quota/window-bound.test.ts
@@ -15,10 +15,10 @@
  */
 const surge = fc.record({
   nodes: fc.integer({ min: 5, max: 120 }),
-  rate: fc.integer({ min: 30_000, max: 900_000 }),
-  usual: fc.double({ min: 0.1, max: 0.55, noNaN: true }),
-  peak: fc.double({ min: 0.8, max: 3.4, noNaN: true }),
-  length: fc.integer({ min: 500, max: 11_000 }),
+  rate: fc.integer({ min: 60_000, max: 900_000 }),
+  usual: fc.double({ min: 0.3, max: 0.55, noNaN: true }),
+  peak: fc.double({ min: 2, max: 3.4, noNaN: true }),
+  length: fc.integer({ min: 1_500, max: 11_000 }),
   largest: fc.integer({ min: 2_000, max: 50_000 }),
   least: fc.integer({ min: 1, max: 2 }),
   spread: fc.integer({ min: 0, max: 3 }),
