A fifth of the expected wait counts in the comparison of upstreams, the wait for a slot whole

The wait for a slot alone breaks the replay of uneven upstreams and a test of queued prefill, so a fifth stays.

--- a/src/placement/choose.ts
+++ b/src/placement/choose.ts
@@ -73,10 +73,9 @@
 }
 
 /**
- * Part of the expected wait that counts in the comparison of upstreams. Loads are up to 2 s old, so differences between them are
- * partly over when the request arrives, and each request that leaves the home of its cached parts adds prefill. In the replay of
- * test/placement/load-replay.ts, with 1.3 times the usual burst, 93 % of the questions and 95 % of the plans are in time, and
- * 89 % and 93 % with the whole wait.
+ * Part of the expected wait that counts in the comparison of upstreams, beside the whole wait for a slot. Loads are up to 2 s old,
+ * so differences between them are partly over when the request arrives, and each request that leaves the home of its cached
+ * parts adds prefill.
  */
 const WAIT_WEIGHT = 0.2
 
