--- a/src/scaling/plan.ts
+++ b/src/scaling/plan.ts
@@ -33,36 +33,65 @@
  * planPools(input).find((pool) => pool.reclaimable)?.desired
  */
 export function planPools (input: ScalingInput): PoolSize[] {
-  const { facts, failureDomains, load } = input
+  const needs = needsOf(input)
+  const reclaimable = planReclaimable(input, needs)
+  return [...reclaimable, ...planOnDemand(input, needs, reclaimable)].filter((pool) => input.now >= input.unavailableUntil(pool))
+}
+
+/** Numbers of upstreams that the load needs. */
+interface Needs {
+  /** With reclaimable ones available. */
+  readonly total: number
+  /** On-demand ones, with the planned number of reclaimable ones. */
+  readonly minOnDemand: number
+  /** That serve in any case. */
+  readonly minServing: number
+  /** That remain after the reclaim of a failure domain. */
+  readonly afterReclaim: number
+}
+
+function needsOf ({ facts, failureDomains, load }: ScalingInput): Needs {
   const total = clamp(Math.ceil(load / NORMAL_UTILISATION), failureDomains.length * Math.max(1, facts.minUpstreams), failureDomains.length * facts.maxUpstreams)
+  const afterReclaim = Math.ceil(load / POST_RECLAIM_UTILISATION)
+  if (facts.reclaimablePrice === undefined) return { total, minOnDemand: total, minServing: total, afterReclaim }
   const remainingAfterLoss = total - Math.ceil(total / failureDomains.length)
-  const neededAfterReclaim = Math.ceil(load / POST_RECLAIM_UTILISATION)
-  const minOnDemand = facts.reclaimablePrice === undefined ? total : clamp(neededAfterReclaim - remainingAfterLoss, 1, total)
-  const minServing = facts.reclaimablePrice === undefined ? total : clamp(Math.ceil(load / FALLBACK_UTILISATION), minOnDemand, total)
-  const running = countRunning(input.present, true)
-  const plannedReclaimable = facts.reclaimablePrice === undefined ? [] : distributeEvenly(total - minOnDemand, failureDomains, facts.maxUpstreams)
-  // Failure guarded against: at the maximum size, reclaimable upstreams are given back to make room for on-demand ones,
-  // and the fleet lacks them until these have booted, while the load is highest.
-  const runningCount = input.present.filter(({ leaving }) => !leaving).length
-  const keepsReclaimable = runningCount <= total
-  const reclaimablePools = plannedReclaimable.map(({ failureDomain, count }) => ({ failureDomain, count: keepsReclaimable ? Math.min(facts.maxUpstreams, Math.max(count, running.get(failureDomain) ?? 0)) : count }))
-  const servingByDomain = reclaimablePools.map((pool) => Math.min(pool.count, input.assumeReclaimableRunning ? pool.count : running.get(pool.failureDomain) ?? 0))
-  const servingReclaimable = servingByDomain.reduce((sum, count) => sum + count, 0)
-  const servingAfterReclaim = servingReclaimable - Math.max(0, ...servingByDomain)
-  const onDemand = Math.max(minOnDemand, neededAfterReclaim - servingAfterReclaim, minServing - servingReclaimable)
-  const onDemandPools = moveToFreeDomains(distributeCheapestFirst(onDemand, sortByPrice(input), facts.maxUpstreams), (domain) => {
-    const index = reclaimablePools.findIndex(({ failureDomain }) => failureDomain === domain)
-    return facts.maxUpstreams - (servingByDomain[index] ?? 0)
+  const minOnDemand = clamp(afterReclaim - remainingAfterLoss, 1, total)
+  return { total, minOnDemand, minServing: clamp(Math.ceil(load / FALLBACK_UTILISATION), minOnDemand, total), afterReclaim }
+}
+
+/**
+ * Failure guarded against: at the maximum size, reclaimable upstreams are given back to make room for on-demand ones, and
+ * the fleet lacks them until these have booted, while the load is highest.
+ */
+function planReclaimable ({ facts, failureDomains, present }: ScalingInput, { total, minOnDemand }: Needs): PoolSize[] {
+  if (facts.reclaimablePrice === undefined) return []
+  const running = countRunning(present, true)
+  const keepsRunning = sumRunning(present) <= total
+  return distributeEvenly(total - minOnDemand, failureDomains, facts.maxUpstreams).map(({ failureDomain, count }) => {
+    const kept = keepsRunning ? running.get(failureDomain) ?? 0 : 0
+    return { failureDomain, reclaimable: true, desired: Math.min(facts.maxUpstreams, Math.max(count, kept)) }
   })
-  const isOverloaded = load > runningCount * POST_RECLAIM_UTILISATION
-  const runningOnDemand = countRunning(input.present, false)
-  const sizes = reclaimablePools.map(({ failureDomain, count }): PoolSize => ({ failureDomain, reclaimable: true, desired: count }))
-  for (const { failureDomain, count } of onDemandPools) {
-    const reclaimable = reclaimablePools.find((pool) => pool.failureDomain === failureDomain)?.count ?? 0
+}
+
+/**
+ * Failure guarded against: under overload, on-demand upstreams are moved to another failure domain, and nothing serves in
+ * their place until the new ones have booted.
+ */
+function planOnDemand (input: ScalingInput, { minOnDemand, minServing, afterReclaim }: Needs, reclaimable: readonly PoolSize[]): PoolSize[] {
+  const { facts, load, present } = input
+  const runningReclaimable = countRunning(present, true)
+  const serving = new Map(reclaimable.map(({ failureDomain, desired }) => [failureDomain, input.assumeReclaimableRunning ? desired : Math.min(desired, runningReclaimable.get(failureDomain) ?? 0)]))
+  const servingReclaimable = [...serving.values()].reduce((sum, count) => sum + count, 0)
+  const servingAfterReclaim = servingReclaimable - Math.max(0, ...serving.values())
+  const wanted = Math.max(minOnDemand, afterReclaim - servingAfterReclaim, minServing - servingReclaimable)
+  const pools = moveToFreeDomains(distributeCheapestFirst(wanted, sortByPrice(input), facts.maxUpstreams), (domain) => facts.maxUpstreams - (serving.get(domain) ?? 0))
+  const isOverloaded = load > sumRunning(present) * POST_RECLAIM_UTILISATION
+  const runningOnDemand = countRunning(present, false)
+  return pools.map(({ failureDomain, count }) => {
     const kept = isOverloaded ? runningOnDemand.get(failureDomain) ?? 0 : 0
-    sizes.push({ failureDomain, reclaimable: false, desired: Math.max(count, kept, facts.minUpstreams - reclaimable) })
-  }
-  return sizes.filter((pool) => input.now >= input.unavailableUntil(pool))
+    const planned = reclaimable.find((pool) => pool.failureDomain === failureDomain)?.desired ?? 0
+    return { failureDomain, reclaimable: false, desired: Math.max(count, kept, facts.minUpstreams - planned) }
+  })
 }
 
 /**
@@ -148,6 +177,10 @@
   return counts
 }
 
+function sumRunning (present: readonly PresentUpstream[]): number {
+  return present.filter(({ leaving }) => !leaving).length
+}
+
 function clamp (value: number, min: number, max: number): number {
   return Math.min(max, Math.max(min, value))
 }
