Requests to plain upstreams neither wait at the node nor are refused by reported loads

Their loads are known 0.4 to 2 s late, so requests waited at the node or were refused for upstreams that were free, and those within 10 ms of each other (one request more) counted as equal. Change: no expected wait for plain upstreams, and no random choice between unequal ones.

--- a/src/placement/choose.ts
+++ b/src/placement/choose.ts
@@ -38,6 +38,10 @@
   readonly otherDomain: Milliseconds
   /** Added where the upstream is reclaimable and a reclaim would lose the request. */
   readonly reclaimable: Milliseconds
+  /** Difference of costs below which upstreams count as equal. It is within the error of the expected wait. */
+  readonly nearlyEqual: Milliseconds
+  /** Whether the wait at an upstream can be predicted: its requests take longer than reports of load. */
+  readonly predictsWait: boolean
   /** Number of top-ranked upstreams of a request among which it is placed while not too much prefill is queued there. */
   readonly preferredUpstreams: number
 }
@@ -79,9 +83,6 @@
  */
 const WAIT_WEIGHT = 0.2
 
-/** Difference of costs below which upstreams count as equal. It is within the error of the expected wait. */
-const NEARLY_EQUAL: Milliseconds = 10
-
 /** Fraction of the request's target. Where the expected wait is longer, upstreams of any rank are considered. */
 const MAX_WAITING_FRACTION = 0.5
 
@@ -93,10 +94,13 @@
  * would lose. `preferredUpstreams`: in simulations of 64 nodes whose states are up to 2.4 s old, 94.9 % of the first
  * tokens come in time with six preferred upstreams, and 92.7 % if all upstreams are compared.
  */
-export const ENGINE_COSTS: PlacementCosts = { perRequest: 2, occupancy: 0, otherDomain: 2, reclaimable: 60, preferredUpstreams: 6 }
+export const ENGINE_COSTS: PlacementCosts = { perRequest: 2, occupancy: 0, otherDomain: 2, reclaimable: 60, nearlyEqual: 10, predictsWait: true, preferredUpstreams: 6 }
 
-/** Costs for plain services, which have few upstreams with few slots. */
-export const PLAIN_COSTS: PlacementCosts = { perRequest: 0, occupancy: 1, otherDomain: 5, reclaimable: 0, preferredUpstreams: Infinity }
+/**
+ * Costs for plain services, which have few upstreams with few slots. A request takes some ten milliseconds there and loads are up
+ * to 2 s old, so requests neither wait at their node nor are refused because an upstream was full.
+ */
+export const PLAIN_COSTS: PlacementCosts = { perRequest: 0, occupancy: 1, otherDomain: 5, reclaimable: 0, nearlyEqual: 0, predictsWait: false, preferredUpstreams: Infinity }
 
 /**
  * Chooses the candidate with the lowest cost.
@@ -144,10 +148,10 @@
     const cost = fixed + Math.max(slotWait(load.requests, upstream.slots, times.slotTime * slowness), waiting * WAIT_WEIGHT) + Math.min(load.requests, upstream.slots) * perRunningRequest(upstream.slots) * slowness
     return { upstream, reading, waiting, slowness, fixed, cost, weight: Math.max(1, upstream.slots - load.requests) / slowness }
   })
-  const chosen = pickNearlyCheapest(priced, random)
+  const chosen = pickNearlyCheapest(priced, costs.nearlyEqual, random)
   if (chosen === undefined) return undefined
   const { upstream, reading, waiting, slowness } = chosen
-  return { upstream, reading, cached: upstream === preferred ? shared : 0, waiting, candidates: candidates.length, firstAnswer: request.streams ? times.speed.base * slowness + reading : times.slotTime * slowness, slowness }
+  return { upstream, reading, cached: upstream === preferred ? shared : 0, waiting: costs.predictsWait ? waiting : 0, candidates: candidates.length, firstAnswer: request.streams ? times.speed.base * slowness + reading : times.slotTime * slowness, slowness }
 }
 
 interface PricedCandidate {
@@ -168,12 +172,12 @@
  * Failure guarded against: nodes with the same old information all send their requests to the upstream that was idle one second
  * ago. Candidates with a higher fixed cost take no part, so that cached prompts and the own failure domain stay preferred.
  */
-function pickNearlyCheapest (priced: readonly PricedCandidate[], random: Random): PricedCandidate | undefined {
+function pickNearlyCheapest (priced: readonly PricedCandidate[], nearlyEqual: Milliseconds, random: Random): PricedCandidate | undefined {
   let cheapest = priced[0]
   for (const candidate of priced) if (candidate.cost < cheapest!.cost) cheapest = candidate
   if (cheapest === undefined) return undefined
   const { cost, fixed } = cheapest
-  const isNearlyCheapest = (candidate: PricedCandidate): boolean => candidate.cost <= cost + NEARLY_EQUAL && candidate.fixed <= fixed
+  const isNearlyCheapest = (candidate: PricedCandidate): boolean => candidate.cost <= cost + nearlyEqual && candidate.fixed <= fixed
   let weights = 0
   for (const candidate of priced) if (isNearlyCheapest(candidate)) weights += candidate.weight
   if (weights === cheapest.weight) return cheapest
--- a/test/gateway/upstream-wait.test.ts
+++ b/test/gateway/upstream-wait.test.ts
@@ -38,7 +38,7 @@
   return { upstream: upstreamRecord(id), reading, cached: 0, waiting: 0, candidates: 1 }
 }
 
-function createFixture () {
+function createFixture (hasEngines = true) {
   const manual = createManualClock()
   const sleeps: Milliseconds[] = []
   const clock: typeof manual = { ...manual, sleep: (delay, signal) => { sleeps.push(delay); return manual.sleep(delay, signal) } }
@@ -60,7 +60,7 @@
     speeds: { of: () => ASSUMED_SPEED },
     rollouts: { side: () => 'serving', admit: (_service: string, _side: string, present: unknown) => present },
     work: { add: (_service: string, reading: number) => { offered.push(reading) } },
-    routeTable: () => undefined,
+    routeTable: () => ({ service: () => ({ hasEngines }) }),
     freshness: () => ({ nodes: 1 })
   } as unknown as GatewayContext
 
@@ -117,6 +117,17 @@
     assert.equal(dispatchQueues.sizes().s, 0)
   })
 
+  // Failure guarded against: a service with few upstreams and short requests. Loads are older than its requests last, so that
+  // requests wait at the node, or are refused, for upstreams that have become free.
+  it('is dispatched to a plain upstream whatever its reported load', async () => {
+    const { ask, upstreams } = createFixture(false)
+    upstreams.put(upstreamRecord('u', { slots: 6 }), 1)
+    upstreams.observe(new Map([['other', { [upstreamRecord('u').incarnation]: { requests: 60, reading: 0, unanswered: 60 } }]]), 0)
+    const request = ask({ tokens: 0, route: { target: 200, timeLimit: 500 } })
+    await flushPromises()
+    assert.equal(request.choice()?.upstream.id, 'u')
+  })
+
   // Failure guarded against: an upstream that allows one request in a time is only considered for a request, and is then not
   // used for this time.
   it('uses up the rate that an upstream allows only when it is dispatched', async () => {
