--- a/test/entry/note-receiver.test.ts
+++ b/test/entry/note-receiver.test.ts
@@ -34,7 +34,7 @@
     assert.equal([...answer.text.matchAll(/"content":"([^"]*)"/g)].map((match) => match[1]).join(''), answerWords(messages, TOKENS).join(''))
     assert.equal(deployment.engines[0]!.started.length, 1)
     const third = deployment.entries.find((entry) => entry !== home && entry !== buddy)!
-    assert.equal((await read(deployment, third.address, plan)).text, answer.text)
+    assert.equal(eventsOf((await read(deployment, third.address, plan)).text), eventsOf(answer.text))
     const unknown = await read(deployment, buddy.address, booking)
     assert.equal(unknown.verdict, 'may-have-run')
   } finally {
@@ -42,6 +42,11 @@
   }
 })
 
+/** The text of a stream without the comments that keep its connection alive, which depend on how long a read takes. */
+function eventsOf (text: string): string {
+  return text.replaceAll(': waiting\n\n', '')
+}
+
 function send (deployment: Deployment, address: string, path: string, id: string, body: unknown): void {
   fetch(`http://${address}${path}`, {
     method: 'POST',
