--- a/src/dispatch-queue/queue.ts
+++ b/src/dispatch-queue/queue.ts
@@ -2,8 +2,8 @@
  * Decides which waiting request of a service is dispatched next, and which one is refused.
  *
  * Load pattern: bursts of one class at 1.5 to 2.5 times its usual rate while a quarter to a half of the engines is gone.
- * Upstreams serve their own queues in the order of arrival, so a request is dispatched only when the queue inside the
- * upstream is short, and waits here otherwise.
+ * An upstream begins urgent requests first at best, and finishes the prompts that it has begun. So a request is dispatched
+ * only when the queue inside the upstream is short, and waits here otherwise.
  */
 import type { Milliseconds } from '../clock.js'
 import { SECOND } from '../clock.js'
--- a/src/dispatch-queue/retry-delay.ts
+++ b/src/dispatch-queue/retry-delay.ts
@@ -6,7 +6,7 @@
 
 const MIN_RETRY_AFTER: Milliseconds = 100
 
-/** Bursts take 3 to 6 s. A longer delay would outlast them. */
+/** A longer delay would outlast most bursts, which take some seconds. */
 const MAX_RETRY_AFTER: Milliseconds = 5 * SECOND
 
 /** Part of its remaining time up to which a caller follows a retry delay. */
