A failed connection to an upstream is logged with what else the node has heard

The lines could not tell a lost path from a failed upstream, nor how long a connection was tried: `send-not-run` says `unreachable` and nothing more. `connection-failed` has the time that the connection took to fail, and the time since this node last received anything from that upstream and from any upstream. No decision uses it yet.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -51,6 +51,30 @@
 /** Why a request was not run: no connection could be opened, or the upstream stated that it did not run the request. */
 export type NotRunReason = 'unreachable' | 'no-connection' | 'full' | 'another-upstream' | 'refused'
 
+/** A connection to an upstream that could not be opened. */
+export interface ConnectionFailure {
+  readonly upstream: UpstreamRecord
+  readonly error: unknown
+  /** Time from the start of the connection to its failure. */
+  readonly took: Milliseconds
+  /** Time since this node last received anything from the upstream; undefined if it never did. */
+  readonly silentFor: Milliseconds | undefined
+  /** Time since this node last received anything from any upstream; undefined if it never did. */
+  readonly allSilentFor: Milliseconds | undefined
+}
+
+/** Dependencies of {@link createUpstreamConnections}. */
+export interface UpstreamConnectionsOptions {
+  /** Reads the platform's answer headers. */
+  readonly format: RequestFormat
+  readonly clock: Clock
+  /** Called with the time that each new connection took. */
+  readonly onConnected?: (took: Milliseconds) => void
+  readonly onConnectionFailed?: (failure: ConnectionFailure) => void
+  /** Called with the signals in each answer and the time at which its request was sent. */
+  readonly onSignals?: (upstream: UpstreamRecord, signals: UpstreamSignals, sentAt: Milliseconds) => void
+}
+
 /** Connection pools to all upstreams. */
 export interface UpstreamConnections {
   /** Sends a request. Never rejects. Aborting the signal closes the connection. */
@@ -68,6 +92,8 @@
 interface IncarnationPool {
   readonly address: string
   readonly pool: Pool
+  /** Time at which this node last received anything from the upstream. */
+  heardAt: Milliseconds | undefined
 }
 
 /**
@@ -101,44 +127,59 @@
 /**
  * Creates the connection pools. Pools are opened on first use.
  *
- * @param format reads the platform's answer headers
- * @param onConnect called with the time that each new connection took
- * @param onSignals called with the signals in each answer and the time at which its request was sent
  * @example
- * const connections = createUpstreamConnections(platform.format, clock, (took) => metrics.record('connecting', took), backpressure.heard)
+ * const connections = createUpstreamConnections({ format: platform.format, clock, onSignals: backpressure.heard })
  * const start = await connections.start(upstream, request, signal)
  */
-export function createUpstreamConnections (format: RequestFormat, clock: Clock, onConnect: (took: Milliseconds) => void, onSignals: (upstream: UpstreamRecord, signals: UpstreamSignals, sentAt: Milliseconds) => void): UpstreamConnections {
+export function createUpstreamConnections ({ format, clock, onConnected, onConnectionFailed, onSignals }: UpstreamConnectionsOptions): UpstreamConnections {
   const connector = buildConnector({ timeout: CONNECT_TIMEOUT })
 
   const pools = new Map<UpstreamIncarnation, IncarnationPool>()
   const limits = new Map<string, number>()
+  let lastHeardAt: Milliseconds | undefined
 
-  function poolOf (upstream: UpstreamRecord): Pool {
+  function poolOf (upstream: UpstreamRecord): IncarnationPool {
     const existing = pools.get(upstream.incarnation)
-    if (existing?.address === upstream.address) return existing.pool
+    if (existing?.address === upstream.address) return existing
     existing?.pool.close().catch(() => {})
     const pool = new Pool(`http://${upstream.address}`, {
       connections: limits.get(upstream.service) ?? DEFAULT_MAX_CONNECTIONS,
       pipelining: 1,
       keepAliveTimeout: DEFAULT_IDLE_TIMEOUT,
       keepAliveMaxTimeout: MAX_IDLE_TIMEOUT,
-      connect: timedConnect,
+      connect: (options, callback) => connectTo(upstream, options, callback),
       headersTimeout: 0,
       bodyTimeout: 0
     })
-    pools.set(upstream.incarnation, { address: upstream.address, pool })
-    return pool
+    const created: IncarnationPool = { address: upstream.address, pool, heardAt: existing?.heardAt }
+    pools.set(upstream.incarnation, created)
+    return created
   }
 
-  function timedConnect (options: buildConnector.Options, callback: buildConnector.Callback): void {
+  function connectTo (upstream: UpstreamRecord, options: buildConnector.Options, callback: buildConnector.Callback): void {
     const start = clock.now()
     connector(options, (...result) => {
-      if (result[0] === null) onConnect(clock.now() - start)
+      const took = Math.round(clock.now() - start)
+      if (result[0] === null) {
+        recordHeard(upstream)
+        onConnected?.(took)
+      } else {
+        onConnectionFailed?.({ upstream, error: result[0], took, silentFor: since(pools.get(upstream.incarnation)?.heardAt), allSilentFor: since(lastHeardAt) })
+      }
       callback(...result)
     })
   }
 
+  function recordHeard (upstream: UpstreamRecord): void {
+    lastHeardAt = clock.now()
+    const known = pools.get(upstream.incarnation)
+    if (known !== undefined) known.heardAt = lastHeardAt
+  }
+
+  function since (time: Milliseconds | undefined): Milliseconds | undefined {
+    return time === undefined ? undefined : Math.round(clock.now() - time)
+  }
+
   /** Reads and drops the short body of an answer, so that the connection can be reused, unless it takes too long. */
   function drainBody ({ body }: UpstreamAnswer): void {
     body.discard()
@@ -157,16 +198,17 @@
         else controller.abort(abortReason(signal))
       })
 
-      poolOf(upstream).dispatch({ method: request.method as Dispatcher.HttpMethod, path: request.path, headers: request.headers, body: request.body ?? null }, {
+      poolOf(upstream).pool.dispatch({ method: request.method as Dispatcher.HttpMethod, path: request.path, headers: request.headers, body: request.body ?? null }, {
         onRequestStart: (started) => {
           controller = started
           if (signal.aborted) started.abort(abortReason(signal))
         },
         onResponseStart: (started, status, headers) => {
+          recordHeard(upstream)
           if (status < SUCCESS) return
           incoming = createIncomingBody(started)
           const head = format.readAnswer(headers, status)
-          if (isFromUpstream(upstream, request.id, head, status)) onSignals(upstream, head.signals, sentAt)
+          if (isFromUpstream(upstream, request.id, head, status)) onSignals?.(upstream, head.signals, sentAt)
           // Closing the connection of a rejected answer calls `onResponseError` at once.
           isStarted = true
           const answer: UpstreamAnswer = { status, headers, body: incoming.body }
@@ -175,7 +217,10 @@
           if (result.kind === 'not-run') drainBody(answer)
           resolve(result)
         },
-        onResponseData: (_controller, chunk) => incoming?.push(chunk),
+        onResponseData: (_controller, chunk) => {
+          recordHeard(upstream)
+          incoming?.push(chunk)
+        },
         onResponseEnd: () => {
           stopListening()
           incoming?.end()
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -111,7 +111,13 @@
   const dispatchQueues = createDispatchQueues({ clock, random, log, upstreamCount: (service) => upstreams.notLeaving(service, new Set()).length })
   const upstreams = wakeOnChange(createUpstreamView(backpressure), dispatchQueues.wake)
   metrics.family('dispatch_queue', 'service', dispatchQueues.sizes)
-  const connections = createUpstreamConnections(platform.format, clock, (took) => metrics.record('connecting', took), backpressure.heard)
+  const connections = createUpstreamConnections({
+    format: platform.format,
+    clock,
+    onConnected: (took) => metrics.record('connecting', took),
+    onConnectionFailed: ({ upstream, error, took, silentFor, allSilentFor }) => log.info('connection-failed', { upstream: upstream.id, error: String(error), took, silentFor, allSilentFor }),
+    onSignals: backpressure.heard
+  })
   const speeds = createEngineSpeeds()
   const quotas = createQuotaLimiter(random, bounds.quotaMargin)
   const quarantine = createQuarantine()
--- a/test/gateway/stream-relay.test.ts
+++ b/test/gateway/stream-relay.test.ts
@@ -53,7 +53,7 @@
       response.on('drain', send)
       send()
     })
-    const connections = createUpstreamConnections(createRequestFormat(), clock, () => {}, () => {})
+    const connections = createUpstreamConnections({ format: createRequestFormat(), clock })
     const progress: StreamProgress = { lastId: undefined, events: 0 }
     let finish = (_end: RelayEnd): void => {}
     const end = new Promise<RelayEnd>((resolve) => { finish = resolve })
