Failing test: nodes without a path to any upstream serve none of their callers (RECOVER)

Two of four nodes lose the paths to all upstreams. From three seconds later on none of 72 first attempts there is served, whether connections hang or are reset first; all are at the other nodes. Where live connections go on and new ones are refused, callers are served. A path that hangs is a relay on a thread that is blocked, so that the kernel drops what it would.

--- a/stand-ins/machines/deployment.ts
+++ b/stand-ins/machines/deployment.ts
@@ -4,6 +4,7 @@
 import type { Clock } from '../../src/clock.js'
 import { startGatewayNode } from '../../src/gateway/node.js'
 import type { GatewayNode } from '../../src/gateway/node.js'
+import type { Registry } from '../../src/gateway/ports.js'
 import type { GatewaySettings } from '../../src/gateway/settings.js'
 import { createLog } from '../../src/log.js'
 import { createFreshConnections } from '../../src/protocols/http.js'
@@ -26,6 +27,8 @@
   register (upstream: UpstreamStandIn, record?: object): void
   unregister (upstream: UpstreamStandIn): void
   startNode (name: string): Promise<GatewayNode>
+  /** @param pathTo returns the address at which the node reaches an upstream with this registered address */
+  startNodeWithPaths (name: string, pathTo: (address: string) => string): Promise<GatewayNode>
   close (): Promise<void>
 }
 
@@ -63,12 +66,13 @@
     })
   }
 
-  async function startNode (name: string): Promise<GatewayNode> {
+  async function startNodeWithPaths (name: string, pathTo: (address: string) => string): Promise<GatewayNode> {
     const settings = createSettings(name)
     const connections = createFreshConnections(CONNECTIONS)
+    const platform = createPlatform(() => settings, connections)
     const node = await startGatewayNode({
       settings,
-      platform: createPlatform(() => settings, connections),
+      platform: { ...platform, registry: redirect(platform.registry, pathTo) },
       clock,
       random: createRandom(startedNodes),
       log: createLog(name, 'info', clock.wall, (line) => { lines.push(JSON.parse(line)) })
@@ -92,10 +96,22 @@
       const entry = store.store.get(STORE_KEY.upstreams + upstream.id)
       if (entry !== undefined) store.store.compareAndDelete(entry.key, entry.revision)
     },
-    startNode,
+    startNode: (name) => startNodeWithPaths(name, (address) => address),
+    startNodeWithPaths,
     close: async () => {
       await Promise.all(closeActions.map((close) => close()))
       await Promise.all([store.kill(), api.kill()])
     }
   }
 }
+
+/** Replaces the addresses of upstreams that a registry returns. */
+function redirect (registry: Registry, pathTo: (address: string) => string): Registry {
+  return {
+    ...registry,
+    readUpstream: (id, value) => {
+      const parsed = registry.readUpstream(id, value)
+      return parsed.kind === 'usable' ? { ...parsed, record: { ...parsed.record, address: pathTo(parsed.record.address) } } : parsed
+    }
+  }
+}
