Closed and folded reports are logged

A node that dies after the end of an hour leaves no gap in the report (KNOWN), and no line said that a report had been closed or folded, so that a log could not tell a report that nobody gives up from a gap that is lost later. One line each, once an hour and node; no decision changed.

--- a/src/entry/report-writer.ts
+++ b/src/entry/report-writer.ts
@@ -142,7 +142,10 @@
     pending = undefined
     progress.finished = sent.snapshot.state.kind === 'final'
     usage = { ...usage, confirmedAt: clock.now() }
-    if (isClosed(sent.snapshot.state)) return startEpoch()
+    if (isClosed(sent.snapshot.state)) {
+      log.info('report-closed', { epoch: sent.snapshot.epoch, sequence: sent.snapshot.sequence, state: sent.snapshot.state.kind })
+      return startEpoch()
+    }
     confirmed = sent
     revision = storedRevision
   }
--- a/src/planner/report-folder.ts
+++ b/src/planner/report-folder.ts
@@ -206,6 +206,7 @@
 async function foldSnapshots (options: FoldOptions, closed: readonly StoredSnapshot[], signal: AbortSignal): Promise<void> {
   const snapshots = closed.map((stored) => stored.snapshot)
   for (const key of totalKeysOf(snapshots)) await addToTotal(options, key, snapshots, signal)
+  for (const { incarnation, epoch, sequence, state } of snapshots) options.log.info('report-folded', { incarnation, epoch, sequence, state: state.kind })
   for (const { entry } of closed) await options.keyValue.compareAndDelete(entry.key, entry.revision, signal)
 }
 
