A first report that is written twice is counted once

A report left out what a node had counted, without a gap. The reply to the node's first write was lost, the planner gave the report up, folded and deleted it, and the node wrote it again: its condition that the key is absent held a second time. The epoch's name was in the totals by then, so all that followed in that epoch was ignored.

After a write that was repeated and had to find its key absent, the writer looks its epoch up in the totals: a report that had been carried out and deleted is in there, and the rest moves to a new epoch as after any return.

--- a/src/entry/report-writer.ts
+++ b/src/entry/report-writer.ts
@@ -15,7 +15,7 @@
 import type { Incarnation, InstanceName } from '../identifiers.js'
 import type { Log } from '../log.js'
 import { ABSENT } from '../protocols/key-value.js'
-import type { KeySwap, KeyValueEntry, TransactionalKeyValue } from '../protocols/key-value.js'
+import type { KeySwap, KeyValueEntry, SwapAllResult, TransactionalKeyValue } from '../protocols/key-value.js'
 import type { Random } from '../random.js'
 import { COMMON_PART, decodeSnapshot, decodeTotal, encodeSnapshot, isClosed, periodOf, snapshotKey, snapshotName, totalKey } from '../report/index.js'
 import type { CountingLedger, EpochCounts, Snapshot } from '../report/index.js'
@@ -91,6 +91,8 @@
   readonly sent: SentSnapshot
   /** First snapshot of the next epoch, written together with the snapshot that closes an epoch. */
   readonly opened: SentSnapshot | undefined
+  /** An earlier attempt had no reply and may have been carried out. */
+  isRepeated: boolean
 }
 
 /**
@@ -112,7 +114,7 @@
 
   function prepareWrite (kind: 'counting' | 'closed' | 'final'): PendingWrite {
     const sent = encode(kind, kind === 'counting' ? ledger.snapshot() : ledger.closeEpoch(), returned)
-    return { sent, opened: kind === 'closed' ? encode('counting', ledger.snapshot(), undefined) : undefined }
+    return { sent, opened: kind === 'closed' ? encode('counting', ledger.snapshot(), undefined) : undefined, isRepeated: false }
   }
 
   function encode (kind: 'counting' | 'closed' | 'final', counts: EpochCounts, revokedGap: Snapshot['returned']): SentSnapshot {
@@ -143,14 +145,30 @@
 
   /** Repeats the pending write until its outcome is known, in at most {@link MAX_SETTLE_STEPS} attempts. */
   async function settlePending (taskSignal: AbortSignal): Promise<void> {
-    for (let step = 0; pending !== undefined && step < MAX_SETTLE_STEPS; step += 1) {
-      const write = pending
-      const swaps = swapsOf(write)
-      const bytes = swaps.reduce((sum, { value }) => sum + value.length, 0)
-      usage = { ...usage, writes: usage.writes + 1, bytes: usage.bytes + bytes, lastBytes: bytes }
-      const result = await keyValue.compareAndSwapAll(swaps, taskSignal)
-      if (result.kind === 'swapped') confirm(write, result.revision)
-      else await resolveConflict(write, result.current, taskSignal)
+    for (let step = 0; step < MAX_SETTLE_STEPS; step += 1) {
+      if (!(await settleOnce(taskSignal))) return
+    }
+  }
+
+  /** @returns whether a write was pending */
+  async function settleOnce (taskSignal: AbortSignal): Promise<boolean> {
+    const write = pending
+    if (write === undefined) return false
+    const result = await attemptWrite(write, taskSignal)
+    if (result.kind === 'swapped') await confirmUnlessFolded(write, result.revision, taskSignal)
+    else await resolveConflict(write, result.current, taskSignal)
+    return true
+  }
+
+  async function attemptWrite (write: PendingWrite, taskSignal: AbortSignal): Promise<SwapAllResult> {
+    const swaps = swapsOf(write)
+    const bytes = swaps.reduce((sum, { value }) => sum + value.length, 0)
+    usage = { ...usage, writes: usage.writes + 1, bytes: usage.bytes + bytes, lastBytes: bytes }
+    try {
+      return await keyValue.compareAndSwapAll(swaps, taskSignal)
+    } catch (error) {
+      write.isRepeated = true
+      throw error
     }
   }
 
@@ -174,6 +192,17 @@
     revision = storedRevision
   }
 
+  /**
+   * Failure guarded against: an earlier attempt was carried out without a reply, and its report was given up, folded and deleted.
+   * A condition that the key is absent holds again then, and the epoch, whose name is in the totals, would be ignored from now on.
+   */
+  async function confirmUnlessFolded (write: PendingWrite, storedRevision: number, taskSignal: AbortSignal): Promise<void> {
+    const stored = write.opened ?? write.sent
+    const folded = write.isRepeated && revision === ABSENT ? await foldedSequence([stored], taskSignal) : undefined
+    confirm(write, storedRevision)
+    if (folded !== undefined) continueInNewEpoch(stored, folded, 'folded')
+  }
+
   /** Resets the state of the current key. The next snapshot is written under the key of a new epoch. */
   function startEpoch (): void {
     confirmed = undefined
@@ -189,7 +218,7 @@
   async function resolveConflict (write: PendingWrite, [current, next]: readonly (KeyValueEntry | undefined)[], taskSignal: AbortSignal): Promise<void> {
     const { sent, opened } = write
     if (opened !== undefined && await resolveOpened(write, opened, next, taskSignal)) return
-    if (current?.value === sent.text) return confirm(write, current.revision)
+    if (current?.value === sent.text) return confirmUnlessFolded(write, current.revision, taskSignal)
     if (current !== undefined) return resolveStored(sent, current)
     const folded = await foldedSequence([sent, confirmed], taskSignal)
     if (folded === undefined) revision = ABSENT
@@ -203,9 +232,13 @@
    * @returns whether the write was carried out
    */
   async function resolveOpened (write: PendingWrite, opened: SentSnapshot, next: KeyValueEntry | undefined, taskSignal: AbortSignal): Promise<boolean> {
+    if (next?.value === opened.text) {
+      await confirmUnlessFolded(write, next.revision, taskSignal)
+      return true
+    }
     if (next !== undefined) {
       confirm(write, next.revision)
-      if (next.value !== opened.text) resolveStored(opened, next)
+      resolveStored(opened, next)
       return true
     }
     const folded = await foldedSequence([opened], taskSignal)
--- a/test/planner/report-folder.test.ts
+++ b/test/planner/report-folder.test.ts
@@ -279,6 +279,32 @@
   }
 })
 
+// Guards against counts that are left out: the reply to a node's first report is lost, the report is given up and folded, and the node
+// writes it again under the same key, which is absent as before the first write.
+test('a node whose first report had its reply lost and was folded meanwhile is counted once', async () => {
+  for (const minutes of [20, 61]) {
+    const { clock, store, truth, work } = createFixture()
+    const own = connect(store)
+    const node = createCountingNode('entry-1', own.keyValue, clock)
+    const fold = createReportFolder(connect(store).keyValue, clock)
+    work(node, undefined, 3)
+    own.fates = ['lose-reply']
+    await assert.rejects(node.reporter.write())
+    await fold()
+    await clock.advance(minutes * MINUTE)
+    await fold()
+    for (const fate of ['lose-reply', 'answer'] as const) {
+      own.fates = [fate, fate]
+      await node.reporter.write().catch(() => {})
+    }
+    work(node, undefined, 3)
+    await settleReports([node], store, clock)
+    const report = reportOf(store, clock)
+    assertMatches(report.total.sums, truth)
+    assert.deepEqual(report.gaps, [])
+  }
+})
+
 /** Asserts that the reported sums do not exceed the actual numbers. A crash may hide counts but never adds any. */
 function assertNotAbove (sums: RequestSums, truth: Truth): void {
   assert.ok(sums.asked <= truth.asked, `asked ${sums.asked} of ${truth.asked}`)
