Nodes keep brittle upstreams within their room

An upstream may say in its answers that it is brittle (Server-Brittle): from seconds later it lets fewer requests wait, and falls over when it must refuse more than the number in a second.

The number is one more signal of answers. Upstreams that don't say so are chosen as before; the check asks for loads only where one does.

Test: four nodes with 80 callers before two upstreams with room for ten.

--- a/src/backpressure/index.ts
+++ b/src/backpressure/index.ts
@@ -1,5 +1,7 @@
 /** Backpressure from upstreams: announced departures, requested pauses and rate limits. */
 export type { UpstreamSignals } from './types.js'
+export { createBrittleness } from './brittleness.js'
+export type { Brittleness, UpstreamOccupancy } from './brittleness.js'
 export { createDepartures, reportedDeparturesSchema } from './departures.js'
 export type { Departures, ReportedDepartures } from './departures.js'
 export { createRequestedPauses } from './pauses.js'
--- a/src/backpressure/types.ts
+++ b/src/backpressure/types.ts
@@ -7,6 +7,10 @@
   readonly leaving: boolean
   /** Requests per second that the upstream accepts from all nodes together. Undefined if the answer names no limit. */
   readonly rateLimit: number | undefined
+  /**
+   * Number of requests per second beyond which the upstream falls over if it must refuse them. Undefined if it is not brittle.
+   */
+  readonly maxRefusals: number | undefined
   /**
    * Time in milliseconds for which this node must send no further requests, given when the upstream refused this
    * request.
--- a/src/gateway/attempt-records.ts
+++ b/src/gateway/attempt-records.ts
@@ -40,8 +40,11 @@
     case 'unreachable':
       pauseUpstream(context, upstream, reason)
       return
-    case 'no-connection':
     case 'full':
+      context.backpressure.refused(upstream.incarnation)
+      upstreams.health.full(upstream.incarnation, clock.now())
+      return
+    case 'no-connection':
       upstreams.health.full(upstream.incarnation, clock.now())
       return
     case 'another-upstream':
--- a/src/gateway/backpressure.ts
+++ b/src/gateway/backpressure.ts
@@ -1,5 +1,5 @@
 /** Backpressure of upstreams: rate limits, pauses and departures that upstreams announce in their answers. */
-import { createDepartures, createRateLimits, createRequestedPauses } from '../backpressure/index.js'
+import { createBrittleness, createDepartures, createRateLimits, createRequestedPauses } from '../backpressure/index.js'
 import type { RateLimitChange, ReportedDepartures, ReportedLimits, UpstreamSignals } from '../backpressure/index.js'
 import type { Clock, Milliseconds } from '../clock.js'
 import type { EventLog } from '../events/index.js'
@@ -16,6 +16,8 @@
 export interface Backpressure extends UpstreamAvailability {
   /** Processes the signals in an upstream's answer to a request sent at `sentAt`. */
   heard (upstream: UpstreamRecord, signals: UpstreamSignals, sentAt: Milliseconds): void
+  /** Records that the upstream refused a request of this node for want of room. */
+  refused (incarnation: UpstreamIncarnation): void
   /** Records that a request of this node is sent to the upstream. */
   taken (incarnation: UpstreamIncarnation, now: Milliseconds): void
   /** Returns the time until the upstream accepts a request of this node; 0 if it does now. */
@@ -28,6 +30,8 @@
   setNodes (nodes: readonly string[]): void
   /** Returns the number of upstreams with a rate limit. */
   limitedUpstreams (): number
+  /** Returns the number of upstreams that fall over when they must refuse too much. */
+  brittleUpstreams (): number
 }
 
 /** Options of {@link createBackpressure}. */
@@ -54,6 +58,7 @@
   const limits = createRateLimits(node)
   const departures = createDepartures()
   const pauses = createRequestedPauses()
+  const brittleness = createBrittleness()
 
   function logLimits (changes: readonly RateLimitChange[], source: SignalSource | 'shares'): void {
     for (const { incarnation, limit } of changes) {
@@ -79,19 +84,26 @@
       const now = clock.now()
       const change = limits.heard(upstream.incarnation, signals.rateLimit, sentAt, now)
       if (change !== undefined) logLimits([change], 'answer')
+      if (brittleness.heard(upstream.incarnation, signals.maxRefusals, sentAt, now)) log.info('upstream-brittle', { upstream: upstream.id, service: upstream.service, maxRefusals: signals.maxRefusals })
       if (signals.leaving && departures.heard(upstream.incarnation, now)) markLeaving(upstream.incarnation, 'answer')
       if (signals.retryAfter !== undefined) recordPause(upstream, signals.retryAfter, now)
     },
     isLeaving: departures.isLeaving,
-    accepts: (incarnation, now) => limits.allows(incarnation, now) && pauses.wait(incarnation, now) === 0,
+    accepts: (incarnation, now) => limits.allows(incarnation, now) && pauses.wait(incarnation, now) === 0 && brittleness.wait(incarnation, now) === 0,
+    hasRoom: brittleness.hasRoom,
+    refused: (incarnation) => brittleness.refused(incarnation, clock.now()),
     taken: limits.taken,
-    wait: (incarnation, now) => Math.max(limits.wait(incarnation, now), pauses.wait(incarnation, now)),
+    wait: (incarnation, now) => Math.max(limits.wait(incarnation, now), pauses.wait(incarnation, now), brittleness.wait(incarnation, now)),
     told: () => ({ limits: limits.told(clock.now()), departures: departures.told(clock.now()) }),
     observe: (others) => {
       logLimits(limits.observe(others.map((report) => report.limits), clock.now()), 'peer')
       for (const incarnation of departures.observe(others.map((report) => report.departures))) markLeaving(incarnation, 'peer')
     },
-    setNodes: (nodes) => logLimits(limits.setNodes(nodes, clock.now()), 'shares'),
-    limitedUpstreams: () => limits.all().length
+    setNodes: (nodes) => {
+      brittleness.setNodeCount(nodes.length)
+      logLimits(limits.setNodes(nodes, clock.now()), 'shares')
+    },
+    limitedUpstreams: () => limits.all().length,
+    brittleUpstreams: brittleness.count
   }
 }
--- a/src/gateway/node-metrics.ts
+++ b/src/gateway/node-metrics.ts
@@ -52,6 +52,7 @@
   metrics.gauge('upstreams_relayed', connections.relayedCount)
   metrics.gauge('tunnels_open', options.tunnels)
   metrics.gauge('upstreams_limited', options.backpressure.limitedUpstreams)
+  metrics.gauge('upstreams_brittle', options.backpressure.brittleUpstreams)
   metrics.gauge('nodes_known', () => sources().nodes)
   metrics.gauge('nodes_live', () => fleet.others().reduce((sum, { nodes }) => sum + nodes, 1))
   metrics.gauge('nodes_oldest_ms', fleet.maxSilence)
--- a/src/gateway/upstream-view.ts
+++ b/src/gateway/upstream-view.ts
@@ -1,4 +1,5 @@
 /** This node's view of the upstreams: their registry records, and the load that this node and the other nodes put on them. */
+import type { UpstreamOccupancy } from '../backpressure/index.js'
 import type { Milliseconds } from '../clock.js'
 import { createAnswerTimes, createSlotTimes, createSpeedRatios, createUpstreamDelays, createUpstreamHealth, createUpstreamLoads, expectedWait } from '../placement/index.js'
 import type { AnswerTimes, Candidate, Choice, InFlight, InFlightRequest, MeanTimes, ReportedDelays, SlotTimes, UpstreamHealth, UpstreamIncarnation, UpstreamLoads, UpstreamRecord, UpstreamState } from '../placement/index.js'
@@ -18,9 +19,11 @@
   isLeaving (incarnation: UpstreamIncarnation): boolean
   /** The upstream accepts a request of this node now. */
   accepts (incarnation: UpstreamIncarnation, now: Milliseconds): boolean
+  /** A further request of this node is within the room of the upstream, where that matters. */
+  hasRoom (incarnation: UpstreamIncarnation, occupancy: () => UpstreamOccupancy): boolean
 }
 
-const ALWAYS_AVAILABLE: UpstreamAvailability = { isLeaving: () => false, accepts: () => true }
+const ALWAYS_AVAILABLE: UpstreamAvailability = { isLeaving: () => false, accepts: () => true, hasRoom: () => true }
 
 /** Times of upstreams that a node has observed. */
 export interface UpstreamTimes {
@@ -127,6 +130,10 @@
     return all().filter((upstream) => upstream.service === service && !upstream.leaving && !excluded.has(upstream.incarnation))
   }
 
+  function mayReceive ({ incarnation, slots }: UpstreamRecord, now: Milliseconds): boolean {
+    return availability.accepts(incarnation, now) && availability.hasRoom(incarnation, () => ({ own: loads.own(incarnation), all: loads.of(incarnation, now).requests, slots }))
+  }
+
   function candidateOf (upstream: UpstreamRecord, now: Milliseconds): Candidate {
     const { incarnation, service } = upstream
     return { upstream, load: loads.of(incarnation, now), delay: delays.of(incarnation, now), slowness: speedRatios.of(service, incarnation, now) }
@@ -177,7 +184,7 @@
     find: (incarnation) => all().find((record) => record.incarnation === incarnation),
     notLeaving,
     candidates: (service, excluded, now, admit = (present) => present) => {
-      const present = admit(notLeaving(service, excluded).filter(({ incarnation }) => availability.accepts(incarnation, now)))
+      const present = admit(notLeaving(service, excluded).filter((upstream) => mayReceive(upstream, now)))
       const usable = present.filter((upstream) => health.usable(upstream.incarnation, now))
       // If all upstreams have failed recently, an attempt at one of them is better than a certain refusal.
       return (usable.length > 0 ? usable : present).map((upstream) => candidateOf(upstream, now))
--- a/src/placement/upstream-loads.ts
+++ b/src/placement/upstream-loads.ts
@@ -22,6 +22,8 @@
   observe (others: ReadonlyMap<string, InFlight>, now: Milliseconds): void
   /** Another node has just dispatched a long prompt. */
   notePrefill (node: string, incarnation: UpstreamIncarnation, prefillTime: Milliseconds, now: Milliseconds): void
+  /** Number of requests of this node in flight. */
+  own (incarnation: UpstreamIncarnation): number
   /** Load of all nodes together. */
   of (incarnation: UpstreamIncarnation, now: Milliseconds): NodeLoad
 }
@@ -151,6 +153,7 @@
       loads.set(incarnation, addLoads(loads.get(incarnation), load))
       replaceReport(node, loads)
     },
+    own: (incarnation) => ownLoads.get(incarnation)?.requests.size ?? 0,
     of: (incarnation, now) => {
       const own = ownLoad(incarnation, now)
       let sum = reportedSums.get(incarnation)
--- a/stand-ins/machines/upstream.ts
+++ b/stand-ins/machines/upstream.ts
@@ -50,6 +50,8 @@
   readonly events?: number
   /** Pause before each event. */
   readonly pause?: Milliseconds
+  /** Time for which a plain request runs. */
+  readonly work?: Milliseconds
 }
 
 /** Complete events that an interrupted stream sends before its connection closes. */
@@ -61,7 +63,7 @@
  * @example
  * const upstream = await serveUpstream({ id: 'i-1', clock })
  */
-export async function serveUpstream ({ id, clock, events = 5, pause = 0 }: UpstreamStandInOptions): Promise<UpstreamStandIn> {
+export async function serveUpstream ({ id, clock, events = 5, pause = 0, work = 0 }: UpstreamStandInOptions): Promise<UpstreamStandIn> {
   const runs: Run[] = []
   const streaming = new Map<string, ServerResponse>()
   const moved = new Map<string, string>()
@@ -95,7 +97,7 @@
         return
       case 'answer':
       case 'break':
-        if (headers[HEADER.tokenUsage] === undefined) response.end(`answer of ${id}`)
+        if (headers[HEADER.tokenUsage] === undefined) await answer(response)
         else await stream(response, requestId, Number(headers[HEADER.lastEventId] ?? 0), behaviour === 'break')
     }
   }
@@ -114,6 +116,11 @@
     response.end(JSON.stringify({ handle: moved.get(requestId), created: 1 }))
   }
 
+  async function answer (response: ServerResponse): Promise<void> {
+    if (work > 0) await clock.sleep(work)
+    response.end(`answer of ${id}`)
+  }
+
   async function stream (response: ServerResponse, requestId: string, after: number, interrupted: boolean): Promise<void> {
     response.setHeader('content-type', 'text/event-stream')
     streaming.set(requestId, response)
--- /dev/null
+++ b/test/gateway/brittle-upstreams.test.ts
@@ -0,0 +1,81 @@
+/** Nodes and upstreams that fall over when they must refuse too much, through the platform adapter and the stand-ins. */
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { request } from 'undici'
+import { createSystemClock, SECOND } from '../../src/clock.js'
+import type { Milliseconds } from '../../src/clock.js'
+import { createMachineDeployment } from '../../stand-ins/machines/deployment.js'
+import { serveUpstream } from '../../stand-ins/machines/upstream.js'
+
+const clock = createSystemClock()
+const HOST = 'api.example'
+const NODE_COUNT = 4
+const SLOTS = 8
+
+/** Refusals in a second that an upstream bears. */
+const MAX_REFUSALS = 6
+
+/** Requests that an upstream takes at a time while it is brittle: its slots and a shorter queue. */
+const ROOM = 10
+const WORK: Milliseconds = 40
+
+/** Time from the first answer that names the number until the room shrinks. */
+const NOTICE: Milliseconds = 3 * SECOND
+const OBSERVED: Milliseconds = 4 * SECOND
+
+/** Callers of each node, each with a short pause between two requests: about twice what two upstreams serve. */
+const CALLERS = 20
+const CALL_INTERVAL: Milliseconds = 10
+
+const configuration = {
+  version: 1,
+  routes: [{ name: 'lookup', host: HOST, prefix: '/lookup/', kind: 'idempotent', timeoutMs: 1_000, targetLatencyMs: 200, service: 'plain', maxAttempts: 2 }],
+  services: [{ name: 'plain', maxConns: 500 }]
+}
+
+describe('an upstream that falls over when it must refuse too much', () => {
+  // Guards against nodes that fill an upstream as before while it says that it is brittle: its queue shrinks, it must refuse
+  // far more than it bears, and it falls over again and again.
+  it('refuses no more than it bears once all nodes have been told, and still serves', { timeout: 60_000 }, async () => {
+    const deployment = await createMachineDeployment(clock)
+    const upstreams = await Promise.all(['p-1', 'p-2'].map((id) => serveUpstream({ id, clock, work: WORK })))
+    const refusals: Milliseconds[][] = upstreams.map(() => [])
+    deployment.configure(configuration)
+    upstreams.forEach((upstream, index) => {
+      deployment.register(upstream, { slots: SLOTS })
+      upstream.setHeaders({ 'server-brittle': String(MAX_REFUSALS) })
+      upstream.setBehaviour(() => {
+        if (upstream.activeRequests() < ROOM) return 'answer'
+        refusals[index]!.push(clock.now())
+        return 'full'
+      })
+    })
+    const nodes = await Promise.all(Array.from({ length: NODE_COUNT }, (_, index) => deployment.startNode(`node-${index}`)))
+    const traffic = new AbortController()
+    let lastId = 0
+    const callers = nodes.flatMap((node) => Array.from({ length: CALLERS }, async () => {
+      while (!traffic.signal.aborted) {
+        lastId += 1
+        const { body } = await request(`http://${node.addresses.front}/lookup/x`, { headers: { host: HOST, 'x-hornbeamgap-request-id': `r${lastId}`, 'x-hornbeamgap-deadline-ms': '800' } })
+        await body.dump()
+        await clock.sleep(CALL_INTERVAL)
+      }
+    }))
+    await clock.sleep(NOTICE)
+    const from = clock.now()
+    const servedBefore = upstreams.map(({ runs }) => runs.length)
+    await clock.sleep(OBSERVED)
+    traffic.abort()
+    await Promise.all(callers)
+    const served = upstreams.map(({ runs }, index) => runs.length - servedBefore[index]!)
+    const most = refusals.map((times) => mostInASecond(times.filter((at) => at >= from)))
+    await deployment.close()
+    await Promise.all(upstreams.map((upstream) => upstream.close()))
+    assert.ok(most.every((count) => count <= MAX_REFUSALS), `${most.join(' and ')} refusals in a second, ${served.join(' and ')} requests run`)
+    assert.ok(served.every((count) => count >= SLOTS * OBSERVED / WORK / 4), `${served.join(' and ')} requests run`)
+  })
+})
+
+function mostInASecond (times: readonly Milliseconds[]): number {
+  return Math.max(0, ...times.map((start) => times.filter((at) => at >= start && at < start + SECOND).length))
+}
--- a/test/gateway/exchange.test.ts
+++ b/test/gateway/exchange.test.ts
@@ -51,7 +51,7 @@
   // leaving.
   it('reports the signals of its upstream, but not those of another upstream at the same address', async () => {
     const heard: UpstreamSignals[] = []
-    const leaving = { leaving: true, rateLimit: 2, retryAfter: undefined }
+    const leaving = { leaving: true, rateLimit: 2, maxRefusals: undefined, retryAfter: undefined }
     const head = 'X-Hornbeamgap-Request-Id: r1\r\nServer-Leaving: 1\r\nServer-Limit: 2\r\nContent-Length: 0\r\n\r\n'
     await exchangeWith((socket) => { socket.end(`HTTP/1.1 200 OK\r\n${head}`) }, heard)
     assert.deepEqual(heard, [leaving])
--- a/test/gateway/upstream-view.test.ts
+++ b/test/gateway/upstream-view.test.ts
@@ -40,7 +40,7 @@
   // record lapses, is read again, and requests go to the engine again.
   it('keeps a notice given in answers when the record lapses and is read again', () => {
     const leavingIncarnations = new Set([record(1).incarnation])
-    const view = createUpstreamView({ isLeaving: (incarnation) => leavingIncarnations.has(incarnation), accepts: () => true })
+    const view = createUpstreamView({ isLeaving: (incarnation) => leavingIncarnations.has(incarnation), accepts: () => true, hasRoom: () => true })
     view.put(record(1), 1)
     assert.equal(view.candidates('s', new Set(), 0).length, 0)
     view.remove('i', 2)
--- a/test/platform/platform.test.ts
+++ b/test/platform/platform.test.ts
@@ -116,7 +116,7 @@
 
 describe('headers of an answer', () => {
   const signalsOf = (status: number, headers: Record<string, string>): unknown => createRequestFormat().readAnswer(headers, status).signals
-  const nothing = { leaving: false, rateLimit: undefined, retryAfter: undefined }
+  const nothing = { leaving: false, rateLimit: undefined, maxRefusals: undefined, retryAfter: undefined }
 
   it('carry the upstream\'s signals to its callers', () => {
     assert.deepEqual(signalsOf(200, { 'server-limit': '1.5', 'server-leaving': '1' }), { ...nothing, leaving: true, rateLimit: 1.5 })
