Relays are asked in a nearby failure domain first

A relay drawn from all nodes carries bytes across failure domains twice, and across areas in deployments that have two. The first node that is asked is one of this node's or the upstream's domain; the others are drawn from all, since a whole domain may have lost its paths.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -80,7 +80,7 @@
  * Creates the connections, none of them open.
  *
  * @example
- * const connections = createUpstreamConnections({ format: platform.format, clock, random, relayNodes, onSignals: backpressure.heard })
+ * const connections = createUpstreamConnections({ format: platform.format, clock, random, relayNodes, failureDomain, onSignals: backpressure.heard })
  * const start = await connections.start(upstream, request, signal)
  */
 export function createUpstreamConnections (options: UpstreamConnectionsOptions): UpstreamConnections {
--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -3,6 +3,7 @@
 import type { Milliseconds } from '../clock.js'
 import { chooseAddresses, createSharedWallClock, MAX_FULL_MESH_NODES, aggregatorOrderFor, pickAggregators } from '../gossip/index.js'
 import type { FleetReport, NodeState, ReachableNode } from '../gossip/index.js'
+import type { RelayNode } from '../paths/index.js'
 import type { InFlight, UpstreamIncarnation } from '../placement/index.js'
 import { createConnections } from '../protocols/http.js'
 import type { BrokenRuns } from '../quarantine/index.js'
@@ -18,7 +19,6 @@
 import { createReachablePeers } from './reachable-peers.js'
 import type { StoreUpdateExchange } from './store-updates.js'
 import { createMemberReporter } from './reporting.js'
-import type { RelayNode } from './upstream-connector.js'
 
 /** State that a node reports about itself, without the fields of its record. */
 export type LocalReport = Omit<NodeState, keyof NodeRecord | 'sequence' | 'nodes'>
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -122,6 +122,7 @@
     clock,
     random,
     relayNodes: () => fleet.relayNodes(),
+    failureDomain: settings.failureDomain,
     onConnected: (took) => metrics.record('connecting', took),
     onConnectionFailed: ({ upstream, error, took, silentFor, allSilentFor }) => log.info('connection-failed', { upstream: upstream.id, error: String(error), took, silentFor, allSilentFor }),
     onPathLost: (upstream, relay) => log.info('path-lost', { upstream: upstream.id, relay }),
--- a/src/gateway/upstream-connector.ts
+++ b/src/gateway/upstream-connector.ts
@@ -3,7 +3,7 @@
 import { onAbort } from '../abort-listeners.js'
 import type { Clock, Milliseconds } from '../clock.js'
 import { createRelayPeers } from '../paths/index.js'
-import type { UpstreamPaths } from '../paths/index.js'
+import type { RelayNode, UpstreamPaths } from '../paths/index.js'
 import type { UpstreamRecord } from '../placement/index.js'
 import type { Random } from '../random.js'
 import { ServingError } from '../verdict.js'
@@ -11,13 +11,6 @@
 import type { StaggeredAttempt } from './staggered-attempts.js'
 import { connectSocket, openTunnel } from './tunnels.js'
 
-/** Another node that may relay connections. */
-export interface RelayNode {
-  readonly name: string
-  /** Address for requests of nodes. */
-  readonly peer: string
-}
-
 /** A connection to an upstream that has opened. */
 export interface OpenedConnection {
   readonly socket: Socket
@@ -40,6 +33,8 @@
   readonly paths: UpstreamPaths
   /** Other nodes that may relay connections now. */
   readonly relayNodes: () => readonly RelayNode[]
+  /** Failure domain of this node. */
+  readonly failureDomain: string
 }
 
 /**
@@ -56,10 +51,10 @@
 
 /**
  * @example
- * const connector = createUpstreamConnector({ clock, random, paths, relayNodes: fleet.peers })
+ * const connector = createUpstreamConnector({ clock, random, paths, relayNodes: fleet.relayNodes, failureDomain: settings.failureDomain })
  * const { socket } = await connector.connect(upstream)
  */
-export function createUpstreamConnector ({ clock, random, paths, relayNodes }: UpstreamConnectorOptions): UpstreamConnector {
+export function createUpstreamConnector ({ clock, random, paths, relayNodes, failureDomain }: UpstreamConnectorOptions): UpstreamConnector {
   const relays = createRelayPeers(random)
 
   async function openDirectly (upstream: UpstreamRecord, signal: AbortSignal): Promise<OpenedConnection> {
@@ -78,10 +73,10 @@
   }
 
   function relayAttempts (upstream: UpstreamRecord, limit: AbortSignal): StaggeredAttempt<OpenedConnection>[] {
-    const nodes = new Map(relayNodes().map((node) => [node.name, node]))
-    return relays.order([...nodes.keys()], clock.now()).map((name) => ({
+    const nearby = new Set([failureDomain, upstream.failureDomain])
+    return relays.order(relayNodes(), nearby, clock.now()).map((node) => ({
       delay: RELAY_STAGGER,
-      start: (signal) => withEither(signal, limit, (either) => openByRelay(nodes.get(name)!, upstream, either))
+      start: (signal) => withEither(signal, limit, (either) => openByRelay(node, upstream, either))
     }))
   }
 
--- a/src/gateway/upstream-pools.ts
+++ b/src/gateway/upstream-pools.ts
@@ -2,10 +2,11 @@
 import { Pool } from 'undici'
 import type { Clock, Milliseconds } from '../clock.js'
 import { createUpstreamPaths } from '../paths/index.js'
+import type { RelayNode } from '../paths/index.js'
 import type { UpstreamIncarnation, UpstreamRecord } from '../placement/index.js'
 import type { Random } from '../random.js'
 import { createUpstreamConnector } from './upstream-connector.js'
-import type { OpenedConnection, RelayNode } from './upstream-connector.js'
+import type { OpenedConnection } from './upstream-connector.js'
 
 /** A connection to an upstream that could not be opened. */
 export interface ConnectionFailure {
@@ -25,6 +26,8 @@
   readonly random: Random
   /** Other nodes that may relay connections now. */
   readonly relayNodes: () => readonly RelayNode[]
+  /** Failure domain of this node. */
+  readonly failureDomain: string
   /** Called with the time that each new connection took. */
   readonly onConnected?: (took: Milliseconds) => void
   readonly onConnectionFailed?: (failure: ConnectionFailure) => void
@@ -89,13 +92,13 @@
  * Creates the pools.
  *
  * @example
- * const pools = createUpstreamPools({ clock, random, relayNodes: fleet.relayNodes })
+ * const pools = createUpstreamPools({ clock, random, relayNodes: fleet.relayNodes, failureDomain: settings.failureDomain })
  * pools.of(upstream).dispatch(request, handler)
  */
 export function createUpstreamPools (options: UpstreamPoolsOptions): UpstreamPools {
-  const { clock, random, relayNodes, onConnected, onConnectionFailed, onPathLost, onPathRegained } = options
+  const { clock, random, relayNodes, failureDomain, onConnected, onConnectionFailed, onPathLost, onPathRegained } = options
   const paths = createUpstreamPaths()
-  const connector = createUpstreamConnector({ clock, random, paths, relayNodes })
+  const connector = createUpstreamConnector({ clock, random, paths, relayNodes, failureDomain })
   const pools = new Map<UpstreamIncarnation, IncarnationPool>()
   const limits = new Map<string, number>()
   let lastHeardAt = NEVER
--- a/src/paths/relay-peers.ts
+++ b/src/paths/relay-peers.ts
@@ -2,10 +2,21 @@
 import type { Milliseconds } from '../clock.js'
 import type { Random } from '../random.js'
 
-/** Other nodes as relays, by name. */
+/** Another node that may relay connections. */
+export interface RelayNode {
+  readonly name: string
+  readonly failureDomain: string
+  /** Address for requests of nodes. */
+  readonly peer: string
+}
+
+/** Other nodes as relays. */
 export interface RelayPeers {
-  /** @returns the nodes to ask, in order */
-  order (names: readonly string[], now: Milliseconds): string[]
+  /**
+   * @param nearby failure domains through which a relayed connection crosses no more domains than a direct one
+   * @returns the nodes to ask, in order
+   */
+  order (nodes: readonly RelayNode[], nearby: ReadonlySet<string>, now: Milliseconds): RelayNode[]
   /** The node has relayed a connection. */
   succeeded (name: string): void
   /** The node has refused, or did not answer in time. */
@@ -23,17 +34,23 @@
  *
  * @example
  * const relays = createRelayPeers(random)
- * for (const name of relays.order(names, clock.now())) ask(name)
+ * for (const node of relays.order(nodes, new Set(['lisbon-a']), clock.now())) ask(node)
  */
 export function createRelayPeers (random: Random): RelayPeers {
   const failedAt = new Map<string, Milliseconds>()
 
-  function order (names: readonly string[], now: Milliseconds): string[] {
-    const hasFailed = (name: string): boolean => now - (failedAt.get(name) ?? -Infinity) < FAILURE_MEMORY
-    const shuffled = names.map((name) => ({ name, place: random.fraction() + (hasFailed(name) ? 1 : 0) }))
+  function hasFailed (name: string, now: Milliseconds): boolean {
+    return now - (failedAt.get(name) ?? -Infinity) < FAILURE_MEMORY
+  }
+
+  function order (nodes: readonly RelayNode[], nearby: ReadonlySet<string>, now: Milliseconds): RelayNode[] {
+    for (const name of failedAt.keys()) if (!hasFailed(name, now)) failedAt.delete(name)
+    const shuffled = nodes.map((node) => ({ node, place: random.fraction() + (failedAt.has(node.name) ? 1 : 0) }))
     shuffled.sort((left, right) => left.place - right.place)
-    for (const name of failedAt.keys()) if (!hasFailed(name)) failedAt.delete(name)
-    return shuffled.slice(0, MAX_ASKED).map(({ name }) => name)
+    const ordered = shuffled.map(({ node }) => node)
+    // One alone, since a whole failure domain may have lost its paths.
+    const first = ordered.find(({ name, failureDomain }) => nearby.has(failureDomain) && !failedAt.has(name))
+    return (first === undefined ? ordered : [first, ...ordered.filter((node) => node !== first)]).slice(0, MAX_ASKED)
   }
 
   return {
--- a/test/gateway/exchange.test.ts
+++ b/test/gateway/exchange.test.ts
@@ -91,7 +91,7 @@
     })
     await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
     cleanups.push(() => new Promise((resolve) => server.close(resolve)))
-    const connections = createUpstreamConnections({ format: createRequestFormat(), clock: createSystemClock(), random: createRandom(1), relayNodes: () => [] })
+    const connections = createUpstreamConnections({ format: createRequestFormat(), clock: createSystemClock(), random: createRandom(1), relayNodes: () => [], failureDomain: 'a' })
     cleanups.unshift(() => connections.close())
     const upstream = upstreamRecord('i-1', { address: `127.0.0.1:${(server.address() as AddressInfo).port}`, slots: 1 })
     connections.setConnectionLimit(upstream.service, 1)
@@ -120,7 +120,7 @@
   }
 
   function start (port: number, heard: UpstreamSignals[] = []): Promise<ExchangeStart> {
-    const connections = createUpstreamConnections({ format: createRequestFormat(), clock: createSystemClock(), random: createRandom(1), relayNodes: () => [], onSignals: (_upstream, signals) => { heard.push(signals) } })
+    const connections = createUpstreamConnections({ format: createRequestFormat(), clock: createSystemClock(), random: createRandom(1), relayNodes: () => [], failureDomain: 'a', onSignals: (_upstream, signals) => { heard.push(signals) } })
     cleanups.unshift(() => connections.close())
     const upstream = upstreamRecord('i-1', { address: `127.0.0.1:${port}`, slots: 1 })
     return connections.start(upstream, { id: 'r1', method: 'GET', path: '/', headers: ['x-hornbeamgap-request-id', 'r1'], body: undefined }, new AbortController().signal)
--- a/test/gateway/stream-relay.test.ts
+++ b/test/gateway/stream-relay.test.ts
@@ -54,7 +54,7 @@
       response.on('drain', send)
       send()
     })
-    const connections = createUpstreamConnections({ format: createRequestFormat(), clock, random: createRandom(1), relayNodes: () => [] })
+    const connections = createUpstreamConnections({ format: createRequestFormat(), clock, random: createRandom(1), relayNodes: () => [], failureDomain: 'a' })
     const progress: StreamProgress = { lastId: undefined, events: 0 }
     let finish = (_end: RelayEnd): void => {}
     const end = new Promise<RelayEnd>((resolve) => { finish = resolve })
--- a/test/paths/upstream-paths.test.ts
+++ b/test/paths/upstream-paths.test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from 'node:test'
 import * as fc from 'fast-check'
 import { createRelayPeers, createUpstreamPaths } from '../../src/paths/index.js'
+import type { RelayNode } from '../../src/paths/index.js'
 import type { UpstreamIncarnation } from '../../src/placement/index.js'
 import { createRandom } from '../../src/random.js'
 
@@ -50,12 +51,15 @@
 })
 
 describe('the nodes that are asked to relay', () => {
+  const node = (name: string, failureDomain = 'a'): RelayNode => ({ name, failureDomain, peer: `${name}:1` })
+  const nowhere = new Set<string>()
+
   it('are some of the given ones, each once, and those that failed recently only after all others', () => {
-    fc.assert(fc.property(fc.uniqueArray(fc.string(), { maxLength: 20 }), fc.nat(), fc.nat({ max: 1_999 }), (names, seed, age) => {
+    fc.assert(fc.property(fc.uniqueArray(fc.string(), { maxLength: 20 }), fc.subarray(['a', 'b', 'c']), fc.nat(), fc.nat({ max: 1_999 }), (names, nearby, seed, age) => {
       const relays = createRelayPeers(createRandom(seed))
       const failing = new Set(names.filter((_name, index) => index % 2 === 0))
       for (const name of failing) relays.failed(name, 0)
-      const order = relays.order(names, age)
+      const order = relays.order(names.map((name, index) => node(name, 'abc'[index % 3])), new Set(nearby), age).map(({ name }) => name)
       assert.equal(new Set(order).size, order.length)
       assert.ok(order.every((name) => names.includes(name)))
       assert.equal(order.length, Math.min(5, names.length))
@@ -64,9 +68,20 @@
     }), { seed: 1 })
   })
 
+  // Guards against relayed bytes that cross failure domains twice, and against asking only nodes of a domain that lost all paths.
+  it('begin with one of a nearby failure domain, if one has not failed, and go on with any', () => {
+    const nodes = [...'abcdefgh'].map((name) => node(name, name < 'd' ? 'near' : 'far'))
+    const relays = createRelayPeers(createRandom(1))
+    const orders = Array.from({ length: 50 }, () => relays.order(nodes, new Set(['near']), 0))
+    assert.ok(orders.every(([first]) => first?.failureDomain === 'near'))
+    assert.ok(orders.every((order) => order.some(({ failureDomain }) => failureDomain === 'far')))
+    for (const name of 'abc') relays.failed(name, 0)
+    assert.ok(relays.order(nodes, new Set(['near']), 1).every(({ failureDomain }) => failureDomain === 'far'))
+  })
+
   it('are asked as before once they have relayed, or two seconds after they failed', () => {
     const relays = createRelayPeers(createRandom(1))
-    const firstOf = (now: number): Set<string | undefined> => new Set(Array.from({ length: 50 }, () => relays.order(['a', 'b'], now)[0]))
+    const firstOf = (now: number): Set<string | undefined> => new Set(Array.from({ length: 50 }, () => relays.order([node('a'), node('b')], nowhere, now)[0]?.name))
     relays.failed('a', 0)
     assert.deepEqual(firstOf(1_999), new Set(['b']))
     assert.equal(firstOf(2_000).size, 2)
