Nodes to relay are chosen when one is asked, and one that is outrun counts as failed

Each new connection ranked all nodes, though few are relayed. A node that had lost the path too and hung was asked first again: its attempt ends when the next one succeeds, and such ends were not counted. It had 50 ms of its own, so it is asked last for two seconds. Found by reading; the tests of lost paths pass as before.

--- a/src/gateway/upstream-connector.ts
+++ b/src/gateway/upstream-connector.ts
@@ -2,7 +2,7 @@
 import type { Socket } from 'node:net'
 import { onAbort } from '../abort-listeners.js'
 import type { Clock, Milliseconds } from '../clock.js'
-import { createRelayPeers } from '../paths/index.js'
+import { createRelayPeers, MAX_ASKED_RELAYS } from '../paths/index.js'
 import type { RelayNode, UpstreamPaths } from '../paths/index.js'
 import type { UpstreamRecord } from '../placement/index.js'
 import type { Random } from '../random.js'
@@ -62,30 +62,36 @@
   }
 
   async function openByRelay ({ name, peer }: RelayNode, upstream: UpstreamRecord, signal: AbortSignal): Promise<OpenedConnection> {
+    const start = clock.now()
     try {
       const socket = await openTunnel(peer, upstream, signal)
       relays.succeeded(name)
       return { socket, relay: name }
     } catch (error) {
-      if (!signal.aborted) relays.failed(name, clock.now())
+      // A node that the next one outran has had its time. One that was not needed may be as good as any.
+      if (!signal.aborted || clock.now() - start >= RELAY_STAGGER) relays.failed(name, clock.now())
       throw error
     }
   }
 
+  /** The nodes are chosen when the first one is asked, since most connections open directly. */
   function relayAttempts (upstream: UpstreamRecord, limit: AbortSignal): StaggeredAttempt<OpenedConnection>[] {
-    const nearby = new Set([failureDomain, upstream.failureDomain])
-    return relays.order(relayNodes(), nearby, clock.now()).map((node) => ({
-      delay: RELAY_STAGGER,
-      start: (signal) => withEither(signal, limit, (either) => openByRelay(node, upstream, either))
-    }))
+    let asked: readonly RelayNode[] | undefined
+
+    async function openByNext (index: number, signal: AbortSignal): Promise<OpenedConnection> {
+      asked ??= relays.order(relayNodes(), new Set([failureDomain, upstream.failureDomain]), clock.now())
+      const node = asked[index]
+      if (node === undefined) throw new Error('no further node can be asked')
+      return withEither(signal, limit, (either) => openByRelay(node, upstream, either))
+    }
+
+    return Array.from({ length: MAX_ASKED_RELAYS }, (_, index) => ({ delay: index === 0 ? paths.headStart() : RELAY_STAGGER, start: (signal) => openByNext(index, signal) }))
   }
 
   function attemptsFor (upstream: UpstreamRecord, limit: AbortSignal): StaggeredAttempt<OpenedConnection>[] {
     const direct: StaggeredAttempt<OpenedConnection> = { delay: RELAY_STAGGER, start: (signal) => withEither(signal, limit, (either) => openDirectly(upstream, either)) }
-    const [first, ...others] = relayAttempts(upstream, limit)
-    if (first === undefined) return [direct]
-    if (paths.isRelayed(upstream.incarnation)) return [first, ...others, direct]
-    return [direct, { ...first, delay: paths.headStart() }, ...others]
+    const relayed = relayAttempts(upstream, limit)
+    return paths.isRelayed(upstream.incarnation) ? [...relayed, direct] : [direct, ...relayed]
   }
 
   async function withinTimeout<Result> (upstream: UpstreamRecord, open: (limit: AbortSignal) => Promise<Result>): Promise<Result> {
--- a/src/paths/relay-peers.ts
+++ b/src/paths/relay-peers.ts
@@ -24,7 +24,7 @@
 }
 
 /** Maximum number of nodes that are asked for one connection. Where two thirds of nine nodes are cut off, one of five is not in 55 of 56 cases. */
-const MAX_ASKED = 5
+export const MAX_ASKED_RELAYS = 5
 
 /** Time for which a node that has failed is asked after all others. Nodes that lost their paths refuse, and the loss lasts for seconds. */
 const FAILURE_MEMORY: Milliseconds = 2_000
@@ -50,7 +50,7 @@
     const ordered = shuffled.map(({ node }) => node)
     // One alone, since a whole failure domain may have lost its paths.
     const first = ordered.find(({ name, failureDomain }) => nearby.has(failureDomain) && !failedAt.has(name))
-    return (first === undefined ? ordered : [first, ...ordered.filter((node) => node !== first)]).slice(0, MAX_ASKED)
+    return (first === undefined ? ordered : [first, ...ordered.filter((node) => node !== first)]).slice(0, MAX_ASKED_RELAYS)
   }
 
   return {
