--- a/src/backpressure/brittleness.ts
+++ b/src/backpressure/brittleness.ts
@@ -6,6 +6,7 @@
  */
 import { SECOND } from '../clock.js'
 import type { Milliseconds } from '../clock.js'
+import { evictOldest } from '../evict-oldest.js'
 import type { UpstreamIncarnation } from '../placement/index.js'
 
 /** Requests in flight at an upstream, and its slots. */
@@ -70,11 +71,6 @@
   const known = new Map<UpstreamIncarnation, BrittleUpstream>()
   let nodes = 1
 
-  function evictOldest (): void {
-    const [oldest] = known.keys()
-    if (known.size > MAX_INCARNATIONS && oldest !== undefined) known.delete(oldest)
-  }
-
   return {
     heard: (incarnation, maxRefusals, sentAt, now) => {
       const before = known.get(incarnation)
@@ -82,7 +78,7 @@
       if (maxRefusals === undefined) return before !== undefined && sentAt >= before.heardAt && known.delete(incarnation)
       known.delete(incarnation)
       known.set(incarnation, { maxRefusals, heardAt: now, pausedUntil: before?.pausedUntil ?? -Infinity })
-      evictOldest()
+      evictOldest(known, MAX_INCARNATIONS)
       return before?.maxRefusals !== maxRefusals
     },
     refused: (incarnation, now) => {
--- a/src/backpressure/departures.ts
+++ b/src/backpressure/departures.ts
@@ -9,6 +9,7 @@
 import * as z from 'zod'
 import { SECOND } from '../clock.js'
 import type { Milliseconds } from '../clock.js'
+import { evictOldest } from '../evict-oldest.js'
 import { upstreamIncarnationSchema } from '../placement/index.js'
 import type { UpstreamIncarnation } from '../placement/index.js'
 
@@ -56,8 +57,7 @@
   function add (incarnation: UpstreamIncarnation): boolean {
     if (leaving.has(incarnation)) return false
     leaving.add(incarnation)
-    const [oldest] = leaving
-    if (leaving.size > MAX_INCARNATIONS && oldest !== undefined) leaving.delete(oldest)
+    evictOldest(leaving, MAX_INCARNATIONS)
     return true
   }
 
--- a/src/backpressure/rate-limits.ts
+++ b/src/backpressure/rate-limits.ts
@@ -9,6 +9,7 @@
 import * as z from 'zod'
 import { SECOND } from '../clock.js'
 import type { Milliseconds } from '../clock.js'
+import { evictOldest } from '../evict-oldest.js'
 import { score } from '../membership/rendezvous.js'
 import { upstreamIncarnationSchema } from '../placement/index.js'
 import type { UpstreamIncarnation } from '../placement/index.js'
@@ -153,15 +154,10 @@
     const since = known?.pause === undefined ? now : known.since
     limits.delete(incarnation)
     limits.set(incarnation, { rate, at, isDirect, pause, rank, since, lastSent: known?.lastSent ?? -Infinity })
-    evictOldest()
+    evictOldest(limits, MAX_INCARNATIONS)
     return known?.rate === rate && known?.pause === pause ? undefined : { incarnation, limit: rate === undefined ? undefined : { rate, pause } }
   }
 
-  function evictOldest (): void {
-    const [oldest] = limits.keys()
-    if (limits.size > MAX_INCARNATIONS && oldest !== undefined) limits.delete(oldest)
-  }
-
   function rankFor (incarnation: UpstreamIncarnation): number | undefined {
     if (!nodes.includes(node)) return undefined
     const ownScore = score(incarnation, node)
--- a/src/gateway/upstream-watcher.ts
+++ b/src/gateway/upstream-watcher.ts
@@ -1,5 +1,6 @@
 /** Watches the upstream records of the registry and updates the view of upstreams. */
 import type { Milliseconds } from '../clock.js'
+import { evictOldest } from '../evict-oldest.js'
 import { createEndedIncarnations, REGISTRY_SETTLE_TIME } from '../placement/index.js'
 import type { UpstreamRecord } from '../placement/index.js'
 import type { KeyValueEntry } from '../protocols/key-value.js'
@@ -57,8 +58,7 @@
   function rememberUnusable (key: string, reason: string): void {
     unusable.delete(key)
     unusable.set(key, reason)
-    const [oldest] = unusable.keys()
-    if (unusable.size > MAX_REMEMBERED_UNUSABLE && oldest !== undefined) unusable.delete(oldest)
+    evictOldest(unusable, MAX_REMEMBERED_UNUSABLE)
   }
 
   function put (registered: RegisteredUpstream, source: 'watch' | 'listing'): void {
