--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -16,6 +16,7 @@
 const upstreamFacts = {
   upstream: z.string(),
   service: z.string(),
+  version: z.string().optional(),
   address: z.string(),
   failureDomain: z.string(),
   reclaimable: z.boolean(),
@@ -104,7 +105,7 @@
   'usage-counts-unreadable': z.strictObject({ key: z.string() }).describe('the counts of one node were passed over'),
   'upstreams-ordered': z.strictObject({ ...orderFacts, running: count, load: z.number(), constraint: z.enum(['prefill', 'slots']), answer: z.string(), fencing: count }).describe('`load` engines are kept busy, by prefill or by slots, so `desired` are to run in this pool'),
   'order-unanswered': z.strictObject({ ...orderFacts, error }).describe('the order may still be carried out; it is repeated'),
-  'request-sent': z.strictObject({ request, upstream: z.string(), send: count, reading: duration, waiting: duration, candidates: count, tries: z.string().optional(), ...freshnessFacts }).describe('chosen among the candidates: `reading` of the prompt to be done there, `waiting` of other prompts before it; `tries` names a version that is rolled out'),
+  'request-sent': z.strictObject({ request, upstream: z.string(), send: count, reading: duration, waiting: duration, candidates: count, version: z.string().optional(), tries: z.string().optional(), lastEvent: z.string().optional(), resumes: z.string().optional(), ...freshnessFacts }).describe('chosen among the candidates: `reading` of the prompt to be done there, `waiting` of other prompts before it; `version` is that of the upstream, and `tries` names it where it is rolled out; a stream continues after `lastEvent`, and `resumes` names the attempt of the caller that began it'),
   'send-not-run': z.strictObject({ request, upstream: z.string(), reason: z.string() }).describe('the upstream did not run it and never will'),
   'attempt-broken': z.strictObject({ request, upstream: z.string(), events: count, attempts: count, after: duration, reason: z.string() }).describe('it may have run and broke off after so many events'),
   'run-moved': z.strictObject({ request, upstream: z.string(), target: z.string(), outcome: z.string(), took: duration }).describe('its upstream leaves; the run goes on at the target unless the outcome says why not'),
--- a/src/gateway/attempt-records.ts
+++ b/src/gateway/attempt-records.ts
@@ -21,7 +21,10 @@
     reading: Math.round(prefill),
     waiting: Math.round(waiting),
     candidates,
+    version: upstream.version,
     tries: context.rollouts.roleOf(upstream) === 'tried' ? upstream.version : undefined,
+    lastEvent: proxied.progress.lastId,
+    resumes: proxied.accepted.head.resumes,
     ...context.freshness()
   })
 }
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -26,6 +26,8 @@
   readonly parts: readonly PromptPart[]
   /** Id of the event after which the caller resumes a stream. */
   readonly lastEvent: string | undefined
+  /** Id of the caller's attempt that brought the first event of the stream that is resumed. */
+  readonly resumes: string | undefined
 }
 
 /** Values that the node adds to a request for one upstream. */
--- a/src/gateway/upstream-watcher.ts
+++ b/src/gateway/upstream-watcher.ts
@@ -72,7 +72,7 @@
     if (change === undefined) return
     if (change === 'new') pruneConnections()
     if (change === 'leaving') onLeaving(record)
-    log.info(`upstream-${change}`, { upstream: record.id, service: record.service, address: record.address, failureDomain: record.failureDomain, reclaimable: record.reclaimable, leavesIn: record.leavesIn, source })
+    log.info(`upstream-${change}`, { upstream: record.id, service: record.service, version: record.version, address: record.address, failureDomain: record.failureDomain, reclaimable: record.reclaimable, leavesIn: record.leavesIn, source })
   }
 
   /** Applies the records that are still present: their upstreams are alive. */
