--- a/stand-ins/machines/upstream.ts
+++ b/stand-ins/machines/upstream.ts
@@ -37,8 +37,8 @@
   readonly moved: ReadonlyMap<string, string>
   /** Sets extra headers for all later responses. Replaces the headers set before. */
   setHeaders (headers: Readonly<Record<string, string>>): void
-  /** Sets the function that chooses the behaviour for each later request. */
-  setBehaviour (decide: () => Behaviour): void
+  /** Sets the function that chooses the behaviour for each later request, given the id of the event after which it resumes a stream. */
+  setBehaviour (decide: (lastEvent: string | undefined) => Behaviour): void
   close (): Promise<void>
 }
 
@@ -68,7 +68,7 @@
   const streaming = new Map<string, ServerResponse>()
   const moved = new Map<string, string>()
   let extraHeaders: Readonly<Record<string, string>> = {}
-  let decide = (): Behaviour => 'answer'
+  let decide = (_lastEvent: string | undefined): Behaviour => 'answer'
   let activeRequests = 0
 
   async function handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -80,7 +80,8 @@
     response.setHeader(HEADER.requestId, requestId)
     for (const [name, value] of Object.entries(extraHeaders)) response.setHeader(name, value)
     if (headers[HEADER.expectUpstream] !== undefined && headers[HEADER.expectUpstream] !== id) return refuse(response, 421)
-    const behaviour = decide()
+    const lastEvent = headers[HEADER.lastEventId] as string | undefined
+    const behaviour = decide(lastEvent)
     if (behaviour === 'full') return refuse(response, 503)
     runs.push({ id: requestId, method: request.method ?? '', path: request.url ?? '', headers, body: Buffer.concat(chunks).toString('utf8') })
     activeRequests += 1
@@ -98,7 +99,7 @@
       case 'answer':
       case 'break':
         if (headers[HEADER.tokenUsage] === undefined) await answer(response)
-        else await stream(response, requestId, Number(headers[HEADER.lastEventId] ?? 0), behaviour === 'break')
+        else await stream(response, requestId, Number(lastEvent ?? 0), behaviour === 'break')
     }
   }
 
