A stream that has begun continues at its version only

Callers got streams whose first events were of one version and whose last ones were of another. Cause: the next attempt of a broken stream chose among all upstreams that the roll-out admits; only moves of runs compared versions. Now the version of the upstream that sent the first event is part of the stream's progress, and the choice, and the time to wait by backpressure, are taken among upstreams of that version alone. A version that a roll-out avoids gets no continuation either, so such a stream ends.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -250,6 +250,7 @@
       response.writeHead(answer.status, context.format.answerHeaders(answer.headers))
     }
     events += count
+    progress.version ??= attempt.upstream.version
   }, attempt.signal)
   const location: RunLocation = await attempt.watchedRun?.location() ?? { kind: 'same' }
   if (proxied.signal.aborted) throw abortFailure(proxied)
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -82,7 +82,7 @@
   const giveBack = takeQuota(context, accepted)
   const service = chooseService(accepted.route, context.random) ?? ''
   context.retryBudget(service).request(arrival)
-  const proxied: ProxiedRequest = { accepted, request, response, body, fingerprint, arrival, limit, signal: controller.signal, service, side: undefined, tried: new Set(), upstream: undefined, attempts: 0, unrun: 0, deliveredAttempts: 0, progress: { lastId: head.lastEvent, events: 0 }, usageCounted: false, timeToFirstAnswer: undefined }
+  const proxied: ProxiedRequest = { accepted, request, response, body, fingerprint, arrival, limit, signal: controller.signal, service, side: undefined, tried: new Set(), upstream: undefined, attempts: 0, unrun: 0, deliveredAttempts: 0, progress: { lastId: head.lastEvent, events: 0, version: undefined }, usageCounted: false, timeToFirstAnswer: undefined }
   cleanup.push(() => { if (proxied.attempts === 0) giveBack() })
   return proxied
 }
--- a/src/gateway/stream-relay.ts
+++ b/src/gateway/stream-relay.ts
@@ -9,6 +9,8 @@
   /** Id of the last relayed event. */
   lastId: string | undefined
   events: number
+  /** Version of the upstream that sent the first event, the only one that may continue the stream; undefined before the first event. */
+  version: string | undefined
 }
 
 /** How the relay from one upstream ended. */
--- a/src/gateway/upstream-choice.ts
+++ b/src/gateway/upstream-choice.ts
@@ -1,6 +1,6 @@
 /** Chooses the upstream for the next attempt of a request. */
 import { chooseUpstream, ENGINE_COSTS, PLAIN_COSTS } from '../placement/index.js'
-import type { Choice, PlacementRequest } from '../placement/index.js'
+import type { Choice, PlacementRequest, UpstreamRecord } from '../placement/index.js'
 import type { GatewayContext } from './context.js'
 import type { ProxiedRequest } from './proxied-request.js'
 
@@ -16,11 +16,28 @@
   const { head, route } = proxied.accepted
   const placementRequest: PlacementRequest = { service: proxied.service, parts: head.parts, promptTokens: head.tokens?.prompt ?? 0, target: route.target, lostOnReclaim: route.kind === 'stream' && !route.resumable, streams: route.kind === 'stream' }
   const hasEngines = context.routeTable()?.service(proxied.service)?.hasEngines === true
-  proxied.side ??= context.rollouts.side(proxied.service)
-  // A request that failed at the version being rolled out is retried at the version that already serves.
-  const side = proxied.tried.size === 0 ? proxied.side : 'serving'
-  const candidates = context.upstreams.candidates(proxied.service, proxied.tried, now, (present) => context.rollouts.admit(proxied.service, side, present))
+  const candidates = context.upstreams.candidates(proxied.service, proxied.tried, now, (present) => admittedUpstreams(context, proxied, present))
   const choice = chooseUpstream(placementRequest, candidates, context.settings, hasEngines ? ENGINE_COSTS : PLAIN_COSTS, { speed: context.speeds.of(proxied.service), slotTime: context.upstreams.slotTimes.of(proxied.service, hasEngines) }, context.random)
   if (choice !== undefined) context.backpressure.taken(choice.upstream.incarnation, now)
   return choice
 }
+
+/**
+ * Whether an upstream runs the version that began the stream. What two versions write does not fit together.
+ *
+ * @returns true for a request of which no event has been relayed
+ * @example
+ * upstreams.filter((upstream) => canContinue(proxied, upstream))
+ */
+export function canContinue ({ progress }: ProxiedRequest, { version }: UpstreamRecord): boolean {
+  return progress.version === undefined || progress.version === version
+}
+
+/** Upstreams that the versions of the service allow: a stream that has begun stays at its version, and a roll-out selects those of other requests. */
+function admittedUpstreams ({ rollouts }: GatewayContext, proxied: ProxiedRequest, present: readonly UpstreamRecord[]): readonly UpstreamRecord[] {
+  const { service, tried, progress } = proxied
+  if (progress.version !== undefined) return present.filter((upstream) => canContinue(proxied, upstream) && rollouts.roleOf(upstream) !== 'avoided')
+  proxied.side ??= rollouts.side(service)
+  // A request that failed at the version being rolled out is retried at the version that already serves.
+  return rollouts.admit(service, tried.size === 0 ? proxied.side : 'serving', present)
+}
--- a/src/gateway/upstream-wait.ts
+++ b/src/gateway/upstream-wait.ts
@@ -8,7 +8,7 @@
 import type { DispatchDecision } from './dispatch-queues.js'
 import { abortFailure, NO_UPSTREAM_RETRY_AFTER, undispatchedFailure } from './proxied-request.js'
 import type { ProxiedRequest } from './proxied-request.js'
-import { tryChooseUpstream } from './upstream-choice.js'
+import { canContinue, tryChooseUpstream } from './upstream-choice.js'
 
 /** Organisation of requests without a key. */
 const ANONYMOUS = '' as OrganisationName
@@ -67,8 +67,8 @@
     base: context.speeds.of(service).base,
     bytes: proxied.body?.length ?? 0,
     answering: proxied.progress.events > 0,
-    // Few upstreams are left to a request that has tried some, and to one that tries the version of a roll-out.
-    get restricted () { return proxied.tried.size > 0 || proxied.side === 'tried' },
+    // Few upstreams are left to a request that has tried some, to one that tries the version of a roll-out, and to a stream that has begun.
+    get restricted () { return proxied.tried.size > 0 || proxied.side === 'tried' || proxied.progress.version !== undefined },
     choose,
     withheld: () => backpressureWait(context, proxied)
   }
@@ -83,8 +83,9 @@
  * Time until the first upstream accepts requests of this node again, if all of them have asked for fewer requests;
  * otherwise 0.
  */
-function backpressureWait ({ clock, upstreams, backpressure }: GatewayContext, { service, tried }: ProxiedRequest): Milliseconds {
-  const waits = upstreams.notLeaving(service, tried).map(({ incarnation }) => backpressure.wait(incarnation, clock.now()))
+function backpressureWait ({ clock, upstreams, backpressure }: GatewayContext, proxied: ProxiedRequest): Milliseconds {
+  const usable = upstreams.notLeaving(proxied.service, proxied.tried).filter((upstream) => canContinue(proxied, upstream))
+  const waits = usable.map(({ incarnation }) => backpressure.wait(incarnation, clock.now()))
   return waits.length === 0 ? 0 : Math.min(...waits)
 }
 
--- a/test/gateway/stream-relay.test.ts
+++ b/test/gateway/stream-relay.test.ts
@@ -55,7 +55,7 @@
       send()
     })
     const connections = createUpstreamConnections({ format: createRequestFormat(), clock, random: createRandom(1), relayNodes: () => [], failureDomain: 'a' })
-    const progress: StreamProgress = { lastId: undefined, events: 0 }
+    const progress: StreamProgress = { lastId: undefined, events: 0, version: undefined }
     let finish = (_end: RelayEnd): void => {}
     const end = new Promise<RelayEnd>((resolve) => { finish = resolve })
     const port = await serve((_request, response) => {
