--- a/test/gateway/stream-versions.test.ts
+++ b/test/gateway/stream-versions.test.ts
@@ -17,6 +17,9 @@
 const UPSTREAMS_PER_VERSION = 2
 const STREAMS = 32
 
+/** Streams that are resumed are to go on at least half as often as new ones begin. All new ones begin here. */
+const MIN_RESUMED_FRACTION = 1 / 2
+
 /** Number of events in a stream, and the pause before each. */
 const EVENTS = 5
 const EVENT_PAUSE: Milliseconds = 20
@@ -28,6 +31,26 @@
   services: [{ name: 'model', maxConns: 500, engine: { slots: 64, moves: false } }]
 }
 
+interface StreamAnswer {
+  readonly status: number
+  readonly events: readonly number[]
+}
+
+/** A stream that its caller has left. */
+interface BegunStream {
+  readonly id: string
+  readonly lastEvent: number
+}
+
+interface ResumedStream extends StreamAnswer {
+  readonly begun: BegunStream
+  readonly id: string
+}
+
+function eventsIn (text: string): number[] {
+  return [...text.matchAll(/^id: (\d+)$/gm)].map(([, event]) => Number(event))
+}
+
 describe('a stream of a service with upstreams of two versions', () => {
   let deployment: MachineDeployment
   let nodes: GatewayNode[]
@@ -56,15 +79,41 @@
     return `r${lastId}`
   }
 
-  function ask (node: GatewayNode, id: string): Promise<Awaited<ReturnType<typeof request>>> {
-    return request(`http://${node.addresses.front}/question/x`, { method: 'POST', body: 'a question', headers: { host: HOST, [HEADER.requestId]: id, [HEADER.deadline]: '2500', [HEADER.tokenUsage]: '100,10' } })
+  function ask (node: GatewayNode, id: string, begun?: BegunStream): Promise<Awaited<ReturnType<typeof request>>> {
+    const headers: Record<string, string> = { host: HOST, [HEADER.requestId]: id, [HEADER.deadline]: '2500', [HEADER.tokenUsage]: '100,10' }
+    if (begun !== undefined) Object.assign(headers, { [HEADER.lastEventId]: String(begun.lastEvent), [HEADER.resumes]: begun.id })
+    return request(`http://${node.addresses.front}/question/x`, { method: 'POST', body: 'a question', headers })
+  }
+
+  /** Begins a stream and leaves it after the first events that arrive. */
+  async function begin (node: GatewayNode): Promise<BegunStream> {
+    const id = nextId()
+    const { body } = await ask(node, id)
+    const { value } = await body[Symbol.asyncIterator]().next()
+    body.destroy()
+    return { id, lastEvent: eventsIn(String(value)).at(-1)! }
+  }
+
+  async function resume (node: GatewayNode, begun: BegunStream): Promise<ResumedStream> {
+    const id = nextId()
+    return { begun, id, ...await read(node, id, begun) }
+  }
+
+  /** Streams that went on at a version other than the one that began them, by the ids of their first attempts. */
+  function crossings (resumed: readonly ResumedStream[]): readonly string[] {
+    return resumed.filter(({ begun, id }) => versionsOf(begun.id, id).size > 1).map(({ begun }) => begun.id)
+  }
+
+  /** Streams of which the caller has received the rest. */
+  function wholeOnes (resumed: readonly ResumedStream[]): readonly ResumedStream[] {
+    return resumed.filter(({ begun, events }) => events.join() === EVENT_IDS.slice(begun.lastEvent).join())
   }
 
   /** Reads a whole answer. @returns its status and the ids of its events */
-  async function read (node: GatewayNode, id: string): Promise<{ readonly status: number, readonly events: readonly number[] }> {
-    const { statusCode, body } = await ask(node, id)
+  async function read (node: GatewayNode, id: string, begun?: BegunStream): Promise<StreamAnswer> {
+    const { statusCode, body } = await ask(node, id, begun)
     const text = await body.text().catch(() => '')
-    return { status: statusCode, events: [...text.matchAll(/^id: (\d+)$/gm)].map(([, event]) => Number(event)) }
+    return { status: statusCode, events: eventsIn(text) }
   }
 
   /** Versions of the upstreams that ran one of these attempts. */
@@ -80,4 +129,12 @@
     assert.deepEqual(ids.filter((id) => versionsOf(id).size > 1), [])
     for (const { events } of answers) assert.deepEqual(events, EVENT_IDS)
   })
+
+  // Guards against streams of two versions over a caller's tries: the caller loses its connection and resumes at a node that does not know the version.
+  it('continues at the version that began it when its caller resumes it at another node', { timeout: 30_000 }, async () => {
+    for (const upstream of upstreams.keys()) upstream.setBehaviour(() => 'answer')
+    const resumed = await Promise.all(Array.from({ length: STREAMS }, async (_, index) => resume(nodes[(index + 1) % nodes.length]!, await begin(nodes[index % nodes.length]!))))
+    assert.deepEqual(crossings(resumed), [])
+    assert.ok(wholeOnes(resumed).length >= STREAMS * MIN_RESUMED_FRACTION, `${wholeOnes(resumed).length} of ${STREAMS} went on`)
+  })
 })
