Callers resume streams at the version that began them

Callers that lost their node and resumed a stream elsewhere got events of two versions: in the users' record began at v1 and went on at v1.2. Cause: what a stream began with was known only to the node that relayed it, and a resumed stream went to any upstream of its service; Resumes was not read. Now the node that relays the first event of a resumable stream sends service and version to three nodes that follow from the stream's id (rendezvous, spread over failure domains), and a node that a caller resumes at asks five. Nothing waits for it, and the store is not called. While a service has had a single version for the last 30 s, as a fresh view shows, nothing is sent and that version is inferred; otherwise a stream of unknown origin is refused as not run. On split routes the stream stays at its service as well.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -15,6 +15,7 @@
 import { eventTimeout, firstAnswerTimeout, startWatchdog } from './response-watchdog.js'
 import type { Watchdog } from './response-watchdog.js'
 import { relayEvents } from './stream-relay.js'
+import { needsOriginRecord } from './stream-resumption.js'
 import type { VersionObservation } from './rollouts.js'
 import type { AbortReason } from './time-limit.js'
 
@@ -249,8 +250,8 @@
       recordAnswerStart(context, proxied, attempt.upstream)
       response.writeHead(answer.status, context.format.answerHeaders(answer.headers))
     }
+    if (progress.version === undefined) recordOrigin(context, proxied, attempt.upstream)
     events += count
-    progress.version ??= attempt.upstream.version
   }, attempt.signal)
   const location: RunLocation = await attempt.watchedRun?.location() ?? { kind: 'same' }
   if (proxied.signal.aborted) throw abortFailure(proxied)
@@ -265,6 +266,12 @@
   return { kind: 'done', outcome: 'served' }
 }
 
+/** From its first event on, the stream continues at this version only. */
+function recordOrigin (context: GatewayContext, { accepted, service, progress }: ProxiedRequest, { version }: UpstreamRecord): void {
+  progress.version = version
+  if (needsOriginRecord(context, accepted)) context.streamOrigins.began(accepted.head.id, { service, version })
+}
+
 /** Reads the whole answer before relaying it, so that a truncated answer can be retried or reported as a failure. */
 async function relayBufferedAnswer (context: GatewayContext, proxied: ProxiedRequest, attempt: Attempt, answer: UpstreamAnswer): Promise<DispatchResult> {
   const { response } = proxied
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -17,6 +17,7 @@
 import type { RequestSums } from './request-sums.js'
 import type { Rollouts } from './rollouts.js'
 import type { GatewaySettings } from './settings.js'
+import type { StreamOrigins } from './stream-origins.js'
 import type { UpstreamView } from './upstream-view.js'
 
 /** Times of a planned stop. */
@@ -63,6 +64,10 @@
   readonly retryBudget: (service: string) => RetryBudget
   /** Notifies other nodes of a long prompt that was just sent to an upstream. */
   readonly announcePrefill: (upstream: UpstreamIncarnation, prefill: Milliseconds) => void
+  /** Origins of streams that callers may resume. */
+  readonly streamOrigins: StreamOrigins
+  /** The only version of a service that any node may use now or has used lately; undefined if there may be several. */
+  readonly onlyVersion: (service: string) => string | undefined
   /** Routes of the configuration in force; undefined until a configuration is known. */
   readonly routeTable: () => RouteTable | undefined
   /** Wall-clock time agreed between the nodes, unaffected by steps of this instance's clock. */
--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -19,6 +19,8 @@
 import { createReachablePeers } from './reachable-peers.js'
 import type { StoreUpdateExchange } from './store-updates.js'
 import { createMemberReporter } from './reporting.js'
+import { createStreamOrigins } from './stream-origins.js'
+import type { StreamOrigins } from './stream-origins.js'
 
 /** State that a node reports about itself, without the fields of its record. */
 export type LocalReport = Omit<NodeState, keyof NodeRecord | 'sequence' | 'nodes'>
@@ -56,6 +58,7 @@
   wall (): Milliseconds
   /** Notifies other nodes of a prompt that was dispatched to an upstream and needs this prefill time there. */
   announcePrefill (upstream: UpstreamIncarnation, prefill: Milliseconds): void
+  readonly streamOrigins: StreamOrigins
   /** Removes this node's record from the store; an aggregator exchanges its state with some peers at once. */
   withdraw (): Promise<void>
   /** Closes the connections to other nodes. */
@@ -119,6 +122,8 @@
     exchange: (message) => gossip.answers.exchange(message),
     report: (message) => gossip.answers.report(message),
     configuration: () => gossip.answers.configuration(),
+    streamBegan: (stream, origin) => streamOrigins.answers.streamBegan(stream, origin),
+    streamOrigin: (stream) => streamOrigins.answers.streamOrigin(stream),
     reading: (notice) => {
       options.reading(notice)
       gossip.forwardPrefillNotice(notice)
@@ -131,6 +136,7 @@
   const reachable = createReachablePeers(clock, log, signal)
   const records = startNodeRegistration(context, self, { onOtherKeyDeleted: options.onOtherKeyDeleted, onLoaded: options.onRecordsLoaded })
   const localState = (): NodeState => ({ ...self, ...options.report(), nodes: 1, sequence: Math.round(clock.now()) })
+  const streamOrigins = createStreamOrigins({ clock, ownName: self.name, nodes: records.all, link, reachable, signal })
   const gossip = createGossipExchange({
     incarnation: self.incarnation,
     wall,
@@ -246,6 +252,7 @@
       if (records.all().length > MAX_FULL_MESH_NODES && prefill < MIN_ANNOUNCED_PREFILL) return
       gossip.announcePrefill(upstream, prefill, isMember() ? currentAggregator : undefined)
     },
+    streamOrigins,
     withdraw: async () => {
       if (!isMember()) gossip.exchangeUrgently()
       await records.withdraw()
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -20,6 +20,7 @@
 import type { ProxiedRequest } from './proxied-request.js'
 import { dispatchAttempt } from './attempt.js'
 import { mayAdmit } from './stopping-rule.js'
+import { findResumedOrigin } from './stream-resumption.js'
 import { abortAtEnd, createTimeLimit } from './time-limit.js'
 import type { AbortReason } from './time-limit.js'
 import { waitForUpstream } from './upstream-wait.js'
@@ -79,10 +80,11 @@
   const body = await readWholeBody(context, request, controller.signal)
   const fingerprint = fingerprintOf(request.url ?? '/', accepted.organisation?.name, body)
   if (context.quarantine.isRefused(fingerprint, clock.now())) throw refusal('overloaded', 'this request has crashed the upstreams that ran it', QUARANTINE_RETRY_AFTER)
+  const origin = await findResumedOrigin(context, accepted, controller.signal)
   const giveBack = takeQuota(context, accepted)
-  const service = chooseService(accepted.route, context.random) ?? ''
+  const service = origin?.service ?? chooseService(accepted.route, context.random) ?? ''
   context.retryBudget(service).request(arrival)
-  const proxied: ProxiedRequest = { accepted, request, response, body, fingerprint, arrival, limit, signal: controller.signal, service, side: undefined, tried: new Set(), upstream: undefined, attempts: 0, unrun: 0, deliveredAttempts: 0, progress: { lastId: head.lastEvent, events: 0, version: undefined }, usageCounted: false, timeToFirstAnswer: undefined }
+  const proxied: ProxiedRequest = { accepted, request, response, body, fingerprint, arrival, limit, signal: controller.signal, service, side: undefined, tried: new Set(), upstream: undefined, attempts: 0, unrun: 0, deliveredAttempts: 0, progress: { lastId: head.lastEvent, events: 0, version: origin?.version }, usageCounted: false, timeToFirstAnswer: undefined }
   cleanup.push(() => { if (proxied.attempts === 0) giveBack() })
   return proxied
 }
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -14,6 +14,7 @@
 import { repeat } from '../repeat.js'
 import type { RoutingConfiguration } from '../routing/index.js'
 import { createWorkMeter } from '../scaling/index.js'
+import { createServiceVersions } from '../stream-origins/index.js'
 import { createUsageWindows, windowOf } from '../usage/index.js'
 import { refusal } from './acceptance.js'
 import { answerFailure } from './answering.js'
@@ -133,6 +134,7 @@
   const speeds = createEngineSpeeds()
   const quotas = createQuotaLimiter(random, bounds.quotaMargin)
   const quarantine = createQuarantine()
+  const versions = createServiceVersions()
   const usage = createUsageWindows(bounds.usageWindow)
   const sums = createRequestSums(clock.now())
   const work = createWorkMeter()
@@ -215,12 +217,14 @@
     work,
     retryBudget,
     announcePrefill: fleet.announcePrefill,
+    streamOrigins: fleet.streamOrigins,
+    onlyVersion,
     routeTable: configuration.table,
     sharedWall: fleet.wall,
     freshness: sources,
     stop: () => stopping
   }
-  const upstreamsSubscription = watchUpstreams(followContext, platform.registry, upstreams, connections, bounds.upstreamDrain, evacuation.leaving)
+  const upstreamsSubscription = watchUpstreams(followContext, platform.registry, upstreams, connections, { drain: bounds.upstreamDrain, onSeen: ({ service, version }) => versions.seen(service, version, clock.now()), onLeaving: evacuation.leaving })
   const duties = platform.duties && startDuties({ context: followContext, settings, incarnation, calls: platform.duties, holder, fleet, usage, work, upstreams, speeds, carriesTraffic: rollouts.carriesTraffic, table: configuration.table })
 
   startRolloutDuty({ context: followContext, registry: platform.registry.rollouts, bounds: bounds.rollout, records: rolloutRecords, rollouts, upstreams, fleet, duty: holder })
@@ -265,6 +269,12 @@
     }
   }
 
+  /** A view that is older than the time within which changes are known may lack a version that other nodes use. */
+  function onlyVersion (service: string): string | undefined {
+    const age = ageOf(upstreamsSubscription)
+    return age === undefined || age > bounds.upstreamDrain ? undefined : versions.only(service, clock.now())
+  }
+
   function ageOf (subscription: PrefixSubscription): Milliseconds | undefined {
     const receivedAt = subscription.lastContactAt()
     return receivedAt === undefined ? undefined : Math.round(clock.now() - receivedAt)
--- a/src/gateway/peer-link.ts
+++ b/src/gateway/peer-link.ts
@@ -16,6 +16,8 @@
 import { createLinkFetch } from '../peer/fetch.js'
 import type { ByteCounter } from '../peer/fetch.js'
 import type { Connections } from '../protocols/http.js'
+import { streamIdSchema, streamOriginSchema } from '../stream-origins/index.js'
+import type { StreamId, StreamOrigin } from '../stream-origins/index.js'
 import { ServingError } from '../verdict.js'
 import { MAX_MESSAGE_BYTES, pack, unpack } from './packing.js'
 
@@ -32,6 +34,10 @@
 /** Notice of a long prompt that was dispatched to an upstream. */
 export type PrefillNotice = z.infer<typeof prefillNoticeSchema>
 
+const streamBeganSchema = z.object({ stream: streamIdSchema, origin: streamOriginSchema })
+
+const streamQuestionSchema = z.object({ stream: streamIdSchema })
+
 /** Handlers for the requests of other nodes. */
 export interface PeerHandlers {
   /** Applies a peer's message and returns this node's message. */
@@ -40,6 +46,10 @@
   readonly report: (message: MemberMessage) => AggregatorAnswer
   /** Handles the notice of a long prompt that a peer has just dispatched to an upstream. */
   readonly reading: (notice: PrefillNotice) => void
+  /** Keeps the origin of a stream that a peer has begun to relay. */
+  readonly streamBegan: (stream: StreamId, origin: StreamOrigin) => void
+  /** The origin of a stream, if this node holds it. */
+  readonly streamOrigin: (stream: StreamId) => StreamOrigin | undefined
   /** Text of the configuration in force; undefined while there is none. */
   readonly configuration: () => string | undefined
 }
@@ -60,6 +70,9 @@
     exchange: trpc.procedure.input(z.string()).mutation(({ input }) => pack(handlers.exchange(unpack(gossipMessageSchema, input)))),
     report: trpc.procedure.input(z.string()).mutation(({ input }) => pack(handlers.report(unpack(memberMessageSchema, input)))),
     reading: trpc.procedure.input(prefillNoticeSchema).mutation(({ input }) => handlers.reading(input)),
+    streamBegan: trpc.procedure.input(streamBeganSchema).mutation(({ input }) => handlers.streamBegan(input.stream, input.origin)),
+    // A mutation, since queries of this link carry no input.
+    streamOrigin: trpc.procedure.input(streamQuestionSchema).mutation(({ input }) => ({ origin: handlers.streamOrigin(input.stream) ?? null })),
     configuration: trpc.procedure.query(() => ({ text: handlers.configuration() ?? null }))
   })
 }
@@ -74,7 +87,7 @@
  *
  * @returns a server that the caller starts and closes
  * @example
- * const server = createPeerLinkServer({ exchange, report, reading, configuration })
+ * const server = createPeerLinkServer({ exchange, report, reading, streamBegan, streamOrigin, configuration })
  */
 export function createPeerLinkServer (handlers: PeerHandlers): Server {
   const caller = trpc.createCallerFactory(createPeerRouter(handlers))({})
@@ -82,6 +95,8 @@
     exchange: { method: 'POST', call: (input) => caller.exchange(input as string) },
     report: { method: 'POST', call: (input) => caller.report(input as string) },
     reading: { method: 'POST', call: (input) => caller.reading(input as PrefillNotice) },
+    streamBegan: { method: 'POST', call: (input) => caller.streamBegan(input as z.infer<typeof streamBeganSchema>) },
+    streamOrigin: { method: 'POST', call: (input) => caller.streamOrigin(input as z.infer<typeof streamQuestionSchema>) },
     configuration: { method: 'GET', call: () => caller.configuration() }
   }
   return createServer((request, response) => {
--- /dev/null
+++ b/src/gateway/stream-origins.ts
@@ -0,0 +1,99 @@
+/**
+ * Replicates the origins of streams to other nodes and asks them for it.
+ *
+ * Failure guarded against: a caller loses its node in the middle of a stream and resumes at another one, which sends the rest to an
+ * upstream of another version. The caller names the stream by an id of its own, so the record is kept at nodes that follow from
+ * this id, and the node that began the stream may be gone.
+ */
+import type { Clock, Milliseconds } from '../clock.js'
+import { ASKED_HOLDERS, createOriginRecords, MAX_STREAM_ID_LENGTH, pickHolders, RECORD_HOLDERS } from '../stream-origins/index.js'
+import type { StreamId, StreamOrigin } from '../stream-origins/index.js'
+import { createTimeoutSignal } from '../timeout-signal.js'
+import type { NodeRecord } from './node-records.js'
+import type { PeerHandlers, PeerLink } from './peer-link.js'
+import type { ReachablePeers } from './reachable-peers.js'
+
+/** Origins of streams. */
+export interface StreamOrigins {
+  /** Keeps the origin of a stream whose first event is about to be relayed, here and at its holders. */
+  began (stream: StreamId, origin: StreamOrigin): void
+  /** @returns the origin of a stream as this node or a holder knows it; undefined if none does */
+  find (stream: StreamId, signal: AbortSignal): Promise<StreamOrigin | undefined>
+  /** Number of records that this node holds. */
+  size (): number
+  /** Handlers for the requests of other nodes. */
+  readonly answers: Pick<PeerHandlers, 'streamBegan' | 'streamOrigin'>
+}
+
+/** Dependencies of {@link createStreamOrigins}. */
+export interface StreamOriginsOptions {
+  readonly clock: Clock
+  readonly ownName: string
+  /** All registered nodes. */
+  readonly nodes: () => readonly NodeRecord[]
+  /** Returns the client for a peer's address. */
+  readonly link: (address: string) => PeerLink
+  readonly reachable: ReachablePeers
+  /** Aborts when this node stops. */
+  readonly signal: AbortSignal
+}
+
+/** Timeout of a record that is sent to a holder. */
+const TELL_TIMEOUT: Milliseconds = 500
+
+/** Time for which a holder that did not answer is sent no record. */
+const FAILURE_PAUSE: Milliseconds = 1_000
+
+/** Timeout of a question to the holders. A busy node answers within it. */
+const ASK_TIMEOUT: Milliseconds = 400
+
+/**
+ * Creates the origins of one node.
+ *
+ * @example
+ * const origins = createStreamOrigins({ clock, ownName, nodes, link, reachable, signal })
+ * origins.began('9c41d07be2a35f68', { service: 'plans', version: 'v2' })
+ */
+export function createStreamOrigins ({ clock, ownName, nodes, link, reachable, signal }: StreamOriginsOptions): StreamOrigins {
+  const records = createOriginRecords()
+
+  function holderAddresses (stream: StreamId, count: number): string[] {
+    return pickHolders(stream, nodes().filter(({ name }) => name !== ownName), count).map(({ peer }) => peer)
+  }
+
+  function tell (address: string, stream: StreamId, origin: StreamOrigin): void {
+    if (reachable.hasFailedWithin(address, FAILURE_PAUSE)) return
+    link(address).streamBegan.mutate({ stream, origin }, { signal: createTimeoutSignal(TELL_TIMEOUT, signal) })
+      .then(() => reachable.regained(address), (error) => reachable.lost(address, error))
+  }
+
+  async function ask (address: string, stream: StreamId, askSignal: AbortSignal): Promise<StreamOrigin> {
+    const { origin } = await link(address).streamOrigin.mutate({ stream }, { signal: askSignal })
+    if (origin === null) throw new Error(`${address} does not know the stream`)
+    return origin
+  }
+
+  async function askHolders (stream: StreamId, requestSignal: AbortSignal): Promise<StreamOrigin | undefined> {
+    const askSignal = createTimeoutSignal(ASK_TIMEOUT, requestSignal)
+    const answers = holderAddresses(stream, ASKED_HOLDERS).map((address) => ask(address, stream, askSignal))
+    // Answers that do not know the stream, and holders that are gone, leave its origin unknown, which the caller of `find` logs.
+    return Promise.any(answers).catch(() => undefined)
+  }
+
+  return {
+    began: (stream, origin) => {
+      if (stream.length > MAX_STREAM_ID_LENGTH) return
+      records.put(stream, origin, clock.now())
+      for (const address of holderAddresses(stream, RECORD_HOLDERS)) tell(address, stream, origin)
+    },
+    find: async (stream, requestSignal) => {
+      if (stream.length > MAX_STREAM_ID_LENGTH) return undefined
+      return records.find(stream, clock.now()) ?? askHolders(stream, requestSignal)
+    },
+    size: records.size,
+    answers: {
+      streamBegan: (stream, origin) => records.put(stream, origin, clock.now()),
+      streamOrigin: (stream) => records.find(stream, clock.now())
+    }
+  }
+}
--- /dev/null
+++ b/src/gateway/stream-resumption.ts
@@ -0,0 +1,53 @@
+/** Finds the service and the version at which a caller's resumed stream continues. */
+import type { Milliseconds } from '../clock.js'
+import { chooseService } from '../routing/index.js'
+import type { StreamOrigin } from '../stream-origins/index.js'
+import { refusal } from './acceptance.js'
+import type { AcceptedRequest } from './acceptance.js'
+import type { GatewayContext } from './context.js'
+
+/** `Retry-After` where the origin is unknown. Short, since another node may know it. */
+const UNKNOWN_ORIGIN_RETRY_AFTER: Milliseconds = 100
+
+/**
+ * Finds the origin of a stream that its caller resumes.
+ *
+ * @returns undefined if the request begins a stream, or is none
+ * @throws ServingError `not-run` if the stream cannot go on as it began
+ * @example
+ * const origin = await findResumedOrigin(context, accepted, signal)
+ */
+export async function findResumedOrigin (context: GatewayContext, accepted: AcceptedRequest, signal: AbortSignal): Promise<StreamOrigin | undefined> {
+  const { head, route } = accepted
+  if (head.lastEvent === undefined || route.kind !== 'stream') return undefined
+  const recorded = head.resumes === undefined ? undefined : await context.streamOrigins.find(head.resumes, signal)
+  const origin = recorded ?? inferOrigin(context, accepted)
+  const facts = { request: head.id, resumes: head.resumes, service: origin?.service, version: origin?.version }
+  if (origin === undefined) {
+    context.log.info('stream-resume-refused', { ...facts, reason: 'its origin is unknown', ...context.freshness() })
+    throw refusal('no-upstream', 'the version that began the stream is unknown', UNKNOWN_ORIGIN_RETRY_AFTER)
+  }
+  if (!route.destinations.some(({ service }) => service === origin.service)) {
+    context.log.info('stream-resume-refused', { ...facts, reason: 'its route leads to another service', ...context.freshness() })
+    throw refusal('no-upstream', 'the service that began the stream does not serve its route any more', UNKNOWN_ORIGIN_RETRY_AFTER)
+  }
+  context.log.info('stream-resumed', { ...facts, service: origin.service, version: origin.version, recorded: recorded !== undefined })
+  return origin
+}
+
+/** The origin of any recent stream of the route, if there is only one service and one version. */
+function inferOrigin ({ onlyVersion, random }: GatewayContext, { route }: AcceptedRequest): StreamOrigin | undefined {
+  const service = route.destinations.length > 1 ? undefined : chooseService(route, random)
+  const version = service === undefined ? undefined : onlyVersion(service)
+  return service === undefined || version === undefined ? undefined : { service, version }
+}
+
+/**
+ * Whether the origin of a stream must be recorded because other nodes cannot infer it.
+ *
+ * @example
+ * if (needsOriginRecord(context, accepted)) context.streamOrigins.began(accepted.head.id, origin)
+ */
+export function needsOriginRecord (context: GatewayContext, accepted: AcceptedRequest): boolean {
+  return accepted.route.resumable && inferOrigin(context, accepted) === undefined
+}
--- a/src/gateway/upstream-wait.ts
+++ b/src/gateway/upstream-wait.ts
@@ -66,7 +66,8 @@
     deadline: limit.deadline,
     base: context.speeds.of(service).base,
     bytes: proxied.body?.length ?? 0,
-    answering: proxied.progress.events > 0,
+    // The caller of a stream that has begun, here or elsewhere, holds a part of the answer already.
+    answering: proxied.progress.version !== undefined,
     // Few upstreams are left to a request that has tried some, to one that tries the version of a roll-out, and to a stream that has begun.
     get restricted () { return proxied.tried.size > 0 || proxied.side === 'tried' || proxied.progress.version !== undefined },
     choose,
--- a/src/gateway/upstream-watcher.ts
+++ b/src/gateway/upstream-watcher.ts
@@ -23,13 +23,21 @@
 /** Maximum number of characters of a key in a log line. Keys of the store may have 200. */
 const MAX_LOGGED_KEY_LENGTH = 100
 
+/** Options of {@link watchUpstreams}. */
+export interface UpstreamWatcherOptions {
+  /** Maximum time from the store's acceptance of a notice of leaving to the last request for that upstream. */
+  readonly drain: Milliseconds
+  /** Called with each usable record that is read, also with those of heartbeats that change nothing. */
+  readonly onSeen: (record: UpstreamRecord) => void
+  /** Called with each upstream that gives notice of leaving. */
+  readonly onLeaving: (record: UpstreamRecord) => void
+}
+
 /**
- * @param drain maximum time from the store's acceptance of a notice of leaving to the last request for that upstream
- * @param onLeaving called with each upstream that gives notice of leaving
  * @example
- * watchUpstreams(context, platform.registry, view, connections, 2 * SECOND, evacuation.leaving)
+ * watchUpstreams(context, platform.registry, view, connections, { drain: 2 * SECOND, onSeen, onLeaving: evacuation.leaving })
  */
-export function watchUpstreams (context: StoreContext, registry: Registry, view: UpstreamView, connections: Pick<UpstreamConnections, 'closeExcept'>, drain: Milliseconds, onLeaving: (record: UpstreamRecord) => void): PrefixSubscription {
+export function watchUpstreams (context: StoreContext, registry: Registry, view: UpstreamView, connections: Pick<UpstreamConnections, 'closeExcept'>, { drain, onSeen, onLeaving }: UpstreamWatcherOptions): PrefixSubscription {
   const { store, clock, log, signal } = context
   const prefix = registry.upstreamPrefix
   const endedIncarnations = createEndedIncarnations()
@@ -63,6 +71,7 @@
 
   function put (registered: RegisteredUpstream, source: 'watch' | 'listing'): void {
     const { record, revision } = registered
+    onSeen(record)
     if (endedIncarnations.mayBeStale(record.incarnation, clock.now())) {
       if (!doubtful.has(record.id)) log.warn('upstream-doubtful', { upstream: record.id, service: record.service })
       doubtful.set(record.id, registered)
--- a/src/membership/rendezvous.ts
+++ b/src/membership/rendezvous.ts
@@ -4,12 +4,10 @@
  * Every node ranks the same candidates in the same order, so watchers, the nodes of an organisation and successors are
  * determined without an election. A node that joins or leaves changes only its own assignments.
  */
-import type { FailureDomain, Incarnation } from '../identifiers.js'
-
 /** A node that is ranked. */
 export interface RankCandidate {
-  readonly incarnation: Incarnation
-  readonly failureDomain: FailureDomain
+  readonly incarnation: string
+  readonly failureDomain: string
 }
 
 const FNV_OFFSET = 0x811c9dc5
@@ -84,8 +82,8 @@
   return (mixed ^ (mixed >>> 16)) >>> 0
 }
 
-function groupByDomain<T extends RankCandidate> (ranked: readonly T[]): Map<FailureDomain, T[]> {
-  const groups = new Map<FailureDomain, T[]>()
+function groupByDomain<T extends RankCandidate> (ranked: readonly T[]): Map<string, T[]> {
+  const groups = new Map<string, T[]>()
   for (const candidate of ranked) {
     const group = groups.get(candidate.failureDomain) ?? []
     group.push(candidate)
--- a/test/gateway/peer-link.test.ts
+++ b/test/gateway/peer-link.test.ts
@@ -10,6 +10,7 @@
 import { closeServer, listen } from '../../src/protocols/listen.js'
 import { addressSchema } from '../../src/identifiers.js'
 import type { UpstreamIncarnation } from '../../src/placement/index.js'
+import type { StreamOrigin } from '../../src/stream-origins/index.js'
 
 const notice: PrefillNotice = { from: 'n', upstream: 'u' as UpstreamIncarnation, reading: 5, passTo: 'nobody' }
 
@@ -17,10 +18,13 @@
 // the server and the client of the tRPC library.
 describe('the link between nodes', () => {
   const notices: PrefillNotice[] = []
+  const origins = new Map<string, StreamOrigin>()
   const handlers: PeerHandlers = {
     exchange: (message) => message,
     report: () => { throw new Error('the report failed') },
     reading: (heard) => { notices.push(heard) },
+    streamBegan: (stream, origin) => { origins.set(stream, origin) },
+    streamOrigin: (stream) => origins.get(stream),
     configuration: () => 'text'
   }
   const connections = createConnections(4)
@@ -43,6 +47,9 @@
     for (const client of clients) {
       assert.deepEqual(await client.configuration.query(), { text: 'text' })
       assert.equal(await client.reading.mutate(notice), undefined)
+      assert.equal(await client.streamBegan.mutate({ stream: 's-1', origin: { service: 'plans', version: 'v2' } }), undefined)
+      assert.deepEqual(await client.streamOrigin.mutate({ stream: 's-1' }), { origin: { service: 'plans', version: 'v2' } })
+      assert.deepEqual(await client.streamOrigin.mutate({ stream: 's-2' }), { origin: null })
       await assert.rejects(client.report.mutate('no message'), /malformed message/)
       await assert.rejects(client.reading.mutate({ ...notice, passTo: 'strangers' as 'all' }), /passTo/)
     }
--- a/test/gateway/stream-versions.test.ts
+++ b/test/gateway/stream-versions.test.ts
@@ -20,6 +20,9 @@
 /** Streams that are resumed are to go on at least half as often as new ones begin. All new ones begin here. */
 const MIN_RESUMED_FRACTION = 1 / 2
 
+/** Time between two heartbeats of an upstream. */
+const HEARTBEAT: Milliseconds = 200
+
 /** Number of events in a stream, and the pause before each. */
 const EVENTS = 5
 const EVENT_PAUSE: Milliseconds = 20
@@ -137,4 +140,55 @@
     assert.deepEqual(crossings(resumed), [])
     assert.ok(wholeOnes(resumed).length >= STREAMS * MIN_RESUMED_FRACTION, `${wholeOnes(resumed).length} of ${STREAMS} went on`)
   })
+
+  // Guards against losing what a node knew with the node: its callers resume elsewhere, and no other node holds the version.
+  it('continues at its version when the node that began it is gone', { timeout: 30_000 }, async () => {
+    const departing = await deployment.startNode('departing')
+    while ((await read(departing, nextId())).status !== 200) await clock.sleep(EVENT_PAUSE)
+    const begun = await Promise.all(Array.from({ length: STREAMS }, () => begin(departing)))
+    await departing.stop()
+    const resumed = await Promise.all(begun.map((stream, index) => resume(nodes[index % nodes.length]!, stream)))
+    assert.deepEqual(crossings(resumed), [])
+    assert.ok(wholeOnes(resumed).length >= STREAMS * MIN_RESUMED_FRACTION, `${wholeOnes(resumed).length} of ${STREAMS} went on`)
+  })
+
+  // Guards against a node that restarts and takes up streams of its callers without knowing what they began with.
+  it('continues at its version at a node that has started since', { timeout: 30_000 }, async () => {
+    const begun = await Promise.all(Array.from({ length: STREAMS }, (_, index) => begin(nodes[index % nodes.length]!)))
+    const late = await deployment.startNode('late')
+    while ((await read(late, nextId())).status !== 200) await clock.sleep(EVENT_PAUSE)
+    const resumed = await Promise.all(begun.map((stream) => resume(late, stream)))
+    assert.deepEqual(crossings(resumed), [])
+    assert.ok(wholeOnes(resumed).length >= STREAMS * MIN_RESUMED_FRACTION, `${wholeOnes(resumed).length} of ${STREAMS} went on`)
+  })
+
+  // Guards against a guess: no node knows the stream, so any version may have begun it.
+  it('is refused as not run, with a time to come back, if no node knows its version', { timeout: 30_000 }, async () => {
+    const id = nextId()
+    const { statusCode, headers, body } = await ask(nodes[0]!, id, { id: 'unknown', lastEvent: 1 })
+    await body.dump()
+    assert.equal(statusCode, 503)
+    assert.ok(Number(headers['retry-after']) > 0)
+    assert.equal(versionsOf(id).size, 0)
+  })
+
+  // Guards against streams that are lost with their records although the service has a single version.
+  it('continues without a record where the service has had one version only', { timeout: 30_000 }, async () => {
+    const [kept] = VERSIONS
+    const single = await createMachineDeployment(clock)
+    try {
+      single.configure(configuration)
+      const [upstream] = [...upstreams].find(([, version]) => version === kept)!
+      upstream.setBehaviour(() => 'answer')
+      const heartbeat = setInterval(() => single.register(upstream, { service: 'model', slots: 64, version: kept }), HEARTBEAT)
+      try {
+        const node = await single.startNode('alone')
+        while ((await read(node, nextId(), { id: 'unknown', lastEvent: 1 })).status !== 200) await clock.sleep(EVENT_PAUSE)
+      } finally {
+        clearInterval(heartbeat)
+      }
+    } finally {
+      await single.close()
+    }
+  })
 })
--- a/test/gateway/upstream-watcher.test.ts
+++ b/test/gateway/upstream-watcher.test.ts
@@ -53,7 +53,7 @@
     const note = (event: string): void => { lines.push(event) }
     const context = { store: createStore(connections, () => server.address), clock, random: createRandom(2), log: { info: note, warn: note, error: note }, signal: shutdown.signal }
     const noConnections = { start: async () => ({ kind: 'broken' as const, reason: '' }), closeExcept: () => {}, open: () => 0, setConnectionLimit: () => {}, close: async () => {} }
-    watchUpstreams(context, createRegistry(), view, noConnections, 50, ({ id }) => { leavingIds.push(id) })
+    watchUpstreams(context, createRegistry(), view, noConnections, { drain: 50, onSeen: () => {}, onLeaving: ({ id }) => { leavingIds.push(id) } })
   }
 
   function write (id: string, record: object | string): void {
@@ -119,7 +119,7 @@
     const store = createDirectKeyValue(keys, createFaultSwitch(clock, random), clock)
     const view = createUpstreamView()
     const noConnections = { start: async () => ({ kind: 'broken' as const, reason: '' }), closeExcept: () => {}, open: () => 0, setConnectionLimit: () => {}, close: async () => {} }
-    watchUpstreams({ store, clock, random, log: { info: () => {}, warn: () => {}, error: () => {} }, signal: shutdown.signal }, createRegistry(), view, noConnections, 2_000, () => {})
+    watchUpstreams({ store, clock, random, log: { info: () => {}, warn: () => {}, error: () => {} }, signal: shutdown.signal }, createRegistry(), view, noConnections, { drain: 2_000, onSeen: () => {}, onLeaving: () => {} })
     return {
       keys,
       write: (id: string) => { keys.put(`servers/${id}`, JSON.stringify(VALID_RECORD)) },
--- /dev/null
+++ b/test/stream-origins/stream-origins.test.ts
@@ -0,0 +1,78 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import * as fc from 'fast-check'
+import { SECOND } from '../../src/clock.js'
+import { createOriginRecords, createServiceVersions, pickHolders, RECORD_HOLDERS } from '../../src/stream-origins/index.js'
+import type { HolderCandidate } from '../../src/stream-origins/index.js'
+
+const origin = { service: 'plans', version: 'v1' }
+const otherOrigin = { service: 'plans', version: 'v2' }
+
+/** Two thirds of a deployment's nodes may be killed at once. */
+const KILLED_FRACTION = 2 / 3
+
+/** Streams that are resumed are to go on at least half as often as new ones begin. */
+const MIN_RESUMED_FRACTION = 1 / 2
+const STREAMS = 400
+
+function createNodes (count: number): HolderCandidate[] {
+  return Array.from({ length: count }, (_, index) => ({ incarnation: `node-${index}`, failureDomain: `zone-${index % 3}` }))
+}
+
+describe('records of the origins of streams', () => {
+  it('keep the first origin of a stream', () => {
+    const records = createOriginRecords()
+    records.put('s', origin, 0)
+    records.put('s', otherOrigin, 1)
+    assert.deepEqual(records.find('s', 2), origin)
+  })
+
+  it('end a minute after the stream began, and are removed then', () => {
+    const records = createOriginRecords()
+    records.put('s', origin, 0)
+    assert.equal(records.find('s', 61 * SECOND), undefined)
+    records.put('t', origin, 61 * SECOND)
+    assert.equal(records.size(), 1)
+  })
+})
+
+describe('the holders of a record', () => {
+  it('are the same for all nodes that know the same nodes, and in different failure domains', () => {
+    fc.assert(fc.property(fc.string({ minLength: 1 }), fc.integer({ min: 3, max: 80 }), (stream, count) => {
+      const nodes = createNodes(count)
+      const holders = pickHolders(stream, nodes, RECORD_HOLDERS)
+      assert.deepEqual(pickHolders(stream, [...nodes].reverse(), RECORD_HOLDERS), holders)
+      assert.equal(new Set(holders.map(({ failureDomain }) => failureDomain)).size, Math.min(3, count))
+    }), { seed: 1 })
+  })
+
+  // Guards against losing most streams with the nodes that held their records.
+  it('leave at least half of the streams a holder when two thirds of the nodes are killed', () => {
+    fc.assert(fc.property(fc.integer({ min: 9, max: 80 }), fc.infiniteStream(fc.nat()), (count, random) => {
+      const nodes = createNodes(count)
+      const killed = new Set(nodes.map((node) => ({ node, place: random.next().value as number })).sort((left, right) => left.place - right.place).slice(0, Math.floor(count * KILLED_FRACTION)).map(({ node }) => node))
+      const streams = Array.from({ length: STREAMS }, (_, index) => `stream-${index}`)
+      const known = streams.filter((stream) => pickHolders(stream, nodes, RECORD_HOLDERS).some((holder) => !killed.has(holder)))
+      assert.ok(known.length >= STREAMS * MIN_RESUMED_FRACTION, `${known.length} of ${STREAMS}`)
+    }), { seed: 1, numRuns: 50 })
+  })
+})
+
+describe('the versions of a service', () => {
+  it('leave a single one only after three seconds without another', () => {
+    const versions = createServiceVersions()
+    versions.seen('plans', 'v1', 0)
+    assert.equal(versions.only('plans', 2 * SECOND), undefined)
+    assert.equal(versions.only('plans', 3 * SECOND), 'v1')
+    assert.equal(versions.only('other', 3 * SECOND), undefined)
+  })
+
+  it('count for half a minute after the last heartbeat of their upstreams', () => {
+    const versions = createServiceVersions()
+    versions.seen('plans', 'v1', 0)
+    versions.seen('plans', 'v2', 4 * SECOND)
+    assert.equal(versions.only('plans', 5 * SECOND), undefined)
+    versions.seen('plans', 'v2', 31 * SECOND)
+    assert.equal(versions.only('plans', 31 * SECOND), 'v2')
+  })
+})
