--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -1,14 +1,9 @@
 /** Settings of a gateway node: its location, its addresses and those of its peers, and the bounds of the deployment. */
 import type { Milliseconds } from '../clock.js'
+import type { HostPort } from '../host-port.js'
 import type { QuotaMargin, RetryBudgetOptions } from '../quota/index.js'
 import type { RolloutBounds } from '../rollout/index.js'
 
-/** Host and port of an address. */
-export interface HostPort {
-  readonly host: string
-  readonly port: number
-}
-
 /** Time limits and other bounds of the deployment that the node must keep. */
 export interface GatewayBounds {
   /** Maximum time from the store's acceptance of a notice of leaving to the last request for that upstream. */
@@ -62,13 +57,3 @@
   readonly mostDescriptors: number
   readonly bounds: GatewayBounds
 }
-
-/**
- * Formats an address as `host:port`.
- *
- * @example
- * addressOf({ host: '10.1.0.16', port: 8360 }) // '10.1.0.16:8360'
- */
-export function addressOf ({ host, port }: HostPort): string {
-  return `${host}:${port}`
-}
--- a/src/gateway/tunnels.ts
+++ b/src/gateway/tunnels.ts
@@ -9,6 +9,7 @@
 import type { Socket } from 'node:net'
 import { onAbort } from '../abort-listeners.js'
 import type { Clock, Milliseconds } from '../clock.js'
+import { hostPortOf } from '../host-port.js'
 import type { UpstreamIncarnation, UpstreamRecord } from '../placement/index.js'
 
 /** Names the incarnation of the upstream that the connection is for. */
@@ -116,7 +117,7 @@
  * const socket = await openTunnel('10.1.0.16:7500', upstream, signal)
  */
 export function openTunnel (peer: string, upstream: UpstreamRecord, signal: AbortSignal): Promise<Socket> {
-  const { host, port } = splitAddress(peer)
+  const { host, port } = hostPortOf(peer)
   return new Promise((resolve, reject) => {
     const outgoing = request({ host, port, method: 'CONNECT', path: upstream.address, headers: { [UPSTREAM_HEADER]: upstream.incarnation }, agent: false })
     const stopListening = onAbort(signal, () => outgoing.destroy(new Error('the connection is no longer needed')))
@@ -146,10 +147,5 @@
  * const socket = connectSocket('10.1.64.8:8106')
  */
 export function connectSocket (address: string): Socket {
-  return connect({ ...splitAddress(address), noDelay: true })
-}
-
-function splitAddress (address: string): { readonly host: string, readonly port: number } {
-  const separator = address.lastIndexOf(':')
-  return { host: address.slice(0, separator), port: Number(address.slice(separator + 1)) }
+  return connect({ ...hostPortOf(address), noDelay: true })
 }
--- a/src/protocols/listen.ts
+++ b/src/protocols/listen.ts
@@ -1,6 +1,7 @@
 /** Start and end of HTTP servers. */
 import type { Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
+import { hostPortOf } from '../host-port.js'
 import { addressSchema } from '../identifiers.js'
 import type { Address } from '../identifiers.js'
 
@@ -13,13 +14,13 @@
  * const address = await listen(server, settings.listen)
  */
 export async function listen (server: Server, address: Address): Promise<Address> {
-  const separator = address.lastIndexOf(':')
-  const host = address.slice(0, separator)
+  const { host, port } = hostPortOf(address)
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
-    server.listen(Number(address.slice(separator + 1)), host.replace(/^\[|\]$/g, ''), resolve)
+    server.listen(port, host, resolve)
   })
-  return addressSchema.parse(`${host}:${(server.address() as AddressInfo).port}`)
+  const boundPort = (server.address() as AddressInfo).port
+  return addressSchema.parse(address.replace(/\d+$/, String(boundPort)))
 }
 
 /**
