Origins of streams go over feeds, one connection to each holder

Change: a chunked request that stays open carries one line for each origin, and the holder confirms each part; unconfirmed for 2 s, it is opened anew. Also: an origin is inferred up to twice the age of a view up to which none is recorded.

--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -66,8 +66,8 @@
   readonly announcePrefill: (upstream: UpstreamIncarnation, prefill: Milliseconds) => void
   /** Origins of streams that callers may resume. */
   readonly streamOrigins: StreamOrigins
-  /** The only version of a service that any node may use now or has used lately; undefined if there may be several. */
-  readonly onlyVersion: (service: string) => string | undefined
+  /** The only version that a service has had lately; undefined if there may be several, or if the view of the upstreams is older than `maxAge`. */
+  readonly onlyVersion: (service: string, maxAge: Milliseconds) => string | undefined
   /** Routes of the configuration in force; undefined until a configuration is known. */
   readonly routeTable: () => RouteTable | undefined
   /** Wall-clock time agreed between the nodes, unaffected by steps of this instance's clock. */
--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -122,7 +122,7 @@
     exchange: (message) => gossip.answers.exchange(message),
     report: (message) => gossip.answers.report(message),
     configuration: () => gossip.answers.configuration(),
-    streamBegan: (stream, origin) => streamOrigins.answers.streamBegan(stream, origin),
+    streamBegan: (message) => streamOrigins.answers.streamBegan(message),
     streamOrigin: (stream) => streamOrigins.answers.streamOrigin(stream),
     reading: (notice) => {
       options.reading(notice)
@@ -136,7 +136,7 @@
   const reachable = createReachablePeers(clock, log, signal)
   const records = startNodeRegistration(context, self, { onOtherKeyDeleted: options.onOtherKeyDeleted, onLoaded: options.onRecordsLoaded })
   const localState = (): NodeState => ({ ...self, ...options.report(), nodes: 1, sequence: Math.round(clock.now()) })
-  const streamOrigins = createStreamOrigins({ clock, ownName: self.name, nodes: records.all, link, reachable, signal })
+  const streamOrigins = createStreamOrigins({ clock, ownName: self.name, nodes: records.all, link, reachable })
   const gossip = createGossipExchange({
     incarnation: self.incarnation,
     wall,
@@ -257,7 +257,10 @@
       if (!isMember()) gossip.exchangeUrgently()
       await records.withdraw()
     },
-    close: () => connections.destroy()
+    close: () => {
+      streamOrigins.close()
+      return connections.destroy()
+    }
   }
 }
 
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -270,10 +270,9 @@
     }
   }
 
-  /** A view that is older than the time within which changes are known may lack a version that other nodes use. */
-  function onlyVersion (service: string): string | undefined {
+  function onlyVersion (service: string, maxAge: Milliseconds): string | undefined {
     const age = ageOf(upstreamsSubscription)
-    return age === undefined || age > bounds.upstreamDrain ? undefined : versions.only(service, clock.now())
+    return age === undefined || age > maxAge ? undefined : versions.only(service, clock.now())
   }
 
   function ageOf (subscription: PrefixSubscription): Milliseconds | undefined {
--- a/src/gateway/peer-link.ts
+++ b/src/gateway/peer-link.ts
@@ -16,9 +16,11 @@
 import { createLinkFetch } from '../peer/fetch.js'
 import type { ByteCounter } from '../peer/fetch.js'
 import type { Connections } from '../protocols/http.js'
-import { streamIdSchema, streamOriginSchema } from '../stream-origins/index.js'
+import { streamIdSchema } from '../stream-origins/index.js'
 import type { StreamId, StreamOrigin } from '../stream-origins/index.js'
 import { ServingError } from '../verdict.js'
+import { ORIGIN_FEED_PATH, receiveOriginFeed } from './origin-feeds.js'
+import type { StreamBegan } from './origin-feeds.js'
 import { MAX_MESSAGE_BYTES, pack, unpack } from './packing.js'
 
 const prefillNoticeSchema = z.object({
@@ -34,8 +36,6 @@
 /** Notice of a long prompt that was dispatched to an upstream. */
 export type PrefillNotice = z.infer<typeof prefillNoticeSchema>
 
-const streamBeganSchema = z.object({ stream: streamIdSchema, origin: streamOriginSchema })
-
 const streamQuestionSchema = z.object({ stream: streamIdSchema })
 
 /** Handlers for the requests of other nodes. */
@@ -47,7 +47,7 @@
   /** Handles the notice of a long prompt that a peer has just dispatched to an upstream. */
   readonly reading: (notice: PrefillNotice) => void
   /** Keeps the origin of a stream that a peer has begun to relay. */
-  readonly streamBegan: (stream: StreamId, origin: StreamOrigin) => void
+  readonly streamBegan: (message: StreamBegan) => void
   /** The origin of a stream, if this node holds it. */
   readonly streamOrigin: (stream: StreamId) => StreamOrigin | undefined
   /** Text of the configuration in force; undefined while there is none. */
@@ -70,7 +70,6 @@
     exchange: trpc.procedure.input(z.string()).mutation(({ input }) => pack(handlers.exchange(unpack(gossipMessageSchema, input)))),
     report: trpc.procedure.input(z.string()).mutation(({ input }) => pack(handlers.report(unpack(memberMessageSchema, input)))),
     reading: trpc.procedure.input(prefillNoticeSchema).mutation(({ input }) => handlers.reading(input)),
-    streamBegan: trpc.procedure.input(streamBeganSchema).mutation(({ input }) => handlers.streamBegan(input.stream, input.origin)),
     // A mutation, since queries of this link carry no input.
     streamOrigin: trpc.procedure.input(streamQuestionSchema).mutation(({ input }) => ({ origin: handlers.streamOrigin(input.stream) ?? null })),
     configuration: trpc.procedure.query(() => ({ text: handlers.configuration() ?? null }))
@@ -95,11 +94,11 @@
     exchange: { method: 'POST', call: (input) => caller.exchange(input as string) },
     report: { method: 'POST', call: (input) => caller.report(input as string) },
     reading: { method: 'POST', call: (input) => caller.reading(input as PrefillNotice) },
-    streamBegan: { method: 'POST', call: (input) => caller.streamBegan(input as z.infer<typeof streamBeganSchema>) },
     streamOrigin: { method: 'POST', call: (input) => caller.streamOrigin(input as z.infer<typeof streamQuestionSchema>) },
     configuration: { method: 'GET', call: () => caller.configuration() }
   }
   return createServer((request, response) => {
+    if (request.url === ORIGIN_FEED_PATH) return receiveOriginFeed(request, response, handlers.streamBegan)
     answerCall(procedures, request, response).catch((error) => sendError(response, error))
   })
 }
--- a/src/gateway/stream-origins.ts
+++ b/src/gateway/stream-origins.ts
@@ -10,6 +10,7 @@
 import type { StreamId, StreamOrigin } from '../stream-origins/index.js'
 import { createTimeoutSignal } from '../timeout-signal.js'
 import type { NodeRecord } from './node-records.js'
+import { createOriginFeeds } from './origin-feeds.js'
 import type { PeerHandlers, PeerLink } from './peer-link.js'
 import type { ReachablePeers } from './reachable-peers.js'
 
@@ -21,6 +22,8 @@
   find (stream: StreamId, signal: AbortSignal): Promise<StreamOrigin | undefined>
   /** Number of records that this node holds. */
   size (): number
+  /** Closes the connections to the holders. */
+  close (): void
   /** Handlers for the requests of other nodes. */
   readonly answers: Pick<PeerHandlers, 'streamBegan' | 'streamOrigin'>
 }
@@ -34,16 +37,8 @@
   /** Returns the client for a peer's address. */
   readonly link: (address: string) => PeerLink
   readonly reachable: ReachablePeers
-  /** Aborts when this node stops. */
-  readonly signal: AbortSignal
 }
 
-/** Timeout of a record that is sent to a holder. */
-const TELL_TIMEOUT: Milliseconds = 500
-
-/** Time for which a holder that did not answer is sent no record. */
-const FAILURE_PAUSE: Milliseconds = 1_000
-
 /** Timeout of a question to the holders. A busy node answers within it. */
 const ASK_TIMEOUT: Milliseconds = 400
 
@@ -51,22 +46,17 @@
  * Creates the origins of one node.
  *
  * @example
- * const origins = createStreamOrigins({ clock, ownName, nodes, link, reachable, signal })
+ * const origins = createStreamOrigins({ clock, ownName, nodes, link, reachable })
  * origins.began('9c41d07be2a35f68', { service: 'plans', version: 'v2' })
  */
-export function createStreamOrigins ({ clock, ownName, nodes, link, reachable, signal }: StreamOriginsOptions): StreamOrigins {
+export function createStreamOrigins ({ clock, ownName, nodes, link, reachable }: StreamOriginsOptions): StreamOrigins {
   const records = createOriginRecords()
+  const feeds = createOriginFeeds(clock, reachable)
 
   function holderAddresses (stream: StreamId, count: number): string[] {
     return pickHolders(stream, nodes().filter(({ name }) => name !== ownName), count).map(({ peer }) => peer)
   }
 
-  function tell (address: string, stream: StreamId, origin: StreamOrigin): void {
-    if (reachable.hasFailedWithin(address, FAILURE_PAUSE)) return
-    link(address).streamBegan.mutate({ stream, origin }, { signal: createTimeoutSignal(TELL_TIMEOUT, signal) })
-      .then(() => reachable.regained(address), (error) => reachable.lost(address, error))
-  }
-
   async function ask (address: string, stream: StreamId, askSignal: AbortSignal): Promise<StreamOrigin> {
     const { origin } = await link(address).streamOrigin.mutate({ stream }, { signal: askSignal })
     if (origin === null) throw new Error(`${address} does not know the stream`)
@@ -84,15 +74,16 @@
     began: (stream, origin) => {
       if (stream.length > MAX_STREAM_ID_LENGTH) return
       records.put(stream, origin, clock.now())
-      for (const address of holderAddresses(stream, RECORD_HOLDERS)) tell(address, stream, origin)
+      for (const address of holderAddresses(stream, RECORD_HOLDERS)) feeds.send(address, { stream, origin })
     },
     find: async (stream, requestSignal) => {
       if (stream.length > MAX_STREAM_ID_LENGTH) return undefined
       return records.find(stream, clock.now()) ?? askHolders(stream, requestSignal)
     },
     size: records.size,
+    close: feeds.close,
     answers: {
-      streamBegan: (stream, origin) => records.put(stream, origin, clock.now()),
+      streamBegan: ({ stream, origin }) => records.put(stream, origin, clock.now()),
       streamOrigin: (stream) => records.find(stream, clock.now())
     }
   }
--- a/src/gateway/stream-resumption.ts
+++ b/src/gateway/stream-resumption.ts
@@ -9,6 +9,12 @@
 /** `Retry-After` where the origin is unknown. Short, since another node may know it. */
 const UNKNOWN_ORIGIN_RETRY_AFTER: Milliseconds = 100
 
+/**
+ * Age of the view of upstreams up to which an origin is inferred, as a multiple of the age up to which none is recorded. A node
+ * with an older view records the origins of its streams, so views that differ a little in age leave no gap.
+ */
+const MAX_INFERENCE_AGE_FACTOR = 2
+
 /**
  * Finds the origin of a stream that its caller resumes.
  *
@@ -21,7 +27,7 @@
   const { head, route } = accepted
   if (head.lastEvent === undefined || route.kind !== 'stream') return undefined
   const recorded = head.resumes === undefined ? undefined : await context.streamOrigins.find(head.resumes, signal)
-  const origin = recorded ?? inferOrigin(context, accepted)
+  const origin = recorded ?? inferOrigin(context, accepted, MAX_INFERENCE_AGE_FACTOR * context.settings.bounds.upstreamDrain)
   const facts = { request: head.id, resumes: head.resumes, service: origin?.service, version: origin?.version }
   if (origin === undefined) {
     context.log.info('stream-resume-refused', { ...facts, reason: 'its origin is unknown', ...context.freshness() })
@@ -36,9 +42,9 @@
 }
 
 /** The origin of any recent stream of the route, if there is only one service and one version. */
-function inferOrigin ({ onlyVersion, random }: GatewayContext, { route }: AcceptedRequest): StreamOrigin | undefined {
+function inferOrigin ({ onlyVersion, random }: GatewayContext, { route }: AcceptedRequest, maxAge: Milliseconds): StreamOrigin | undefined {
   const service = route.destinations.length > 1 ? undefined : chooseService(route, random)
-  const version = service === undefined ? undefined : onlyVersion(service)
+  const version = service === undefined ? undefined : onlyVersion(service, maxAge)
   return service === undefined || version === undefined ? undefined : { service, version }
 }
 
@@ -49,5 +55,5 @@
  * if (needsOriginRecord(context, accepted)) context.streamOrigins.began(accepted.head.id, origin)
  */
 export function needsOriginRecord (context: GatewayContext, accepted: AcceptedRequest): boolean {
-  return accepted.route.resumable && inferOrigin(context, accepted) === undefined
+  return accepted.route.resumable && inferOrigin(context, accepted, context.settings.bounds.upstreamDrain) === undefined
 }
