--- a/test/gateway/origin-feeds.test.ts
+++ b/test/gateway/origin-feeds.test.ts
@@ -66,9 +66,13 @@
   // Guards against a holder that never hears again: its connection was cut silently, or its process was replaced.
   it('opens anew when the holder has confirmed nothing for two seconds', TIMEOUT, async () => {
     const receive = handle
-    handle = (request) => { request.resume() }
+    let isSilent = false
+    handle = (request) => {
+      request.resume()
+      isSilent = true
+    }
     feeds.send(address(), message(1))
-    await until(() => connections === 1)
+    await until(() => isSilent)
     handle = receive
     ahead = 3 * SECOND
     feeds.send(address(), message(2))
