Timeouts are judged after input that is pending

Cause: an event loop that was held up runs its timers before it reads its sockets, so the head start of a direct connection was over before its connection was seen. What is due first lets one turn of input pass, and is cancelled by what has arrived.

--- a/src/clock.ts
+++ b/src/clock.ts
@@ -18,7 +18,7 @@
   wall (): Milliseconds
   /** Resolves after `delay`. Rejects with the reason of the signal if the signal aborts first. */
   sleep (delay: Milliseconds, signal?: AbortSignal): Promise<void>
-  /** Calls back after `delay`, unless the returned function has been called before. */
+  /** Calls back after `delay` and after input that is pending then, unless the returned function has been called before. */
   schedule (delay: Milliseconds, callback: () => void): () => void
 }
 
@@ -44,10 +44,28 @@
     now: () => performance.now(),
     wall: () => Date.now(),
     sleep: systemSleep,
-    schedule: (delay, callback) => {
-      const timer = setTimeout(callback, delay)
-      return () => clearTimeout(timer)
-    }
+    schedule: startTimeout
+  }
+}
+
+/**
+ * Calls back after `delay` and after input that is pending then.
+ *
+ * Failure guarded against: a busy process runs its timers before it reads what has arrived meanwhile, so that an answer that came in
+ * time counts as overdue. Input that is pending when the timer is due is handled first, and may cancel it.
+ *
+ * @param keepsProcess whether the process stays alive for it
+ * @returns function that cancels it
+ * @example
+ * const cancel = startTimeout(2 * SECOND, () => socket.destroy())
+ */
+export function startTimeout (delay: Milliseconds, callback: () => void, keepsProcess = true): () => void {
+  let immediate: NodeJS.Immediate | undefined
+  const timer = setTimeout(() => { immediate = setImmediate(callback) }, delay)
+  if (!keepsProcess) timer.unref()
+  return () => {
+    clearTimeout(timer)
+    clearImmediate(immediate)
   }
 }
 
--- a/src/timeout-signal.ts
+++ b/src/timeout-signal.ts
@@ -1,5 +1,6 @@
 /** Abort signals with a timeout. */
 import { onAbort } from './abort-listeners.js'
+import { startTimeout } from './clock.js'
 import type { Milliseconds } from './clock.js'
 
 /** Time limit of one call. */
@@ -49,19 +50,18 @@
     controller.abort(parent.reason)
     return { signal: controller.signal, end: () => {} }
   }
-  const timer = setTimeout(() => {
+  const cancel = startTimeout(timeout, () => {
     stopListening?.()
     controller.abort(new DOMException(`no answer within ${timeout} ms`, 'TimeoutError'))
-  }, timeout)
-  timer.unref()
+  }, false)
   const stopListening = parent && onAbort(parent, () => {
-    clearTimeout(timer)
+    cancel()
     controller.abort(parent.reason)
   })
   return {
     signal: controller.signal,
     end: () => {
-      clearTimeout(timer)
+      cancel()
       stopListening?.()
     }
   }
--- a/test/gateway/staggered-attempts.test.ts
+++ b/test/gateway/staggered-attempts.test.ts
@@ -1,9 +1,15 @@
 import assert from 'node:assert/strict'
+import { connect, createServer } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import { describe, it } from 'node:test'
+import { createSystemClock } from '../../src/clock.js'
 import { startStaggered } from '../../src/gateway/staggered-attempts.js'
 import type { StaggeredAttempt } from '../../src/gateway/staggered-attempts.js'
 import { createManualClock } from '../../stand-ins/manual-clock.js'
 
+/** Delay of the second attempt where the process is busy. */
+const HEAD_START = 20
+
 /** An attempt whose end the test decides. */
 interface OpenAttempt {
   readonly index: number
@@ -66,4 +72,22 @@
     await clock.advance(200)
     assert.equal(started.length, 1)
   })
+
+  // Guards against paths that a busy node takes for lost: the connection opened in time, but the timer of the next attempt runs first.
+  it('do not start the next one when the result of the first has arrived while the process was busy', async () => {
+    const server = createServer()
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+    const { port } = server.address() as AddressInfo
+    let isNextStarted = false
+    const opened = startStaggered<Socket>(createSystemClock(), [
+      { delay: 0, start: () => new Promise((resolve, reject) => { const socket = connect(port, '127.0.0.1', () => resolve(socket)).once('error', reject) }) },
+      { delay: HEAD_START, start: () => { isNextStarted = true; return Promise.reject(new Error('not needed')) } }
+    ], (late) => late.destroy())
+    const busyUntil = performance.now() + 3 * HEAD_START
+    while (performance.now() < busyUntil);
+    const socket = await opened
+    socket.destroy()
+    server.close()
+    assert.equal(isNextStarted, false)
+  })
 })
