--- a/test/gateway/stream-versions.test.ts
+++ b/test/gateway/stream-versions.test.ts
@@ -85,7 +85,7 @@
   function ask (node: GatewayNode, id: string, begun?: BegunStream): Promise<Awaited<ReturnType<typeof request>>> {
     const headers: Record<string, string> = { host: HOST, [HEADER.requestId]: id, [HEADER.deadline]: '2500', [HEADER.tokenUsage]: '100,10' }
     if (begun !== undefined) Object.assign(headers, { [HEADER.lastEventId]: String(begun.lastEvent), [HEADER.resumes]: begun.id })
-    return request(`http://${node.addresses.front}/question/x`, { method: 'POST', body: 'a question', headers })
+    return request(`http://${node.addresses.front}/question/x`, { method: 'POST', body: `question ${id}`, headers })
   }
 
   /** Begins a stream and leaves it after the first events that arrive. */
