--- a/src/gateway/node-metrics.ts
+++ b/src/gateway/node-metrics.ts
@@ -51,6 +51,7 @@
   metrics.gauge('upstream_connections', connections.open)
   metrics.gauge('upstreams_relayed', connections.relayedCount)
   metrics.gauge('tunnels_open', options.tunnels)
+  metrics.gauge('stream_origins_held', fleet.streamOrigins.size)
   metrics.gauge('upstreams_limited', options.backpressure.limitedUpstreams)
   metrics.gauge('upstreams_brittle', options.backpressure.brittleUpstreams)
   metrics.gauge('nodes_known', () => sources().nodes)
--- a/src/gateway/stream-resumption.ts
+++ b/src/gateway/stream-resumption.ts
@@ -2,12 +2,18 @@
 import type { Milliseconds } from '../clock.js'
 import { chooseService } from '../routing/index.js'
 import type { StreamOrigin } from '../stream-origins/index.js'
+import type { ServingError } from '../verdict.js'
 import { refusal } from './acceptance.js'
 import type { AcceptedRequest } from './acceptance.js'
 import type { GatewayContext } from './context.js'
 
-/** `Retry-After` where the origin is unknown. Short, since another node may know it. */
-const UNKNOWN_ORIGIN_RETRY_AFTER: Milliseconds = 100
+/** `Retry-After` of a stream that cannot go on here. Short, since another node may know its origin. */
+const RESUME_RETRY_AFTER: Milliseconds = 100
+
+const REFUSAL_REASONS = {
+  unknown: 'the version that began the stream is unknown',
+  elsewhere: 'the service that began the stream does not serve its route any more'
+}
 
 /**
  * Age of the view of upstreams up to which an origin is inferred, as a multiple of the age up to which none is recorded. A node
@@ -28,19 +34,20 @@
   if (head.lastEvent === undefined || route.kind !== 'stream') return undefined
   const recorded = head.resumes === undefined ? undefined : await context.streamOrigins.find(head.resumes, signal)
   const origin = recorded ?? inferOrigin(context, accepted, MAX_INFERENCE_AGE_FACTOR * context.settings.bounds.upstreamDrain)
-  const facts = { request: head.id, resumes: head.resumes, service: origin?.service, version: origin?.version }
-  if (origin === undefined) {
-    context.log.info('stream-resume-refused', { ...facts, reason: 'its origin is unknown', ...context.freshness() })
-    throw refusal('no-upstream', 'the version that began the stream is unknown', UNKNOWN_ORIGIN_RETRY_AFTER)
-  }
-  if (!route.destinations.some(({ service }) => service === origin.service)) {
-    context.log.info('stream-resume-refused', { ...facts, reason: 'its route leads to another service', ...context.freshness() })
-    throw refusal('no-upstream', 'the service that began the stream does not serve its route any more', UNKNOWN_ORIGIN_RETRY_AFTER)
-  }
-  context.log.info('stream-resumed', { ...facts, service: origin.service, version: origin.version, recorded: recorded !== undefined })
+  if (origin === undefined) throw resumeRefusal(context, accepted, 'unknown')
+  if (!route.destinations.some(({ service }) => service === origin.service)) throw resumeRefusal(context, accepted, 'elsewhere', origin)
+  context.metrics.count('streams_resumed', { origin: recorded === undefined ? 'inferred' : 'recorded' })
+  context.log.info('stream-resumed', { request: head.id, resumes: head.resumes, service: origin.service, version: origin.version, recorded: recorded !== undefined })
   return origin
 }
 
+function resumeRefusal ({ log, metrics, freshness }: GatewayContext, { head }: AcceptedRequest, cause: keyof typeof REFUSAL_REASONS, origin?: StreamOrigin): ServingError {
+  const reason = REFUSAL_REASONS[cause]
+  metrics.count('streams_resumed', { origin: cause })
+  log.info('stream-resume-refused', { request: head.id, resumes: head.resumes, service: origin?.service, version: origin?.version, reason, ...freshness() })
+  return refusal('no-upstream', reason, RESUME_RETRY_AFTER)
+}
+
 /** The origin of any recent stream of the route, if there is only one service and one version. */
 function inferOrigin ({ onlyVersion, random }: GatewayContext, { route }: AcceptedRequest, maxAge: Milliseconds): StreamOrigin | undefined {
   const service = route.destinations.length > 1 ? undefined : chooseService(route, random)
