A resumed stream waits 100 ms for holders where its origin can be inferred

Holders that lost their power answer nothing, and on services with one version, where nothing was recorded, each resumed stream waited 400 ms for them.

--- a/src/gateway/stream-origins.ts
+++ b/src/gateway/stream-origins.ts
@@ -8,7 +8,7 @@
 import type { Clock, Milliseconds } from '../clock.js'
 import { ASKED_HOLDERS, createOriginRecords, MAX_STREAM_ID_LENGTH, pickHolders, RECORD_HOLDERS } from '../stream-origins/index.js'
 import type { StreamId, StreamOrigin } from '../stream-origins/index.js'
-import { createTimeoutSignal } from '../timeout-signal.js'
+import { startCallTimeout } from '../timeout-signal.js'
 import type { NodeRecord } from './node-records.js'
 import { createOriginFeeds } from './origin-feeds.js'
 import type { PeerHandlers, PeerLink } from './peer-link.js'
@@ -18,8 +18,11 @@
 export interface StreamOrigins {
   /** Keeps the origin of a stream whose first event is about to be relayed, here and at its holders. */
   began (stream: StreamId, origin: StreamOrigin): void
-  /** @returns the origin of a stream as this node or a holder knows it; undefined if none does */
-  find (stream: StreamId, signal: AbortSignal): Promise<StreamOrigin | undefined>
+  /**
+   * @param timeout for the answers of the holders
+   * @returns the origin of a stream as this node or a holder knows it; undefined if none does
+   */
+  find (stream: StreamId, timeout: Milliseconds, signal: AbortSignal): Promise<StreamOrigin | undefined>
   /** Number of records that this node holds. */
   size (): number
   /** Closes the connections to the holders. */
@@ -39,9 +42,6 @@
   readonly reachable: ReachablePeers
 }
 
-/** Timeout of a question to the holders. A busy node answers within it. */
-const ASK_TIMEOUT: Milliseconds = 400
-
 /**
  * Creates the origins of one node.
  *
@@ -63,11 +63,14 @@
     return origin
   }
 
-  async function askHolders (stream: StreamId, requestSignal: AbortSignal): Promise<StreamOrigin | undefined> {
-    const askSignal = createTimeoutSignal(ASK_TIMEOUT, requestSignal)
-    const answers = holderAddresses(stream, ASKED_HOLDERS).map((address) => ask(address, stream, askSignal))
+  async function askHolders (stream: StreamId, timeout: Milliseconds, signal: AbortSignal): Promise<StreamOrigin | undefined> {
+    const call = startCallTimeout(timeout, signal)
+    const answers = holderAddresses(stream, ASKED_HOLDERS).map((address) => ask(address, stream, call.signal))
     // Answers that do not know the stream, and holders that are gone, leave its origin unknown, which the caller of `find` logs.
-    return Promise.any(answers).catch(() => undefined)
+    const origin = await Promise.any(answers).catch(() => undefined)
+    call.end()
+    if (origin !== undefined) records.put(stream, origin, clock.now())
+    return origin
   }
 
   return {
@@ -76,9 +79,9 @@
       records.put(stream, origin, clock.now())
       for (const address of holderAddresses(stream, RECORD_HOLDERS)) feeds.send(address, { stream, origin })
     },
-    find: async (stream, requestSignal) => {
+    find: async (stream, timeout, signal) => {
       if (stream.length > MAX_STREAM_ID_LENGTH) return undefined
-      return records.find(stream, clock.now()) ?? askHolders(stream, requestSignal)
+      return records.find(stream, clock.now()) ?? askHolders(stream, timeout, signal)
     },
     size: records.size,
     close: feeds.close,
--- a/src/gateway/stream-resumption.ts
+++ b/src/gateway/stream-resumption.ts
@@ -10,6 +10,12 @@
 /** `Retry-After` of a stream that cannot go on here. Short, since another node may know its origin. */
 const RESUME_RETRY_AFTER: Milliseconds = 100
 
+/** Time that other nodes have to tell where the stream began. A busy node answers within it. */
+const ASK_TIMEOUT: Milliseconds = 400
+
+/** The same where the origin can be inferred. Holders that have just died must not make the stream late. */
+const CONFIRMATION_TIMEOUT: Milliseconds = 100
+
 const REFUSAL_REASONS = {
   unknown: 'the version that began the stream is unknown',
   elsewhere: 'the service that began the stream does not serve its route any more'
@@ -32,8 +38,10 @@
 export async function findResumedOrigin (context: GatewayContext, accepted: AcceptedRequest, signal: AbortSignal): Promise<StreamOrigin | undefined> {
   const { head, route } = accepted
   if (head.lastEvent === undefined || route.kind !== 'stream') return undefined
-  const recorded = head.resumes === undefined ? undefined : await context.streamOrigins.find(head.resumes, signal)
-  const origin = recorded ?? inferOrigin(context, accepted, MAX_INFERENCE_AGE_FACTOR * context.settings.bounds.upstreamDrain)
+  const inferred = inferOrigin(context, accepted, MAX_INFERENCE_AGE_FACTOR * context.settings.bounds.upstreamDrain)
+  const askTimeout = inferred === undefined ? ASK_TIMEOUT : CONFIRMATION_TIMEOUT
+  const recorded = head.resumes === undefined ? undefined : await context.streamOrigins.find(head.resumes, askTimeout, signal)
+  const origin = recorded ?? inferred
   if (origin === undefined) throw resumeRefusal(context, accepted, 'unknown')
   if (!route.destinations.some(({ service }) => service === origin.service)) throw resumeRefusal(context, accepted, 'elsewhere', origin)
   context.metrics.count('streams_resumed', { origin: recorded === undefined ? 'inferred' : 'recorded' })
