Requests of callers that have left are not dispatched by busy nodes

Cause: a node that was held up reads a request and dispatches it in the same turn of its loop; that the caller has closed its connection is pending behind it. Evidence: a test with ten callers that send and close; all ten were run before, none is now. A request is dispatched after two turns of input, in which its caller's end is read.

--- a/src/clock.ts
+++ b/src/clock.ts
@@ -69,6 +69,19 @@
   }
 }
 
+/**
+ * Resolves once the input that is pending now has been read, such as the end of a connection after its last request.
+ *
+ * Two turns of the event loop: a connection's data and its end are read in different ones.
+ *
+ * @example
+ * await afterPendingInput()
+ * if (signal.aborted) return
+ */
+export function afterPendingInput (): Promise<void> {
+  return new Promise((resolve) => { setImmediate(() => setImmediate(resolve)) })
+}
+
 /**
  * Runs `task` repeatedly until the signal aborts. Each run ends before the next one starts, so a slow task never
  * overlaps itself. The first run starts immediately.
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -5,6 +5,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { onAbort } from '../abort-listeners.js'
 import { readBody } from '../caller/http.js'
+import { afterPendingInput } from '../clock.js'
 import type { Milliseconds } from '../clock.js'
 import type { Choice } from '../placement/index.js'
 import { chooseService } from '../routing/index.js'
@@ -49,6 +50,8 @@
   let end: RequestEnd
   try {
     callerRequest.proxied = await acceptRequest(context, request, response, callerRequest, controller, cleanup)
+    // Failure guarded against: a busy node dispatches requests of callers that left while these waited to be read.
+    await afterPendingInput()
     end = { kind: 'answered', outcome: await dispatchUntilDone(context, callerRequest.proxied) }
   } catch (error) {
     const failure = toServingError(error, 'may-have-run')
--- a/test/gateway/node.test.ts
+++ b/test/gateway/node.test.ts
@@ -1,6 +1,8 @@
 /** Gateway nodes with the platform adapter, in front of stand-ins for upstreams and the platform's services. */
 import assert from 'node:assert/strict'
+import { once } from 'node:events'
 import { readFileSync } from 'node:fs'
+import { connect } from 'node:net'
 import { after, before, beforeEach, describe, it } from 'node:test'
 import { request } from 'undici'
 import { createSystemClock } from '../../src/clock.js'
@@ -163,6 +165,26 @@
     assert.deepEqual([answer.status, answer.body, runsOf('failed')], [500, 'failed', 2])
   })
 
+  // Guards against work for callers that have left: a busy node reads a request and dispatches it before it reads that its caller is gone.
+  it('dispatches no request whose caller left while the node was busy', async () => {
+    const { hostname, port } = new URL(`http://${node.addresses.front}`)
+    const gone = Array.from({ length: 10 }, (_, index) => `gone-${index}`)
+    const sockets = await Promise.all(gone.map(async () => {
+      const socket = connect(Number(port), hostname)
+      await once(socket, 'connect')
+      return socket
+    }))
+    // The answered request shows that the node has accepted the connections before.
+    await ask('lookup')
+    for (const [index, socket] of sockets.entries()) {
+      socket.write(`GET /lookup/x HTTP/1.1\r\nHost: ${HOST}\r\nX-Hornbeamgap-Request-Id: ${gone[index]}\r\nX-Hornbeamgap-Deadline-Ms: 1000\r\nApi-Key: key-1\r\n\r\n`)
+      socket.destroySoon()
+    }
+    await Promise.all(sockets.map((socket) => once(socket, 'close')))
+    await until(() => gone.every((id) => deployment.lines.some((line) => line.request === id && (line.event === 'request-failed' || line.event === 'request-served'))))
+    assert.deepEqual(gone.filter((id) => runsOf(id) > 0), [])
+  })
+
   // Failure guarded against: an engine dies in the middle of an event, and the caller gets the incomplete event joined to
   // the first event of the next engine.
   it('resumes a resumable stream after its last whole event', async () => {
