--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -58,6 +58,7 @@
   wall (): Milliseconds
   /** Notifies other nodes of a prompt that was dispatched to an upstream and needs this prefill time there. */
   announcePrefill (upstream: UpstreamIncarnation, prefill: Milliseconds): void
+  /** Origins of streams, held here and at other nodes. */
   readonly streamOrigins: StreamOrigins
   /** Removes this node's record from the store; an aggregator exchanges its state with some peers at once. */
   withdraw (): Promise<void>
