Feeds of stream origins are renewed before their holder's server ends them

Found by reading: a feed is one long request, and node:http ends requests that take five minutes, so each holder would count as lost and be left out for a second every five minutes. A feed older than two minutes is ended and replaced. Its test failed before (one connection).

--- a/src/gateway/origin-feeds.ts
+++ b/src/gateway/origin-feeds.ts
@@ -44,8 +44,12 @@
 const SUCCESS = 200
 const CONFIRMATION = '.'
 
+/** Age at which a feed is replaced. The server of a holder ends requests that take five minutes. */
+const MAX_AGE: Milliseconds = 120_000
+
 interface Feed {
   readonly outgoing: ClientRequest
+  readonly openedAt: Milliseconds
   /** Time of the first message that has not been confirmed. */
   unconfirmedSince: Milliseconds | undefined
 }
@@ -62,7 +66,7 @@
 
   function open (address: string): Feed {
     const outgoing = request({ ...hostPortOf(address), method: 'POST', path: ORIGIN_FEED_PATH, agent: false })
-    const feed: Feed = { outgoing, unconfirmedSince: undefined }
+    const feed: Feed = { outgoing, openedAt: clock.now(), unconfirmedSince: undefined }
     outgoing.setNoDelay(true)
     outgoing.setTimeout(IDLE_TIMEOUT, () => outgoing.end())
     outgoing.on('response', (answer) => readConfirmations(address, feed, answer))
@@ -84,18 +88,20 @@
     answer.on('error', (error) => reachable.lost(address, error))
   }
 
-  /** Closes a feed whose holder has not confirmed in time. */
-  function closeOverdue (feed: Feed | undefined): void {
-    if (feed?.unconfirmedSince === undefined || clock.now() - feed.unconfirmedSince <= CONFIRMATION_TIMEOUT) return
-    feed.outgoing.destroy(new Error('the holder confirms nothing'))
+  /** Returns the open feed of a holder, unless it is old or the holder has not confirmed in time; these are closed. */
+  function usableFeed (address: string): Feed | undefined {
+    const feed = feeds.get(address)
+    if (feed === undefined) return undefined
+    const now = clock.now()
+    if (now - (feed.unconfirmedSince ?? now) > CONFIRMATION_TIMEOUT) feed.outgoing.destroy(new Error('the holder confirms nothing'))
+    else if (now - feed.openedAt > MAX_AGE) feed.outgoing.end()
+    return feed.outgoing.destroyed || feed.outgoing.writableEnded ? undefined : feed
   }
 
   return {
     send: (address, message) => {
       if (reachable.hasFailedWithin(address, FAILURE_PAUSE)) return
-      const known = feeds.get(address)
-      closeOverdue(known)
-      const feed = known === undefined || known.outgoing.destroyed || known.outgoing.writableEnded ? open(address) : known
+      const feed = usableFeed(address) ?? open(address)
       feed.unconfirmedSince ??= clock.now()
       feed.outgoing.write(`${JSON.stringify(message)}\n`)
     },
--- a/test/gateway/origin-feeds.test.ts
+++ b/test/gateway/origin-feeds.test.ts
@@ -22,6 +22,8 @@
   let server: Server
   let feeds: OriginFeeds
   let received: StreamBegan[]
+  let events: string[]
+  let confirmations: number
   let connections: number
   let handle: (request: IncomingMessage, response: ServerResponse) => void
   /** Time that the sender's clock is ahead. */
@@ -30,6 +32,10 @@
 
   beforeEach(async () => {
     received = []
+    // Feeds of the test before may still close, so each test has a list of its own.
+    const ownEvents: string[] = []
+    events = ownEvents
+    confirmations = 0
     connections = 0
     ahead = 0
     handle = (request, response) => receiveOriginFeed(request, response, (one) => { received.push(one) })
@@ -37,7 +43,12 @@
     server.on('connection', () => { connections += 1 })
     await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
     const clock: Clock = { ...systemClock, now: () => systemClock.now() + ahead }
-    feeds = createOriginFeeds(clock, createReachablePeers(clock, { info: () => {}, warn: () => {}, error: () => {} }, stop.signal))
+    const reachable = createReachablePeers(clock, { info: (event) => { ownEvents.push(event) }, warn: () => {}, error: () => {} }, stop.signal)
+    const noteConfirmation = (peer: string): void => {
+      confirmations += 1
+      reachable.regained(peer)
+    }
+    feeds = createOriginFeeds(clock, { ...reachable, regained: noteConfirmation })
   })
 
   afterEach(async () => {
@@ -80,6 +91,17 @@
     assert.deepEqual(received, [message(2)])
   })
 
+  // Guards against a holder that is left out for a second every five minutes: its server ends requests that take longer.
+  it('is renewed after two minutes, and its end is no failure of the holder', TIMEOUT, async () => {
+    feeds.send(address(), message(1))
+    await until(() => confirmations === 1)
+    ahead = 121 * SECOND
+    feeds.send(address(), message(2))
+    await until(() => confirmations === 2)
+    assert.equal(connections, 2)
+    assert.deepEqual(events, [])
+  })
+
   it('opens anew after the holder has closed it', TIMEOUT, async () => {
     feeds.send(address(), message(1))
     await until(() => received.length === 1)
