--- a/test/gateway/stream-versions.test.ts
+++ b/test/gateway/stream-versions.test.ts
@@ -13,6 +13,7 @@
 
 const clock = createSystemClock()
 const HOST = 'api.example'
+const NODE_NAMES = ['node-1', 'node-2', 'node-3']
 const VERSIONS = ['v1', 'v2']
 const UPSTREAMS_PER_VERSION = 2
 const STREAMS = 32
@@ -73,7 +74,7 @@
       deployment.register(upstream, { service: 'model', slots: 64, version })
       return [upstream, version] as const
     }))))
-    nodes = await Promise.all(['node-1', 'node-2', 'node-3'].map(deployment.startNode))
+    nodes = await Promise.all(NODE_NAMES.map(deployment.startNode))
     for (const node of nodes) while ((await read(node, nextId())).status !== 200) await clock.sleep(EVENT_PAUSE)
   })
 
@@ -93,10 +94,14 @@
     return request(`http://${node.addresses.front}/question/x`, { method: 'POST', body: `question ${id}`, headers })
   }
 
-  /** Begins a stream and leaves it after the first events that arrive. */
-  async function begin (node: GatewayNode): Promise<BegunStream> {
+  function upstreamsOf (version: string): UpstreamStandIn[] {
+    return [...upstreams].filter(([, other]) => other === version).map(([upstream]) => upstream)
+  }
+
+  /** Begins a stream, or resumes one, and leaves it after the first events that arrive. */
+  async function begin (node: GatewayNode, before?: BegunStream): Promise<BegunStream> {
     const id = nextId()
-    const { headers, body } = await ask(node, id)
+    const { headers, body } = await ask(node, id, before)
     const { value } = await body[Symbol.asyncIterator]().next()
     body.destroy()
     return { id, lastEvent: eventsIn(String(value)).at(-1)!, version: versionOfStamp(headers) }
@@ -200,4 +205,39 @@
       await single.close()
     }
   })
+
+  // Guards against a second resumption that knows only the first: the caller names the attempt that brought the first event each time.
+  it('continues at its version over a chain of attempts at different nodes', { timeout: 30_000 }, async () => {
+    const resumed = await Promise.all(Array.from({ length: STREAMS }, async (_, index) => {
+      const node = (offset: number): GatewayNode => nodes[(index + offset) % nodes.length]!
+      const begun = await begin(node(0))
+      const { lastEvent } = await begin(node(1), begun)
+      return resume(node(2), { ...begun, lastEvent })
+    }))
+    assert.deepEqual(crossings(resumed), [])
+    assert.ok(wholeOnes(resumed).length >= STREAMS * MIN_RESUMED_FRACTION, `${wholeOnes(resumed).length} of ${STREAMS} went on`)
+  })
+
+  // Guards against a record that is old: another version's upstream answers at its address.
+  it('does not continue at an address that an upstream of another version uses by now', { timeout: 30_000 }, async () => {
+    const [first, ...others] = upstreamsOf('v1')
+    const [reused] = upstreamsOf('v2')
+    deployment.register(first!, { service: 'model', slots: 64, version: 'v1', address: reused!.address })
+    const resumed = await Promise.all(Array.from({ length: STREAMS }, async (_, index) => resume(nodes[(index + 1) % nodes.length]!, await begin(nodes[index % nodes.length]!))))
+    deployment.register(first!, { service: 'model', slots: 64, version: 'v1' })
+    assert.ok(others.length > 0)
+    assert.deepEqual(crossings(resumed), [])
+  })
+
+  // Guards against the only upstreams left, which are of another version. Leaving is final, so this test is the last.
+  it('is refused as not run when all upstreams of its version leave', { timeout: 30_000 }, async () => {
+    const begun = (await Promise.all(Array.from({ length: STREAMS }, (_, index) => begin(nodes[index % nodes.length]!)))).filter(({ version }) => version === 'v1')
+    for (const upstream of upstreamsOf('v1')) deployment.register(upstream, { service: 'model', slots: 64, version: 'v1', state: 'draining' })
+    const noticesAt = (name: string): number => deployment.lines.filter(({ process, event, version }) => process === name && event === 'upstream-leaving' && version === 'v1').length
+    while (NODE_NAMES.some((name) => noticesAt(name) < UPSTREAMS_PER_VERSION)) await clock.sleep(EVENT_PAUSE)
+    const resumed = await Promise.all(begun.map((stream, index) => resume(nodes[index % nodes.length]!, stream)))
+    assert.ok(resumed.length > 0)
+    assert.deepEqual(resumed.map(({ status }) => status), resumed.map(() => 503))
+    assert.deepEqual(crossings(resumed), [])
+  })
 })
