--- a/review/lib/engine.ts
+++ b/review/lib/engine.ts
@@ -18,6 +18,8 @@
   readonly events: number
   /** Milliseconds before each event. */
   readonly pause: number
+  /** Milliseconds for which a run waits before it is begun, given the number of runs before it; 0 if omitted. */
+  readonly wait?: (runs: number) => number
   /** Whether its answers have neither a length nor chunks, so that they end with their connection. */
   readonly isUnframed: boolean
 }
@@ -29,12 +31,13 @@
 }
 
 /** Starts an engine whose moves find no room at their destination. */
-export async function serveEngine ({ id, events, pause, isUnframed }: EngineOptions): Promise<Engine> {
+export async function serveEngine ({ id, events, pause, wait = () => 0, isUnframed }: EngineOptions): Promise<Engine> {
   const runs: string[] = []
   const moves: string[] = []
   const running = new Map<string, Run>()
 
   async function stream (request: string, after: number, response: ServerResponse): Promise<void> {
+    await new Promise((resolve) => setTimeout(resolve, wait(runs.length - 1)))
     const run: Run = { response, events: after, isStopped: false }
     running.set(request, run)
     if (isUnframed) {
