How an answer without a length ended, and what a stop admits, are told in lines

Half a stream that ended as complete had the same line as a whole one, and no line said what the admission of a stopping node rested on.

answer-ended-with-connection says whether the connection was reset, whether the upstream accepted another one, and which node relayed the test. stop-admission gives the time that a request is expected to take, the time until the cut-off and the request's own limit.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -54,12 +54,26 @@
 /** Why a request was not run: no connection could be opened, or the upstream stated that it did not run the request. */
 export type NotRunReason = 'unreachable' | 'no-connection' | 'full' | 'another-upstream' | 'refused'
 
+/** What the end of a connection meant for an answer without a length. */
+export interface ConnectionEnd {
+  readonly request: string
+  readonly upstream: UpstreamRecord
+  /** Whether the connection was reset, or ended as after a complete answer; then the upstream has ended, or still serves. */
+  readonly end: 'reset' | 'upstream-ended' | 'upstream-serves'
+  /** Whether connections to the upstream are relayed by other nodes. */
+  readonly isRelayed: boolean
+  /** Name of the node that relayed the connection by which the upstream was tested. */
+  readonly testedBy: string | undefined
+}
+
 /** Dependencies of {@link createUpstreamConnections}. */
 export interface UpstreamConnectionsOptions extends UpstreamPoolsOptions {
   /** Reads the platform's answer headers. */
   readonly format: RequestFormat
   /** Called with the signals in each answer and the time at which its request was sent. */
   readonly onSignals?: (upstream: UpstreamRecord, signals: UpstreamSignals, sentAt: Milliseconds) => void
+  /** Called when an answer without a length has ended with its connection. */
+  readonly onConnectionEnd?: (ended: ConnectionEnd) => void
 }
 
 /** Connections to all upstreams. */
@@ -86,7 +100,7 @@
  * const start = await connections.start(upstream, request, signal)
  */
 export function createUpstreamConnections (options: UpstreamConnectionsOptions): UpstreamConnections {
-  const { format, clock, onSignals } = options
+  const { format, clock, onSignals, onConnectionEnd } = options
   const pools = createUpstreamPools(options)
 
   /** Reads and drops the short body of an answer, so that the connection can be reused, unless it takes too long. */
@@ -136,7 +150,7 @@
           stopListening()
           if (incoming === undefined) return
           if (isFramed) incoming.end()
-          else endWithConnection(upstream, incoming)
+          else endWithConnection(upstream, request.id, incoming)
         },
         onResponseError: (_controller, error) => {
           stopListening()
@@ -152,10 +166,15 @@
    * connections in the same way as one that has sent everything. The truncated answer would look complete. A connection that is
    * reset has not ended the answer, and an upstream that has crashed accepts no new connection.
    */
-  function endWithConnection (upstream: UpstreamRecord, incoming: IncomingBody): void {
-    if (pools.isResetting(upstream)) return incoming.fail(new Error('the connection was reset within an answer without a length'))
-    pools.accepts(upstream).then((isServing) => {
-      if (isServing) incoming.end()
+  function endWithConnection (upstream: UpstreamRecord, request: string, incoming: IncomingBody): void {
+    const reportEnd = (end: ConnectionEnd['end'], testedBy?: string): void => onConnectionEnd?.({ request, upstream, end, isRelayed: pools.isRelayed(upstream.incarnation), testedBy })
+    if (pools.isResetting(upstream)) {
+      reportEnd('reset')
+      return incoming.fail(new Error('the connection was reset within an answer without a length'))
+    }
+    pools.accepts(upstream).then(({ isAccepted, relay }) => {
+      reportEnd(isAccepted ? 'upstream-serves' : 'upstream-ended', relay)
+      if (isAccepted) incoming.end()
       else incoming.fail(new Error('the upstream ended with an answer without a length'))
     }, (error) => incoming.fail(error))
   }
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -17,17 +17,17 @@
 import { recordRequest } from './accounting.js'
 import type { AnswerOutcome, CallerRequest, RequestEnd } from './accounting.js'
 import { answerFailure } from './answering.js'
-import type { GatewayContext } from './context.js'
+import type { GatewayContext, StopTimes } from './context.js'
 import { CRASH_RETRY_AFTER } from './crash-causes.js'
 import type { RunContinuation } from './evacuation.js'
 import { fingerprintOf } from './fingerprint.js'
 import { crashFailure, mayRetry } from './proxied-request.js'
 import type { ProxiedRequest } from './proxied-request.js'
 import { dispatchAttempt } from './attempt.js'
-import { mayAdmit } from './stopping-rule.js'
+import { expectedTime, mayAdmit } from './stopping-rule.js'
 import { findResumedOrigin } from './stream-resumption.js'
 import { abortAtEnd, createTimeLimit } from './time-limit.js'
-import type { AbortReason } from './time-limit.js'
+import type { AbortReason, TimeLimit } from './time-limit.js'
 import { waitForUpstream } from './upstream-wait.js'
 
 /** `Retry-After` of a node that reads requests after their time. It has read what is pending by then; other nodes may be less busy. */
@@ -78,9 +78,9 @@
   checkHeadSize(context, request)
   const accepted = acceptHead(context.routeTable(), head, request.headers.host, request.url ?? '/')
   callerRequest.accepted = accepted
-  const stop = context.stop()
-  if (stop !== undefined && !mayAdmit({ now: clock.now(), ...stop }, accepted.route, head, context.speeds.of(accepted.route.destinations[0]?.service ?? ''))) throw refusal('stopping', 'this node stops before the request would end', STOPPING_RETRY_AFTER)
   const limit = createTimeLimit(arrival, head.deadline, accepted.route)
+  const stop = context.stop()
+  if (stop !== undefined) checkStop(context, accepted, limit, stop)
   if (limit.left(clock.now()) === 0) throw refusal('timeout', 'the time limit had been reached before the request was read', READ_LATE_RETRY_AFTER)
   cleanup.push(abortAtEnd(clock, limit, controller))
   const body = await readWholeBody(context, request, controller.signal)
@@ -97,6 +97,15 @@
   return proxied
 }
 
+/** @throws ServingError `stopping`, `not-run`, if the node stops before the request would end */
+function checkStop ({ clock, log, speeds }: GatewayContext, { route, head }: AcceptedRequest, limit: TimeLimit, { since, cutOff }: StopTimes): void {
+  const now = clock.now()
+  const speed = speeds.of(route.destinations[0]?.service ?? '')
+  const admitted = mayAdmit({ now, since, cutOff }, route, head, speed)
+  log.info('stop-admission', { request: head.id, route: route.name, admitted, since: Math.round(now - since), left: Math.max(0, Math.round(cutOff - now)), expected: Math.round(expectedTime(route, head, speed)), limit: Math.round(limit.left(now)) })
+  if (!admitted) throw refusal('stopping', 'this node stops before the request would end', STOPPING_RETRY_AFTER)
+}
+
 /**
  * Failure guarded against: a node that has just started sends what the others refuse, before it has heard from them.
  *
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -127,7 +127,8 @@
     onConnectionFailed: ({ upstream, error, took, silentFor, allSilentFor }) => log.info('connection-failed', { upstream: upstream.id, error: String(error), took, silentFor, allSilentFor }),
     onPathLost: (upstream, relay) => log.info('path-lost', { upstream: upstream.id, relay }),
     onPathRegained: (upstream, lostFor) => log.info('path-regained', { upstream: upstream.id, lostFor }),
-    onSignals: backpressure.heard
+    onSignals: backpressure.heard,
+    onConnectionEnd: ({ upstream, ...ended }) => log.info('answer-ended-with-connection', { upstream: upstream.id, ...ended })
   })
   let tunnels: TunnelServer | undefined
   const speeds = createEngineSpeeds()
--- a/src/gateway/stopping-rule.ts
+++ b/src/gateway/stopping-rule.ts
@@ -44,7 +44,13 @@
   return now + expectedTime(route, head, speed) < cutOff
 }
 
-function expectedTime (route: Route, { tokens }: RequestHead, speed: EngineSpeed): Milliseconds {
+/**
+ * Time that a request is expected to take, which is no bound.
+ *
+ * @example
+ * expectedTime(route, head, speed) // 3_300 for a plan of 12,000 tokens of prompt and 380 generated ones
+ */
+export function expectedTime (route: Route, { tokens }: RequestHead, speed: EngineSpeed): Milliseconds {
   if (route.kind !== 'stream' || tokens === undefined) return route.target * PLAIN_TARGET_FACTOR
   return speed.base + prefillTime(tokens.prompt, 0, speed) * PREFILL_FACTOR + tokens.generated * TIME_PER_TOKEN
 }
--- a/src/gateway/upstream-pools.ts
+++ b/src/gateway/upstream-pools.ts
@@ -38,6 +38,13 @@
   readonly onPathRegained?: (upstream: UpstreamRecord, lostFor: Milliseconds) => void
 }
 
+/** Whether an upstream accepts a new connection. */
+export interface AcceptanceTest {
+  readonly isAccepted: boolean
+  /** Name of the node that relayed the connection of the test; undefined where it was direct, or did not open. */
+  readonly relay: string | undefined
+}
+
 /** Connection pools to all upstreams. */
 export interface UpstreamPools {
   /** The pool for new requests. It is opened on first use. */
@@ -46,8 +53,8 @@
   heard (upstream: UpstreamRecord): void
   /** Whether a connection to the upstream is being reset, while the exchange on it ends. */
   isResetting (upstream: UpstreamRecord): boolean
-  /** Whether the upstream accepts a new connection, which is closed at once. Never rejects. */
-  accepts (upstream: UpstreamRecord): Promise<boolean>
+  /** Tests whether the upstream accepts a new connection, which is closed at once. Never rejects. */
+  accepts (upstream: UpstreamRecord): Promise<AcceptanceTest>
   /** Tests the path to an upstream that has not answered a request in time, unless it has been heard from since. */
   checkPath (upstream: UpstreamRecord, sentAt: Milliseconds): void
   /** Tests the direct paths that are lost, until one of them fails. */
@@ -177,13 +184,13 @@
     })
   }
 
-  async function accepts (upstream: UpstreamRecord): Promise<boolean> {
+  async function accepts (upstream: UpstreamRecord): Promise<AcceptanceTest> {
     try {
-      const socket = paths.isRelayed(upstream.incarnation) ? (await connector.connect(upstream)).socket : await connector.connectDirectly(upstream)
+      const { socket, relay } = paths.isRelayed(upstream.incarnation) ? await connector.connect(upstream) : { socket: await connector.connectDirectly(upstream), relay: undefined }
       socket.destroy()
-      return true
+      return { isAccepted: true, relay }
     } catch {
-      return false
+      return { isAccepted: false, relay: undefined }
     }
   }
 
