An answer on a relayed connection ends where its upstream ended it

Cause: an answer with neither a length nor chunks ends with its connection. The kernel ends the connections of a killed process in the usual way, so the asking node saw the same end as after a whole answer. Its one test, whether the upstream accepts a connection, was made by another way and says nothing about the process that relayed the answer. Any end of a relayed connection counted as that of the answer.

Evidence: answer-ended-with-connection said 'upstream-serves' for both plans, tested by a node that had no part in them; the engine was still writing, and the asking node replaced no pool. Ruled out: an early end by the upstream, and a connection that the asking node closes itself.

Change: a relaying node passes on the bytes of the upstream in frames and tells how its connection ended: in order, or by a reset. Every other end is the relaying node's, however its process ended (killed, at the end of its stop, cut off), and breaks the answer off once all that came before has been read. This holds without a guess about the other process, since only a process that has seen the upstream's end can say so. Another name of the header keeps nodes of a build without frames from relaying for this one, and the other way round.

--- a/src/gateway/tunnels.ts
+++ b/src/gateway/tunnels.ts
@@ -1,19 +1,21 @@
 /**
  * Relay of connections between nodes: a node that has lost its path to an upstream asks another node by CONNECT
  * (RFC 9110, 9.3.6) for a connection to it. The bytes are relayed unread, so the asking node remains the only one that decides
- * and accounts for the requests.
+ * and accounts for the requests. Those of the upstream are relayed in frames, which tell the asking node how its connection ended.
  */
 import { request } from 'node:http'
 import type { IncomingMessage, Server } from 'node:http'
 import { connect } from 'node:net'
 import type { Socket } from 'node:net'
+import type { Duplex } from 'node:stream'
 import { onAbort } from '../abort-listeners.js'
 import type { Clock, Milliseconds } from '../clock.js'
 import { hostPortOf } from '../host-port.js'
 import type { UpstreamIncarnation, UpstreamRecord } from '../placement/index.js'
+import { openFramedStream, relayInFrames } from './tunnel-frames.js'
 
-/** Names the incarnation of the upstream that the connection is for. */
-const UPSTREAM_HEADER = 'hornbeamgap-upstream'
+/** Names the incarnation of the upstream that the connection is for. Nodes of a build without frames know another name, and refuse. */
+const UPSTREAM_HEADER = 'hornbeamgap-framed-upstream'
 
 /** Time within which a relaying node must reach the upstream. */
 const RELAY_CONNECT_TIMEOUT: Milliseconds = 300
@@ -24,6 +26,9 @@
 /** A tunnel counts as busy for this time after its last byte, so that a stop does not cut a stream in a pause between events. */
 const BUSY_PERIOD: Milliseconds = 1_000
 
+/** Idle time after which the kernel begins to probe a connection. */
+const KEEP_ALIVE_DELAY: Milliseconds = 60_000
+
 const ESTABLISHED = 200
 
 /** Options of {@link serveTunnels}. */
@@ -71,24 +76,25 @@
   function relay (peer: Socket, head: Buffer, upstream: UpstreamRecord): void {
     const outbound = connectSocket(upstream.address)
     const tunnel: Tunnel = { ends: [peer, outbound], isAwaitingAnswer: false, lastByteAt: clock.now() }
+    let isEstablished = false
     tunnels.add(tunnel)
     const cancelTimeout = clock.schedule(RELAY_CONNECT_TIMEOUT, () => outbound.destroy())
     outbound.on('error', () => outbound.destroy())
     outbound.once('connect', () => {
+      isEstablished = true
       cancelTimeout()
       peer.write(`HTTP/1.1 ${ESTABLISHED} Connection Established\r\n\r\n`)
       if (head.length > 0) outbound.write(head)
       peer.pipe(outbound)
-      outbound.pipe(peer)
+      relayInFrames(outbound, peer)
       peer.on('data', () => noteByte(tunnel, true))
       outbound.on('data', () => noteByte(tunnel, false))
     })
-    outbound.once('close', (hasFailed) => {
+    outbound.once('close', () => {
       cancelTimeout()
       tunnels.delete(tunnel)
-      // A reset must not look like the end of an answer, and bytes before an end must still reach the other node.
-      if (hasFailed) peer.resetAndDestroy()
-      else peer.destroySoon()
+      // Otherwise the other node is told of the end, after all that the upstream has sent.
+      if (!isEstablished) peer.destroy()
     })
     peer.once('end', () => outbound.destroySoon())
     peer.once('close', () => outbound.destroy())
@@ -114,9 +120,9 @@
  * @param peer address of the other node for requests of nodes
  * @throws if the other node refuses, cannot be reached, or the signal aborts
  * @example
- * const socket = await openTunnel('10.1.0.16:7500', upstream, signal)
+ * const stream = await openTunnel('10.1.0.16:7500', upstream, signal)
  */
-export function openTunnel (peer: string, upstream: UpstreamRecord, signal: AbortSignal): Promise<Socket> {
+export function openTunnel (peer: string, upstream: UpstreamRecord, signal: AbortSignal): Promise<Duplex> {
   const { host, port } = hostPortOf(peer)
   return new Promise((resolve, reject) => {
     const outgoing = request({ host, port, method: 'CONNECT', path: upstream.address, headers: { [UPSTREAM_HEADER]: upstream.incarnation }, agent: false })
@@ -125,7 +131,8 @@
       stopListening()
       if (answer.statusCode === ESTABLISHED) {
         if (head.length > 0) socket.unshift(head)
-        resolve(socket)
+        socket.setKeepAlive(true, KEEP_ALIVE_DELAY)
+        resolve(openFramedStream(socket))
         return
       }
       socket.destroy()
@@ -140,12 +147,12 @@
 }
 
 /**
- * Starts a TCP connection.
+ * Starts a TCP connection, which the kernel probes when it is idle.
  *
  * @param address host and port
  * @example
  * const socket = connectSocket('10.1.64.8:8106')
  */
 export function connectSocket (address: string): Socket {
-  return connect({ ...hostPortOf(address), noDelay: true })
+  return connect({ ...hostPortOf(address), noDelay: true, keepAlive: true, keepAliveInitialDelay: KEEP_ALIVE_DELAY })
 }
--- a/src/gateway/upstream-connector.ts
+++ b/src/gateway/upstream-connector.ts
@@ -1,5 +1,6 @@
 /** Opens connections to upstreams, directly or relayed by another node. */
 import type { Socket } from 'node:net'
+import type { Duplex } from 'node:stream'
 import { onAbort } from '../abort-listeners.js'
 import type { Clock, Milliseconds } from '../clock.js'
 import { createRelayPeers, MAX_ASKED_RELAYS } from '../paths/index.js'
@@ -13,14 +14,14 @@
 
 /** A connection to an upstream that has opened. */
 export interface OpenedConnection {
-  readonly socket: Socket
+  readonly stream: Duplex
   /** Name of the node that relays it; undefined where it is direct. */
   readonly relay: string | undefined
 }
 
 /** A connection that another node relays. */
 interface RelayedConnection {
-  readonly socket: Socket
+  readonly stream: Duplex
   readonly relay: RelayNode
 }
 
@@ -29,7 +30,7 @@
   /** @throws ServingError `not-run` if neither a direct nor a relayed connection opens in time */
   connect (upstream: UpstreamRecord): Promise<OpenedConnection>
   /** Opens a direct connection. @throws ServingError `not-run` */
-  connectDirectly (upstream: UpstreamRecord): Promise<Socket>
+  connectDirectly (upstream: UpstreamRecord): Promise<OpenedConnection>
 }
 
 /** Dependencies of {@link createUpstreamConnector}. */
@@ -52,13 +53,10 @@
 /** Pause before a further node is asked to relay, while those before have not answered. */
 const RELAY_STAGGER: Milliseconds = 50
 
-/** Idle time after which the kernel begins to probe a connection. */
-const KEEP_ALIVE_DELAY: Milliseconds = 60_000
-
 /**
  * @example
  * const connector = createUpstreamConnector({ clock, random, paths, relayNodes: fleet.relayNodes, failureDomain: settings.failureDomain })
- * const { socket } = await connector.connect(upstream)
+ * const { stream } = await connector.connect(upstream)
  */
 export function createUpstreamConnector ({ clock, random, paths, relayNodes, failureDomain }: UpstreamConnectorOptions): UpstreamConnector {
   const relays = createRelayPeers(random)
@@ -66,16 +64,16 @@
   const searches = new Map<UpstreamIncarnation, Promise<RelayNode | undefined>>()
 
   async function openDirectly (upstream: UpstreamRecord, signal: AbortSignal): Promise<OpenedConnection> {
-    return { socket: await waitUntilConnected(connectSocket(upstream.address), signal), relay: undefined }
+    return { stream: await waitUntilConnected(connectSocket(upstream.address), signal), relay: undefined }
   }
 
   async function openByRelay (relay: RelayNode, upstream: UpstreamRecord, signal: AbortSignal): Promise<RelayedConnection> {
     const { name, peer } = relay
     const start = clock.now()
     try {
-      const socket = await openTunnel(peer, upstream, signal)
+      const stream = await openTunnel(peer, upstream, signal)
       relays.succeeded(name)
-      return { socket, relay }
+      return { stream, relay }
     } catch (error) {
       // A node that the next one outran has had its time. One that was not needed may be as good as any.
       if (!signal.aborted || clock.now() - start >= RELAY_STAGGER) relays.failed(name, clock.now())
@@ -89,7 +87,7 @@
     if (nodes.length === 0) throw new Error('there is no other node')
     const attempts = nodes.map((node): StaggeredAttempt<RelayedConnection> => ({ delay: RELAY_STAGGER, start: (ended) => withEither(ended, signal, (either) => openByRelay(node, upstream, either)) }))
     try {
-      return await startStaggered(clock, attempts, ({ socket }) => socket.destroy())
+      return await startStaggered(clock, attempts, ({ stream }) => stream.destroy())
     } catch (error) {
       if (!signal.aborted) paths.searchFailed(upstream.incarnation, clock.now())
       throw error
@@ -121,8 +119,8 @@
     const relayed = (delay: Milliseconds): StaggeredAttempt<OpenedConnection> => ({
       delay,
       start: async (signal) => {
-        const { socket, relay } = await withEither(signal, limit, (either) => openRelayed(upstream, either))
-        return { socket, relay: relay.name }
+        const { stream, relay } = await withEither(signal, limit, (either) => openRelayed(upstream, either))
+        return { stream, relay: relay.name }
       }
     })
     return paths.isRelayed(upstream.incarnation) ? [relayed(0), direct(RELAY_STAGGER * MAX_ASKED_RELAYS)] : [direct(0), relayed(paths.headStart())]
@@ -141,12 +139,8 @@
   }
 
   return {
-    connect: async (upstream) => {
-      const opened = await withinTimeout(upstream, (limit) => startStaggered(clock, attemptsFor(upstream, limit), ({ socket }) => socket.destroy()))
-      opened.socket.setKeepAlive(true, KEEP_ALIVE_DELAY)
-      return opened
-    },
-    connectDirectly: (upstream) => withinTimeout(upstream, async (limit) => (await openDirectly(upstream, limit)).socket)
+    connect: (upstream) => withinTimeout(upstream, (limit) => startStaggered(clock, attemptsFor(upstream, limit), ({ stream }) => stream.destroy())),
+    connectDirectly: (upstream) => withinTimeout(upstream, (limit) => openDirectly(upstream, limit))
   }
 }
 
--- a/src/gateway/upstream-pools.ts
+++ b/src/gateway/upstream-pools.ts
@@ -1,5 +1,6 @@
 /** Connection pools to the upstreams, which are replaced when the path that their connections use is lost or regained. */
 import type { Socket } from 'node:net'
+import type { Duplex } from 'node:stream'
 import { Pool } from 'undici'
 import type { Clock, Milliseconds } from '../clock.js'
 import { createUpstreamPaths } from '../paths/index.js'
@@ -141,9 +142,10 @@
       keepAliveTimeout: DEFAULT_IDLE_TIMEOUT,
       keepAliveMaxTimeout: MAX_IDLE_TIMEOUT,
       connect: (_options, callback) => {
-        openConnection(upstream).then(({ socket }) => {
-          noteResets(upstream, socket)
-          callback(null, socket)
+        openConnection(upstream).then(({ stream }) => {
+          noteResets(upstream, stream)
+          // Undici uses what all duplex streams have.
+          callback(null, stream as Socket)
         }, (error) => callback(error, null))
       },
       headersTimeout: 0,
@@ -176,8 +178,8 @@
   }
 
   /** Undici takes a reset for the end of an answer without a length, so resets are noted before it sees them. */
-  function noteResets ({ incarnation }: UpstreamRecord, socket: Socket): void {
-    socket.on('error', ({ code }: NodeJS.ErrnoException) => {
+  function noteResets ({ incarnation }: UpstreamRecord, stream: Duplex): void {
+    stream.on('error', ({ code }: NodeJS.ErrnoException) => {
       if (code !== RESET_CODE) return
       resetting.add(incarnation)
       queueMicrotask(() => resetting.delete(incarnation))
@@ -186,8 +188,8 @@
 
   async function accepts (upstream: UpstreamRecord): Promise<AcceptanceTest> {
     try {
-      const { socket, relay } = paths.isRelayed(upstream.incarnation) ? await connector.connect(upstream) : { socket: await connector.connectDirectly(upstream), relay: undefined }
-      socket.destroy()
+      const { stream, relay } = await (paths.isRelayed(upstream.incarnation) ? connector.connect(upstream) : connector.connectDirectly(upstream))
+      stream.destroy()
       return { isAccepted: true, relay }
     } catch {
       return { isAccepted: false, relay: undefined }
@@ -234,8 +236,8 @@
     if (known === undefined || known.heardAt >= sentAt || now - known.checkedAt < CHECK_INTERVAL || now - lastCheckAt < NODE_CHECK_INTERVAL) return
     known.checkedAt = now
     lastCheckAt = now
-    openConnection(upstream).then(({ socket, relay }) => {
-      socket.destroy()
+    openConnection(upstream).then(({ stream, relay }) => {
+      stream.destroy()
       if (relay !== undefined) replaceIfKnown(upstream)
     }, () => { /* logged as any failed connection */ })
   }
@@ -244,9 +246,9 @@
     for (let lost = paths.nextToTest(clock.now()); lost !== undefined; lost = paths.nextToTest(clock.now())) {
       const upstream = pools.get(lost.incarnation)?.upstream
       if (upstream === undefined) return
-      const socket = await connector.connectDirectly(upstream).catch(() => undefined)
-      if (socket === undefined) return
-      socket.destroy()
+      const opened = await connector.connectDirectly(upstream).catch(() => undefined)
+      if (opened === undefined) return
+      opened.stream.destroy()
       noteDirectPath(upstream)
     }
   }
--- a/test/gateway/tunnels.test.ts
+++ b/test/gateway/tunnels.test.ts
@@ -3,6 +3,7 @@
 import { createServer } from 'node:http'
 import { createServer as createTcpServer } from 'node:net'
 import type { Socket } from 'node:net'
+import type { Duplex } from 'node:stream'
 import { once } from 'node:events'
 import { afterEach, describe, it } from 'node:test'
 import { createSystemClock } from '../../src/clock.js'
@@ -54,7 +55,7 @@
     return { peer, upstream, tunnels }
   }
 
-  async function readAll (socket: Socket): Promise<string> {
+  async function readAll (socket: Duplex): Promise<string> {
     let text = ''
     for await (const chunk of socket) text += String(chunk)
     return text
--- a/test/gateway/upstream-connector.test.ts
+++ b/test/gateway/upstream-connector.test.ts
@@ -73,7 +73,7 @@
     const results = await Promise.allSettled(Array.from({ length: CONNECTIONS }, () => connector.connect(upstream)))
     return results.map((result) => {
       if (result.status === 'rejected') return undefined
-      cleanups.push(() => result.value.socket.destroy())
+      cleanups.push(() => result.value.stream.destroy())
       return result.value.relay
     })
   }
