The end of a relaying node is not charged to the upstream

What callers saw: after the end of a node that relayed for theirs, the node paused the upstream that it had been relayed to, counted a broken run of each request that was on its way, and took the end for a crash of the upstream, so that requests with parts of the same prompts were suspected, all for a sound upstream.

Cause: what broke an exchange off was kept as 'the connection ended' or not, and the end of a relayed connection counted as the upstream's.

Change: an exchange is broken by the connection, by the relay, or by its answer. Where it was the relay, nothing is recorded against the upstream, the request's fingerprint, the parts of its prompt or the version that is tried; the request goes on elsewhere if it may.

--- a/src/gateway/attempt-records.ts
+++ b/src/gateway/attempt-records.ts
@@ -62,21 +62,29 @@
 }
 
 /**
- * Records that an attempt failed while it ran, or stopped sending.
+ * Records that an upstream failed while it ran an attempt, or stopped sending.
  *
  * @example
- * recordBrokenAttempt(context, proxied, upstream, 'other side closed')
+ * recordUpstreamFailure(context, proxied, upstream, 'other side closed')
  */
-export function recordBrokenAttempt (context: GatewayContext, proxied: ProxiedRequest, upstream: UpstreamRecord, reason: string): void {
-  const now = context.clock.now()
+export function recordUpstreamFailure (context: GatewayContext, { fingerprint }: ProxiedRequest, upstream: UpstreamRecord, reason: string): void {
   pauseUpstream(context, upstream, reason)
-  context.quarantine.broken(proxied.fingerprint, now)
+  context.quarantine.broken(fingerprint, context.clock.now())
+}
+
+/**
+ * Logs that an attempt broke off, for whatever reason.
+ *
+ * @example
+ * logBrokenAttempt(context, proxied, upstream, 'the relaying node ended the connection')
+ */
+export function logBrokenAttempt (context: GatewayContext, proxied: ProxiedRequest, upstream: UpstreamRecord, reason: string): void {
   context.log.info('attempt-broken', {
     request: proxied.accepted.head.id,
     upstream: upstream.id,
     events: proxied.progress.events,
     attempts: proxied.attempts,
-    after: Math.round(now - proxied.arrival),
+    after: Math.round(context.clock.now() - proxied.arrival),
     reason,
     parts: sharedPartsText(proxied),
     brokenRuns: context.quarantine.brokenRuns(proxied.fingerprint)
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -10,8 +10,9 @@
 import { answerWhole } from './answering.js'
 import type { GatewayContext } from './context.js'
 import type { RunContinuation, RunLocation, WatchedRun } from './evacuation.js'
-import type { ExchangeStart, UpstreamAnswer } from './exchange.js'
-import { recordAnswerStart, recordBrokenAttempt, recordCrash, recordDispatch, recordNotRun, recordCompleteAnswer, recordSlotTime } from './attempt-records.js'
+import { brokenBy } from './exchange.js'
+import type { BrokenBy, ExchangeStart, UpstreamAnswer } from './exchange.js'
+import { logBrokenAttempt, recordAnswerStart, recordCrash, recordDispatch, recordNotRun, recordCompleteAnswer, recordSlotTime, recordUpstreamFailure } from './attempt-records.js'
 import { abortFailure, mayRetry, undispatchedFailure } from './proxied-request.js'
 import type { ProxiedRequest } from './proxied-request.js'
 import { eventTimeout, firstAnswerTimeout, startWatchdog } from './response-watchdog.js'
@@ -236,23 +237,23 @@
 /** How an attempt broke off. */
 interface BrokenEnd {
   readonly reason: string
-  /** Its connection ended, as the connections of an upstream that crashes do. */
-  readonly connectionEnded: boolean
+  readonly by: BrokenBy
   /** Time since its answer began; missing if it had not begun. */
   readonly writtenFor?: Milliseconds
 }
 
-function handleBrokenAttempt (context: GatewayContext, proxied: ProxiedRequest, attempt: Attempt, { reason, connectionEnded, writtenFor }: BrokenEnd): DispatchResult {
-  // A caller that disconnects says nothing about the upstream. An answer that did not arrive in time does.
-  if (!proxied.signal.aborted || proxied.signal.reason === ('time-limit' satisfies AbortReason)) attempt.comparison?.interrupted()
+function handleBrokenAttempt (context: GatewayContext, proxied: ProxiedRequest, attempt: Attempt, { reason, by, writtenFor }: BrokenEnd): DispatchResult {
+  const isRelayLost = by === 'relay'
+  // A caller that disconnects says nothing about the upstream, nor does a relaying node. An answer that did not arrive in time does.
+  if (!isRelayLost && (!proxied.signal.aborted || proxied.signal.reason === ('time-limit' satisfies AbortReason))) attempt.comparison?.interrupted()
   if (proxied.signal.aborted) throw abortFailure(proxied)
-  if (connectionEnded && !attempt.isTimedOut()) recordCrash(context, proxied, attempt.upstream, writtenFor)
-  recordBrokenAttempt(context, proxied, attempt.upstream, attempt.isTimedOut() ? 'silent' : reason)
-  if (attempt.isTimedOut()) {
-    context.crashes.left(attempt.upstream, proxied.accepted.head.sharedParts)
-    return { kind: 'granted' }
-  }
-  return { kind: 'again', verdict: 'may-have-run', failure: new ServingError(reason, { code: 'connection-lost', verdict: 'may-have-run' }), upstreamEnded: connectionEnded }
+  const isTimedOut = attempt.isTimedOut()
+  if (by === 'connection' && !isTimedOut) recordCrash(context, proxied, attempt.upstream, writtenFor)
+  if (isRelayLost || isTimedOut) context.crashes.left(attempt.upstream, proxied.accepted.head.sharedParts)
+  if (!isRelayLost) recordUpstreamFailure(context, proxied, attempt.upstream, isTimedOut ? 'silent' : reason)
+  logBrokenAttempt(context, proxied, attempt.upstream, isTimedOut ? 'silent' : reason)
+  if (isTimedOut) return { kind: 'granted' }
+  return { kind: 'again', verdict: 'may-have-run', failure: new ServingError(reason, { code: 'connection-lost', verdict: 'may-have-run' }), upstreamEnded: by === 'connection' }
 }
 
 async function relayStream (context: GatewayContext, proxied: ProxiedRequest, attempt: Attempt, answer: UpstreamAnswer): Promise<DispatchResult> {
@@ -281,8 +282,8 @@
   // A moved run continues elsewhere, regardless of how its stream was closed here.
   if (location.kind === 'moved') return { kind: 'moved', continuation: location.continuation }
   if (end.kind === 'broken') return handleBrokenAttempt(context, proxied, attempt, events === 0 ? end : { ...end, writtenFor: context.clock.now() - firstEventAt })
-  if (location.kind === 'unknown') return handleBrokenAttempt(context, proxied, attempt, { reason: 'it may have been moved', connectionEnded: false })
-  if (progress.events === 0) return handleBrokenAttempt(context, proxied, attempt, { reason: 'the stream had no event', connectionEnded: false })
+  if (location.kind === 'unknown') return handleBrokenAttempt(context, proxied, attempt, { reason: 'it may have been moved', by: 'answer' })
+  if (progress.events === 0) return handleBrokenAttempt(context, proxied, attempt, { reason: 'the stream had no event', by: 'answer' })
   recordCompleteAnswer(context, proxied, attempt.upstream)
   if (events > 0) context.crashes.survived(proxied.accepted.head.sharedParts, firstEventAt)
   if (attempt.isWholeRun) recordSlotTime(context, proxied, attempt.choice.reading + context.clock.now() - firstEventAt)
@@ -304,7 +305,7 @@
   try {
     body = await answer.body.bytes()
   } catch (error) {
-    return handleBrokenAttempt(context, proxied, attempt, { reason: `the answer broke off: ${String(error)}`, connectionEnded: true, writtenFor: context.clock.now() - began })
+    return handleBrokenAttempt(context, proxied, attempt, { reason: `the answer broke off: ${String(error)}`, by: brokenBy(error), writtenFor: context.clock.now() - began })
   }
   attempt.watchdog.stop()
   const now = context.clock.now()
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -13,6 +13,7 @@
 import { connectionFailure } from '../protocols/http.js'
 import { addressSchema } from '../identifiers.js'
 import type { AnswerHead, Headers, RequestFormat } from './ports.js'
+import { isRelayLost } from './tunnel-frames.js'
 import { createIncomingBody } from './upstream-body.js'
 import type { IncomingBody, UpstreamBody } from './upstream-body.js'
 import { createUpstreamPools } from './upstream-pools.js'
@@ -48,9 +49,18 @@
 export type ExchangeStart =
   | { readonly kind: 'answered', readonly answer: UpstreamAnswer }
   | { readonly kind: 'not-run', readonly reason: NotRunReason }
-  | { readonly kind: 'broken', readonly reason: string, readonly connectionEnded: boolean }
+  | { readonly kind: 'broken', readonly reason: string, readonly by: BrokenBy }
   | { readonly kind: 'unsent' }
 
+/**
+ * What broke an exchange off.
+ *
+ * - `connection`: the connection to the upstream ended, as when the upstream crashes
+ * - `relay`: the node that relayed the connection ended it, which says nothing about the upstream
+ * - `answer`: the answer is not valid
+ */
+export type BrokenBy = 'connection' | 'relay' | 'answer'
+
 /** Why a request was not run: no connection could be opened, or the upstream stated that it did not run the request. */
 export type NotRunReason = 'unreachable' | 'no-connection' | 'full' | 'another-upstream' | 'refused'
 
@@ -184,7 +194,17 @@
 
 function failedStart (upstream: UpstreamRecord, error: unknown): ExchangeStart {
   const failure = connectionFailure(error, addressSchema.parse(upstream.address))
-  return failure.verdict === 'not-run' ? { kind: 'not-run', reason: 'unreachable' } : { kind: 'broken', reason: failure.message, connectionEnded: true }
+  return failure.verdict === 'not-run' ? { kind: 'not-run', reason: 'unreachable' } : { kind: 'broken', reason: failure.message, by: brokenBy(error) }
+}
+
+/**
+ * Tells what ended a connection before the answer on it was complete.
+ *
+ * @example
+ * brokenBy(error) // 'relay' if the relaying node was killed
+ */
+export function brokenBy (error: unknown): BrokenBy {
+  return isRelayLost(error) ? 'relay' : 'connection'
 }
 
 /** Undici replaces a missing reason by an error of its own. */
@@ -215,7 +235,7 @@
 }
 
 function invalidAnswer (reason: string): ExchangeStart {
-  return { kind: 'broken', reason, connectionEnded: false }
+  return { kind: 'broken', reason, by: 'answer' }
 }
 
 function hasFraming (method: string, status: number, headers: Headers): boolean {
--- a/src/gateway/stream-relay.ts
+++ b/src/gateway/stream-relay.ts
@@ -2,7 +2,8 @@
 import type { ServerResponse } from 'node:http'
 import { writeWithBackpressure } from '../caller/http.js'
 import { createEventSplitter } from './event-stream.js'
-import type { UpstreamAnswer } from './exchange.js'
+import { brokenBy } from './exchange.js'
+import type { BrokenBy, UpstreamAnswer } from './exchange.js'
 
 /** Progress of a relayed stream, summed over all upstreams that served it. */
 export interface StreamProgress {
@@ -17,7 +18,7 @@
 export type RelayEnd =
   | { readonly kind: 'whole' }
   /** The upstream's stream was cut short, with its connection or within its last event. The relayed bytes end with a complete event. */
-  | { readonly kind: 'broken', readonly reason: string, readonly connectionEnded: boolean }
+  | { readonly kind: 'broken', readonly reason: string, readonly by: BrokenBy }
 
 /**
  * Relays events until the upstream's stream ends or fails. Never rejects.
@@ -40,7 +41,7 @@
       return writeWithBackpressure(response, events.bytes, signal)
     })
   } catch (error) {
-    return { kind: 'broken', reason: String((error as Error).message), connectionEnded: !(error instanceof RangeError) }
+    return { kind: 'broken', reason: String((error as Error).message), by: error instanceof RangeError ? 'answer' : brokenBy(error) }
   }
-  return splitter.isWhole() ? { kind: 'whole' } : { kind: 'broken', reason: 'the stream ended in the middle of an event', connectionEnded: false }
+  return splitter.isWhole() ? { kind: 'whole' } : { kind: 'broken', reason: 'the stream ended in the middle of an event', by: 'answer' }
 }
--- a/test/gateway/exchange.test.ts
+++ b/test/gateway/exchange.test.ts
@@ -58,7 +58,7 @@
     const result = await exchangeWith((socket) => {
       socket.write('HTTP/1.1 503 Service Unavailable\r\nX-Hornbeamgap-Request-Id: other\r\nX-Hornbeamgap-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n')
     })
-    assert.deepEqual(result, { kind: 'broken', reason: 'the answer belongs to another request', connectionEnded: false })
+    assert.deepEqual(result, { kind: 'broken', reason: 'the answer belongs to another request', by: 'answer' })
   })
 
   // Guards against taking a crashed upstream for a leaving one: its address now belongs to another upstream that is
--- a/test/gateway/stream-relay.test.ts
+++ b/test/gateway/stream-relay.test.ts
@@ -67,7 +67,7 @@
         const relayed = await relayEvents(start.answer, response, progress, () => {}, controller.signal)
         response.end()
         finish(relayed)
-      }).catch((error) => finish({ kind: 'broken', reason: String(error), connectionEnded: false }))
+      }).catch((error) => finish({ kind: 'broken', reason: String(error), by: 'answer' }))
     })
     cleanups.unshift(() => connections.close())
     return { port, progress, end, sent: () => sent, isCancelled: () => isCancelled }
