A stopping node is sent no further requests on the connections that it relays

What callers saw: while a node stopped that relayed connections of another one, requests at that other node went on taking these connections, and those that were in progress at the cut-off of the stop were cut: 502 for what may run only once, though a third node could have relayed it.

Cause: a stopping node refused to open tunnels, but told nobody about those that it had. It also decided by an estimate whether a tunnel was in use, one second after the last byte, so that a pause of a stream could end the wait for it.

Change: a stopping node says so in a frame on each tunnel. The asking node replaces its pool: what is in progress goes on and the rest takes another way, as after a lost path. The stopping node waits until the asking nodes have closed its tunnels, in place of guessing; a tunnel whose upstream connects after the stop was asked for is refused.

--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -370,7 +370,8 @@
       if (stopping !== undefined) return
       const now = clock.now()
       stopping = { since: now, cutOff: now + bounds.grace - STOP_MARGIN }
-      await stopNode({ clock, log, server, cutOff: stopping.cutOff, inFlight: () => inFlight + (tunnels?.busy() ?? 0), withdraw: async () => { await Promise.allSettled([fleet.withdraw(), duties?.release()]) } })
+      tunnels?.leave()
+      await stopNode({ clock, log, server, cutOff: stopping.cutOff, inFlight: () => inFlight + (tunnels?.open() ?? 0), withdraw: async () => { await Promise.allSettled([fleet.withdraw(), duties?.release()]) } })
       await writeLastCounts()
       shutdown.abort()
       for (const one of servers) {
--- a/src/gateway/tunnels.ts
+++ b/src/gateway/tunnels.ts
@@ -23,9 +23,6 @@
 /** Maximum number of connections that a node relays at a time. Each takes two descriptors. */
 const MAX_TUNNELS = 250
 
-/** A tunnel counts as busy for this time after its last byte, so that a stop does not cut a stream in a pause between events. */
-const BUSY_PERIOD: Milliseconds = 1_000
-
 /** Idle time after which the kernel begins to probe a connection. */
 const KEEP_ALIVE_DELAY: Milliseconds = 60_000
 
@@ -42,15 +39,16 @@
 export interface TunnelServer {
   /** Number of tunnels. */
   open (): number
-  /** Number of tunnels whose upstream owes an answer or has sent something recently. */
-  busy (): number
+  /** Tells the other nodes that this one stops. They close each tunnel once it carries no answer, and open no others. */
+  leave (): void
+  /** Breaks off all tunnels. */
   close (): void
 }
 
 interface Tunnel {
   readonly ends: readonly Socket[]
-  isAwaitingAnswer: boolean
-  lastByteAt: Milliseconds
+  /** Undefined until the upstream is connected. */
+  announceLeaving: (() => void) | undefined
 }
 
 /**
@@ -62,12 +60,13 @@
  */
 export function serveTunnels (server: Server, { clock, find }: TunnelServerOptions): TunnelServer {
   const tunnels = new Set<Tunnel>()
+  let isLeaving = false
 
   server.on('connect', (asked: IncomingMessage, peer: Socket, head: Buffer) => {
     peer.on('error', () => peer.destroy())
     const upstream = find(String(asked.headers[UPSTREAM_HEADER] ?? '') as UpstreamIncarnation)
     if (upstream === undefined || tunnels.size >= MAX_TUNNELS) {
-      peer.end('HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n')
+      refuse(peer)
       return
     }
     relay(peer, head, upstream)
@@ -75,45 +74,48 @@
 
   function relay (peer: Socket, head: Buffer, upstream: UpstreamRecord): void {
     const outbound = connectSocket(upstream.address)
-    const tunnel: Tunnel = { ends: [peer, outbound], isAwaitingAnswer: false, lastByteAt: clock.now() }
-    let isEstablished = false
+    const tunnel: Tunnel = { ends: [peer, outbound], announceLeaving: undefined }
     tunnels.add(tunnel)
     const cancelTimeout = clock.schedule(RELAY_CONNECT_TIMEOUT, () => outbound.destroy())
     outbound.on('error', () => outbound.destroy())
     outbound.once('connect', () => {
-      isEstablished = true
       cancelTimeout()
+      if (isLeaving) {
+        refuse(peer)
+        outbound.destroy()
+        return
+      }
       peer.write(`HTTP/1.1 ${ESTABLISHED} Connection Established\r\n\r\n`)
       if (head.length > 0) outbound.write(head)
       peer.pipe(outbound)
-      relayInFrames(outbound, peer)
-      peer.on('data', () => noteByte(tunnel, true))
-      outbound.on('data', () => noteByte(tunnel, false))
+      tunnel.announceLeaving = relayInFrames(outbound, peer)
     })
     outbound.once('close', () => {
       cancelTimeout()
       tunnels.delete(tunnel)
       // Otherwise the other node is told of the end, after all that the upstream has sent.
-      if (!isEstablished) peer.destroy()
+      if (tunnel.announceLeaving === undefined) peer.destroySoon()
     })
     peer.once('end', () => outbound.destroySoon())
     peer.once('close', () => outbound.destroy())
   }
 
-  function noteByte (tunnel: Tunnel, isAwaitingAnswer: boolean): void {
-    tunnel.lastByteAt = clock.now()
-    tunnel.isAwaitingAnswer = isAwaitingAnswer
-  }
-
   return {
     open: () => tunnels.size,
-    busy: () => [...tunnels].filter(({ isAwaitingAnswer, lastByteAt }) => isAwaitingAnswer || clock.now() - lastByteAt < BUSY_PERIOD).length,
+    leave: () => {
+      isLeaving = true
+      for (const { announceLeaving } of tunnels) announceLeaving?.()
+    },
     close: () => {
       for (const { ends } of tunnels) for (const end of ends) end.destroy()
     }
   }
 }
 
+function refuse (peer: Socket): void {
+  peer.end('HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n')
+}
+
 /**
  * Opens a connection to an upstream through another node.
  *
--- a/src/gateway/upstream-pools.ts
+++ b/src/gateway/upstream-pools.ts
@@ -7,6 +7,7 @@
 import type { RelayNode } from '../paths/index.js'
 import type { UpstreamIncarnation, UpstreamRecord } from '../placement/index.js'
 import type { Random } from '../random.js'
+import { RELAY_LEAVING } from './tunnel-frames.js'
 import { createUpstreamConnector } from './upstream-connector.js'
 import type { OpenedConnection } from './upstream-connector.js'
 
@@ -144,6 +145,7 @@
       connect: (_options, callback) => {
         openConnection(upstream).then(({ stream }) => {
           noteResets(upstream, stream)
+          stream.once(RELAY_LEAVING, () => { if (pools.get(upstream.incarnation)?.pool === pool) replacePool(upstream) })
           // Undici uses what all duplex streams have.
           callback(null, stream as Socket)
         }, (error) => callback(error, null))
