A stopping node begins only what ends before it does

Beside them, by the new tests: requests that still waited, or whose upstream had not answered, had their connections closed at the cut-off with no answer at all.

Cause: the admission went by the time that a request was expected to take, which leaves out waits at the upstream and at the node, and nothing looked at a request again after it. Class: a promise that rests on an estimate. Ruled out: plans that wait at the node (request-sent stood within 3 ms of the sending), and a cut-off that comes sooner than the admission assumes.

Evidence: stop-admission on the code before: each plan expected to take 3,345 ms, with 3,695, 3,598 and 3,398 ms left for the three that were cut.

Change: a stopping node sends a request only if the request's own limit ends before the cut-off, which no upstream can change. Others are refused at once as not run, with Retry-After 10 ms, so that another node serves them whole. In the first third of the grace period (2.5 s at most) what had come before the stop is still sent, and whatever comes if no other node is ready. The rule is asked at the head, before the first send, and once more when that period ends, for what waits. At the cut-off every request whose answer has not begun gets its final answer: 503 if it has not run, else 502. The cut-off lies in the last eighth of the grace period, whatever its length. The time at which a request is taken for accepted is that at which its head was read; its arrival is an estimate.

Tests: test/gateway/planned-stop.test.ts, 7 of 8 red before ("cut off: ... events 21, isComplete false"; no status where 503 and 502 are due), green now. In stopping-rule.test.ts two expectations were the fault itself: a plan of 15 s admitted 4.6 s before the cut-off, and short requests of 15 s admitted 0.7 s before it, both since they were expected to end in time.

--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -37,8 +37,8 @@
 export const EVENTS = {
   'node-started': z.strictObject({ incarnation: z.string(), failureDomain: z.string(), front: z.string() }).describe('the process listens; `incarnation` is new with each start'),
   'node-stopping': z.strictObject({ inFlight: count, grace: duration }).describe('asked to stop; `grace` is left until what still runs is cut off'),
-  'stop-admission': z.strictObject({ request, route: z.string(), admitted: z.boolean(), since: duration, left: duration, expected: duration, limit: duration }).describe('a request that came to a stopping node `since` the stop was asked for: `left` until requests are cut off, the time that it is `expected` to take, and the time until its own `limit`'),
-  'requests-cut-off': z.strictObject({ inFlight: count }).describe('the grace ended before these requests did'),
+  'stop-admission': z.strictObject({ request, route: z.string(), admitted: z.boolean(), since: duration, left: duration, limit: duration }).describe('a request that came to a stopping node `since` the stop was asked for: `left` until requests are cut off, and the time until its own `limit`'),
+  'requests-cut-off': z.strictObject({ inFlight: count }).describe('the grace ended before these requests did; those whose answer had not begun were answered with a failure'),
   'last-counts-not-written': z.strictObject({ error }).describe('what was served during the stop is missing in the usage of its window'),
   'node-stopped': noFacts.describe('the last line of a planned stop'),
   'withdrawal-failed': z.strictObject({ error }).describe('the record of a stopping node stands until its lease ends'),
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -15,6 +15,7 @@
 import type { Evacuation } from './evacuation.js'
 import type { UpstreamConnections } from './exchange.js'
 import type { GatewayMetrics } from './metrics.js'
+import type { PlannedStop } from './planned-stop.js'
 import type { RequestFormat } from './ports.js'
 import type { RequestSums } from './request-sums.js'
 import type { Rollouts } from './rollouts.js'
@@ -22,14 +23,6 @@
 import type { StreamOrigins } from './stream-origins.js'
 import type { UpstreamView } from './upstream-view.js'
 
-/** Times of a planned stop. */
-export interface StopTimes {
-  /** Time at which the stop was requested. */
-  readonly since: Milliseconds
-  /** Time at which requests in progress are cut off. */
-  readonly cutOff: Milliseconds
-}
-
 /** Version and age of the state on which this node's decisions are based. */
 export interface StateFreshness {
   /** Version in force. */
@@ -80,6 +73,5 @@
   readonly freshness: () => StateFreshness
   /** Resolves once this node has heard from another one since its start, if there is any that answers. Never rejects. */
   readonly firstContact: () => Promise<void>
-  /** Undefined unless the node is stopping. */
-  readonly stop: () => StopTimes | undefined
+  readonly plannedStop: PlannedStop
 }
--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -58,6 +58,8 @@
   nodeNames (): readonly string[]
   /** Whether this node is a member: it reports to an aggregator and receives sums and store updates from there. */
   isMember (): boolean
+  /** Whether another node is ready, as far as this one knows. */
+  hasOtherReadyNode (): boolean
   /** Addresses of ready nodes, in the selection for this caller. */
   addresses (caller: string): readonly string[]
   /** Other registered nodes, with their addresses for requests of nodes. */
@@ -249,10 +251,15 @@
   }
 
   /** Includes registered nodes unless their state says that they are not ready, and unregistered nodes only if their state says that they are. */
-  function addresses (caller: string): readonly string[] {
+  function otherReadyNodes (): Map<string, ReachableNode> {
     const states = new Map(directlyReceivedStates().map((state) => [state.name, state]))
     const known = new Map<string, ReachableNode>(records.all().filter(({ name }) => name !== self.name && states.get(name)?.ready !== false).map((record) => [record.name, record]))
-    for (const { name, front, processor, ready } of states.values()) if (ready) known.set(name, { name, front, processor })
+    for (const { name, front, processor, ready } of states.values()) if (ready && name !== self.name) known.set(name, { name, front, processor })
+    return known
+  }
+
+  function addresses (caller: string): readonly string[] {
+    const known = otherReadyNodes()
     if (options.isReady()) known.set(self.name, self)
     return chooseAddresses(caller, [...known.values()], options.maxAddresses)
   }
@@ -282,6 +289,7 @@
     knownNodeCount,
     nodeNames,
     isMember,
+    hasOtherReadyNode: () => otherReadyNodes().size > 0,
     addresses,
     relayNodes: () => records.all().filter(({ name }) => name !== self.name),
     wall: () => wall.at(clock.wall(), clock.now()),
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -17,25 +17,22 @@
 import { recordRequest } from './accounting.js'
 import type { AnswerOutcome, CallerRequest, RequestEnd } from './accounting.js'
 import { answerFailure } from './answering.js'
-import type { GatewayContext, StopTimes } from './context.js'
+import type { GatewayContext } from './context.js'
 import { CRASH_RETRY_AFTER } from './crash-causes.js'
 import type { RunContinuation } from './evacuation.js'
 import { fingerprintOf } from './fingerprint.js'
-import { crashFailure, mayRetry } from './proxied-request.js'
+import { crashFailure, mayRetry, stoppingFailure } from './proxied-request.js'
 import type { ProxiedRequest } from './proxied-request.js'
 import { dispatchAttempt } from './attempt.js'
-import { expectedTime, mayAdmit } from './stopping-rule.js'
+import type { UnsentRequest } from './stopping-rule.js'
 import { findResumedOrigin } from './stream-resumption.js'
 import { abortAtEnd, createTimeLimit } from './time-limit.js'
-import type { AbortReason, TimeLimit } from './time-limit.js'
+import type { AbortReason } from './time-limit.js'
 import { waitForUpstream } from './upstream-wait.js'
 
 /** `Retry-After` of a node that reads requests after their time. It has read what is pending by then; other nodes may be less busy. */
 const READ_LATE_RETRY_AFTER: Milliseconds = 1_000
 
-/** `Retry-After` of a stopping node. It is short because the caller can retry at another node at once. */
-const STOPPING_RETRY_AFTER: Milliseconds = 10
-
 /**
  * Handles one request of a caller. Never rejects.
  *
@@ -79,10 +76,11 @@
   const accepted = acceptHead(context.routeTable(), head, request.headers.host, request.url ?? '/')
   callerRequest.accepted = accepted
   const limit = createTimeLimit(arrival, head.deadline, accepted.route)
-  const stop = context.stop()
-  if (stop !== undefined) checkStop(context, accepted, limit, stop)
+  const unsent: UnsentRequest = { acceptedAt: clock.now(), limitEnd: limit.end }
+  checkStop(context, accepted, unsent)
   if (limit.left(clock.now()) === 0) throw refusal('timeout', 'the time limit had been reached before the request was read', READ_LATE_RETRY_AFTER)
   cleanup.push(abortAtEnd(clock, limit, controller))
+  cleanup.push(context.plannedStop.watch({ ...unsent, hasBegun: () => (callerRequest.proxied?.attempts ?? 0) > 0, abort: () => controller.abort('stopped' satisfies AbortReason) }))
   const body = await readWholeBody(context, request, controller.signal)
   const fingerprint = fingerprintOf(request.url ?? '/', accepted.organisation?.name, body)
   if (context.quarantine.isRefused(fingerprint, clock.now())) throw refusal('overloaded', 'this request has crashed the upstreams that ran it', CRASH_RETRY_AFTER)
@@ -91,19 +89,20 @@
   const giveBack = takeQuota(context, accepted)
   const service = origin?.service ?? chooseService(accepted.route, context.random) ?? ''
   context.retryBudget(service).request(clock.now())
-  const proxied: ProxiedRequest = { accepted, request, response, body, fingerprint, probedPart, arrival, limit, signal: controller.signal, service, side: undefined, tried: new Set(), upstream: undefined, attempts: 0, unrun: 0, deliveredAttempts: 0, progress: { lastId: head.lastEvent, events: 0, version: origin?.version }, usageCounted: false, timeToFirstAnswer: undefined }
+  const proxied: ProxiedRequest = { accepted, request, response, body, fingerprint, probedPart, arrival, acceptedAt: unsent.acceptedAt, limit, signal: controller.signal, service, side: undefined, tried: new Set(), upstream: undefined, attempts: 0, unrun: 0, deliveredAttempts: 0, progress: { lastId: head.lastEvent, events: 0, version: origin?.version }, usageCounted: false, timeToFirstAnswer: undefined }
   cleanup.push(() => { if (proxied.attempts === 0) giveBack() })
   cleanup.push(context.crashes.watch(head.sharedParts, probedPart, (isDoubtful) => abortIfDangerous(proxied, isDoubtful, controller)))
   return proxied
 }
 
-/** @throws ServingError `stopping`, `not-run`, if the node stops before the request would end */
-function checkStop ({ clock, log, speeds }: GatewayContext, { route, head }: AcceptedRequest, limit: TimeLimit, { since, cutOff }: StopTimes): void {
+/** @throws ServingError `stopping`, `not-run`, if the node may stop before the request ends */
+function checkStop ({ clock, log, plannedStop }: GatewayContext, { route, head }: AcceptedRequest, request: UnsentRequest): void {
+  const times = plannedStop.times()
+  if (times === undefined) return
   const now = clock.now()
-  const speed = speeds.of(route.destinations[0]?.service ?? '')
-  const admitted = mayAdmit({ now, since, cutOff }, route, head, speed)
-  log.info('stop-admission', { request: head.id, route: route.name, admitted, since: Math.round(now - since), left: Math.max(0, Math.round(cutOff - now)), expected: Math.round(expectedTime(route, head, speed)), limit: Math.round(limit.left(now)) })
-  if (!admitted) throw refusal('stopping', 'this node stops before the request would end', STOPPING_RETRY_AFTER)
+  const admitted = plannedStop.mayBegin(request)
+  log.info('stop-admission', { request: head.id, route: route.name, admitted, since: Math.round(now - times.since), left: Math.max(0, Math.round(times.cutOff - now)), limit: Math.max(0, Math.round(request.limitEnd - now)) })
+  if (!admitted) throw stoppingFailure()
 }
 
 /**
@@ -139,6 +138,7 @@
   for (;;) {
     const choice = continuation === undefined ? await waitForUpstream(context, proxied) : continuationChoice(continuation)
     if (crashesUpstreams(context, proxied)) throw crashFailure(proxied)
+    if (proxied.attempts === 0 && !context.plannedStop.mayBegin({ acceptedAt: proxied.acceptedAt, limitEnd: proxied.limit.end })) throw stoppingFailure()
     proxied.tried.add(choice.upstream.incarnation)
     proxied.upstream = choice.upstream.id
     const result = await dispatchAttempt(context, proxied, choice, continuation?.reference)
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -24,7 +24,7 @@
 import { createBackpressure } from './backpressure.js'
 import { createConfigurationWatcher } from './configuration-watcher.js'
 import { connectionShare } from './connection-share.js'
-import type { GatewayContext, StateFreshness, StopTimes } from './context.js'
+import type { GatewayContext, StateFreshness } from './context.js'
 import { CRASH_CAUSES_KEY, createCrashCauseRecord } from './crash-cause-record.js'
 import { createCrashWatch, pickNode } from './crash-causes.js'
 import { createDispatchQueues, wakeOnChange } from './dispatch-queues.js'
@@ -39,6 +39,7 @@
 import { forwardRequest } from './forwarding.js'
 import { maxCallerConnections, createCallerServer, applyCallerLimits } from './listener.js'
 import { createGatewayMetrics } from './metrics.js'
+import { createPlannedStop } from './planned-stop.js'
 import { exposeNodeMetrics } from './node-metrics.js'
 import type { Platform } from './ports.js'
 import { createStoreUpdateExchange } from './store-updates.js'
@@ -49,7 +50,7 @@
 import { createRollouts } from './rollouts.js'
 import { createServicePaths } from './service-paths.js'
 import type { GatewaySettings } from './settings.js'
-import { STOP_MARGIN, stopNode } from './stopping.js'
+import { stopMarginOf, stopNode } from './stopping.js'
 import { serveTunnels } from './tunnels.js'
 import type { TunnelServer } from './tunnels.js'
 import { createSlownessReporter } from './upstream-slowness.js'
@@ -91,8 +92,8 @@
 /** Period at which the estimates of engine speeds are updated. A node observes about ten prompts in this time. */
 const SPEED_PERIOD: Milliseconds = 1_000
 
-/** Timeout of the last write of a stop: half of the time from the cut-off to the kill. */
-const LAST_WRITE_TIMEOUT: Milliseconds = STOP_MARGIN / 2
+/** Part of the time from the cut-off to the kill that the last write of a stop may take. */
+const LAST_WRITE_FRACTION = 1 / 2
 
 /** Number of past usage windows that are reported to other nodes, beside the present one. Older ones are in the store. */
 const REPORTED_PAST_WINDOWS = 1
@@ -142,14 +143,15 @@
   let inFlight = 0
   let sharedAmong = 0
   let context = undefined as GatewayContext | undefined
-  let stopping: StopTimes | undefined
+  const stopMargin = stopMarginOf(bounds.grace)
+  const plannedStop = createPlannedStop({ clock, log, hasOtherNode: () => fleet.hasOtherReadyNode() })
 
   const arrivals = createArrivals({ clock, eventLoop: eventLoopTimes })
   const server = createCallerServer((request, response) => {
     // The node needs the address to register, so the server listens before the rest of the node is ready.
     if (context === undefined) return answerFailure(response, platform.format, undefined, refusal('no-configuration', 'the node starts', START_RETRY_AFTER))
     inFlight += 1
-    if (stopping !== undefined) response.setHeader('connection', 'close')
+    if (isStopping()) response.setHeader('connection', 'close')
     forwardRequest(context, request, response)
       .catch((error) => log.error('request-handler-failed', { error: String(error) }))
       .finally(() => { inFlight -= 1 })
@@ -230,7 +232,7 @@
     sharedWall: fleet.wall,
     firstContact: fleet.firstContact,
     freshness: sources,
-    stop: () => stopping
+    plannedStop
   }
   const upstreamsSubscription = watchUpstreams(followContext, platform.registry, upstreams, connections, { drain: bounds.upstreamDrain, onSeen: ({ service, version }) => serviceVersions.seen(service, version, clock.now()), onLeaving: evacuation.leaving })
   const duties = platform.duties && startDuties({ context: followContext, settings, incarnation, calls: platform.duties, holder, fleet, usage, work, upstreams, speeds, carriesTraffic: rollouts.carriesTraffic, table: configuration.table })
@@ -265,7 +267,7 @@
   /** A stopping node relays no new connections: they would break off with its process. */
   function findRelayable (incarnation: UpstreamIncarnation): UpstreamRecord | undefined {
     const upstream = upstreams.find(incarnation)
-    return stopping !== undefined || upstream?.leaving !== false || connections.isRelayed(incarnation) ? undefined : upstream
+    return isStopping() || upstream?.leaving !== false || connections.isRelayed(incarnation) ? undefined : upstream
   }
 
   function sources (): StateFreshness {
@@ -287,15 +289,19 @@
     return receivedAt === undefined ? undefined : Math.round(clock.now() - receivedAt)
   }
 
+  function isStopping (): boolean {
+    return plannedStop.times() !== undefined
+  }
+
   function isReady (): boolean {
-    return stopping === undefined && configuration.table() !== undefined
+    return !isStopping() && configuration.table() !== undefined
   }
 
   /** Writes the usage counts of requests served during the stop. Bounded, since the store may be unavailable and the kill is near. */
   async function writeLastCounts (): Promise<void> {
     if (duties === undefined) return
     const written = duties.writeUsageCounts().catch((error) => log.warn('last-counts-not-written', { error: String(error) }))
-    await Promise.race([written, clock.sleep(LAST_WRITE_TIMEOUT)])
+    await Promise.race([written, clock.sleep(stopMargin * LAST_WRITE_FRACTION)])
   }
 
   /** The state that this node reports to the other nodes. */
@@ -367,11 +373,12 @@
   return {
     addresses: { front, ready, directory },
     stop: async () => {
-      if (stopping !== undefined) return
-      const now = clock.now()
-      stopping = { since: now, cutOff: now + bounds.grace - STOP_MARGIN }
+      if (isStopping()) return
+      const since = clock.now()
+      const cutOff = since + bounds.grace - stopMargin
+      plannedStop.begin({ since, cutOff })
       tunnels?.leave()
-      await stopNode({ clock, log, server, cutOff: stopping.cutOff, inFlight: () => inFlight + (tunnels?.open() ?? 0), withdraw: async () => { await Promise.allSettled([fleet.withdraw(), duties?.release()]) } })
+      await stopNode({ clock, log, server, cutOff, margin: stopMargin, inFlight: () => inFlight + (tunnels?.open() ?? 0), withdraw: async () => { await Promise.allSettled([fleet.withdraw(), duties?.release()]) } })
       await writeLastCounts()
       shutdown.abort()
       for (const one of servers) {
--- a/src/gateway/proxied-request.ts
+++ b/src/gateway/proxied-request.ts
@@ -23,6 +23,8 @@
   /** Part of the prompt that is refused otherwise and that this request probes. */
   readonly probedPart: PartId | undefined
   readonly arrival: Milliseconds
+  /** Time at which this node read its head. */
+  readonly acceptedAt: Milliseconds
   readonly limit: TimeLimit
   /** Aborts with an {@link AbortReason}. */
   readonly signal: AbortSignal
@@ -49,6 +51,9 @@
 /** `Retry-After` when no upstream is available. A replacement of a crashed upstream is registered within this time. */
 export const NO_UPSTREAM_RETRY_AFTER: Milliseconds = 300
 
+/** `Retry-After` of a stopping node. It is short because the caller can retry at another node at once. */
+const STOPPING_RETRY_AFTER: Milliseconds = 10
+
 /** Maximum number of attempts of one request that no upstream ran. Each takes at most the connection timeout. */
 const MAX_NOT_RUN_ATTEMPTS = 4
 
@@ -97,10 +102,20 @@
     case 'time-limit': return new ServingError('the time limit was reached', { code: 'timeout', verdict, ...(verdict === 'not-run' ? { retryAfter: NO_UPSTREAM_RETRY_AFTER } : {}) })
     case 'caller-gone': return new ServingError('the caller has left', { code: 'cancelled', verdict })
     case 'crashes-upstreams': return crashFailure(proxied)
-    case 'stopped': return new ServingError('the node stops', { code: 'stopping', verdict })
+    case 'stopped': return verdict === 'not-run' ? stoppingFailure() : new ServingError('this node stops', { code: 'stopping', verdict })
   }
 }
 
+/**
+ * Creates the failure of a request that a stopping node has not sent to any upstream.
+ *
+ * @example
+ * throw stoppingFailure()
+ */
+export function stoppingFailure (): ServingError {
+  return refusal('stopping', 'this node stops before the request would end', STOPPING_RETRY_AFTER)
+}
+
 /**
  * Creates the failure of a request that is not sent, or not sent once more, because it crashes upstreams.
  *
--- a/src/gateway/stopping-rule.ts
+++ b/src/gateway/stopping-rule.ts
@@ -1,56 +1,56 @@
-/** Decides which requests a stopping node still admits: those that are expected to finish before it is killed. */
+/**
+ * Decides which requests a stopping node still sends to an upstream.
+ *
+ * A request ends by its own limit, whatever its upstream does. Nothing else bounds its time: the time that it is expected to take leaves
+ * out waits at the upstream and at the node. So only a limit before the cut-off shows that the stop cuts a request off in no case.
+ */
 import type { Milliseconds } from '../clock.js'
-import { prefillTime } from '../placement/index.js'
-import type { EngineSpeed } from '../placement/index.js'
-import type { Route } from '../routing/index.js'
-import type { RequestHead } from './ports.js'
 
-/** Times that determine which requests a stopping node admits. */
-export interface StopProgress {
-  readonly now: Milliseconds
+/** Times of a planned stop. */
+export interface StopTimes {
   /** Time at which the stop was requested. */
   readonly since: Milliseconds
   /** Time at which requests in progress are cut off. */
   readonly cutOff: Milliseconds
 }
 
-/**
- * Time after the stop request during which every request is admitted. Callers whose address list predates the stop
- * arrive within this time and must not be refused.
- */
-const UNRESTRICTED_ADMISSION: Milliseconds = 2_500
-
-/** Upper bound of the usual time per generated token: a decode step takes about 3 ms, lengthened by interleaved prefills. */
-const TIME_PER_TOKEN: Milliseconds = 7
+/** A request that has not been sent to any upstream. */
+export interface UnsentRequest {
+  /** Time at which this node read its head. */
+  readonly acceptedAt: Milliseconds
+  /** Time at which its final answer is due. */
+  readonly limitEnd: Milliseconds
+}
 
 /**
- * Multiple of the prefill time that is allowed for a prompt, which may wait behind others for up to twice its own
- * prefill.
+ * Longest time from the stop request for which a request is sent that may outlast the stop. Callers with an address list from before
+ * the stop arrive within this time.
  */
-const PREFILL_FACTOR = 3
+const MAX_BEST_EFFORT_PERIOD: Milliseconds = 2_500
 
-/** Multiple of the target that is allowed for an answer that is not a stream. One in a hundred takes longer. */
-const PLAIN_TARGET_FACTOR = 3
+/** Part of the time until the cut-off that this period may take. */
+const BEST_EFFORT_FRACTION = 1 / 3
 
 /**
- * Whether a stopping node admits a request.
+ * Whether a stopping node may send a request. One that may outlast the stop is sent in the first seconds only, and only if it came
+ * before the stop was requested or no other node could take it.
  *
- * @param speed of the engines that would run the request
+ * @param hasOtherNode whether another node is ready
  * @example
- * mayAdmit({ now, since, cutOff }, route, head, speed) // false for a plan of 3 s, 2 s before the cut-off
+ * mayBegin({ since: 0, cutOff: 7_600 }, { acceptedAt: 500, limitEnd: 3_500 }, true, 500) // true
+ * mayBegin({ since: 0, cutOff: 7_600 }, { acceptedAt: 500, limitEnd: 15_500 }, true, 500) // false
  */
-export function mayAdmit ({ now, since, cutOff }: StopProgress, route: Route, head: RequestHead, speed: EngineSpeed): boolean {
-  if (now - since < UNRESTRICTED_ADMISSION) return true
-  return now + expectedTime(route, head, speed) < cutOff
+export function mayBegin (stop: StopTimes, { acceptedAt, limitEnd }: UnsentRequest, hasOtherNode: boolean, now: Milliseconds): boolean {
+  if (limitEnd <= stop.cutOff) return true
+  return now < bestEffortEnd(stop) && (acceptedAt < stop.since || !hasOtherNode)
 }
 
 /**
- * Time that a request is expected to take, which is no bound.
+ * Time from which a stopping node sends no request that may outlast the stop.
  *
  * @example
- * expectedTime(route, head, speed) // 3_300 for a plan of 12,000 tokens of prompt and 380 generated ones
+ * bestEffortEnd({ since: 0, cutOff: 7_600 }) // 2_500
  */
-export function expectedTime (route: Route, { tokens }: RequestHead, speed: EngineSpeed): Milliseconds {
-  if (route.kind !== 'stream' || tokens === undefined) return route.target * PLAIN_TARGET_FACTOR
-  return speed.base + prefillTime(tokens.prompt, 0, speed) * PREFILL_FACTOR + tokens.generated * TIME_PER_TOKEN
+export function bestEffortEnd ({ since, cutOff }: StopTimes): Milliseconds {
+  return since + Math.min(MAX_BEST_EFFORT_PERIOD, (cutOff - since) * BEST_EFFORT_FRACTION)
 }
--- a/src/gateway/stopping.ts
+++ b/src/gateway/stopping.ts
@@ -14,13 +14,18 @@
   readonly server: Server
   /** Time at which requests in progress are cut off. */
   readonly cutOff: Milliseconds
+  /** Time from the cut-off to the kill. */
+  readonly margin: Milliseconds
   readonly inFlight: () => number
   /** Removes the node's records from the store. */
   readonly withdraw: () => Promise<void>
 }
 
 /** Time before the kill at which requests in progress are cut off, so that the process can exit by itself. */
-export const STOP_MARGIN: Milliseconds = 400
+const MAX_STOP_MARGIN: Milliseconds = 400
+
+/** Part of the grace period that this time may take. */
+const STOP_MARGIN_FRACTION = 1 / 8
 
 /**
  * Time during which callers with an outdated address list are served. An address list is valid for 2 s, and some callers keep
@@ -31,15 +36,32 @@
 const POLL_PERIOD: Milliseconds = 50
 
 /**
- * Waits until callers have left and requests have finished, but no longer than until the cut-off.
+ * Part of the time between the cut-off and the kill in which requests that end at the cut-off are answered. The rest is left for the
+ * last writes.
+ */
+const ANSWERING_FRACTION = 1 / 4
+
+/**
+ * Time between the cut-off of requests and the kill.
+ *
+ * @param grace time from the request to stop to the kill
+ * @example
+ * stopMarginOf(8_000) // 400
+ */
+export function stopMarginOf (grace: Milliseconds): Milliseconds {
+  return Math.min(MAX_STOP_MARGIN, grace * STOP_MARGIN_FRACTION)
+}
+
+/**
+ * Waits until callers have left and requests have finished, but little longer than until the cut-off.
  *
  * Failure guarded against: the store is unreachable and the withdrawal never completes. The stop does not wait for it.
  *
  * @example
- * await stopNode({ clock, log, server, cutOff, inFlight, withdraw })
+ * await stopNode({ clock, log, server, cutOff, margin, inFlight, withdraw })
  */
 export async function stopNode (options: StopOptions): Promise<void> {
-  const { clock, log, server, cutOff, inFlight, withdraw } = options
+  const { clock, log, server, cutOff, margin, inFlight, withdraw } = options
   const acceptUntil = Math.min(cutOff, clock.now() + STALE_ADDRESS_PERIOD)
   log.info('node-stopping', { inFlight: inFlight(), grace: Math.round(cutOff - clock.now()) })
   withdraw().catch((error) => log.warn('withdrawal-failed', { error: String(error) }))
@@ -48,9 +70,9 @@
     await clock.sleep(POLL_PERIOD)
   }
   server.close()
-  while (clock.now() < cutOff && inFlight() > 0) {
+  const end = cutOff + margin * ANSWERING_FRACTION
+  while (clock.now() < end && inFlight() > 0) {
     server.closeIdleConnections()
-    await clock.sleep(POLL_PERIOD)
+    await clock.sleep(Math.min(POLL_PERIOD, end - clock.now()))
   }
-  if (inFlight() > 0) log.warn('requests-cut-off', { inFlight: inFlight() })
 }
--- a/stand-ins/machines/deployment.ts
+++ b/stand-ins/machines/deployment.ts
@@ -36,6 +36,9 @@
   close (): Promise<void>
 }
 
+/** Bounds of the nodes that differ from those of {@link createSettings}, by their names on the platform. */
+export type NodeBounds = Readonly<Record<string, number>>
+
 /** What a node is started with. */
 export interface NodeOptions {
   readonly name: string
@@ -45,6 +48,7 @@
   readonly api: string
   /** Seed of its random numbers. */
   readonly seed: number
+  readonly bounds?: NodeBounds
 }
 
 /** Maximum connections of a node to the metadata store and to the API, each. */
@@ -57,7 +61,7 @@
  * const deployment = await createMachineDeployment(clock)
  * deployment.configure(configuration)
  */
-export async function createMachineDeployment (clock: Clock): Promise<MachineDeployment> {
+export async function createMachineDeployment (clock: Clock, bounds: NodeBounds = {}): Promise<MachineDeployment> {
   const store = await serveMetadataStore(clock, createRandom(1))
   const api = await serveDutyApi(clock, createRandom(2))
   const lines: Record<string, unknown>[] = []
@@ -66,7 +70,7 @@
 
   function createOptions (name: string): NodeOptions {
     startedNodes += 1
-    return { name, store: store.address, api: api.address, seed: startedNodes }
+    return { name, store: store.address, api: api.address, seed: startedNodes, bounds }
   }
 
   async function startNodeWithPaths (name: string, pathTo: (address: string) => string): Promise<GatewayNode> {
@@ -133,7 +137,7 @@
   }
 }
 
-function createSettings ({ name, store, api }: NodeOptions): GatewaySettings {
+function createSettings ({ name, store, api, bounds }: NodeOptions): GatewaySettings {
   return gatewaySettingsSchema.parse({
     nodeName: name,
     ip: '127.0.0.1',
@@ -143,7 +147,7 @@
     zones: { 'zone-a': 'region' },
     listen: { front: '127.0.0.1:0', ready: '127.0.0.1:0', directory: '127.0.0.1:0' },
     limits: { memoryMb: 350, maxFds: 4_100 },
-    bounds: { graceS: 2, leaseMs: 1_000, retryBudgetRatio: 0.2, budgetExtra: 50 },
+    bounds: { graceS: 2, leaseMs: 1_000, retryBudgetRatio: 0.2, budgetExtra: 50, ...bounds },
     platform: { address: store },
     cloudApi: { address: api, duties: ['usage', 'autoscale'] }
   })
--- /dev/null
+++ b/test/gateway/planned-stop.test.ts
@@ -0,0 +1,187 @@
+/** Requests at a node that is asked to stop, beside another one that goes on. */
+import assert from 'node:assert/strict'
+import { afterEach, describe, it } from 'node:test'
+import { request } from 'undici'
+import { HEADER } from '../../platform/names.js'
+import { createSystemClock } from '../../src/clock.js'
+import type { Milliseconds } from '../../src/clock.js'
+import type { GatewayNode } from '../../src/gateway/node.js'
+import { createMachineDeployment } from '../../stand-ins/machines/deployment.js'
+import type { MachineDeployment } from '../../stand-ins/machines/deployment.js'
+import { serveUpstream } from '../../stand-ins/machines/upstream.js'
+import type { UpstreamStandIn, UpstreamStandInOptions } from '../../stand-ins/machines/upstream.js'
+
+const clock = createSystemClock()
+const HOST = 'api.example'
+const POLL_INTERVAL: Milliseconds = 20
+
+/** Grace period of the nodes, and a request's own time, which is longer. */
+const GRACE: Milliseconds = 4_000
+const TIME_LIMIT: Milliseconds = 10_000
+
+const configuration = {
+  version: 1,
+  routes: [
+    { name: 'plan', host: HOST, prefix: '/plan/', kind: 'streaming', timeoutMs: TIME_LIMIT, targetLatencyMs: 8_000, targetGapMs: 2_000, service: 'model', maxAttempts: 1 },
+    { name: 'question', host: HOST, prefix: '/question/', kind: 'streaming', resumable: true, timeoutMs: TIME_LIMIT, targetLatencyMs: 8_000, targetGapMs: 2_000, service: 'model', maxAttempts: 3 },
+    { name: 'booking', host: HOST, prefix: '/booking/', kind: 'non_idempotent', timeoutMs: TIME_LIMIT, targetLatencyMs: 8_000, service: 'plain', maxAttempts: 1 },
+    { name: 'lookup', host: HOST, prefix: '/lookup/', kind: 'idempotent', timeoutMs: TIME_LIMIT, targetLatencyMs: 8_000, service: 'plain', maxAttempts: 3 },
+    { name: 'short', host: HOST, prefix: '/short/', kind: 'non_idempotent', timeoutMs: 500, targetLatencyMs: 200, service: 'plain', maxAttempts: 1 }
+  ],
+  services: [{ name: 'model', maxConns: 500, engine: { slots: 64, moves: false } }, { name: 'plain', maxConns: 500 }]
+}
+type Route = 'plan' | 'question' | 'booking' | 'lookup' | 'short'
+
+/** How a request ended at its caller. */
+interface Outcome {
+  readonly id: string
+  /** Undefined if the connection ended without an answer. */
+  readonly status: number | undefined
+  readonly retryAfter: string | undefined
+  readonly events: number
+  /** Whether there was an answer that ended as its framing says. */
+  readonly isComplete: boolean
+  /** Time from the request to the end of its answer. */
+  readonly took: Milliseconds
+}
+
+describe('a node that is asked to stop', () => {
+  let deployment: MachineDeployment
+  let upstreams: UpstreamStandIn[] = []
+  let lastId = 0
+
+  afterEach(async () => {
+    await deployment.close()
+    await Promise.all(upstreams.splice(0).map((upstream) => upstream.close()))
+  })
+
+  /** Starts nodes before one engine and one plain service. */
+  async function startNodes (names: readonly string[], engine: Omit<UpstreamStandInOptions, 'id' | 'clock'>, { grace = GRACE } = {}): Promise<GatewayNode[]> {
+    deployment = await createMachineDeployment(clock, { graceS: grace / 1_000 })
+    deployment.configure(configuration)
+    upstreams = await Promise.all([serveUpstream({ id: 'm-1', clock, ...engine }), serveUpstream({ id: 'p-1', clock })])
+    deployment.register(upstreams[0]!, { service: 'model', slots: 64 })
+    deployment.register(upstreams[1]!, { service: 'plain' })
+    const nodes = await Promise.all(names.map(deployment.startNode))
+    for (const node of nodes) {
+      while ((await ask(node, 'short')).status !== 200) await clock.sleep(POLL_INTERVAL)
+      while (await addressCount(node) < names.length) await clock.sleep(POLL_INTERVAL)
+    }
+    return nodes
+  }
+
+  async function addressCount (node: GatewayNode): Promise<number> {
+    const { statusCode, body } = await request(`http://${node.addresses.directory}/resolve?name=${HOST}&region=region&zone=zone-a`)
+    const text = await body.text()
+    return statusCode === 200 ? JSON.parse(text).addresses.length : 0
+  }
+
+  async function ask (node: GatewayNode, route: Route): Promise<Outcome> {
+    lastId += 1
+    const id = `r${lastId}`
+    const start = clock.now()
+    const headers: Record<string, string> = { host: HOST, [HEADER.requestId]: id, [HEADER.deadline]: String(TIME_LIMIT) }
+    if (route === 'plan' || route === 'question') headers[HEADER.tokenUsage] = '100,10'
+    let status: number | undefined
+    let retryAfter: string | undefined
+    let text = ''
+    let isComplete = false
+    try {
+      const response = await request(`http://${node.addresses.front}/${route}/x`, { method: 'POST', body: `${route} ${id}`, headers, reset: true })
+      status = response.statusCode
+      retryAfter = response.headers['retry-after'] as string | undefined
+      for await (const chunk of response.body) text += String(chunk)
+      isComplete = true
+    } catch { /* cut off */ }
+    return { id, status, retryAfter, events: text.split('\n\n').length - 1, isComplete, took: clock.now() - start }
+  }
+
+  function hasRun ({ id }: Outcome): boolean {
+    return upstreams.some(({ runs }) => runs.some((run) => run.id === id))
+  }
+
+  // Guards against plans that are cut off: they come to a stopping node, are expected to end in time, and take longer.
+  it('cuts off no stream that comes after that: it ends whole, or is refused as not run and served by another node', { timeout: 60_000 }, async () => {
+    const events = 25
+    const [stopping, other] = await startNodes(['node-1', 'node-2'], { events, pause: 100 })
+    const begin = clock.now()
+    const stopped = stopping!.stop()
+    const outcomes: Promise<Outcome>[] = []
+    for (const at of [0, 500, 1_000, 1_500, 2_000, 2_600, 3_000, 3_400]) {
+      await clock.sleep(Math.max(0, begin + at - clock.now()))
+      outcomes.push(ask(stopping!, 'plan'), ask(stopping!, 'question'))
+    }
+    for (const outcome of await Promise.all(outcomes)) {
+      const { status, isComplete, took } = outcome
+      assert.ok(isComplete, `cut off: ${JSON.stringify(outcome)}`)
+      if (status === 200) assert.equal(outcome.events, events)
+      else assert.deepEqual({ status, isRun: hasRun(outcome), isAtOnce: took < 500, isAskedBackSoon: Number(outcome.retryAfter) <= 0.1 }, { status: 503, isRun: false, isAtOnce: true, isAskedBackSoon: true })
+    }
+    assert.deepEqual({ ...await ask(other!, 'plan'), id: '', took: 0 }, { id: '', status: 200, retryAfter: undefined, events, isComplete: true, took: 0 })
+    await stopped
+  })
+
+  // Guards against a request that waits at the node until its connection is closed, with no answer, though it has not run.
+  it('answers a request that still waits once it can no longer end in time', { timeout: 60_000 }, async () => {
+    const grace = 1_000
+    const [stopping] = await startNodes(['node-1', 'node-2'], {}, { grace })
+    deployment.unregister(upstreams[0]!)
+    while (!deployment.lines.some(({ event, process }) => event === 'upstream-gone' && process === 'node-1')) await clock.sleep(POLL_INTERVAL)
+    const waiting = [ask(stopping!, 'plan'), ask(stopping!, 'question')]
+    while (deployment.lines.filter(({ event }) => event === 'request-queued').length < waiting.length) await clock.sleep(POLL_INTERVAL)
+    const stopped = stopping!.stop()
+    for (const outcome of await Promise.all(waiting)) assert.deepEqual({ status: outcome.status, isComplete: outcome.isComplete, isRun: hasRun(outcome), isInTime: outcome.took < grace }, { status: 503, isComplete: true, isRun: false, isInTime: true })
+    assert.equal(deployment.lines.filter(({ event, code }) => event === 'request-failed' && code === 'stopping').length, waiting.length)
+    await stopped
+  })
+
+  // Guards against a connection that ends without an answer: its request was sent before the stop, and its upstream never answers.
+  it('answers a request that may have run, if it is still unanswered at the cut-off', { timeout: 60_000 }, async () => {
+    const [stopping] = await startNodes(['node-1', 'node-2'], {})
+    for (const upstream of upstreams) upstream.setBehaviour(() => 'hang')
+    const unanswered = [ask(stopping!, 'booking'), ask(stopping!, 'plan'), ask(stopping!, 'lookup')]
+    await clock.sleep(100)
+    const stopped = stopping!.stop()
+    for (const { status, isComplete } of await Promise.all(unanswered)) assert.deepEqual({ status, isComplete }, { status: 502, isComplete: true })
+    await stopped
+  })
+
+  it('serves requests that end by their own limit before it does', { timeout: 60_000 }, async () => {
+    const [stopping] = await startNodes(['node-1', 'node-2'], {})
+    const begin = clock.now()
+    const stopped = stopping!.stop()
+    for (const at of [0, 1_000, 2_000, 3_000]) {
+      await clock.sleep(Math.max(0, begin + at - clock.now()))
+      assert.equal((await ask(stopping!, 'short')).status, 200)
+    }
+    await stopped
+  })
+
+  // Guards against callers that are sent away although no node could take their requests.
+  it('serves what it can in the first third of its grace period if there is no other node', { timeout: 60_000 }, async () => {
+    const events = 5
+    const [only] = await startNodes(['node-1'], { events, pause: 100 })
+    const stopped = only!.stop()
+    assert.deepEqual({ ...await ask(only!, 'plan'), id: '', took: 0 }, { id: '', status: 200, retryAfter: undefined, events, isComplete: true, took: 0 })
+    await clock.sleep(GRACE / 3)
+    const late = await ask(only!, 'plan')
+    assert.deepEqual({ status: late.status, isComplete: late.isComplete, isRun: hasRun(late) }, { status: 503, isComplete: true, isRun: false })
+    await stopped
+  })
+
+  for (const grace of [500, 1_000, 12_000]) {
+    it(`cuts off no request that comes after that with a grace period of ${grace} ms`, { timeout: 60_000 }, async () => {
+      const [stopping] = await startNodes(['node-1', 'node-2'], { events: 20, pause: 100 }, { grace })
+      const stopped = stopping!.stop()
+      const outcomes: Outcome[] = []
+      for (let sent = 0; sent < 10; sent += 1) {
+        const outcome = await ask(stopping!, 'plan')
+        // The node has ended.
+        if (outcome.status === undefined && !hasRun(outcome)) break
+        outcomes.push(outcome)
+      }
+      assert.deepEqual(outcomes.filter((outcome) => !outcome.isComplete || (outcome.status === 503 && hasRun(outcome))), [])
+      await stopped
+    })
+  }
+})
--- a/test/gateway/stopping-rule.test.ts
+++ b/test/gateway/stopping-rule.test.ts
@@ -1,33 +1,45 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import type { RequestHead } from '../../src/gateway/ports.js'
-import { mayAdmit } from '../../src/gateway/stopping-rule.js'
-import { ASSUMED_SPEED } from '../../src/placement/index.js'
-import type { Route } from '../../src/routing/index.js'
-import { routeTo } from '../placement/records.js'
-
-const route = (kind: Route['kind'], target: number): Route => routeTo('s', { kind, timeLimit: 15_000, target })
-
-const head = (prompt: number, generated: number): RequestHead => ({ id: 'r', deadline: 15_000, key: undefined, tokens: { prompt, generated }, parts: [], sharedParts: [], lastEvent: undefined, resumes: undefined })
+import * as fc from 'fast-check'
+import { bestEffortEnd, mayBegin } from '../../src/gateway/stopping-rule.js'
+import type { UnsentRequest } from '../../src/gateway/stopping-rule.js'
 
 const stop = { since: 0, cutOff: 7_600 }
 
+/** A plan may take 15 s, a question 3 s, a booking 1 s. */
+const plan = (acceptedAt: number): UnsentRequest => ({ acceptedAt, limitEnd: acceptedAt + 15_000 })
+const question = (acceptedAt: number): UnsentRequest => ({ acceptedAt, limitEnd: acceptedAt + 3_000 })
+const booking = (acceptedAt: number): UnsentRequest => ({ acceptedAt, limitEnd: acceptedAt + 1_000 })
+
 describe('a stopping node', () => {
-  // Guards against a plan that is cut off: a node admits it six seconds after the request to stop and is killed while
-  // the plan is still running.
-  it('does not admit a plan that would be cut off', () => {
-    const plan = head(12_000, 380)
-    assert.equal(mayAdmit({ ...stop, now: 5_800 }, route('stream', 1_200), plan, ASSUMED_SPEED), false)
-    assert.equal(mayAdmit({ ...stop, now: 3_000 }, route('stream', 1_200), plan, ASSUMED_SPEED), true)
+  // Guards against a plan that is cut off: a node admits it, since it is expected to end in time, and it takes longer.
+  it('sends no plan that could outlast the stop while another node is ready', () => {
+    for (const now of [0, 500, 3_000, 4_000, 5_800]) assert.equal(mayBegin(stop, plan(now), true, now), false)
+    assert.equal(mayBegin({ since: 0, cutOff: 29_600 }, plan(14_000), true, 14_000), true)
+  })
+
+  it('sends requests whose own limit ends before the cut-off', () => {
+    assert.equal(mayBegin(stop, booking(6_500), true, 6_500), true)
+    assert.equal(mayBegin(stop, booking(6_700), true, 6_700), false)
+    assert.equal(mayBegin(stop, question(4_500), true, 4_500), true)
+    assert.equal(mayBegin(stop, question(4_700), true, 4_700), false)
   })
 
-  it('admits short requests as long as they can finish', () => {
-    assert.equal(mayAdmit({ ...stop, now: 6_900 }, route('once', 200), head(0, 0), ASSUMED_SPEED), true)
-    assert.equal(mayAdmit({ ...stop, now: 7_100 }, route('once', 200), head(0, 0), ASSUMED_SPEED), false)
-    assert.equal(mayAdmit({ ...stop, now: 6_500 }, route('stream', 800), head(1_500, 50), ASSUMED_SPEED), true)
+  it('sends every request during the first seconds that came before the stop, or that no other node could take', () => {
+    assert.equal(mayBegin(stop, plan(-100), true, 2_400), true)
+    assert.equal(mayBegin(stop, plan(-100), true, 2_600), false)
+    assert.equal(mayBegin(stop, plan(2_400), false, 2_400), true)
+    assert.equal(mayBegin(stop, plan(2_600), false, 2_600), false)
   })
 
-  it('admits every request during the first seconds, before callers can know of the stop', () => {
-    assert.equal(mayAdmit({ ...stop, now: 2_400 }, route('stream', 1_200), head(60_000, 1_000), ASSUMED_SPEED), true)
+  // Guards against cut requests where the grace period is shorter than the usual one.
+  it('after a third of the time until the cut-off sends nothing that could outlast it, whatever the grace period', () => {
+    const time = fc.integer({ min: 0, max: 100_000 })
+    fc.assert(fc.property(time, fc.integer({ min: 1, max: 60_000 }), time, time, time, fc.boolean(), (since, grace, acceptedAt, limit, now, hasOtherNode) => {
+      const times = { since, cutOff: since + grace }
+      assert.ok(bestEffortEnd(times) <= since + grace / 3)
+      const limitEnd = acceptedAt + limit
+      if (now >= bestEffortEnd(times) || (acceptedAt >= since && hasOtherNode)) assert.equal(mayBegin(times, { acceptedAt, limitEnd }, hasOtherNode, now), limitEnd <= times.cutOff)
+    }), { seed: 1 })
   })
 })
