A stop lets callers read answers that have been handed over

Cause: node:http takes a connection for idle once the end of its answer has been written, whether or not the kernel has taken all of it, and closeIdleConnections and close() end it with the rest. The stop also counted such a request as over, so that it could end sooner. Class: as with a relayed connection, the end of a hand-over was taken for the end of the answer.

Change: an answer counts as open until the kernel has taken all of it (the response's 'close'). While one is being flushed no connection is closed as idle, and the stop waits for it until the cut-off.

Test: planned-stop.test.ts "lets a caller read an answer to its end", red before ("3919872 bytes"), green now.

--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -39,6 +39,7 @@
 import { forwardRequest } from './forwarding.js'
 import { maxCallerConnections, createCallerServer, applyCallerLimits } from './listener.js'
 import { createGatewayMetrics } from './metrics.js'
+import { trackAnswers } from './open-answers.js'
 import { createPlannedStop } from './planned-stop.js'
 import { exposeNodeMetrics } from './node-metrics.js'
 import type { Platform } from './ports.js'
@@ -140,7 +141,6 @@
   const sums = createRequestSums(clock.now())
   const work = createWorkMeter()
   const budgets = new Map<string, RetryBudget>()
-  let inFlight = 0
   let sharedAmong = 0
   let context = undefined as GatewayContext | undefined
   const stopMargin = stopMarginOf(bounds.grace)
@@ -150,13 +150,11 @@
   const server = createCallerServer((request, response) => {
     // The node needs the address to register, so the server listens before the rest of the node is ready.
     if (context === undefined) return answerFailure(response, platform.format, undefined, refusal('no-configuration', 'the node starts', START_RETRY_AFTER))
-    inFlight += 1
     if (isStopping()) response.setHeader('connection', 'close')
-    forwardRequest(context, request, response)
-      .catch((error) => log.error('request-handler-failed', { error: String(error) }))
-      .finally(() => { inFlight -= 1 })
+    forwardRequest(context, request, response).catch((error) => log.error('request-handler-failed', { error: String(error) }))
   }, (code) => metrics.count('malformed_requests', { code }))
   server.on('connection', arrivals.accepted)
+  const answers = trackAnswers(server)
   server.maxConnections = maxCallerConnections(settings.mostDescriptors)
   const front = await listenAt(server, settings.front)
 
@@ -250,7 +248,7 @@
   })
   repeat({ clock, log, signal: shutdown.signal }, 'lost-paths', PATH_TEST_PERIOD, connections.testLostPaths)
   repeat({ clock, log, signal: shutdown.signal }, 'speeds', SPEED_PERIOD, speeds.update)
-  exposeNodeMetrics({ metrics, clock, log, signal: shutdown.signal, sums, sources, fleet, upstreams, connections, backpressure, crashes, quotas, budgets, rollouts: rollouts.sums, inFlight: () => inFlight, tunnels: () => tunnels?.open() ?? 0, holdsDuties: () => holder.proof() !== undefined })
+  exposeNodeMetrics({ metrics, clock, log, signal: shutdown.signal, sums, sources, fleet, upstreams, connections, backpressure, crashes, quotas, budgets, rollouts: rollouts.sums, inFlight: answers.count, tunnels: () => tunnels?.open() ?? 0, holdsDuties: () => holder.proof() !== undefined })
 
   const ready = await servePaths(settings.ready)
   await servePaths(settings.metrics)
@@ -378,7 +376,7 @@
       const cutOff = since + bounds.grace - stopMargin
       plannedStop.begin({ since, cutOff })
       tunnels?.leave()
-      await stopNode({ clock, log, server, cutOff, margin: stopMargin, inFlight: () => inFlight + (tunnels?.open() ?? 0), withdraw: async () => { await Promise.allSettled([fleet.withdraw(), duties?.release()]) } })
+      await stopNode({ clock, log, answers, cutOff, margin: stopMargin, relayed: () => tunnels?.open() ?? 0, withdraw: async () => { await Promise.allSettled([fleet.withdraw(), duties?.release()]) } })
       await writeLastCounts()
       shutdown.abort()
       for (const one of servers) {
--- a/src/gateway/stopping.ts
+++ b/src/gateway/stopping.ts
@@ -3,20 +3,21 @@
  * that still hold the address until they have refreshed it, and lets requests finish that can end within the grace
  * period.
  */
-import type { Server } from 'node:http'
 import type { Clock, Milliseconds } from '../clock.js'
 import type { EventLog } from '../events/index.js'
+import type { OpenAnswers } from './open-answers.js'
 
 /** Options of {@link stopNode}. */
 export interface StopOptions {
   readonly clock: Clock
   readonly log: EventLog
-  readonly server: Server
+  readonly answers: OpenAnswers
   /** Time at which requests in progress are cut off. */
   readonly cutOff: Milliseconds
   /** Time from the cut-off to the kill. */
   readonly margin: Milliseconds
-  readonly inFlight: () => number
+  /** Number of connections that the node relays for others. */
+  readonly relayed: () => number
   /** Removes the node's records from the store. */
   readonly withdraw: () => Promise<void>
 }
@@ -58,21 +59,20 @@
  * Failure guarded against: the store is unreachable and the withdrawal never completes. The stop does not wait for it.
  *
  * @example
- * await stopNode({ clock, log, server, cutOff, margin, inFlight, withdraw })
+ * await stopNode({ clock, log, answers, cutOff, margin, relayed, withdraw })
  */
 export async function stopNode (options: StopOptions): Promise<void> {
-  const { clock, log, server, cutOff, margin, inFlight, withdraw } = options
+  const { clock, log, answers, cutOff, margin, relayed, withdraw } = options
   const acceptUntil = Math.min(cutOff, clock.now() + STALE_ADDRESS_PERIOD)
-  log.info('node-stopping', { inFlight: inFlight(), grace: Math.round(cutOff - clock.now()) })
+  log.info('node-stopping', { inFlight: answers.count(), grace: Math.round(cutOff - clock.now()) })
   withdraw().catch((error) => log.warn('withdrawal-failed', { error: String(error) }))
   while (clock.now() < acceptUntil) {
-    server.closeIdleConnections()
+    answers.closeIdleConnections()
     await clock.sleep(POLL_PERIOD)
   }
-  server.close()
   const end = cutOff + margin * ANSWERING_FRACTION
-  while (clock.now() < end && inFlight() > 0) {
-    server.closeIdleConnections()
+  while (clock.now() < end && answers.count() + relayed() > 0) {
+    answers.closeIdleConnections()
     await clock.sleep(Math.min(POLL_PERIOD, end - clock.now()))
   }
 }
--- a/stand-ins/machines/upstream.ts
+++ b/stand-ins/machines/upstream.ts
@@ -62,6 +62,8 @@
   readonly pause?: Milliseconds
   /** Time for which a plain request runs. */
   readonly work?: Milliseconds
+  /** Bytes of a plain answer; those of a short text if omitted. */
+  readonly answerBytes?: number
   /** Whether answers have neither a length nor chunks, so that the end of the connection ends them. */
   readonly unframed?: boolean
   /** Whether moves of runs find no room at their destination. */
@@ -82,7 +84,7 @@
  * @example
  * const upstream = await serveUpstream({ id: 'i-1', clock })
  */
-export async function serveUpstream ({ id, clock, events = 5, pause = 0, work = 0, unframed = false, movesRefused = false, eventsBeforeCrash = 0, crashEnd = 'close', onCrash }: UpstreamStandInOptions): Promise<UpstreamStandIn> {
+export async function serveUpstream ({ id, clock, events = 5, pause = 0, work = 0, answerBytes = 0, unframed = false, movesRefused = false, eventsBeforeCrash = 0, crashEnd = 'close', onCrash }: UpstreamStandInOptions): Promise<UpstreamStandIn> {
   const runs: Run[] = []
   const streaming = new Map<string, ServerResponse>()
   const moved = new Map<string, string>()
@@ -154,7 +156,7 @@
 
   async function answer (response: ServerResponse): Promise<void> {
     if (work > 0) await clock.sleep(work)
-    response.end(`answer of ${id}`)
+    response.end(`answer of ${id}`.padEnd(answerBytes))
   }
 
   async function stream (response: ServerResponse, requestId: string, after: number, behaviour: 'answer' | 'break' | 'crash'): Promise<void> {
--- a/test/gateway/planned-stop.test.ts
+++ b/test/gateway/planned-stop.test.ts
@@ -1,5 +1,6 @@
 /** Requests at a node that is asked to stop, beside another one that goes on. */
 import assert from 'node:assert/strict'
+import { connect } from 'node:net'
 import { afterEach, describe, it } from 'node:test'
 import { request } from 'undici'
 import { HEADER } from '../../platform/names.js'
@@ -32,6 +33,9 @@
 }
 type Route = 'plan' | 'question' | 'booking' | 'lookup' | 'short'
 
+/** Bytes of an answer that doesn't fit into the buffers of a connection. */
+const LARGE_ANSWER = 16_000_000
+
 /** How a request ended at its caller. */
 interface Outcome {
   readonly id: string
@@ -56,10 +60,10 @@
   })
 
   /** Starts nodes before one engine and one plain service. */
-  async function startNodes (names: readonly string[], engine: Omit<UpstreamStandInOptions, 'id' | 'clock'>, { grace = GRACE } = {}): Promise<GatewayNode[]> {
+  async function startNodes (names: readonly string[], engine: Partial<UpstreamStandInOptions>, { grace = GRACE, service = {} as Partial<UpstreamStandInOptions> } = {}): Promise<GatewayNode[]> {
     deployment = await createMachineDeployment(clock, { graceS: grace / 1_000 })
     deployment.configure(configuration)
-    upstreams = await Promise.all([serveUpstream({ id: 'm-1', clock, ...engine }), serveUpstream({ id: 'p-1', clock })])
+    upstreams = await Promise.all([serveUpstream({ id: 'm-1', clock, ...engine }), serveUpstream({ id: 'p-1', clock, ...service })])
     deployment.register(upstreams[0]!, { service: 'model', slots: 64 })
     deployment.register(upstreams[1]!, { service: 'plain' })
     const nodes = await Promise.all(names.map(deployment.startNode))
@@ -96,6 +100,20 @@
     return { id, status, retryAfter, events: text.split('\n\n').length - 1, isComplete, took: clock.now() - start }
   }
 
+  /** Asks for an answer, and reads none of it before `reading` resolves. @returns the bytes read, and whether the connection was reset */
+  async function readLate (node: GatewayNode, reading: Promise<unknown>): Promise<{ readonly bytes: number, readonly isReset: boolean }> {
+    const [host, port] = node.addresses.front.split(':')
+    const caller = connect(Number(port), host)
+    caller.write(`GET /lookup/x HTTP/1.1\r\nhost: ${HOST}\r\n${HEADER.requestId}: late-reader\r\n\r\n`)
+    await reading
+    let bytes = 0
+    let isReset = false
+    caller.on('data', (chunk: Buffer) => { bytes += chunk.length })
+    caller.on('error', () => { isReset = true })
+    await new Promise((resolve) => caller.once('close', resolve))
+    return { bytes, isReset }
+  }
+
   function hasRun ({ id }: Outcome): boolean {
     return upstreams.some(({ runs }) => runs.some((run) => run.id === id))
   }
@@ -169,6 +187,18 @@
     await stopped
   })
 
+  // Guards against a truncated answer: it has been handed over, and its caller, which reads slowly, has not received all of it.
+  it('lets a caller read an answer to its end', { timeout: 60_000 }, async () => {
+    const [stopping] = await startNodes(['node-1', 'node-2'], {}, { service: { answerBytes: LARGE_ANSWER } })
+    const read = readLate(stopping!, clock.sleep(1_500))
+    await clock.sleep(500)
+    const stopped = stopping!.stop()
+    const { bytes, isReset } = await read
+    assert.ok(bytes > LARGE_ANSWER, `${bytes} bytes`)
+    assert.equal(isReset, false)
+    await stopped
+  })
+
   for (const grace of [500, 1_000, 12_000]) {
     it(`cuts off no request that comes after that with a grace period of ${grace} ms`, { timeout: 60_000 }, async () => {
       const [stopping] = await startNodes(['node-1', 'node-2'], { events: 20, pause: 100 }, { grace })
