Half an answer of a plain service does not look whole at an entry node

What callers of the product's own interface saw: an answer of a plain service with neither a length nor chunks came with status 200 and a length of the node's own after half of it, where the connection was reset or the service's process had died.

Cause: the same as with a relaying node: any end of the connection counted as the end of the answer. Undici takes a reset for it, and the kernel ends the connections of a dead process as after a whole answer. Found by looking for the cause on the other paths.

Change: connections to plain services report a reset under another code, which undici passes on as a failure, and an answer without a length counts only if its service accepts another connection at its end. The verdict is may-have-run, so that an idempotent call goes on elsewhere. Engines are not concerned (their streams end with [DONE]), nor are answers between nodes (they end with a final part).

Test: test/protocols/plain-service.test.ts, 4 of 6 red before ("Missing expected rejection", pooled and unpooled, reset and death), green now.

--- a/src/entry/context.ts
+++ b/src/entry/context.ts
@@ -3,6 +3,7 @@
 import type { Configuration } from '../configuration/index.js'
 import type { RequestId } from '../identifiers.js'
 import type { Connections } from '../protocols/http.js'
+import type { PlainConnections } from '../protocols/plain-connections.js'
 import type { Random } from '../random.js'
 import type { RetryPolicy } from '../request/index.js'
 import type { Tracing } from '../tracing.js'
@@ -26,6 +27,7 @@
   readonly connections: Connections
   /** Connections that serve one exchange each, for calls that must not use a pooled connection that may be dead. */
   readonly unpooledConnections: Connections
+  readonly plainConnections: PlainConnections
   readonly configuration: () => Configuration | undefined
   /** Whether the configuration is known with enough certainty to accept new requests. */
   readonly usable: () => boolean
--- a/src/entry/node.ts
+++ b/src/entry/node.ts
@@ -16,6 +16,7 @@
 import { createPeerServer } from '../peer/server.js'
 import { createSuspicionClient } from '../peer/suspicion-client.js'
 import { createConnections, createFreshConnections } from '../protocols/http.js'
+import { createPlainConnections } from '../protocols/plain-connections.js'
 import { createInstanceList, peerAddresses } from '../protocols/instance-list.js'
 import { createKeyValue } from '../protocols/key-value.js'
 import type { Random } from '../random.js'
@@ -95,6 +96,7 @@
   const incarnation = incarnationSchema.parse(`${settings.instance}-${randomBytes(6).toString('hex')}`)
   const connections = createConnections(CONNECTIONS_PER_ADDRESS)
   const freshConnections = createFreshConnections(CONNECTIONS_PER_ADDRESS)
+  const plainConnections = createPlainConnections(CONNECTIONS_PER_ADDRESS)
   const peers = createPeers(connections, settings.peer_key)
   const freshPeers = createPeers(freshConnections, settings.peer_key)
   const keyValue = createKeyValue(connections, settings.platform.key_value, freshConnections)
@@ -129,6 +131,7 @@
     retryPolicy: createRetryPolicy(),
     connections,
     unpooledConnections: freshConnections,
+    plainConnections,
     configuration: currentConfiguration,
     usable: () => configuration.usable(clock.now()),
     mayDispatch: (id) => home.mayDispatch(id),
@@ -238,7 +241,7 @@
 
   async function kill (): Promise<void> {
     controller.abort()
-    await Promise.all([closeServer(server), closeServer(peerServer), connections.destroy(), freshConnections.destroy(), tracing.close()])
+    await Promise.all([closeServer(server), closeServer(peerServer), connections.destroy(), freshConnections.destroy(), plainConnections.close(), tracing.close()])
   }
 
   async function stop (deadline?: Milliseconds): Promise<void> {
--- a/src/entry/plain-call.ts
+++ b/src/entry/plain-call.ts
@@ -20,7 +20,7 @@
  */
 export async function callPlain (context: ExecutionContext, execution: Execution, placement: Placement, call: PlainCall, traceparent: string): Promise<AttemptEnd> {
   const { upstream } = placement
-  const connections = execution.request.idempotent ? context.connections : context.unpooledConnections
+  const connections = execution.request.idempotent ? context.plainConnections.pooled : context.plainConnections.unpooled
   execution.attempt = { upstream: upstream.name, handle: '', startedAt: context.clock.now(), redirect: () => {} }
   try {
     const response = await callPlainService(connections, upstream.address, call, { signal: execution.runController.signal, traceparent })
--- a/src/protocols/http.ts
+++ b/src/protocols/http.ts
@@ -27,10 +27,11 @@
 /** A response whose body has not been read yet. */
 export type HttpResponse = Dispatcher.ResponseData
 
-const CONNECT_TIMEOUT: Milliseconds = 1_000
+/** Timeout for opening a connection. */
+export const CONNECT_TIMEOUT: Milliseconds = 1_000
 
 /** Time after which an idle connection of the pool is closed. */
-const KEEP_ALIVE_TIMEOUT: Milliseconds = 10_000
+export const KEEP_ALIVE_TIMEOUT: Milliseconds = 10_000
 
 /** Codes of errors that undici throws before it has written any byte of the request. */
 const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL'])
--- /dev/null
+++ b/test/protocols/plain-service.test.ts
@@ -0,0 +1,49 @@
+/** Answers of plain services with neither a length nor chunks, which end with their connection, over real sockets. */
+import assert from 'node:assert/strict'
+import { createServer } from 'node:net'
+import type { Server, Socket } from 'node:net'
+import { afterEach, describe, it } from 'node:test'
+import { addressSchema } from '../../src/identifiers.js'
+import { createPlainConnections } from '../../src/protocols/plain-connections.js'
+import { callPlainService } from '../../src/protocols/plain-service.js'
+import type { PlainResponse } from '../../src/request/index.js'
+import { listenOnFreePort } from '../listening.js'
+
+const HEAD = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n'
+
+describe('an answer of a plain service without a length', () => {
+  const cleanups: (() => unknown)[] = []
+  afterEach(async () => { for (const close of cleanups.splice(0)) await close() })
+
+  for (const kind of ['pooled', 'unpooled'] as const) {
+    /** Calls a service that does this with its connection once it has sent the first half of its answer. */
+    async function callEnding (end: (socket: Socket, server: Server) => void): Promise<PlainResponse> {
+      const server = createServer((socket) => {
+        socket.on('error', () => {})
+        socket.once('data', () => socket.write(`${HEAD}half`, () => setTimeout(() => end(socket, server), 20)))
+      })
+      const address = addressSchema.parse(await listenOnFreePort(server))
+      const connections = createPlainConnections(4)
+      cleanups.push(() => connections.close(), () => server.close())
+      return callPlainService(connections[kind], address, { method: 'GET', path: '/', headers: [], body: '' }, { signal: new AbortController().signal })
+    }
+
+    it(`is whole if the service ends its connection (${kind})`, async () => {
+      const { body } = await callEnding((socket) => socket.end(' and half'))
+      assert.equal(Buffer.from(body, 'base64').toString(), 'half and half')
+    })
+
+    // Guards against half an answer that looks whole: its connection is reset.
+    it(`fails if its connection is reset (${kind})`, async () => {
+      await assert.rejects(callEnding((socket) => socket.resetAndDestroy()), { code: 'connection-lost', verdict: 'may-have-run' })
+    })
+
+    // Guards against half an answer that looks whole: the process of the service dies, and the kernel ends its connections.
+    it(`fails if the service ends with it (${kind})`, async () => {
+      await assert.rejects(callEnding((socket, server) => {
+        server.close()
+        socket.destroy()
+      }), { code: 'connection-lost', verdict: 'may-have-run' })
+    })
+  }
+})
