One check tells whether an answer tells its own end

An answer of a plain service with another last coding than chunked is therefore tested at its end as one without a length.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -10,7 +10,7 @@
 import type { UpstreamSignals } from '../backpressure/index.js'
 import type { Milliseconds } from '../clock.js'
 import type { UpstreamRecord } from '../placement/index.js'
-import { connectionFailure } from '../protocols/http.js'
+import { connectionFailure, hasFraming } from '../protocols/http.js'
 import { addressSchema } from '../identifiers.js'
 import type { AnswerHead, Headers, RequestFormat } from './ports.js'
 import { isRelayLost } from './tunnel-frames.js'
@@ -96,8 +96,6 @@
 const DRAIN_TIMEOUT: Milliseconds = 1_000
 
 const SUCCESS = 200
-const NO_CONTENT = 204
-const NOT_MODIFIED = 304
 const MISDIRECTED = 421
 const SERVICE_UNAVAILABLE = 503
 const TOO_MANY_REQUESTS = 429
@@ -238,11 +236,6 @@
   return { kind: 'broken', reason, by: 'answer' }
 }
 
-function hasFraming (method: string, status: number, headers: Headers): boolean {
-  if (method === 'HEAD' || status === NO_CONTENT || status === NOT_MODIFIED) return true
-  return headers['content-length'] !== undefined || /\bchunked\s*$/i.test(String(headers['transfer-encoding'] ?? ''))
-}
-
 function notRunReason (status: number): NotRunReason {
   switch (status) {
     case MISDIRECTED: return 'another-upstream'
--- a/src/protocols/http.ts
+++ b/src/protocols/http.ts
@@ -33,6 +33,9 @@
 /** Time after which an idle connection of the pool is closed. */
 export const KEEP_ALIVE_TIMEOUT: Milliseconds = 10_000
 
+const NO_CONTENT = 204
+const NOT_MODIFIED = 304
+
 /** Codes of errors that undici throws before it has written any byte of the request. */
 const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL'])
 
@@ -130,6 +133,17 @@
   }
 }
 
+/**
+ * Whether an answer itself tells where it ends. Otherwise the end of its connection ends it (RFC 9112, 6.3).
+ *
+ * @example
+ * hasFraming('GET', 200, { connection: 'close' }) // false
+ */
+export function hasFraming (method: string, status: number, headers: Readonly<Record<string, string | string[] | undefined>>): boolean {
+  if (method === 'HEAD' || status === NO_CONTENT || status === NOT_MODIFIED) return true
+  return headers['content-length'] !== undefined || /\bchunked\s*$/i.test(String(headers['transfer-encoding'] ?? ''))
+}
+
 /**
  * Converts an error of a connection into a {@link ServingError}. Only an error before the first byte of the request was
  * written proves `not-run`. A connection that is reset later may have delivered the request.
--- a/src/protocols/plain-service.ts
+++ b/src/protocols/plain-service.ts
@@ -4,7 +4,7 @@
 import type { Address } from '../identifiers.js'
 import type { PlainCall, PlainResponse } from '../request/index.js'
 import { ServingError } from '../verdict.js'
-import { connectionFailure, send } from './http.js'
+import { connectionFailure, hasFraming, send } from './http.js'
 import type { Connections, HttpResponse } from './http.js'
 import { acceptsConnections } from './plain-connections.js'
 
@@ -20,9 +20,6 @@
   'proxy-connection', 'host', 'content-length', 'expect'
 ])
 
-const NO_CONTENT = 204
-const NOT_MODIFIED = 304
-
 /** Response header in which a service states the verdict of a refused call. */
 const VERDICT_HEADER = 'hornbeamgap-verdict'
 
@@ -46,7 +43,7 @@
     signal: options.signal
   })
   const body = await readBytes(response, address)
-  if (!hasFraming(call.method, response) && !await acceptsConnections(address)) throw new ServingError(`${address}: the service ended with its answer`, { code: 'connection-lost', verdict: 'may-have-run' })
+  if (!hasFraming(call.method, response.statusCode, response.headers) && !await acceptsConnections(address)) throw new ServingError(`${address}: the service ended with its answer`, { code: 'connection-lost', verdict: 'may-have-run' })
   if (refusedBeforeRunning(response, body)) {
     throw new ServingError(`${address}: refused with status ${response.statusCode}`, { code: 'upstream-refused', verdict: 'not-run' })
   }
@@ -85,12 +82,6 @@
   return endToEndHeaders(pairs)
 }
 
-/** Whether the answer itself tells where it ends. Otherwise the end of its connection ends it (RFC 9112, 6.3). */
-function hasFraming (method: PlainCall['method'], { statusCode, headers }: HttpResponse): boolean {
-  if (method === 'HEAD' || statusCode === NO_CONTENT || statusCode === NOT_MODIFIED) return true
-  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
-}
-
 /** Whether the service states, in a header or in `error.verdict`, that it refused the call before it started. */
 function refusedBeforeRunning (response: HttpResponse, body: Buffer): boolean {
   if (response.statusCode < 400) return false
