The go for an export is not held back by the other calls of its node

What callers saw: plans were computed again, although the link of their leaving engine stood idle.

Cause: calls that a node makes to a peer at the same time share one HTTP exchange, which is answered once all of its calls are. A node asks for the turns of all its exports at once. The first gets its go, the second waits until the first has ended, so neither answer leaves the planning node, and the link stands idle until the queue takes the first for overdue (2.3 s of a notice of 3 s). Where the node that plans also has the first turn, nothing is held back: hence now and then.

Hypotheses: (1) the targets' loads are late, nothing is planned; (2) the machine is too slow for the exports; (3) the go is late.

Mend: calls that wait for something at the peer (turn and plan of a reclaim) are exchanges of their own, as streams are. The other calls of a peer's client answer at once.

Test: 'an export starts while others of its node wait for the link of an upstream that another node plans', red before (2 of 2 streams still open after 5 s).

--- a/src/entry/reclaim-controller.ts
+++ b/src/entry/reclaim-controller.ts
@@ -145,7 +145,7 @@
     if (node.incarnation === own.incarnation) break
     try {
       const signal = createTimeoutSignal(PLAN_TIMEOUT, options.signal)
-      const { plans } = await options.peers.at(node.peerAddress).reclaim.plan.mutate(request, { signal })
+      const { plans } = await options.peers.separateAt(node.peerAddress).reclaim.plan.mutate(request, { signal })
       return { plans, coordinator: createRemoteCoordinator(options, node) }
     } catch (error) {
       options.log.warn('reclaim-plan-not-had', { from: node.incarnation, error: String(error) })
@@ -159,7 +159,7 @@
  * on its own exports.
  */
 function createRemoteCoordinator (options: ReclaimControllerOptions, node: NodeRecord): Pick<ReclaimCoordinator, 'turn' | 'turnEnded'> {
-  const peer = options.peers.at(node.peerAddress).reclaim
+  const peer = options.peers.separateAt(node.peerAddress).reclaim
   return {
     turn: async (request) => {
       try {
--- a/src/entry/relay.ts
+++ b/src/entry/relay.ts
@@ -79,7 +79,7 @@
       if (address === undefined) throw homeUnreachableFailure(holder)
       const watchdog = createSilenceWatchdog(signal)
       try {
-        const client = (failures === 0 ? peers : unpooledPeers).streamAt(address)
+        const client = (failures === 0 ? peers : unpooledPeers).separateAt(address)
         let elsewhere: Incarnation | undefined
         for await (const part of await openAnswer(client, operation, nextOffset, watchdog.signal)) {
           watchdog.progress()
@@ -161,7 +161,7 @@
 /** Class of a looked-up request until its holder has reported the class. */
 const UNKNOWN_CLASS = 'unknown' as ClassName
 
-function openAnswer (client: ReturnType<Peers['streamAt']>, operation: RelayOperation, offset: number, signal: AbortSignal): Promise<AsyncIterable<ForwardedPart>> {
+function openAnswer (client: ReturnType<Peers['separateAt']>, operation: RelayOperation, offset: number, signal: AbortSignal): Promise<AsyncIterable<ForwardedPart>> {
   switch (operation.kind) {
     case 'send': return client.request.submit.mutate({ request: operation.request, offset, ...(operation.traceparent === undefined ? {} : { traceparent: operation.traceparent }) }, { signal })
     case 'lookup': return client.request.attach.mutate({ organisation: operation.organisation, id: operation.id, offset }, { signal })
--- a/src/peer/client.ts
+++ b/src/peer/client.ts
@@ -17,10 +17,16 @@
 
 /** Clients of all peers of a node, by address. */
 export interface Peers {
-  /** Client for short calls. Calls that are made at the same time share one HTTP exchange. */
+  /**
+   * Client for short calls. Calls that are made at the same time share one HTTP exchange, and none is answered before all
+   * of them are.
+   */
   at (address: Address): PeerClient
-  /** Client for streams. Each call is a separate HTTP exchange, which ends when the signal of the call aborts. */
-  streamAt (address: Address): PeerClient
+  /**
+   * Client for streams, and for calls that wait for something at the peer. Each call is a separate HTTP exchange, which
+   * ends when the signal of the call aborts.
+   */
+  separateAt (address: Address): PeerClient
   /** Total bytes of message bodies that were sent to and received from peers. */
   bytes (): { sent: number, received: number }
 }
@@ -43,7 +49,7 @@
  */
 export function createPeers (connections: Connections, peerKey: string): Peers {
   const clients = new Map<Address, PeerClient>()
-  const streamClients = new Map<Address, PeerClient>()
+  const separateClients = new Map<Address, PeerClient>()
   const headers = { authorization: `Bearer ${peerKey}` }
   const counter: ByteCounter = { sent: 0, received: 0 }
   const fetchBuffered = createLinkFetch(connections, counter)
@@ -65,13 +71,13 @@
     return createTRPCClient<PeerRouter>({ links: [httpBatchLink({ url: `http://${address}`, maxItems: MAX_CALLS_PER_BATCH, headers, fetch: fetchBuffered })] })
   }
 
-  function createStreamClient (address: Address): PeerClient {
+  function createSeparateClient (address: Address): PeerClient {
     return createTRPCClient<PeerRouter>({ links: [httpBatchStreamLink({ url: `http://${address}`, maxItems: 1, headers, fetch: fetchStream })] })
   }
 
   return {
     at: (address) => findOrCreate(clients, address, createClient),
-    streamAt: (address) => findOrCreate(streamClients, address, createStreamClient),
+    separateAt: (address) => findOrCreate(separateClients, address, createSeparateClient),
     bytes: () => ({ ...counter })
   }
 }
--- a/test/entry/reclaim-controller.test.ts
+++ b/test/entry/reclaim-controller.test.ts
@@ -1,5 +1,6 @@
 /** Execution of reclaim plans, with stubs around the controller and a manual clock. */
 import assert from 'node:assert/strict'
+import type { AddressInfo } from 'node:net'
 import { test } from 'node:test'
 import Emittery from 'emittery'
 import { SECOND } from '../../src/clock.js'
@@ -8,10 +9,14 @@
 import { startReclaimController } from '../../src/entry/reclaim-controller.js'
 import type { OpenStream, Streams } from '../../src/entry/streams.js'
 import { addressSchema, failureDomainSchema, incarnationSchema, instanceNameSchema, requestIdSchema, serviceNameSchema, upstreamNameSchema } from '../../src/identifiers.js'
-import type { RequestId } from '../../src/identifiers.js'
+import type { Address, RequestId } from '../../src/identifiers.js'
 import { createLog } from '../../src/log.js'
 import type { NodeRecord } from '../../src/membership/index.js'
+import { createPeers } from '../../src/peer/client.js'
 import type { Peers } from '../../src/peer/client.js'
+import type { PeerHandlers } from '../../src/peer/router.js'
+import { createPeerServer } from '../../src/peer/server.js'
+import { createConnections } from '../../src/protocols/http.js'
 import type { UpstreamView } from '../../src/upstream/index.js'
 import type { StreamPlan } from '../../src/upstream/reclaim/index.js'
 import { createManualClock } from '../../stand-ins/manual-clock.js'
@@ -30,13 +35,13 @@
   inFlight: 0
 }
 
-function node (name: string): NodeRecord {
+function node (name: string, peerAddress: Address = VIEW.address): NodeRecord {
   return {
     instance: instanceNameSchema.parse(name),
     incarnation: incarnationSchema.parse(`${name}-x`),
     failureDomain: VIEW.failureDomain,
     address: VIEW.address,
-    peerAddress: VIEW.address,
+    peerAddress,
     leaving: false
   }
 }
@@ -55,6 +60,7 @@
   readonly move?: (id: RequestId) => Promise<boolean>
   readonly go?: boolean
   readonly nodes?: readonly NodeRecord[]
+  readonly peers?: Peers
 }
 
 async function start (setup: Setup) {
@@ -94,7 +100,7 @@
     findOpenExecution: () => ({ arrivedAt: 0, firstTokenAt: 1, request: { class: 'plan' } }) as never,
     own: () => node('entry-1'),
     nodes: () => setup.nodes ?? [node('entry-1')],
-    peers: { at: () => { throw new Error('the peer is dead') } } as unknown as Peers,
+    peers: setup.peers ?? { at: throwDead, separateAt: throwDead } as unknown as Peers,
     configuration: () => undefined,
     clock,
     log: createLog('reclaim-keeper-test', 'silent', clock.wall),
@@ -104,6 +110,43 @@
   return { clock, open, recomputed, ended, planned: () => planCalls, stop: () => owner.abort() }
 }
 
+function throwDead (): never {
+  throw new Error('the peer is dead')
+}
+
+/** A node that plans both exports and lets the second one start once the first has ended. */
+async function servePlanningNode () {
+  const key = 'planning-node-key'
+  let endFirst: () => void = () => {}
+  const firstEnded = new Promise<void>((resolve) => { endFirst = resolve })
+  const reclaim: PeerHandlers['reclaim'] = {
+    notices: () => {},
+    plan: async () => ({ plans: [exportPlan(1), exportPlan(2)] }),
+    turn: async ({ id }) => {
+      if (id === idOf(2)) await firstEnded
+      return { go: true }
+    },
+    turnEnded: ({ id }) => { if (id === idOf(1)) endFirst() }
+  }
+  const server = createPeerServer(key, { reclaim } as unknown as PeerHandlers, {} as never)
+  await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+  const address = addressSchema.parse(`127.0.0.1:${(server.address() as AddressInfo).port}`)
+  const connections = createConnections(4)
+  return {
+    record: node('entry-2', address),
+    peers: createPeers(connections, key),
+    stop: async () => {
+      endFirst()
+      await connections.destroy()
+      server.close()
+    }
+  }
+}
+
+async function waitUntil (condition: () => boolean): Promise<void> {
+  for (const end = performance.now() + 5 * SECOND; !condition() && performance.now() < end;) await new Promise((resolve) => { setTimeout(resolve, 5) })
+}
+
 test('streams move as planned and the end of each export is reported', async () => {
   const run = await start({ plans: [exportPlan(1), exportPlan(2)] })
   await run.clock.advance(SECOND)
@@ -150,8 +193,19 @@
 // Failure guarded against: the node that is to plan is dead, and the others wait for it until the engine has ended. All
 // streams of the engine would have to be recomputed.
 test('when the planning nodes do not answer, a node plans its own streams', async () => {
-  const run = await start({ plans: [exportPlan(1)], nodes: ['entry-2', 'entry-3', 'entry-4'].map(node) })
+  const run = await start({ plans: [exportPlan(1)], nodes: ['entry-2', 'entry-3', 'entry-4'].map((name) => node(name)) })
   await run.clock.advance(SECOND)
   assert.deepEqual([run.planned(), run.ended], [1, [true]])
   run.stop()
 })
+
+// Failure guarded against: the go for an export is held back until the other exports of its node are decided. Nothing is
+// moved meanwhile, and the streams are computed again.
+test('an export starts while others of its node wait for the link of an upstream that another node plans', async () => {
+  const planningNode = await servePlanningNode()
+  const run = await start({ plans: [exportPlan(1), exportPlan(2)], nodes: [planningNode.record], peers: planningNode.peers })
+  await waitUntil(() => run.open.size === 0)
+  run.stop()
+  await planningNode.stop()
+  assert.deepEqual([run.open.size, run.recomputed, run.planned()], [0, [], 0])
+})
