Requests that are alike are not refused as crashing after silent attempts

Cause: a silent attempt that is given up for another one was counted as a broken run of its request's fingerprint. The quarantine is for requests that end upstreams; a silent upstream says nothing about its request, as its time limit, which was never counted.

--- a/src/gateway/attempt-records.ts
+++ b/src/gateway/attempt-records.ts
@@ -62,12 +62,22 @@
 }
 
 /**
- * Records that an upstream failed while it ran an attempt, or stopped sending.
+ * Records that an upstream stopped sending while it ran an attempt. Its request may be like any other.
  *
  * @example
- * recordUpstreamFailure(context, proxied, upstream, 'other side closed')
+ * recordSilence(context, upstream)
  */
-export function recordUpstreamFailure (context: GatewayContext, { fingerprint }: ProxiedRequest, upstream: UpstreamRecord, reason: string): void {
+export function recordSilence (context: GatewayContext, upstream: UpstreamRecord): void {
+  pauseUpstream(context, upstream, 'silent')
+}
+
+/**
+ * Records that an upstream broke off an attempt, which its request may have caused.
+ *
+ * @example
+ * recordBrokenRun(context, proxied, upstream, 'other side closed')
+ */
+export function recordBrokenRun (context: GatewayContext, { fingerprint }: ProxiedRequest, upstream: UpstreamRecord, reason: string): void {
   pauseUpstream(context, upstream, reason)
   context.quarantine.broken(fingerprint, context.clock.now())
 }
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -12,7 +12,7 @@
 import type { RunContinuation, RunLocation, WatchedRun } from './evacuation.js'
 import { brokenBy } from './exchange.js'
 import type { BrokenBy, ExchangeStart, UpstreamAnswer } from './exchange.js'
-import { logBrokenAttempt, recordAnswerStart, recordCrash, recordDispatch, recordNotRun, recordCompleteAnswer, recordSlotTime, recordUpstreamFailure } from './attempt-records.js'
+import { logBrokenAttempt, recordAnswerStart, recordBrokenRun, recordCrash, recordDispatch, recordNotRun, recordCompleteAnswer, recordSilence, recordSlotTime } from './attempt-records.js'
 import { abortFailure, mayRetry, undispatchedFailure } from './proxied-request.js'
 import type { ProxiedRequest } from './proxied-request.js'
 import { eventTimeout, firstAnswerTimeout, startWatchdog } from './response-watchdog.js'
@@ -250,7 +250,8 @@
   const isTimedOut = attempt.isTimedOut()
   if (by === 'connection' && !isTimedOut) recordCrash(context, proxied, attempt.upstream, writtenFor)
   if (isRelayLost || isTimedOut) context.crashes.left(attempt.upstream, proxied.accepted.head.sharedParts)
-  if (!isRelayLost) recordUpstreamFailure(context, proxied, attempt.upstream, isTimedOut ? 'silent' : reason)
+  if (isTimedOut && !isRelayLost) recordSilence(context, attempt.upstream)
+  if (!isTimedOut && !isRelayLost) recordBrokenRun(context, proxied, attempt.upstream, reason)
   logBrokenAttempt(context, proxied, attempt.upstream, isTimedOut ? 'silent' : reason)
   if (isTimedOut) return { kind: 'granted' }
   return { kind: 'again', verdict: 'may-have-run', failure: new ServingError(reason, { code: 'connection-lost', verdict: 'may-have-run' }), upstreamEnded: by === 'connection' }
--- a/test/gateway/node.test.ts
+++ b/test/gateway/node.test.ts
@@ -278,6 +278,15 @@
     assert.equal(runsOf('silent'), 2)
   })
 
+  // Guards against refusing requests that are alike for a minute, as crashing upstreams, because their upstreams were silent for a moment.
+  it('serves requests that are alike after their upstreams were silent', async () => {
+    behave(plain, 'hang')
+    await Promise.all([1, 2, 3].map(() => ask('lookup', { body: 'alike' })))
+    behave(plain, 'answer')
+    await until(async () => (await ask('lookup')).status === 200)
+    assert.equal((await ask('lookup', { body: 'alike' })).status, 200)
+  })
+
   it('ends a request and its run at the timeout of its route', async () => {
     behave(plain, 'hang')
     assert.equal((await ask('short', { id: 'late' })).status, 504)
