A request that is given up is reset, and does not arrive after a cut

Cause: an exchange that is given up was closed in the usual way. What the kernel holds for a closed connection is still sent once its path is whole, seconds after its node has given the request up and asked elsewhere.

Mend: a connection is reset when it is destroyed with an error that is not its own, with the error kept (a socket that is reset first loses it, and undici then takes the exchange for a complete one and ends the process, as a trial had shown). A relaying node resets its connection to the upstream when the other node has reset its own.

Tests: 'resets the connection of a request that is given up' unanswered, being answered, and without a length (exchange.test.ts), 'is reset at the upstream when the other node gives up its request' (tunnels.test.ts): 4 of 4 red before.

--- a/src/gateway/tunnel-frames.ts
+++ b/src/gateway/tunnel-frames.ts
@@ -9,6 +9,7 @@
  */
 import { Duplex, Transform } from 'node:stream'
 import type { Socket } from 'node:net'
+import { resetConnection } from './connection-reset.js'
 
 /** The upstream has ended its connection, and all that it sent precedes this header. */
 const END_HEADER = 0
@@ -78,7 +79,8 @@
     write: (chunk: Buffer, _encoding, done) => { socket.write(chunk, done) },
     final: (done) => { socket.end(done) },
     destroy: (error, done) => {
-      socket.destroy()
+      if (error === null) socket.destroy()
+      else resetConnection(socket)
       done(error)
     }
   })
--- a/src/gateway/tunnels.ts
+++ b/src/gateway/tunnels.ts
@@ -12,6 +12,7 @@
 import type { Clock, Milliseconds } from '../clock.js'
 import { hostPortOf } from '../host-port.js'
 import type { UpstreamIncarnation, UpstreamRecord } from '../placement/index.js'
+import { resetConnection } from './connection-reset.js'
 import { openFramedStream, relayInFrames } from './tunnel-frames.js'
 
 /** Names the incarnation of the upstream that the connection is for. Nodes of a build without frames know another name, and refuse. */
@@ -97,7 +98,10 @@
       if (tunnel.announceLeaving === undefined) peer.destroySoon()
     })
     peer.once('end', () => outbound.destroySoon())
-    peer.once('close', () => outbound.destroy())
+    peer.once('close', (isReset) => {
+      if (isReset) resetConnection(outbound)
+      else outbound.destroy()
+    })
   }
 
   return {
--- a/src/gateway/upstream-connector.ts
+++ b/src/gateway/upstream-connector.ts
@@ -8,6 +8,7 @@
 import type { UpstreamIncarnation, UpstreamRecord } from '../placement/index.js'
 import type { Random } from '../random.js'
 import { ServingError } from '../verdict.js'
+import { resetOnError } from './connection-reset.js'
 import { startStaggered } from './staggered-attempts.js'
 import type { StaggeredAttempt } from './staggered-attempts.js'
 import { connectSocket, openTunnel } from './tunnels.js'
@@ -64,7 +65,7 @@
   const searches = new Map<UpstreamIncarnation, Promise<RelayNode | undefined>>()
 
   async function openDirectly (upstream: UpstreamRecord, signal: AbortSignal): Promise<OpenedConnection> {
-    return { stream: await waitUntilConnected(connectSocket(upstream.address), signal), relay: undefined }
+    return { stream: resetOnError(await waitUntilConnected(connectSocket(upstream.address), signal)), relay: undefined }
   }
 
   async function openByRelay (relay: RelayNode, upstream: UpstreamRecord, signal: AbortSignal): Promise<RelayedConnection> {
--- a/test/gateway/exchange.test.ts
+++ b/test/gateway/exchange.test.ts
@@ -122,22 +122,43 @@
     assert.deepEqual(received.map((text) => text.slice(0, 7)), ['GET /r1'])
   })
 
+  // Guards against a request that arrives seconds after it was given up: its path was cut, and the kernel goes on sending what a closed connection holds.
+  for (const { name, answer } of [
+    { name: 'unanswered', answer: () => {} },
+    { name: 'being answered', answer: (socket: Socket) => { socket.write('HTTP/1.1 200 OK\r\nX-Hornbeamgap-Request-Id: r1\r\nContent-Length: 100\r\n\r\nhalf') } },
+    { name: 'being answered without a length', answer: (socket: Socket) => { socket.write(unframedHead) } }
+  ]) {
+    it(`resets the connection of a request that is given up ${name}`, async () => {
+      const controller = new AbortController()
+      const end = new Promise<string>((resolve) => {
+        const started = exchangeWith((socket) => {
+          socket.on('error', (error: NodeJS.ErrnoException) => resolve(String(error.code)))
+          socket.once('end', () => resolve('closed'))
+          answer(socket)
+          if (name === 'unanswered') controller.abort(new Error('given up'))
+        }, [], controller.signal)
+        started.then((result) => { if (result.kind === 'answered') controller.abort(new Error('given up')) }, () => {})
+      })
+      assert.equal(await end, 'ECONNRESET')
+    })
+  }
+
   /** Sends one request to a server that calls `answer` when the first bytes arrive; `endUpstream` makes it accept no further connection. */
-  async function exchangeWith (answer: (socket: Socket, endUpstream: () => void) => void, heard: UpstreamSignals[] = []): Promise<ExchangeStart> {
+  async function exchangeWith (answer: (socket: Socket, endUpstream: () => void) => void, heard: UpstreamSignals[] = [], signal = new AbortController().signal): Promise<ExchangeStart> {
     const server = createServer((socket) => {
       socket.on('error', () => {})
       socket.once('data', () => answer(socket, () => server.close()))
     })
     await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
     cleanups.push(() => new Promise((resolve) => server.close(resolve)))
-    return start((server.address() as AddressInfo).port, heard)
+    return start((server.address() as AddressInfo).port, heard, signal)
   }
 
-  function start (port: number, heard: UpstreamSignals[] = []): Promise<ExchangeStart> {
+  function start (port: number, heard: UpstreamSignals[] = [], signal = new AbortController().signal): Promise<ExchangeStart> {
     const connections = createUpstreamConnections({ format: createRequestFormat(), clock: createSystemClock(), random: createRandom(1), relayNodes: () => [], failureDomain: 'a', onSignals: (_upstream, signals) => { heard.push(signals) } })
     cleanups.unshift(() => connections.close())
     const upstream = upstreamRecord('i-1', { address: `127.0.0.1:${port}`, slots: 1 })
-    return connections.start(upstream, { id: 'r1', method: 'GET', path: '/', headers: ['x-hornbeamgap-request-id', 'r1'], body: undefined }, new AbortController().signal)
+    return connections.start(upstream, { id: 'r1', method: 'GET', path: '/', headers: ['x-hornbeamgap-request-id', 'r1'], body: undefined }, signal)
   }
 
   async function bodyOf (started: ExchangeStart): Promise<string> {
--- a/test/gateway/tunnels.test.ts
+++ b/test/gateway/tunnels.test.ts
@@ -101,6 +101,23 @@
     await closed
   })
 
+  // Guards against a request that arrives seconds after it was given up: the path of its relaying node was cut.
+  it('is reset at the upstream when the other node gives up its request', async () => {
+    let connected = (_accepted: Socket): void => {}
+    const accepting = new Promise<Socket>((resolve) => { connected = resolve })
+    const { peer, upstream } = await relayTo((accepted) => connected(accepted))
+    const socket = await openTunnel(peer, upstream, never)
+    socket.write('a request')
+    const accepted = await accepting
+    await once(accepted, 'data')
+    const ended = new Promise<string>((resolve) => {
+      accepted.once('end', () => resolve('closed'))
+      accepted.once('error', (error: NodeJS.ErrnoException) => resolve(String(error.code)))
+    })
+    socket.destroy(new Error('given up'))
+    assert.equal(await ended, 'ECONNRESET')
+  })
+
   it('is refused for an upstream that the node does not reach or know', async () => {
     const { peer, upstream } = await relayTo(() => {})
     await assert.rejects(openTunnel(peer, upstreamRecord('u-2', { address: upstream.address }), never), /status 503/)
