A reset that comes together with bytes is not taken for the end of an answer

Cause: libuv reports the hang-up of a connection as its end when it has just read bytes of it, so no error is seen.

Mend: a connection that has been reset no longer has the address of its other end, one that was ended in order still has. This is looked at before the end is passed on, at the node that has the connection to the upstream, also where it relays.

--- a/src/gateway/connection-reset.ts
+++ b/src/connection-reset.ts
@@ -1,14 +1,26 @@
+/** Resets of TCP connections, those of this process and those of the other end. */
+import type { Socket } from 'node:net'
+
 /**
- * Resets connections whose request has been given up.
+ * Whether the other end has reset a connection, while its event `end` is handled. The socket must not have been asked for its addresses
+ * before, as it keeps them.
  *
- * Failure guarded against: a connection that is closed is still sent what the kernel holds for it. Where its path is cut, a
- * request that was given up arrives at its upstream seconds later, once the path is whole. A reset drops what was not sent.
+ * Failure guarded against: libuv reports a reset that comes together with bytes as the end of a connection, and half an answer without
+ * a length looks whole. A connection that was ended in order still has the address of its other end, and a reset one has none.
+ *
+ * @example
+ * socket.once('end', () => report(hasBeenReset(socket) ? 'reset' : 'ended'))
  */
-import type { Socket } from 'node:net'
+export function hasBeenReset (socket: Socket): boolean {
+  return socket.remoteAddress === undefined
+}
 
 /**
  * Resets a connection, and destroys its socket at once. One that has sent its last byte is closed in the usual way.
  *
+ * Failure guarded against: a connection that is closed is still sent what the kernel holds for it. Where its path is cut, a request
+ * that was given up arrives at its upstream seconds later, once the path is whole. A reset drops what was not sent.
+ *
  * @param error told to the listeners of the socket, as by `destroy`
  * @example
  * resetConnection(socket, new Error('the caller has left'))
--- a/src/gateway/tunnel-frames.ts
+++ b/src/gateway/tunnel-frames.ts
@@ -9,7 +9,7 @@
  */
 import { Duplex, Transform } from 'node:stream'
 import type { Socket } from 'node:net'
-import { resetConnection } from './connection-reset.js'
+import { hasBeenReset, resetConnection } from '../connection-reset.js'
 
 /** The upstream has ended its connection, and all that it sent precedes this header. */
 const END_HEADER = 0
@@ -37,10 +37,12 @@
  * const announceLeaving = relayInFrames(outbound, peer)
  */
 export function relayInFrames (upstream: Socket, peer: Socket): () => void {
+  let endHeader = END_HEADER
   const encoder = new Transform({
     transform: (chunk: Buffer, _encoding, done) => done(null, Buffer.concat([createHeader(chunk.length), chunk])),
-    flush: (done) => done(null, createHeader(END_HEADER))
+    flush: (done) => done(null, createHeader(endHeader))
   })
+  upstream.once('end', () => { if (hasBeenReset(upstream)) endHeader = RESET_HEADER })
   upstream.pipe(encoder).pipe(peer)
   upstream.once('close', () => {
     if (upstream.readableEnded) return
--- a/src/gateway/upstream-pools.ts
+++ b/src/gateway/upstream-pools.ts
@@ -1,8 +1,9 @@
 /** Connection pools to the upstreams, which are replaced when the path that their connections use is lost or regained. */
-import type { Socket } from 'node:net'
+import { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import { Pool } from 'undici'
 import type { Clock, Milliseconds } from '../clock.js'
+import { hasBeenReset } from '../connection-reset.js'
 import { createUpstreamPaths } from '../paths/index.js'
 import type { RelayNode } from '../paths/index.js'
 import type { UpstreamIncarnation, UpstreamRecord } from '../placement/index.js'
@@ -181,11 +182,12 @@
 
   /** Undici takes a reset for the end of an answer without a length, so resets are noted before it sees them. */
   function noteResets ({ incarnation }: UpstreamRecord, stream: Duplex): void {
-    stream.on('error', ({ code }: NodeJS.ErrnoException) => {
-      if (code !== RESET_CODE) return
+    const note = (): void => {
       resetting.add(incarnation)
       queueMicrotask(() => resetting.delete(incarnation))
-    })
+    }
+    stream.on('error', ({ code }: NodeJS.ErrnoException) => { if (code === RESET_CODE) note() })
+    stream.on('end', () => { if (stream instanceof Socket && hasBeenReset(stream)) note() })
   }
 
   async function accepts (upstream: UpstreamRecord): Promise<AcceptanceTest> {
--- a/test/gateway/tunnels.test.ts
+++ b/test/gateway/tunnels.test.ts
@@ -91,6 +91,19 @@
     await assert.rejects(readAll(socket), { code: 'ECONNRESET' })
   })
 
+  // Guards against half an answer that looks whole: libuv reports a reset that comes together with bytes as the end of the connection.
+  it('is reset if the upstream resets its connection together with its bytes', async () => {
+    const { peer, upstream } = await relayTo((socket) => {
+      socket.once('data', () => {
+        socket.write('half')
+        socket.resetAndDestroy()
+      })
+    })
+    const socket = await openTunnel(peer, upstream, never)
+    socket.write('a request')
+    await assert.rejects(readAll(socket), { code: 'ECONNRESET' })
+  })
+
   // Guards against a request that goes on running after its caller has left: its node has closed the connection.
   it('ends at the upstream when the other node closes it', async () => {
     let reportClosed = (): void => {}
