Own interface: a reset that comes together with bytes is not taken for the end of a plain answer

What callers saw (by a test): half an answer of a plain service without a length as a whole one, where the service resets its connection and the reset is read together with bytes.

Cause: as at a gateway node: libuv reports it as the end of the connection.

--- a/src/connection-reset.ts
+++ b/src/connection-reset.ts
@@ -1,6 +1,9 @@
 /** Resets of TCP connections, those of this process and those of the other end. */
 import type { Socket } from 'node:net'
 
+/** Code of the error of a connection that the other end has reset. */
+export const RESET_CODE = 'ECONNRESET'
+
 /**
  * Whether the other end has reset a connection, while its event `end` is handled. The socket must not have been asked for its addresses
  * before, as it keeps them.
@@ -15,6 +18,23 @@
   return socket.remoteAddress === undefined
 }
 
+/**
+ * Makes a reset of the other end an error of the socket also where it comes together with bytes, see {@link hasBeenReset}.
+ *
+ * @example
+ * failOnReset(socket)
+ * socket.on('error', ({ code }) => report(code)) // ECONNRESET
+ */
+export function failOnReset (socket: Socket): void {
+  const push = socket.push.bind(socket)
+  socket.push = (chunk, encoding) => {
+    if (chunk !== null || !hasBeenReset(socket)) return push(chunk, encoding)
+    // The bytes are read first: they may be the rest of an answer that tells its own end.
+    setImmediate(() => socket.destroy(Object.assign(new Error('the connection was reset'), { code: RESET_CODE })))
+    return false
+  }
+}
+
 /**
  * Resets a connection, and destroys its socket at once. One that has sent its last byte is closed in the usual way.
  *
--- a/src/gateway/upstream-pools.ts
+++ b/src/gateway/upstream-pools.ts
@@ -3,7 +3,7 @@
 import type { Duplex } from 'node:stream'
 import { Pool } from 'undici'
 import type { Clock, Milliseconds } from '../clock.js'
-import { hasBeenReset } from '../connection-reset.js'
+import { hasBeenReset, RESET_CODE } from '../connection-reset.js'
 import { createUpstreamPaths } from '../paths/index.js'
 import type { RelayNode } from '../paths/index.js'
 import type { UpstreamIncarnation, UpstreamRecord } from '../placement/index.js'
@@ -108,7 +108,6 @@
 const NODE_CHECK_INTERVAL: Milliseconds = 250
 
 /** Error of a connection that the other side has reset. */
-const RESET_CODE = 'ECONNRESET'
 
 const NEVER = -Infinity
 
--- a/src/protocols/plain-connections.ts
+++ b/src/protocols/plain-connections.ts
@@ -1,8 +1,10 @@
 /** Connections to plain services, on which half of an answer without a length does not look whole. */
 import { connect } from 'node:net'
+import type { Socket } from 'node:net'
 import { Agent, buildConnector } from 'undici'
 import { startTimeout } from '../clock.js'
 import type { Milliseconds } from '../clock.js'
+import { failOnReset, RESET_CODE } from '../connection-reset.js'
 import { hostPortOf } from '../host-port.js'
 import type { Address } from '../identifiers.js'
 import { CONNECT_TIMEOUT, KEEP_ALIVE_TIMEOUT } from './http.js'
@@ -17,8 +19,6 @@
   close (): Promise<void>
 }
 
-const RESET_CODE = 'ECONNRESET'
-
 /** Code that a reset gets here, since undici takes one with the usual code for the end of an answer that ends with its connection. */
 const REPORTED_RESET_CODE = 'CONNECTION_RESET'
 
@@ -68,11 +68,16 @@
   const connector = buildConnector({ timeout: CONNECT_TIMEOUT })
   return (options, callback) => connector(options, (...result) => {
     const [, socket] = result
-    socket?.prependListener('error', reportReset)
+    if (socket !== null) noteResets(socket)
     callback(...result)
   })
 }
 
+function noteResets (socket: Socket): void {
+  failOnReset(socket)
+  socket.prependListener('error', reportReset)
+}
+
 function reportReset (error: NodeJS.ErrnoException): void {
   if (error.code === RESET_CODE) error.code = REPORTED_RESET_CODE
 }
--- a/test/gateway/exchange.test.ts
+++ b/test/gateway/exchange.test.ts
@@ -39,6 +39,15 @@
     await assert.rejects(bodyOf(started))
   })
 
+  // Guards against a whole answer that is thrown away, since the reset comes together with its last bytes.
+  it('accepts an answer of the announced length whose connection is reset together with its bytes', async () => {
+    const started = await exchangeWith((socket) => {
+      socket.write('HTTP/1.1 200 OK\r\nX-Hornbeamgap-Request-Id: r1\r\nContent-Length: 5\r\n\r\nwhole')
+      socket.resetAndDestroy()
+    })
+    assert.equal(await bodyOf(started), 'whole')
+  })
+
   it('fails if the upstream ends with an answer without a length', async () => {
     const ended = await exchangeWith((socket, endUpstream) => {
       endUpstream()
--- a/test/protocols/plain-service.test.ts
+++ b/test/protocols/plain-service.test.ts
@@ -17,10 +17,10 @@
 
   for (const kind of ['pooled', 'unpooled'] as const) {
     /** Calls a service that does this with its connection once it has sent the first half of its answer. */
-    async function callEnding (end: (socket: Socket, server: Server) => void): Promise<PlainResponse> {
+    async function callEnding (end: (socket: Socket, server: Server) => void, head = HEAD): Promise<PlainResponse> {
       const server = createServer((socket) => {
         socket.on('error', () => {})
-        socket.once('data', () => socket.write(`${HEAD}half`, () => setTimeout(() => end(socket, server), 20)))
+        socket.once('data', () => socket.write(`${head}half`, () => setTimeout(() => end(socket, server), 20)))
       })
       const address = addressSchema.parse(await listenOnFreePort(server))
       const connections = createPlainConnections(4)
@@ -38,6 +38,23 @@
       await assert.rejects(callEnding((socket) => socket.resetAndDestroy()), { code: 'connection-lost', verdict: 'may-have-run' })
     })
 
+    // Guards against half an answer that looks whole: libuv reports a reset that comes together with bytes as the end of the connection.
+    it(`fails if its connection is reset together with its bytes (${kind})`, async () => {
+      await assert.rejects(callEnding((socket) => {
+        socket.write(' and more')
+        socket.resetAndDestroy()
+      }), { code: 'connection-lost', verdict: 'may-have-run' })
+    })
+
+    // Guards against a whole answer that is thrown away, since the reset comes together with its last bytes.
+    it(`is whole if it has a length after all, and its connection is reset together with its last bytes (${kind})`, async () => {
+      const { body } = await callEnding((socket) => {
+        socket.write(' and half')
+        socket.resetAndDestroy()
+      }, 'HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n')
+      assert.equal(Buffer.from(body, 'base64').toString(), 'half and half')
+    })
+
     // Guards against half an answer that looks whole: the process of the service dies, and the kernel ends its connections.
     it(`fails if the service ends with it (${kind})`, async () => {
       await assert.rejects(callEnding((socket, server) => {
