--- a/src/gateway/upstream-pools.ts
+++ b/src/gateway/upstream-pools.ts
@@ -107,8 +107,6 @@
  */
 const NODE_CHECK_INTERVAL: Milliseconds = 250
 
-/** Error of a connection that the other side has reset. */
-
 const NEVER = -Infinity
 
 /**
--- a/test/gateway/exchange.test.ts
+++ b/test/gateway/exchange.test.ts
@@ -29,7 +29,6 @@
     await assert.rejects(bodyOf(reset), /was reset/)
   })
 
-  // Guards against a truncated answer that looks complete: the upstream's process dies, which closes the connection as after a complete answer.
   // Guards against half an answer that looks whole: libuv reports a reset that comes together with bytes as the end of the connection.
   it('fails if the connection is reset together with the bytes of an answer without a length', async () => {
     const started = await exchangeWith((socket) => {
@@ -48,6 +47,7 @@
     assert.equal(await bodyOf(started), 'whole')
   })
 
+  // Guards against a truncated answer that looks complete: the upstream's process dies, which closes the connection as after a complete answer.
   it('fails if the upstream ends with an answer without a length', async () => {
     const ended = await exchangeWith((socket, endUpstream) => {
       endUpstream()
