Connections to plain services are created as all others are

createPlainConnections composed agents of its own as createConnections and createFreshConnections do; these take the connector now. Behaviour is unchanged: same agents, same options. plain-service.test.ts, lint and types pass.

--- a/src/protocols/http.ts
+++ b/src/protocols/http.ts
@@ -31,7 +31,12 @@
 export const CONNECT_TIMEOUT: Milliseconds = 1_000
 
 /** Time after which an idle connection of the pool is closed. */
-export const KEEP_ALIVE_TIMEOUT: Milliseconds = 10_000
+const KEEP_ALIVE_TIMEOUT: Milliseconds = 10_000
+
+/** How connections are opened: options for undici's connector, or another connector. */
+export type Connect = NonNullable<Agent.Options['connect']>
+
+const DEFAULT_CONNECT: Connect = { timeout: CONNECT_TIMEOUT }
 
 const NO_CONTENT = 204
 const NOT_MODIFIED = 304
@@ -50,13 +55,8 @@
  * @example
  * const connections = createConnections(64)
  */
-export function createConnections (connections: number): Connections {
-  return new Agent({
-    connections,
-    pipelining: 1,
-    keepAliveTimeout: KEEP_ALIVE_TIMEOUT,
-    connect: { timeout: CONNECT_TIMEOUT }
-  })
+export function createConnections (connections: number, connect: Connect = DEFAULT_CONNECT): Connections {
+  return new Agent({ connections, pipelining: 1, keepAliveTimeout: KEEP_ALIVE_TIMEOUT, connect })
 }
 
 /**
@@ -70,8 +70,8 @@
  * @example
  * const fresh = createFreshConnections(64)
  */
-export function createFreshConnections (connections: number): Connections {
-  const agent = new Agent({ connections, pipelining: 1, connect: { timeout: CONNECT_TIMEOUT } })
+export function createFreshConnections (connections: number, connect: Connect = DEFAULT_CONNECT): Connections {
+  const agent = new Agent({ connections, pipelining: 1, connect })
   return agent.compose((dispatch) => (options, handler) => dispatch({ ...options, reset: true }, handler))
 }
 
--- a/src/protocols/plain-connections.ts
+++ b/src/protocols/plain-connections.ts
@@ -1,13 +1,13 @@
 /** Connections to plain services, on which half of an answer without a length does not look whole. */
 import { connect } from 'node:net'
 import type { Socket } from 'node:net'
-import { Agent, buildConnector } from 'undici'
+import { buildConnector } from 'undici'
 import { startTimeout } from '../clock.js'
 import type { Milliseconds } from '../clock.js'
 import { failOnReset, RESET_CODE } from '../connection-reset.js'
 import { hostPortOf } from '../host-port.js'
 import type { Address } from '../identifiers.js'
-import { CONNECT_TIMEOUT, KEEP_ALIVE_TIMEOUT } from './http.js'
+import { CONNECT_TIMEOUT, createConnections, createFreshConnections } from './http.js'
 import type { Connections } from './http.js'
 
 /** Connections to plain services. */
@@ -34,12 +34,12 @@
  * const response = await callPlainService(plain.unpooled, address, call, { signal })
  */
 export function createPlainConnections (connections: number): PlainConnections {
-  const pooled = new Agent({ connections, pipelining: 1, keepAliveTimeout: KEEP_ALIVE_TIMEOUT, connect: createConnector() })
-  const single = new Agent({ connections, pipelining: 1, connect: createConnector() })
+  const pooled = createConnections(connections, createConnector())
+  const unpooled = createFreshConnections(connections, createConnector())
   return {
     pooled,
-    unpooled: single.compose((dispatch) => (options, handler) => dispatch({ ...options, reset: true }, handler)),
-    close: async () => { await Promise.all([pooled.destroy(), single.destroy()]) }
+    unpooled,
+    close: async () => { await Promise.all([pooled.destroy(), unpooled.destroy()]) }
   }
 }
 
