--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -2,8 +2,8 @@
  * Sends one request to one incarnation of an upstream and tells the outcome.
  *
  * A connection is closed whenever its state is in doubt: the answer belongs to another request, the answer ends early,
- * or the bytes are not a valid answer. Undici closes the connection when an exchange ends before its answer does, and
- * when an answer ends before the request was written completely.
+ * or the bytes are not a valid answer. Undici ends the connection when an exchange ends before its answer does, and
+ * when an answer ends before the request was written completely. A connection that ends so is reset.
  */
 import type { Dispatcher } from 'undici'
 import { onAbort } from '../abort-listeners.js'
@@ -88,7 +88,7 @@
 
 /** Connections to all upstreams. */
 export interface UpstreamConnections extends Omit<UpstreamPools, 'of' | 'heard' | 'isResetting' | 'accepts'> {
-  /** Sends a request. Never rejects. Aborting the signal closes the connection. */
+  /** Sends a request. Never rejects. Aborting the signal resets the connection. */
   start (upstream: UpstreamRecord, request: UpstreamRequest, signal: AbortSignal): Promise<ExchangeStart>
 }
 
--- a/src/gateway/tunnel-frames.ts
+++ b/src/gateway/tunnel-frames.ts
@@ -9,7 +9,7 @@
  */
 import { Duplex, Transform } from 'node:stream'
 import type { Socket } from 'node:net'
-import { hasBeenReset, resetConnection } from '../connection-reset.js'
+import { hasBeenReset, RESET_CODE, resetConnection } from '../connection-reset.js'
 
 /** The upstream has ended its connection, and all that it sent precedes this header. */
 const END_HEADER = 0
@@ -111,7 +111,7 @@
       isEnded = true
       stream.push(null)
     },
-    reset: () => fail(createError('the upstream reset its connection', 'ECONNRESET')),
+    reset: () => fail(createError('the upstream reset its connection', RESET_CODE)),
     leaving: () => stream.emit(RELAY_LEAVING)
   })
   socket.on('error', (error) => fail(createError(`the connection to the relaying node failed: ${error.message}`, RELAY_LOST_CODE)))
--- a/src/gateway/tunnels.ts
+++ b/src/gateway/tunnels.ts
@@ -10,9 +10,9 @@
 import type { Duplex } from 'node:stream'
 import { onAbort } from '../abort-listeners.js'
 import type { Clock, Milliseconds } from '../clock.js'
+import { resetConnection } from '../connection-reset.js'
 import { hostPortOf } from '../host-port.js'
 import type { UpstreamIncarnation, UpstreamRecord } from '../placement/index.js'
-import { resetConnection } from '../connection-reset.js'
 import { openFramedStream, relayInFrames } from './tunnel-frames.js'
 
 /** Names the incarnation of the upstream that the connection is for. Nodes of a build without frames know another name, and refuse. */
--- a/test/entry/reclaim-controller.test.ts
+++ b/test/entry/reclaim-controller.test.ts
@@ -1,6 +1,5 @@
 /** Execution of reclaim plans, with stubs around the controller and a manual clock. */
 import assert from 'node:assert/strict'
-import type { AddressInfo } from 'node:net'
 import { test } from 'node:test'
 import Emittery from 'emittery'
 import { SECOND } from '../../src/clock.js'
@@ -20,6 +19,7 @@
 import type { UpstreamView } from '../../src/upstream/index.js'
 import type { StreamPlan } from '../../src/upstream/reclaim/index.js'
 import { createManualClock } from '../../stand-ins/manual-clock.js'
+import { listenOnFreePort } from '../listening.js'
 
 const LEAVING = upstreamNameSchema.parse('engine-1')
 const TARGET = upstreamNameSchema.parse('engine-2')
@@ -129,8 +129,7 @@
     turnEnded: ({ id }) => { if (id === idOf(1)) endFirst() }
   }
   const server = createPeerServer(key, { reclaim } as unknown as PeerHandlers, {} as never)
-  await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
-  const address = addressSchema.parse(`127.0.0.1:${(server.address() as AddressInfo).port}`)
+  const address = addressSchema.parse(await listenOnFreePort(server))
   const connections = createConnections(4)
   return {
     record: node('entry-2', address),
