A relaying node resets its connection also where the other node's reset comes with bytes

What an upstream would see: a request that was given up as it was sent arrives after a cut between the relaying node and it.

Found by trying to break with one interleaving. Test: tunnels.test.ts 'is reset at the upstream when the other node gives up its request as it sends it', red in 3 of 3 runs before; now 3 of 3 runs of the four files of relayed connections pass.

--- a/src/gateway/tunnels.ts
+++ b/src/gateway/tunnels.ts
@@ -10,7 +10,7 @@
 import type { Duplex } from 'node:stream'
 import { onAbort } from '../abort-listeners.js'
 import type { Clock, Milliseconds } from '../clock.js'
-import { resetConnection } from '../connection-reset.js'
+import { hasBeenReset, resetConnection } from '../connection-reset.js'
 import { hostPortOf } from '../host-port.js'
 import type { UpstreamIncarnation, UpstreamRecord } from '../placement/index.js'
 import { openFramedStream, relayInFrames } from './tunnel-frames.js'
@@ -97,7 +97,10 @@
       // Otherwise the other node is told of the end, after all that the upstream has sent.
       if (tunnel.announceLeaving === undefined) peer.destroySoon()
     })
-    peer.once('end', () => outbound.destroySoon())
+    peer.once('end', () => {
+      if (hasBeenReset(peer)) resetConnection(outbound)
+      else outbound.destroySoon()
+    })
     peer.once('close', (isReset) => {
       if (isReset) resetConnection(outbound)
       else outbound.destroy()
--- a/test/gateway/tunnels.test.ts
+++ b/test/gateway/tunnels.test.ts
@@ -8,6 +8,7 @@
 import { afterEach, describe, it } from 'node:test'
 import { createSystemClock } from '../../src/clock.js'
 import type { Clock } from '../../src/clock.js'
+import { hasBeenReset, RESET_CODE } from '../../src/connection-reset.js'
 import { RELAY_LEAVING } from '../../src/gateway/tunnel-frames.js'
 import { openTunnel, serveTunnels } from '../../src/gateway/tunnels.js'
 import type { TunnelServer } from '../../src/gateway/tunnels.js'
@@ -131,6 +132,22 @@
     assert.equal(await ended, 'ECONNRESET')
   })
 
+  // Guards against the same, where the relaying node reads the reset together with bytes of the request, as the end of the connection.
+  it('is reset at the upstream when the other node gives up its request as it sends it', async () => {
+    const ended = new Promise<string>((resolve) => {
+      relayTo((accepted) => {
+        accepted.resume()
+        accepted.once('end', () => resolve(hasBeenReset(accepted) ? RESET_CODE : 'closed'))
+        accepted.once('error', (error: NodeJS.ErrnoException) => resolve(String(error.code)))
+      }).then(async ({ peer, upstream }) => {
+        const socket = await openTunnel(peer, upstream, never)
+        socket.write('a request')
+        socket.destroy(new Error('given up'))
+      }, () => {})
+    })
+    assert.equal(await ended, RESET_CODE)
+  })
+
   it('is refused for an upstream that the node does not reach or know', async () => {
     const { peer, upstream } = await relayTo(() => {})
     await assert.rejects(openTunnel(peer, upstreamRecord('u-2', { address: upstream.address }), never), /status 503/)
