--- /dev/null
+++ b/review/4/case.ts
@@ -0,0 +1,143 @@
+/** Two nodes are stopped in turn. Each still takes requests after it has found none in progress, and breaks them off. */
+import { createServer as createHttpServer, request as sendRequest } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { clock, EXIT, HOST, isCalm, LOOPBACK, note, resolveAddresses, runCase, startAgain, startGateway, startPlatform, statusOf, until } from '../harness-2.js'
+import type { Gateway } from '../harness-2.js'
+
+/** This caller keeps an answer with addresses three times as long as it says. */
+const KEPT_FACTOR = 3
+
+/** Time that the server works on a request. */
+const WORK_MS = 48
+
+/** Time between two requests of the callers to each node: a little longer than one takes, so that a node is idle for moments. */
+const PERIOD_MS = 57
+
+/** Key of the only tenant. */
+const KEY = '3d3zji9n73hh2b9wu3fe'
+
+/** Time between the stops of the two nodes. */
+const GAP_MS = 1_000
+
+/** Time from the first stop to the end of the traffic. */
+const OBSERVED_MS = 9_000
+
+interface Attempt {
+  readonly id: string
+  readonly node: string
+  readonly sentAt: number
+  outcome: string
+  endedAt: number
+}
+
+/** Sends a booking on a connection of its own. */
+function send (port: number, attempt: Attempt, since: number, onRefused: () => void): void {
+  const end = (outcome: string): void => {
+    if (attempt.endedAt !== 0) return
+    attempt.outcome = outcome
+    attempt.endedAt = clock.now() - since
+  }
+  const headers = { host: HOST, 'x-hornbeamgap-request-id': attempt.id, 'x-hornbeamgap-deadline-ms': '1000', 'api-key': KEY }
+  const outgoing = sendRequest({ host: LOOPBACK, port, method: 'POST', path: '/book/7', agent: false, headers }, (response) => {
+    response.resume()
+    response.on('end', () => end(`status ${response.statusCode}`))
+    response.on('error', () => end('the answer was cut'))
+  })
+  outgoing.on('error', ({ code, message }: NodeJS.ErrnoException) => {
+    if (code === 'ECONNREFUSED') onRefused()
+    end(code === 'ECONNREFUSED' ? 'connection refused' : `the connection ended without an answer (${message})`)
+  })
+  outgoing.end('a booking')
+}
+
+async function main (): Promise<number> {
+  const { store, api } = await startPlatform()
+  const runs = new Map<string, number>()
+  const server = createHttpServer((request, response) => {
+    request.resume()
+    request.on('end', () => {
+      const id = String(request.headers['x-hornbeamgap-request-id'])
+      runs.set(id, clock.now())
+      setTimeout(() => {
+        response.writeHead(200, { 'X-Hornbeamgap-Request-Id': id, 'X-Hornbeamgap-Server-Stamp': `stamp-${id}` })
+        response.end('booked')
+      }, WORK_MS)
+    })
+  })
+  server.keepAliveTimeout = 15_000
+  await new Promise<void>((resolve) => server.listen(0, LOOPBACK, resolve))
+  store.store.put('op/config', JSON.stringify({
+    version: 1,
+    routes: [{ name: 'book', host: HOST, prefix: '/book/', kind: 'non_idempotent', timeoutMs: 1_000, targetLatencyMs: 193, service: 'booking', maxAttempts: 1 }],
+    services: [{ name: 'booking', maxConns: 110 }],
+    tenants: [{ name: 'huka270', apiKeys: [KEY] }],
+    limits: { maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 }
+  }))
+  store.store.put('servers/i-1', JSON.stringify({ service: 'booking', address: `${LOOPBACK}:${(server.address() as AddressInfo).port}`, zone: 'zone-a', version: 'v1', slots: 6, state: 'ready', sequence: 1 }))
+  const first = await startGateway('front-1', 'zone-a', store.address, api.address)
+  const second = await startGateway('front-2', 'zone-b', store.address, api.address)
+  const nodes = new Map<string, Gateway>([first, second].map((node) => [`${LOOPBACK}:${node.front}`, node]))
+  await until('ready', async () => await statusOf(first.ready, '/ready') === 200 && await statusOf(second.ready, '/ready') === 200)
+  await until('both known', async () => (await resolveAddresses(second.directory, 'zone-a'))?.addresses.length === 2)
+  await clock.sleep(4_000)
+
+  /** The caller's addresses: asked for again once they are too old, and kept while there are no new ones. */
+  let known = await resolveAddresses(first.directory, 'zone-a')
+  let askedAt = clock.now()
+  let isAsking = false
+  const failed = new Set<string>()
+  async function refresh (): Promise<void> {
+    if (isAsking || clock.now() - askedAt < KEPT_FACTOR * (known?.ttlS ?? 0) * 1_000) return
+    isAsking = true
+    const answer = await resolveAddresses(first.directory, 'zone-a') ?? await resolveAddresses(second.directory, 'zone-a')
+    isAsking = false
+    if (answer === undefined) return
+    askedAt = clock.now()
+    known = answer
+    failed.clear()
+    note(`the caller has new addresses: ${answer.addresses.map((address) => nodes.get(address)?.name).join(' ')}`)
+  }
+  note(`the caller has the addresses: ${known?.addresses.map((address) => nodes.get(address)?.name).join(' ')}, for ${known?.ttlS} s, which it keeps for ${KEPT_FACTOR} times that`)
+
+  const since = clock.now()
+  const attempts: Attempt[] = []
+  if (!isCalm) {
+    note('SIGTERM to front-1')
+    stopAndStart(first)
+    setTimeout(() => {
+      note('SIGTERM to front-2')
+      stopAndStart(second)
+    }, GAP_MS)
+  }
+  function stopAndStart (node: Gateway): void {
+    node.process.kill('SIGTERM')
+    node.ended.then((how) => {
+      note(`${node.name} has ended (${how}) and is started again`)
+      startAgain(node)
+    }).catch(() => {})
+  }
+  let mayAsk = false
+  for (let index = 0; clock.now() - since < OBSERVED_MS; index += 1) {
+    if (clock.now() - askedAt >= KEPT_FACTOR * (known?.ttlS ?? 0) * 1_000 && !mayAsk) {
+      mayAsk = true
+      note('the caller asks for new addresses')
+    }
+    refresh().catch(() => {})
+    // Both addresses are picked in turn. One that has failed the caller is left out until there are new ones.
+    const address = known?.addresses[index % known.addresses.length]
+    const node = address === undefined || failed.has(address) ? undefined : nodes.get(address)
+    if (address !== undefined && node !== undefined) {
+      const attempt: Attempt = { id: `b${String(index).padStart(15, '0')}`, node: node.name, sentAt: clock.now() - since, outcome: 'no answer', endedAt: 0 }
+      attempts.push(attempt)
+      send(node.front, attempt, since, () => failed.add(address))
+    }
+    await clock.sleep(Math.max(0, since + (index + 1) * PERIOD_MS / 2 - clock.now()))
+  }
+  await clock.sleep(1_500)
+  for (const { id, node, sentAt, outcome, endedAt } of attempts) note(`${id} to ${node}: sent at ${Math.round(sentAt)} ms, ${runs.has(id) ? `run at ${Math.round(runs.get(id)! - since)} ms` : 'not run'}, ${outcome} at ${Math.round(endedAt)} ms`)
+  const lost = attempts.filter(({ id, outcome }) => runs.has(id) && !outcome.startsWith('status'))
+  note(`${attempts.length} requests, ${attempts.filter(({ outcome }) => outcome === 'status 200').length} served; ${lost.length} were passed on to the server and got no answer: ${lost.map(({ id }) => id).join(' ')}`)
+  return lost.length > 0 ? EXIT.broken : EXIT.held
+}
+
+runCase(main)
