--- a/review/4/case.ts
+++ b/review/4/case.ts
@@ -19,6 +19,12 @@
 /** Time between the stops of the two nodes. */
 const GAP_MS = 1_000
 
+/** The stops are repeated until a request is lost, at most so often. */
+const TURNS = 3
+
+/** Time after which a calm machine is in touch. */
+const CONTACT_MS = 3_000
+
 /** Time from the first stop to the end of the traffic. */
 const OBSERVED_MS = 9_000
 
@@ -52,12 +58,12 @@
 
 async function main (): Promise<number> {
   const { store, api } = await startPlatform()
-  const runs = new Map<string, number>()
+  const runs = new Set<string>()
   const server = createHttpServer((request, response) => {
     request.resume()
     request.on('end', () => {
       const id = String(request.headers['x-hornbeamgap-request-id'])
-      runs.set(id, clock.now())
+      runs.add(id)
       setTimeout(() => {
         response.writeHead(200, { 'X-Hornbeamgap-Request-Id': id, 'X-Hornbeamgap-Server-Stamp': `stamp-${id}` })
         response.end('booked')
@@ -74,70 +80,87 @@
     limits: { maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 }
   }))
   store.store.put('servers/i-1', JSON.stringify({ service: 'booking', address: `${LOOPBACK}:${(server.address() as AddressInfo).port}`, zone: 'zone-a', version: 'v1', slots: 6, state: 'ready', sequence: 1 }))
-  const first = await startGateway('front-1', 'zone-a', store.address, api.address)
-  const second = await startGateway('front-2', 'zone-b', store.address, api.address)
-  const nodes = new Map<string, Gateway>([first, second].map((node) => [`${LOOPBACK}:${node.front}`, node]))
-  await until('ready', async () => await statusOf(first.ready, '/ready') === 200 && await statusOf(second.ready, '/ready') === 200)
-  await until('both known', async () => (await resolveAddresses(second.directory, 'zone-a'))?.addresses.length === 2)
-  await clock.sleep(4_000)
+  let nodes = [await startGateway('front-1', 'zone-a', store.address, api.address), await startGateway('front-2', 'zone-b', store.address, api.address)]
+  for (let turn = 1; turn <= TURNS; turn += 1) {
+    await untilSettled(nodes)
+    note(`turn ${turn}`)
+    const { attempts, restarted } = await stopInTurn(nodes, turn)
+    nodes = restarted
+    const lost = attempts.filter(({ id, outcome }) => runs.has(id) && !outcome.startsWith('status'))
+    for (const { id, node, sentAt, outcome, endedAt } of attempts) note(`${id} to ${node}: sent at ${Math.round(sentAt)} ms, ${runs.has(id) ? 'run by the server' : 'not run'}, ${outcome} at ${Math.round(endedAt)} ms`)
+    note(`${attempts.length} requests, ${attempts.filter(({ outcome }) => outcome === 'status 200').length} served; ${lost.length} were passed on to the server and got no answer: ${lost.map(({ id }) => id).join(' ')}`)
+    if (lost.length > 0) return EXIT.broken
+  }
+  return EXIT.held
+}
+
+/** Waits until both nodes serve, know each other, and are in touch. */
+async function untilSettled (nodes: readonly Gateway[]): Promise<void> {
+  for (const { name, ready, directory } of nodes) {
+    await until(`${name} is ready`, async () => await statusOf(ready, '/ready') === 200)
+    await until(`${name} knows both`, async () => (await resolveAddresses(directory, 'zone-a'))?.addresses.length === 2)
+  }
+  await clock.sleep(CONTACT_MS + 500)
+}
 
+/** Stops the nodes in turn, starts each again when it has ended, and sends bookings meanwhile. */
+async function stopInTurn (nodes: readonly Gateway[], turn: number): Promise<{ attempts: Attempt[], restarted: Gateway[] }> {
+  const byAddress = new Map(nodes.map((node) => [`${LOOPBACK}:${node.front}`, node]))
+  const restarted = [...nodes]
+  const attempts: Attempt[] = []
+  const failed = new Set<string>()
   /** The caller's addresses: asked for again once they are too old, and kept while there are no new ones. */
-  let known = await resolveAddresses(first.directory, 'zone-a')
+  let known = await anyAddresses(nodes)
   let askedAt = clock.now()
   let isAsking = false
-  const failed = new Set<string>()
+
   async function refresh (): Promise<void> {
     if (isAsking || clock.now() - askedAt < KEPT_FACTOR * (known?.ttlS ?? 0) * 1_000) return
     isAsking = true
-    const answer = await resolveAddresses(first.directory, 'zone-a') ?? await resolveAddresses(second.directory, 'zone-a')
+    const answer = await anyAddresses(nodes)
     isAsking = false
     if (answer === undefined) return
     askedAt = clock.now()
     known = answer
     failed.clear()
-    note(`the caller has new addresses: ${answer.addresses.map((address) => nodes.get(address)?.name).join(' ')}`)
+    note(`the caller has new addresses: ${answer.addresses.map((address) => byAddress.get(address)?.name).join(' ')}`)
   }
-  note(`the caller has the addresses: ${known?.addresses.map((address) => nodes.get(address)?.name).join(' ')}, for ${known?.ttlS} s, which it keeps for ${KEPT_FACTOR} times that`)
 
-  const since = clock.now()
-  const attempts: Attempt[] = []
-  if (!isCalm) {
-    note('SIGTERM to front-1')
-    stopAndStart(first)
-    setTimeout(() => {
-      note('SIGTERM to front-2')
-      stopAndStart(second)
-    }, GAP_MS)
-  }
-  function stopAndStart (node: Gateway): void {
+  function stopAndStart (node: Gateway, index: number): void {
+    note(`SIGTERM to ${node.name}`)
     node.process.kill('SIGTERM')
     node.ended.then((how) => {
       note(`${node.name} has ended (${how}) and is started again`)
-      startAgain(node)
+      restarted[index] = startAgain(node)
     }).catch(() => {})
   }
-  let mayAsk = false
+
+  note(`the caller has the addresses: ${known?.addresses.map((address) => byAddress.get(address)?.name).join(' ')}, for ${known?.ttlS} s, which it keeps for ${KEPT_FACTOR} times that`)
+  const since = clock.now()
+  if (!isCalm) nodes.forEach((node, index) => setTimeout(() => stopAndStart(node, index), index * GAP_MS))
   for (let index = 0; clock.now() - since < OBSERVED_MS; index += 1) {
-    if (clock.now() - askedAt >= KEPT_FACTOR * (known?.ttlS ?? 0) * 1_000 && !mayAsk) {
-      mayAsk = true
-      note('the caller asks for new addresses')
-    }
     refresh().catch(() => {})
     // Both addresses are picked in turn. One that has failed the caller is left out until there are new ones.
     const address = known?.addresses[index % known.addresses.length]
-    const node = address === undefined || failed.has(address) ? undefined : nodes.get(address)
+    const node = address === undefined || failed.has(address) ? undefined : byAddress.get(address)
     if (address !== undefined && node !== undefined) {
-      const attempt: Attempt = { id: `b${String(index).padStart(15, '0')}`, node: node.name, sentAt: clock.now() - since, outcome: 'no answer', endedAt: 0 }
+      const attempt: Attempt = { id: `b${turn}${String(index).padStart(14, '0')}`, node: node.name, sentAt: clock.now() - since, outcome: 'no answer', endedAt: 0 }
       attempts.push(attempt)
       send(node.front, attempt, since, () => failed.add(address))
     }
-    await clock.sleep(Math.max(0, since + (index + 1) * PERIOD_MS / 2 - clock.now()))
+    await clock.sleep(Math.max(0, since + (index + 1) * PERIOD_MS / nodes.length - clock.now()))
   }
   await clock.sleep(1_500)
-  for (const { id, node, sentAt, outcome, endedAt } of attempts) note(`${id} to ${node}: sent at ${Math.round(sentAt)} ms, ${runs.has(id) ? `run at ${Math.round(runs.get(id)! - since)} ms` : 'not run'}, ${outcome} at ${Math.round(endedAt)} ms`)
-  const lost = attempts.filter(({ id, outcome }) => runs.has(id) && !outcome.startsWith('status'))
-  note(`${attempts.length} requests, ${attempts.filter(({ outcome }) => outcome === 'status 200').length} served; ${lost.length} were passed on to the server and got no answer: ${lost.map(({ id }) => id).join(' ')}`)
-  return lost.length > 0 ? EXIT.broken : EXIT.held
+  return { attempts, restarted }
+}
+
+/** Asks the nodes that serve the directory in turn. */
+async function anyAddresses (nodes: readonly Gateway[]): Promise<Awaited<ReturnType<typeof resolveAddresses>>> {
+  for (const { directory } of nodes) {
+    const answer = await resolveAddresses(directory, 'zone-a')
+    if (answer !== undefined) return answer
+  }
+  return undefined
 }
 
 runCase(main)
