--- a/review/4/case.ts
+++ b/review/4/case.ts
@@ -22,6 +22,16 @@
 /** The stops are repeated until a request is lost, at most so often. */
 const TURNS = 3
 
+/** Bounds of the rule: the time between SIGTERM and SIGKILL, and the time after it in which a stop counts as planned work. */
+const GRACE_MS = 8_000
+const AFTER_GRACE_MS = 1_000
+
+/** A request that was sent no later than this after the SIGTERM is excused where its server is still at work near the end of the grace. */
+const EXCUSED_UNTIL_MS = 3_000
+
+/** Time budget of a booking, and its route's timeout. */
+const BUDGET_MS = 1_000
+
 /** Time after which a calm machine is in touch. */
 const CONTACT_MS = 3_000
 
@@ -32,6 +42,8 @@
   readonly id: string
   readonly node: string
   readonly sentAt: number
+  /** Time of the SIGTERM of the node that it is sent to; undefined if that has got none. */
+  readonly stoppedAt: number | undefined
   outcome: string
   endedAt: number
 }
@@ -43,7 +55,7 @@
     attempt.outcome = outcome
     attempt.endedAt = clock.now() - since
   }
-  const headers = { host: HOST, 'x-hornbeamgap-request-id': attempt.id, 'x-hornbeamgap-deadline-ms': '1000', 'api-key': KEY }
+  const headers = { host: HOST, 'x-hornbeamgap-request-id': attempt.id, 'x-hornbeamgap-deadline-ms': String(BUDGET_MS), 'api-key': KEY }
   const outgoing = sendRequest({ host: LOOPBACK, port, method: 'POST', path: '/book/7', agent: false, headers }, (response) => {
     response.resume()
     response.on('end', () => end(`status ${response.statusCode}`))
@@ -63,6 +75,11 @@
     request.resume()
     request.on('end', () => {
       const id = String(request.headers['x-hornbeamgap-request-id'])
+      if (request.headers['x-hornbeamgap-expect-instance'] !== 'i-1') {
+        response.writeHead(421, { 'X-Hornbeamgap-Request-Id': id, 'X-Hornbeamgap-Not-Executed': '1' })
+        response.end()
+        return
+      }
       runs.add(id)
       setTimeout(() => {
         response.writeHead(200, { 'X-Hornbeamgap-Request-Id': id, 'X-Hornbeamgap-Server-Stamp': `stamp-${id}` })
@@ -86,7 +103,8 @@
     note(`turn ${turn}`)
     const { attempts, restarted } = await stopInTurn(nodes, turn)
     nodes = restarted
-    const lost = attempts.filter(({ id, outcome }) => runs.has(id) && !outcome.startsWith('status'))
+    const lost = attempts.filter((attempt) => runs.has(attempt.id) && isLost(attempt))
+    if (!attempts.some(({ outcome }) => outcome === 'status 200')) return EXIT.impossible
     for (const { id, node, sentAt, outcome, endedAt } of attempts) note(`${id} to ${node}: sent at ${Math.round(sentAt)} ms, ${runs.has(id) ? 'run by the server' : 'not run'}, ${outcome} at ${Math.round(endedAt)} ms`)
     note(`${attempts.length} requests, ${attempts.filter(({ outcome }) => outcome === 'status 200').length} served; ${lost.length} were passed on to the server and got no answer: ${lost.map(({ id }) => id).join(' ')}`)
     if (lost.length > 0) return EXIT.broken
@@ -94,6 +112,15 @@
   return EXIT.held
 }
 
+/**
+ * Whether a request that was passed on to the server breaks the rule: no complete answer, taken by a node that has got its SIGTERM, later
+ * than any request that is excused, and ended within the stop and before its time budget.
+ */
+function isLost ({ outcome, sentAt, endedAt, stoppedAt }: Attempt): boolean {
+  if (outcome.startsWith('status') || endedAt === 0 || stoppedAt === undefined) return false
+  return sentAt - stoppedAt > EXCUSED_UNTIL_MS && endedAt - stoppedAt <= GRACE_MS + AFTER_GRACE_MS && endedAt - sentAt < BUDGET_MS
+}
+
 /** Waits until both nodes serve, know each other, and are in touch. */
 async function untilSettled (nodes: readonly Gateway[]): Promise<void> {
   for (const { name, ready, directory } of nodes) {
@@ -109,6 +136,7 @@
   const restarted = [...nodes]
   const attempts: Attempt[] = []
   const failed = new Set<string>()
+  const stoppedAt = new Map<string, number>()
   /** The caller's addresses: asked for again once they are too old, and kept while there are no new ones. */
   let known = await anyAddresses(nodes)
   let askedAt = clock.now()
@@ -128,9 +156,11 @@
 
   function stopAndStart (node: Gateway, index: number): void {
     note(`SIGTERM to ${node.name}`)
+    stoppedAt.set(node.name, clock.now() - since)
     node.process.kill('SIGTERM')
     node.ended.then((how) => {
       note(`${node.name} has ended (${how}) and is started again`)
+      stoppedAt.delete(node.name)
       restarted[index] = startAgain(node)
     }).catch(() => {})
   }
@@ -144,7 +174,7 @@
     const address = known?.addresses[index % known.addresses.length]
     const node = address === undefined || failed.has(address) ? undefined : byAddress.get(address)
     if (address !== undefined && node !== undefined) {
-      const attempt: Attempt = { id: `b${turn}${String(index).padStart(14, '0')}`, node: node.name, sentAt: clock.now() - since, outcome: 'no answer', endedAt: 0 }
+      const attempt: Attempt = { id: `b${turn}${String(index).padStart(14, '0')}`, node: node.name, sentAt: clock.now() - since, stoppedAt: stoppedAt.get(node.name), outcome: 'no answer', endedAt: 0 }
       attempts.push(attempt)
       send(node.front, attempt, since, () => failed.add(address))
     }
--- a/review/harness-2.ts
+++ b/review/harness-2.ts
@@ -195,6 +195,9 @@
     rmSync(folder, { recursive: true, force: true })
     process.exit(code)
   }
+  // A script that fails by itself, or is stopped, must not look as if the rule were broken, and leaves no process behind.
+  process.on('uncaughtException', (error) => finish(EXIT.impossible, `could not run: ${String(error.stack)}`))
+  for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP'] as const) process.on(signal, () => finish(EXIT.impossible, `stopped by ${signal}`))
   writeFileSync(recordFile(), '')
   main().then((code) => finish(code, code === EXIT.broken ? 'BROKEN' : 'held'), (error) => finish(EXIT.impossible, `could not run: ${String((error as Error).stack)}`))
 }
