A stopping node tells how its stop proceeds

Hypotheses before any change of logic: 1. the node takes requests after its last look for those in progress, while it writes its last usage counts; 2. a request that came before the last look isn't counted there; 3. the node closes connections for another reason, such as the cut-off at 7.6 s; 4. idle connections are closed while a request on them has been read.

Change: `requests-awaited` (when the node waits no longer, and what is in progress then), `last-counts-awaited` (how long the last write took, and whether it came to its end), and what was broken off in `node-stopped`. No change of logic.

Each lost request was admitted 1 to 8 ms after `requests-awaited`. So it's the first; the second and the fourth would show a request admitted before that line, the third one at 7.6 s.

--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -298,8 +298,11 @@
   /** Writes the usage counts of requests served during the stop. Bounded, since the store may be unavailable and the kill is near. */
   async function writeLastCounts (): Promise<void> {
     if (duties === undefined) return
-    const written = duties.writeUsageCounts().catch((error) => log.warn('last-counts-not-written', { error: String(error) }))
+    const since = clock.now()
+    let isWritten = false
+    const written = duties.writeUsageCounts().then(() => { isWritten = true }, (error) => log.warn('last-counts-not-written', { error: String(error) }))
     await Promise.race([written, clock.sleep(stopMargin * LAST_WRITE_FRACTION)])
+    log.info('last-counts-awaited', { isWritten, took: Math.round(clock.now() - since) })
   }
 
   /** The state that this node reports to the other nodes. */
@@ -378,6 +381,7 @@
       tunnels?.leave()
       await stopNode({ clock, log, answers, cutOff, margin: stopMargin, relayed: () => tunnels?.open() ?? 0, withdraw: async () => { await Promise.allSettled([fleet.withdraw(), duties?.release()]) } })
       await writeLastCounts()
+      const brokenOff = { inFlight: answers.count(), relayed: tunnels?.open() ?? 0 }
       shutdown.abort()
       for (const one of servers) {
         one.close()
@@ -385,7 +389,7 @@
       }
       tunnels?.close()
       await Promise.all([connections.close(), fleet.close()])
-      log.info('node-stopped')
+      log.info('node-stopped', brokenOff)
     }
   }
 }
--- a/src/gateway/stopping.ts
+++ b/src/gateway/stopping.ts
@@ -63,7 +63,8 @@
  */
 export async function stopNode (options: StopOptions): Promise<void> {
   const { clock, log, answers, cutOff, margin, relayed, withdraw } = options
-  const acceptUntil = Math.min(cutOff, clock.now() + STALE_ADDRESS_PERIOD)
+  const since = clock.now()
+  const acceptUntil = Math.min(cutOff, since + STALE_ADDRESS_PERIOD)
   log.info('node-stopping', { inFlight: answers.count(), grace: Math.round(cutOff - clock.now()) })
   withdraw().catch((error) => log.warn('withdrawal-failed', { error: String(error) }))
   while (clock.now() < acceptUntil) {
@@ -75,4 +76,5 @@
     answers.closeIdleConnections()
     await clock.sleep(Math.min(POLL_PERIOD, end - clock.now()))
   }
+  log.info('requests-awaited', { inFlight: answers.count(), relayed: relayed(), since: Math.round(clock.now() - since) })
 }
