A stopping node closes before it looks for requests in progress

Cause: the node looked for requests in progress, found none, and wrote its last usage counts (5 to 11 ms, 200 ms where the store is slow); its listener went on accepting meanwhile, each request that ends by its own limit was admitted, and all connections were closed then.

Change: a stop has a moment from which the node takes nothing. At the end of the time for which callers keep an address it closes its listener, and `mayBegin` (stopping-rule.ts) refuses what comes on open connections from then on, as not run. Only then it waits for what it has taken, and writes its last counts once that has ended, which so include all of it. The listener is closed by the close of net.Server: that of http.Server would also close connections whose answers callers still read.

Why it works: the last look for requests can't be followed by another request, however long the last writes take.

Tests, red before: "takes no request once it has stopped waiting for those in progress" (a slow store; bookings on a new connection and on four that were opened early: run and broken off), "answers all that it has passed on, where all nodes stop at once" (8,000 ms; green with 1,000 ms).

What callers lose: 0.4 to 1.6 s of short requests while no other node is ready, which are refused a connection.

--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -39,6 +39,7 @@
   'node-stopping': z.strictObject({ inFlight: count, grace: duration }).describe('asked to stop; `grace` is left until what still runs is cut off'),
   'stop-admission': z.strictObject({ request, route: z.string(), admitted: z.boolean(), since: duration, left: duration, limit: duration }).describe('a request that came to a stopping node `since` the stop was asked for: `left` until requests are cut off, and the time until its own `limit`'),
   'requests-cut-off': z.strictObject({ inFlight: count }).describe('the grace ended before these requests did; those whose answer had not begun were answered with a failure'),
+  'node-closed': z.strictObject({ inFlight: count, relayed: count, since: duration }).describe('a stopping node takes nothing from now on, `since` the stop was asked for; it waits for the requests in progress and the connections that it relays'),
   'requests-awaited': z.strictObject({ inFlight: count, relayed: count, since: duration }).describe('a stopping node waits no longer for requests, `since` the stop was asked for: so many are in progress, and so many connections are relayed'),
   'last-counts-awaited': z.strictObject({ isWritten: z.boolean(), took: duration }).describe('a stopping node waits no longer for the write of its last usage counts'),
   'last-counts-not-written': z.strictObject({ error }).describe('what was served during the stop is missing in the usage of its window'),
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -1,7 +1,7 @@
 /** Assembles a gateway node from its parts, starts it and stops it. */
 import type { Server } from 'node:http'
 import { randomBytes } from 'node:crypto'
-import { listen } from '../protocols/listen.js'
+import { listen, stopAccepting } from '../protocols/listen.js'
 import { addressOf } from '../host-port.js'
 import type { HostPort } from '../host-port.js'
 import { addressSchema } from '../identifiers.js'
@@ -295,6 +295,12 @@
     return !isStopping() && configuration.table() !== undefined
   }
 
+  /** No connection is accepted any more, and what comes on an open one is refused. */
+  function closeToCallers (): void {
+    stopAccepting(server)
+    plannedStop.close()
+  }
+
   /** Writes the usage counts of requests served during the stop. Bounded, since the store may be unavailable and the kill is near. */
   async function writeLastCounts (): Promise<void> {
     if (duties === undefined) return
@@ -379,7 +385,7 @@
       const cutOff = since + bounds.grace - stopMargin
       plannedStop.begin({ since, cutOff })
       tunnels?.leave()
-      await stopNode({ clock, log, answers, cutOff, margin: stopMargin, relayed: () => tunnels?.open() ?? 0, withdraw: async () => { await Promise.allSettled([fleet.withdraw(), duties?.release()]) } })
+      await stopNode({ clock, log, answers, cutOff, margin: stopMargin, relayed: () => tunnels?.open() ?? 0, close: closeToCallers, withdraw: async () => { await Promise.allSettled([fleet.withdraw(), duties?.release()]) } })
       await writeLastCounts()
       const brokenOff = { inFlight: answers.count(), relayed: tunnels?.open() ?? 0 }
       shutdown.abort()
--- a/src/gateway/planned-stop.ts
+++ b/src/gateway/planned-stop.ts
@@ -15,12 +15,17 @@
   abort (): void
 }
 
+/** Times of a stop that are known when it is requested. */
+export type RequestedTimes = Omit<StopTimes, 'closedAt'>
+
 /** The planned stop of a node, once it has been requested. */
 export interface PlannedStop {
   /** Undefined unless the node is stopping. */
   times (): StopTimes | undefined
   /** The stop has been requested. */
-  begin (times: StopTimes): void
+  begin (times: RequestedTimes): void
+  /** From now on no request is taken. Those that have been taken go on. */
+  close (): void
   /** Whether a request may be sent to an upstream now. */
   mayBegin (request: UnsentRequest): boolean
   /** @returns function that ends the watch, to be called when the request has ended */
@@ -63,11 +68,12 @@
   return {
     times: () => times,
     begin: (requested) => {
-      times = requested
+      times = { ...requested, closedAt: undefined }
       const now = clock.now()
       clock.schedule(bestEffortEnd(requested) - now, endWaiting)
       clock.schedule(requested.cutOff - now, endAll)
     },
+    close: () => { if (times !== undefined) times = { ...times, closedAt: clock.now() } },
     mayBegin: isAdmitted,
     watch: (request) => {
       watched.add(request)
--- a/src/gateway/stopping.ts
+++ b/src/gateway/stopping.ts
@@ -1,7 +1,7 @@
 /**
  * Planned stop of a node. The node stops advertising its address and reports that it is not ready. It serves callers
- * that still hold the address until they have refreshed it, and lets requests finish that can end within the grace
- * period.
+ * that still hold the address until they have refreshed it. Then it closes: it takes no further request, and lets those finish that
+ * it has taken and that can end within the grace period.
  */
 import type { Clock, Milliseconds } from '../clock.js'
 import type { EventLog } from '../events/index.js'
@@ -18,6 +18,8 @@
   readonly margin: Milliseconds
   /** Number of connections that the node relays for others. */
   readonly relayed: () => number
+  /** From the return of this function on the node takes no request. */
+  readonly close: () => void
   /** Removes the node's records from the store. */
   readonly withdraw: () => Promise<void>
 }
@@ -54,15 +56,18 @@
 }
 
 /**
- * Waits until callers have left and requests have finished, but little longer than until the cut-off.
+ * Waits until callers have left and requests have finished, but little longer than until the cut-off. None is taken after that.
  *
  * Failure guarded against: the store is unreachable and the withdrawal never completes. The stop does not wait for it.
  *
+ * Failure guarded against: a request comes after none was found in progress, and is cut off with the connections of the node. So the
+ * node closes before it looks for requests in progress.
+ *
  * @example
- * await stopNode({ clock, log, answers, cutOff, margin, relayed, withdraw })
+ * await stopNode({ clock, log, answers, cutOff, margin, relayed, close, withdraw })
  */
 export async function stopNode (options: StopOptions): Promise<void> {
-  const { clock, log, answers, cutOff, margin, relayed, withdraw } = options
+  const { clock, log, answers, cutOff, margin, relayed, close, withdraw } = options
   const since = clock.now()
   const acceptUntil = Math.min(cutOff, since + STALE_ADDRESS_PERIOD)
   log.info('node-stopping', { inFlight: answers.count(), grace: Math.round(cutOff - clock.now()) })
@@ -71,6 +76,8 @@
     answers.closeIdleConnections()
     await clock.sleep(POLL_PERIOD)
   }
+  close()
+  log.info('node-closed', { inFlight: answers.count(), relayed: relayed(), since: Math.round(clock.now() - since) })
   const end = cutOff + margin * ANSWERING_FRACTION
   while (clock.now() < end && answers.count() + relayed() > 0) {
     answers.closeIdleConnections()
--- a/src/protocols/listen.ts
+++ b/src/protocols/listen.ts
@@ -1,5 +1,6 @@
 /** Start and end of HTTP servers. */
 import type { Server } from 'node:http'
+import { Server as SocketServer } from 'node:net'
 import type { AddressInfo } from 'node:net'
 import { hostPortOf } from '../host-port.js'
 import { addressSchema } from '../identifiers.js'
@@ -23,6 +24,18 @@
   return addressSchema.parse(address.replace(/\d+$/, String(boundPort)))
 }
 
+/**
+ * Closes the listener of a server and leaves its connections open.
+ *
+ * Failure guarded against: `close` of an HTTP server also closes connections whose answers have been written and not been received yet.
+ *
+ * @example
+ * stopAccepting(server)
+ */
+export function stopAccepting (server: Server): void {
+  SocketServer.prototype.close.call(server)
+}
+
 /**
  * Closes a server and all its connections immediately.
  *
--- a/test/gateway/planned-stop.test.ts
+++ b/test/gateway/planned-stop.test.ts
@@ -1,6 +1,8 @@
 /** Requests at a node that is asked to stop, beside another one that goes on. */
 import assert from 'node:assert/strict'
+import { once } from 'node:events'
 import { connect } from 'node:net'
+import type { Socket } from 'node:net'
 import { afterEach, describe, it } from 'node:test'
 import { request } from 'undici'
 import { HEADER } from '../../platform/names.js'
@@ -29,10 +31,14 @@
     { name: 'lookup', host: HOST, prefix: '/lookup/', kind: 'idempotent', timeoutMs: TIME_LIMIT, targetLatencyMs: 8_000, service: 'plain', maxAttempts: 3 },
     { name: 'short', host: HOST, prefix: '/short/', kind: 'non_idempotent', timeoutMs: 500, targetLatencyMs: 200, service: 'plain', maxAttempts: 1 }
   ],
+  tenants: [{ name: 'tejo', apiKeys: ['key-1'] }],
   services: [{ name: 'model', maxConns: 500, engine: { slots: 64, moves: false } }, { name: 'plain', maxConns: 500 }]
 }
 type Route = 'plan' | 'question' | 'booking' | 'lookup' | 'short'
 
+/** Grace period after the time for which callers keep an address: requests with a short limit are taken until its end. */
+const LONG_GRACE: Milliseconds = 8_000
+
 /** Bytes of an answer that doesn't fit into the buffers of a connection. */
 const LARGE_ANSWER = 16_000_000
 
@@ -84,7 +90,7 @@
     lastId += 1
     const id = `r${lastId}`
     const start = clock.now()
-    const headers: Record<string, string> = { host: HOST, [HEADER.requestId]: id, [HEADER.deadline]: String(TIME_LIMIT) }
+    const headers: Record<string, string> = { host: HOST, [HEADER.requestId]: id, [HEADER.deadline]: String(TIME_LIMIT), 'api-key': 'key-1' }
     if (route === 'plan' || route === 'question') headers[HEADER.tokenUsage] = '100,10'
     let status: number | undefined
     let retryAfter: string | undefined
@@ -104,7 +110,7 @@
   async function readLate (node: GatewayNode, reading: Promise<unknown>): Promise<{ readonly bytes: number, readonly isReset: boolean }> {
     const [host, port] = node.addresses.front.split(':')
     const caller = connect(Number(port), host)
-    caller.write(`GET /lookup/x HTTP/1.1\r\nhost: ${HOST}\r\n${HEADER.requestId}: late-reader\r\n\r\n`)
+    caller.write(`GET /lookup/x HTTP/1.1\r\nhost: ${HOST}\r\napi-key: key-1\r\n${HEADER.requestId}: late-reader\r\n\r\n`)
     await reading
     let bytes = 0
     let isReset = false
@@ -114,7 +120,30 @@
     return { bytes, isReset }
   }
 
-  function hasRun ({ id }: Outcome): boolean {
+  /** Opens a connection that brings nothing yet. */
+  async function openConnection (node: GatewayNode): Promise<Socket> {
+    const [host, port] = node.addresses.front.split(':')
+    const connection = connect(Number(port), host)
+    connection.on('error', () => {})
+    await once(connection, 'connect')
+    return connection
+  }
+
+  /** Sends a request on an open connection. @returns the text that came until the connection ended */
+  async function askOn (connection: Socket, id: string, headers = ''): Promise<string> {
+    let text = ''
+    connection.on('data', (chunk: Buffer) => { text += String(chunk) })
+    connection.write(`GET /short/x HTTP/1.1\r\nhost: ${HOST}\r\napi-key: key-1\r\n${HEADER.requestId}: ${id}\r\n${headers}\r\n`)
+    if (!connection.destroyed) await new Promise((resolve) => connection.once('close', resolve))
+    return text
+  }
+
+  /** Resolves when the node writes a line of this event. */
+  async function untilLogged (node: string, event: string): Promise<void> {
+    while (!deployment.lines.some((line) => line.process === node && line.event === event)) await clock.sleep(POLL_INTERVAL / 4)
+  }
+
+  function hasRun ({ id }: { readonly id: string }): boolean {
     return upstreams.some(({ runs }) => runs.some((run) => run.id === id))
   }
 
@@ -199,6 +228,62 @@
     await stopped
   })
 
+  // Guards against bookings that are broken off: the node takes them after its last look for requests, while the store is slow to take its counts.
+  it('takes no request once it has stopped waiting for those in progress', { timeout: 60_000 }, async () => {
+    const [stopping] = await startNodes(['node-1', 'node-2'], {}, { grace: LONG_GRACE, service: { work: 30 } })
+    const stopped = stopping!.stop()
+    await clock.sleep(LONG_GRACE / 2)
+    const early = await Promise.all(Array.from({ length: 4 }, () => openConnection(stopping!)))
+    assert.equal((await ask(stopping!, 'short')).status, 200)
+    deployment.store.faultSwitch.faults.latency = 500
+    await untilLogged('node-1', 'requests-awaited')
+    const onNew = ask(stopping!, 'short')
+    const onEarly = await Promise.all(early.map(async (connection, index) => {
+      await clock.sleep(index * POLL_INTERVAL)
+      return { id: `early-${index}`, answer: await askOn(connection, `early-${index}`) }
+    }))
+    for (const { id, answer } of onEarly) assert.deepEqual({ id, isRun: hasRun({ id }), isRefused: /^HTTP\/1.1 503 .*\r\n\r\n\{.*\}$/s.test(answer) }, { id, isRun: false, isRefused: true })
+    const { status } = await onNew
+    assert.deepEqual({ status, isRun: hasRun(await onNew) }, { status: undefined, isRun: false })
+    await stopped
+    assert.deepEqual(deployment.lines.filter(({ event, process }) => event === 'node-stopped' && process === 'node-1').map(({ inFlight }) => inFlight), [0])
+  })
+
+  // Guards against bookings that are broken off while no other node takes them, so that callers keep the addresses of nodes that stop.
+  for (const grace of [1_000, LONG_GRACE]) {
+    it(`answers all that it has passed on, where all nodes stop at once with a grace period of ${grace} ms`, { timeout: 60_000 }, async () => {
+      const work = 48
+      const nodes = await startNodes(['node-1', 'node-2'], {}, { grace, service: { work } })
+      const stopped = Promise.all(nodes.map((node) => node.stop()))
+      const outcomes: Promise<Outcome>[] = []
+      while (deployment.lines.filter(({ event }) => event === 'node-stopped').length < nodes.length) {
+        outcomes.push(...nodes.map((node) => ask(node, 'short')))
+        // A little longer than a request takes, so that the nodes are idle for moments.
+        await clock.sleep(work * 1.2)
+      }
+      await stopped
+      const ended = await Promise.all(outcomes)
+      assert.deepEqual(ended.filter((outcome) => hasRun(outcome) && !(outcome.status === 200 && outcome.isComplete)), [])
+      assert.ok(ended.some(({ status }) => status === 200))
+    })
+  }
+
+  // Guards against a request that is cut off because its body comes late: its head came before the node closed.
+  it('serves a request whose body comes after it has closed', { timeout: 60_000 }, async () => {
+    const [stopping] = await startNodes(['node-1', 'node-2'], {}, { grace: LONG_GRACE })
+    const stopped = stopping!.stop()
+    await clock.sleep(LONG_GRACE / 2)
+    let outcome: Promise<string> | undefined
+    while (!deployment.lines.some(({ event, process }) => event === 'node-closed' && process === 'node-1')) {
+      const connection = await openConnection(stopping!)
+      outcome = askOn(connection, 'uploaded', 'content-length: 4\r\n')
+      setTimeout(() => connection.write('body'), 200)
+      await clock.sleep(100)
+    }
+    assert.match(await outcome!, /^HTTP\/1.1 200 /)
+    await stopped
+  })
+
   for (const grace of [500, 1_000, 12_000]) {
     it(`cuts off no request that comes after that with a grace period of ${grace} ms`, { timeout: 60_000 }, async () => {
       const [stopping] = await startNodes(['node-1', 'node-2'], { events: 20, pause: 100 }, { grace })
