Requests of one connection are handled one after another

What callers see: a caller sends a second request on its connection before the first one is answered. During a planned stop the first answer carries `Connection: close` and ends the connection; the second request is passed on all the same, its upstream runs it, and no answer comes.

Cause: node:http reports each pipelined request as soon as it is read, and the node began all of them at once. It sends their answers in turn, and drops those behind one that ends the connection. Nor does it tell of the caller's leaving, except to the answer in progress, so that the run of the second request went on and counted as in progress until its limit: a stop waited for it to the end.

Change: the listener handles the requests of a connection in turn, and none behind an answer that ends it (RFC 9112, 9.3.2 allows both). Such a request hasn't been read, as far as its caller can tell, and may be sent again. Answers in progress are those of requests that are handled.

Tests, red before: "runs no request that is pipelined behind the last answer of its connection" (it was run), "handles pipelined requests one after another, and none behind an answer that ends the connection".

--- a/src/gateway/listener.ts
+++ b/src/gateway/listener.ts
@@ -42,7 +42,7 @@
     connectionsCheckingInterval: CHECK_PERIOD_MS,
     requestTimeout: 0,
     noDelay: true
-  }, handle)
+  }, inTurn(handle))
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
     if (error.code === 'ECONNRESET' || !socket.writable) {
       socket.destroy()
@@ -57,6 +57,27 @@
   return server
 }
 
+/**
+ * Handles the requests of each connection one after another, and none behind an answer that ends its connection.
+ *
+ * Failure guarded against: a pipelined request is run, and its answer can't be sent, since the connection has ended with the answer before
+ * it. Nothing tells that its caller has left either, as node:http reports the end of a connection to the answer in progress alone.
+ */
+function inTurn (handle: RequestListener): RequestListener {
+  const latest = new WeakMap<Socket, ServerResponse>()
+  return (request, response) => {
+    const { socket } = request
+    const previous = latest.get(socket)
+    latest.set(socket, response)
+    if (previous === undefined || previous.closed) handle(request, response)
+    else previous.once('close', () => { if (isOpen(socket)) handle(request, response) })
+  }
+}
+
+function isOpen (socket: Socket): boolean {
+  return !socket.destroyed && !socket.writableEnded
+}
+
 /**
  * Applies configured limits to a running server.
  *
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -148,6 +148,7 @@
 
   const arrivals = createArrivals({ clock, eventLoop: eventLoopTimes })
   const server = createCallerServer((request, response) => {
+    answers.opened(response)
     // The node needs the address to register, so the server listens before the rest of the node is ready.
     if (context === undefined) return answerFailure(response, platform.format, undefined, refusal('no-configuration', 'the node starts', START_RETRY_AFTER))
     if (isStopping()) response.setHeader('connection', 'close')
--- a/src/gateway/open-answers.ts
+++ b/src/gateway/open-answers.ts
@@ -3,7 +3,9 @@
 
 /** Answers in progress at one server. */
 export interface OpenAnswers {
-  /** Number of requests that have been read and whose answers have not been handed over completely. */
+  /** The request of this answer is handled from now on. */
+  opened (response: ServerResponse): void
+  /** Number of requests that are handled and whose answers have not been handed over completely. */
   count (): number
   /**
    * Closes connections without a request in progress.
@@ -19,21 +21,21 @@
  *
  * @example
  * const answers = trackAnswers(server)
+ * answers.opened(response)
  * while (answers.count() > 0) await clock.sleep(50)
  */
 export function trackAnswers (server: Server): OpenAnswers {
   const open = new Set<ServerResponse>()
 
-  server.on('request', (_request, response: ServerResponse) => {
-    open.add(response)
-    response.once('close', () => open.delete(response))
-  })
-
   function isFlushing ({ writableEnded, writableFinished }: ServerResponse): boolean {
     return writableEnded && !writableFinished
   }
 
   return {
+    opened: (response) => {
+      open.add(response)
+      response.once('close', () => open.delete(response))
+    },
     count: () => open.size,
     closeIdleConnections: () => { if (![...open].some(isFlushing)) server.closeIdleConnections() }
   }
--- a/test/gateway/listener.test.ts
+++ b/test/gateway/listener.test.ts
@@ -10,7 +10,9 @@
   const server = createCallerServer((request, response) => {
     handled.push(request.url ?? '')
     request.resume()
-    if (request.url !== '/held') response.end('answered')
+    if (request.url === '/last') response.setHeader('connection', 'close')
+    if (request.url === '/slow') setTimeout(() => response.end('answer to /slow'), 30)
+    else if (request.url !== '/held') response.end(`answer to ${request.url}`)
   }, (code) => malformed.push(code))
 
   before(async () => {
@@ -53,6 +55,14 @@
     assert.match(await exchangeBytes('GET /slow HTTP/1.1\r\nHost: a\r\n'), /^HTTP\/1\.1 408 /)
   })
 
+  // Guards against a request that is run although its answer can't be sent: the connection ends with the answer before it.
+  it('handles pipelined requests one after another, and none behind an answer that ends the connection', async () => {
+    const before = handled.length
+    const received = await exchangeBytes('GET /first HTTP/1.1\r\nHost: a\r\n\r\nGET /slow HTTP/1.1\r\nHost: a\r\n\r\nGET /last HTTP/1.1\r\nHost: a\r\n\r\nGET /behind HTTP/1.1\r\nHost: a\r\n\r\n')
+    assert.deepEqual(handled.slice(before), ['/first', '/slow', '/last'])
+    assert.deepEqual(received.match(/answer to \/[a-z]+/g), ['answer to /first', 'answer to /slow', 'answer to /last'])
+  })
+
   // Guards against a misattributed error: malformed bytes follow while the first request of a connection is still being
   // answered, and an error written at once would be read as the answer to that request.
   it('writes no error while another request is being answered', async () => {
--- a/test/gateway/planned-stop.test.ts
+++ b/test/gateway/planned-stop.test.ts
@@ -268,6 +268,18 @@
     })
   }
 
+  // Guards against a request that is passed on although its connection ends with the answer before it.
+  it('runs no request that is pipelined behind the last answer of its connection', { timeout: 60_000 }, async () => {
+    const [stopping] = await startNodes(['node-1', 'node-2'], {}, { service: { work: 100 } })
+    const stopped = stopping!.stop()
+    const connection = await openConnection(stopping!)
+    const second = `GET /short/x HTTP/1.1\r\nhost: ${HOST}\r\napi-key: key-1\r\n${HEADER.requestId}: pipelined\r\n\r\n`
+    const answers = askOn(connection, 'first')
+    connection.write(second)
+    assert.deepEqual({ answers: (await answers).match(/HTTP\/1.1 \d+/g), isRun: hasRun({ id: 'pipelined' }) }, { answers: ['HTTP/1.1 200'], isRun: false })
+    await stopped
+  })
+
   // Guards against a request that is cut off because its body comes late: its head came before the node closed.
   it('serves a request whose body comes after it has closed', { timeout: 60_000 }, async () => {
     const [stopping] = await startNodes(['node-1', 'node-2'], {}, { grace: LONG_GRACE })
