A second request to stop a node waits for the end of its stop

What callers of the module saw: the second call of `stop` resolved at once, while the node still served. The process itself ignores further signals, so no stop of a machine was cut short by this; whoever holds a node and its connections to the store was told too early that they may be closed.

Change: one stop for any number of calls. Test, red before: "ends once, however often it is asked to stop" (no `node-stopped` when the second call had resolved).

--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -71,7 +71,7 @@
 export interface GatewayNode {
   /** Addresses that the node listens on. They differ from the settings if these name port 0. */
   readonly addresses: { readonly front: string, readonly ready: string, readonly directory: string | undefined }
-  /** Stops the node within the grace period. Resolves when no request and no connection is left. */
+  /** Stops the node within the grace period, once for any number of calls. Resolves when no request and no connection is left. */
   stop (): Promise<void>
 }
 
@@ -378,26 +378,28 @@
     return budget
   }
 
+  async function runStop (): Promise<void> {
+    const since = clock.now()
+    const cutOff = since + bounds.grace - stopMargin
+    plannedStop.begin({ since, cutOff })
+    tunnels?.leave()
+    await stopNode({ clock, log, answers, cutOff, margin: stopMargin, relayed: () => tunnels?.open() ?? 0, close: closeToCallers, withdraw: async () => { await Promise.allSettled([fleet.withdraw(), duties?.release()]) } })
+    await writeLastCounts()
+    const brokenOff = { inFlight: answers.count(), relayed: tunnels?.open() ?? 0 }
+    shutdown.abort()
+    for (const one of servers) {
+      one.close()
+      one.closeAllConnections()
+    }
+    tunnels?.close()
+    await Promise.all([connections.close(), fleet.close()])
+    log.info('node-stopped', brokenOff)
+  }
+
+  let stopped: Promise<void> | undefined
   return {
     addresses: { front, ready, directory },
-    stop: async () => {
-      if (isStopping()) return
-      const since = clock.now()
-      const cutOff = since + bounds.grace - stopMargin
-      plannedStop.begin({ since, cutOff })
-      tunnels?.leave()
-      await stopNode({ clock, log, answers, cutOff, margin: stopMargin, relayed: () => tunnels?.open() ?? 0, close: closeToCallers, withdraw: async () => { await Promise.allSettled([fleet.withdraw(), duties?.release()]) } })
-      await writeLastCounts()
-      const brokenOff = { inFlight: answers.count(), relayed: tunnels?.open() ?? 0 }
-      shutdown.abort()
-      for (const one of servers) {
-        one.close()
-        one.closeAllConnections()
-      }
-      tunnels?.close()
-      await Promise.all([connections.close(), fleet.close()])
-      log.info('node-stopped', brokenOff)
-    }
+    stop: () => (stopped ??= runStop())
   }
 }
 
--- a/test/gateway/planned-stop.test.ts
+++ b/test/gateway/planned-stop.test.ts
@@ -296,6 +296,16 @@
     await stopped
   })
 
+  // Guards against a process that ends while its stop is in progress: the second request to stop was answered at once.
+  it('ends once, however often it is asked to stop', { timeout: 60_000 }, async () => {
+    const [stopping] = await startNodes(['node-1', 'node-2'], {}, { grace: 500 })
+    const stopped = stopping!.stop()
+    await stopping!.stop()
+    assert.equal(deployment.lines.filter(({ event, process }) => event === 'node-stopped' && process === 'node-1').length, 1)
+    await stopped
+    await assert.rejects(openConnection(stopping!))
+  })
+
   for (const grace of [500, 1_000, 12_000]) {
     it(`cuts off no request that comes after that with a grace period of ${grace} ms`, { timeout: 60_000 }, async () => {
       const [stopping] = await startNodes(['node-1', 'node-2'], { events: 20, pause: 100 }, { grace })
