A stopped node's process ends at once

Cause: a node had stopped 6.0 s after its SIGTERM (`node-stopped`), and came back 8.1 s after it. Each planned stop cost 1.5 s of a node. Up to 0.2 s more came from the timeout of the last counts, once they had been written.

Change: the stop cancels its timers once it is over, and the timeout of the last write ends with that.

Test, red before: "leaves no timer behind that keeps its process alive" (7,600 and 200 ms were pending).

--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -306,9 +306,14 @@
   async function writeLastCounts (): Promise<void> {
     if (duties === undefined) return
     const since = clock.now()
-    let isWritten = false
-    const written = duties.writeUsageCounts().then(() => { isWritten = true }, (error) => log.warn('last-counts-not-written', { error: String(error) }))
-    await Promise.race([written, clock.sleep(stopMargin * LAST_WRITE_FRACTION)])
+    const isDone = new AbortController()
+    const written = duties.writeUsageCounts().then(() => true, (error) => {
+      log.warn('last-counts-not-written', { error: String(error) })
+      return false
+    })
+    const timeout = clock.sleep(stopMargin * LAST_WRITE_FRACTION, isDone.signal).then(() => false, () => false)
+    const isWritten = await Promise.race([written, timeout])
+    isDone.abort()
     log.info('last-counts-awaited', { isWritten, took: Math.round(clock.now() - since) })
   }
 
@@ -385,6 +390,7 @@
     tunnels?.leave()
     await stopNode({ clock, log, answers, cutOff, margin: stopMargin, relayed: () => tunnels?.open() ?? 0, close: closeToCallers, withdraw: async () => { await Promise.allSettled([fleet.withdraw(), duties?.release()]) } })
     await writeLastCounts()
+    plannedStop.end()
     const brokenOff = { inFlight: answers.count(), relayed: tunnels?.open() ?? 0 }
     shutdown.abort()
     for (const one of servers) {
--- a/src/gateway/planned-stop.ts
+++ b/src/gateway/planned-stop.ts
@@ -26,6 +26,8 @@
   begin (times: RequestedTimes): void
   /** From now on no request is taken. Those that have been taken go on. */
   close (): void
+  /** The stop is over, and what is still in progress is ended by the node itself. */
+  end (): void
   /** Whether a request may be sent to an upstream now. */
   mayBegin (request: UnsentRequest): boolean
   /** @returns function that ends the watch, to be called when the request has ended */
@@ -50,6 +52,7 @@
  */
 export function createPlannedStop ({ clock, log, hasOtherNode }: PlannedStopOptions): PlannedStop {
   const watched = new Set<StoppableRequest>()
+  let cancelTimers: readonly (() => void)[] = []
   let times: StopTimes | undefined
 
   function isAdmitted (request: UnsentRequest): boolean {
@@ -70,10 +73,14 @@
     begin: (requested) => {
       times = { ...requested, closedAt: undefined }
       const now = clock.now()
-      clock.schedule(bestEffortEnd(requested) - now, endWaiting)
-      clock.schedule(requested.cutOff - now, endAll)
+      cancelTimers = [
+        clock.schedule(bestEffortEnd(requested) - now, endWaiting),
+        clock.schedule(requested.cutOff - now, endAll)
+      ]
     },
     close: () => { if (times !== undefined) times = { ...times, closedAt: clock.now() } },
+    // Failure guarded against: the process stays alive for a timer that is no longer needed, and starts again that much later.
+    end: () => { for (const cancel of cancelTimers) cancel() },
     mayBegin: isAdmitted,
     watch: (request) => {
       watched.add(request)
--- a/test/gateway/planned-stop.test.ts
+++ b/test/gateway/planned-stop.test.ts
@@ -6,10 +6,10 @@
 import { afterEach, describe, it } from 'node:test'
 import { request } from 'undici'
 import { HEADER } from '../../platform/names.js'
-import { createSystemClock } from '../../src/clock.js'
-import type { Milliseconds } from '../../src/clock.js'
+import { afterPendingInput, createSystemClock } from '../../src/clock.js'
+import type { Clock, Milliseconds } from '../../src/clock.js'
 import type { GatewayNode } from '../../src/gateway/node.js'
-import { createMachineDeployment } from '../../stand-ins/machines/deployment.js'
+import { createMachineDeployment, runNode } from '../../stand-ins/machines/deployment.js'
 import type { MachineDeployment } from '../../stand-ins/machines/deployment.js'
 import { serveUpstream } from '../../stand-ins/machines/upstream.js'
 import type { UpstreamStandIn, UpstreamStandInOptions } from '../../stand-ins/machines/upstream.js'
@@ -130,10 +130,10 @@
   }
 
   /** Sends a request on an open connection. @returns the text that came until the connection ended */
-  async function askOn (connection: Socket, id: string, headers = ''): Promise<string> {
+  async function askOn (connection: Socket, id: string, { route = 'short' as Route, headers = '' } = {}): Promise<string> {
     let text = ''
     connection.on('data', (chunk: Buffer) => { text += String(chunk) })
-    connection.write(`GET /short/x HTTP/1.1\r\nhost: ${HOST}\r\napi-key: key-1\r\n${HEADER.requestId}: ${id}\r\n${headers}\r\n`)
+    connection.write(`GET /${route}/x HTTP/1.1\r\nhost: ${HOST}\r\napi-key: key-1\r\n${HEADER.requestId}: ${id}\r\n${headers}\r\n`)
     if (!connection.destroyed) await new Promise((resolve) => connection.once('close', resolve))
     return text
   }
@@ -288,7 +288,7 @@
     let outcome: Promise<string> | undefined
     while (!deployment.lines.some(({ event, process }) => event === 'node-closed' && process === 'node-1')) {
       const connection = await openConnection(stopping!)
-      outcome = askOn(connection, 'uploaded', 'content-length: 4\r\n')
+      outcome = askOn(connection, 'uploaded', { headers: 'content-length: 4\r\n' })
       setTimeout(() => connection.write('body'), 200)
       await clock.sleep(100)
     }
@@ -306,6 +306,41 @@
     await assert.rejects(openConnection(stopping!))
   })
 
+  // Guards against a process that lives on after its stop, until its grace period is over, and so starts again later.
+  it('leaves no timer behind that keeps its process alive', { timeout: 60_000 }, async () => {
+    const pending = new Set<object>()
+    const track = (delay: Milliseconds): object => {
+      const timer = { delay }
+      pending.add(timer)
+      return timer
+    }
+    const tracking: Clock = {
+      ...clock,
+      sleep: (delay, signal) => {
+        const timer = track(delay)
+        return clock.sleep(delay, signal).finally(() => pending.delete(timer))
+      },
+      schedule: (delay, callback) => {
+        const timer = track(delay)
+        const cancel = clock.schedule(delay, () => {
+          pending.delete(timer)
+          callback()
+        })
+        return () => {
+          pending.delete(timer)
+          cancel()
+        }
+      }
+    }
+    await startNodes(['node-1'], {})
+    const { store, api } = deployment
+    const node = await runNode(tracking, { name: 'node-2', store: store.address, api: api.address, seed: 1, bounds: { graceS: LONG_GRACE / 1_000 } }, () => {})
+    while ((await ask(node, 'short')).status !== 200) await clock.sleep(POLL_INTERVAL)
+    await node.stop()
+    await afterPendingInput()
+    assert.deepEqual([...pending], [])
+  })
+
   for (const grace of [500, 1_000, 12_000]) {
     it(`cuts off no request that comes after that with a grace period of ${grace} ms`, { timeout: 60_000 }, async () => {
       const [stopping] = await startNodes(['node-1', 'node-2'], { events: 20, pause: 100 }, { grace })
