A stopping node says so to a caller whose body has not come

What callers saw: 408 `request-timeout` for a request whose head a node had read before its stop and whose body was still on its way when it could no longer end in time. True (not run), but with no time to come back, and it blames the caller.

Change: the failure tells why the wait for the body ended. Test, red before (408): "refuses a request as not run whose body has not come when it can no longer end in time".

--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -11,7 +11,7 @@
 import type { PartId } from '../crash-causes/index.js'
 import type { Choice } from '../placement/index.js'
 import { chooseService } from '../routing/index.js'
-import { toServingError } from '../verdict.js'
+import { ServingError, toServingError } from '../verdict.js'
 import { acceptHead, refusal, takeQuota } from './acceptance.js'
 import type { AcceptedRequest } from './acceptance.js'
 import { recordRequest } from './accounting.js'
@@ -185,14 +185,19 @@
 
 /**
  * @returns undefined when the request has no body
- * @throws ServingError `too-large` or `request-timeout`
+ * @throws ServingError `too-large`, `request-timeout` or `stopping`
  */
 async function readWholeBody (context: GatewayContext, request: IncomingMessage, signal: AbortSignal): Promise<Buffer | undefined> {
   const { headers } = request
   if (headers['content-length'] === undefined && headers['transfer-encoding'] === undefined) return undefined
   const maxBytes = context.routeTable()?.configuration.limits.bodyBytes ?? Infinity
   return new Promise((resolve, reject) => {
-    const stopListening = onAbort(signal, () => reject(refusal('request-timeout', 'the body did not come in time')))
+    const stopListening = onAbort(signal, () => reject(unreadFailure(signal.reason)))
     readBody(request, maxBytes).then(resolve, reject).finally(stopListening)
   })
 }
+
+/** Failure of a request whose body had not been read when its signal was aborted. */
+function unreadFailure (reason: AbortReason): ServingError {
+  return reason === 'stopped' ? stoppingFailure() : refusal('request-timeout', 'the body did not come in time')
+}
--- a/test/gateway/planned-stop.test.ts
+++ b/test/gateway/planned-stop.test.ts
@@ -296,6 +296,17 @@
     await stopped
   })
 
+  // Guards against a caller that is told that its request came too slowly, and not when to come back: the node stops before its body is there.
+  it('refuses a request as not run whose body has not come when it can no longer end in time', { timeout: 60_000 }, async () => {
+    const [stopping] = await startNodes(['node-1', 'node-2'], {}, { grace: 1_000 })
+    const connection = await openConnection(stopping!)
+    const answer = askOn(connection, 'late-body', { route: 'lookup', headers: 'content-length: 4\r\n' })
+    await afterPendingInput()
+    const stopped = stopping!.stop()
+    assert.match(await answer, /^HTTP\/1.1 503 .*"type":"stopping","verdict":"not-run"/s)
+    await stopped
+  })
+
   // Guards against a process that ends while its stop is in progress: the second request to stop was answered at once.
   it('ends once, however often it is asked to stop', { timeout: 60_000 }, async () => {
     const [stopping] = await startNodes(['node-1', 'node-2'], {}, { grace: 500 })
