Own interface: a stop lets callers read answers that have been written

Cause: node:http takes a connection for idle once the end of its answer has been written. Both `close` of the server and `closeIdleConnections` close it then, with what its caller hasn't received.

Change: the entry node closes its listener and idle connections as the gateway does (open-answers.ts, now with the other shared pieces of the callers' side). Callers have two seconds to read on, as before.

Test, red before (3,919,872 of more than 12,000,000 bytes): "a stop lets a caller read a written answer to its end".

--- a/src/entry/node.ts
+++ b/src/entry/node.ts
@@ -5,6 +5,7 @@
 import { createScheduler } from '../admission/index.js'
 import { registerCallerApi } from '../caller/api.js'
 import { sendFailure } from '../caller/http.js'
+import { trackAnswers } from '../caller/open-answers.js'
 import type { Clock, Milliseconds } from '../clock.js'
 import { incarnationSchema } from '../identifiers.js'
 import type { Address, Incarnation } from '../identifiers.js'
@@ -145,6 +146,11 @@
 
   const server = createCallerServer(settings.limits, metrics)
   const service = restana({ server, prioRequestsProcessing: false, defaultRoute: (_request: unknown, response: any) => sendFailure(response, unknownRouteFailure()) })
+  const answers = trackAnswers(server)
+  service.use((_request: unknown, response: any, next: () => void) => {
+    answers.opened(response)
+    next()
+  })
   service.use((_request: unknown, response: any, next: () => void) => ready ? next() : sendFailure(response, startingFailure()))
   const peerServer = createPeerServer(settings.peer_key, {
     agreement: {
@@ -232,6 +238,7 @@
     notes,
     reports,
     server,
+    answers,
     addressLifetime: settings.addresses.lifetime_ms,
     onLeaving: () => { leaving = true },
     clock,
--- a/src/entry/stopping.ts
+++ b/src/entry/stopping.ts
@@ -1,8 +1,10 @@
 /** Stop of a node that is planned, or that the platform announces with a deadline. */
 import { createTimeoutSignal } from '../timeout-signal.js'
 import type { Server } from 'node:http'
+import type { OpenAnswers } from '../caller/open-answers.js'
 import type { Milliseconds } from '../clock.js'
 import { SECOND } from '../clock.js'
+import { stopAccepting } from '../protocols/listen.js'
 import { handOverAll } from './hand-over.js'
 import type { HandOverOptions } from './hand-over.js'
 import type { MembershipTracker } from './membership-tracker.js'
@@ -17,6 +19,8 @@
   readonly notes: Notes
   readonly reports: ReportWriter
   readonly server: Server
+  /** Answers of that server. */
+  readonly answers: OpenAnswers
   /** Maximum time for which a caller may cache an address answer. */
   readonly addressLifetime: Milliseconds
   /** Called when the stop begins. From then on the node must refuse requests that other leaving nodes hand over. */
@@ -112,12 +116,12 @@
  * at the latest.
  */
 async function flushResponses (options: StopOptions, deadline: Milliseconds): Promise<void> {
-  const { clock, server, executions, signal } = options
-  server.close()
+  const { clock, server, answers, executions, signal } = options
+  stopAccepting(server)
   const flushDeadline = Math.min(deadline, clock.now() + FLUSH_TIMEOUT)
   while (!signal.aborted && await countConnections(server) > 0) {
     if (clock.now() >= deadline || (clock.now() >= flushDeadline && executions.countBeingRead() === 0)) return
-    server.closeIdleConnections()
+    answers.closeIdleConnections()
     await clock.sleep(POLL_PERIOD, signal).catch(() => {})
   }
 }
--- a/src/gateway/stopping.ts
+++ b/src/gateway/stopping.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock, Milliseconds } from '../clock.js'
 import type { EventLog } from '../events/index.js'
-import type { OpenAnswers } from './open-answers.js'
+import type { OpenAnswers } from '../caller/open-answers.js'
 
 /** Options of {@link stopNode}. */
 export interface StopOptions {
--- a/test/entry/stop.test.ts
+++ b/test/entry/stop.test.ts
@@ -1,5 +1,7 @@
 /** Stops of an entry node, as seen by callers with open requests. */
 import assert from 'node:assert/strict'
+import { once } from 'node:events'
+import { connect } from 'node:net'
 import { test } from 'node:test'
 import { setFlagsFromString } from 'node:v8'
 import { runInNewContext } from 'node:vm'
@@ -16,6 +18,9 @@
 const TOKENS = 300
 const ADDRESS_LIFETIME_MS = 500
 
+/** Size of an answer that does not fit into the buffers of a connection. */
+const LARGE_BYTES = 12_000_000
+
 interface OpenChat {
   readonly messages: { role: 'user', content: string }[]
   readonly offsets: number[]
@@ -118,6 +123,32 @@
   }
 })
 
+test('a stop lets a caller read a written answer to its end', async () => {
+  // Failure guarded against: an answer has been handed over whole, and its caller reads slowly. The stop takes the
+  // connection for idle and closes it with what the caller has not received yet.
+  const deployment = await startDeployment({ clock, seed: 6, entries: 1, engines: 1, plainServices: 1, logLevel: 'silent', entrySettings: { addresses: { lifetime_ms: ADDRESS_LIFETIME_MS }, limits: { body_bytes: 2 * LARGE_BYTES } } })
+  const leaving = deployment.entries[0]!
+  try {
+    await waitForMembership(deployment)
+    const { hostname, port } = new URL(`http://${leaving.address}`)
+    const caller = connect(Number(port), hostname)
+    caller.write(`POST /v1/services/booking/echo HTTP/1.1\r\nhost: ${leaving.address}\r\nauthorization: Bearer ${deployment.key}\r\ncontent-length: ${LARGE_BYTES}\r\n\r\n`)
+    caller.write('x'.repeat(LARGE_BYTES))
+    await once(caller, 'readable')
+    const stopped = leaving.stop()
+    // The caller begins to read once the stop has begun to close connections.
+    await clock.sleep(ADDRESS_LIFETIME_MS + 3_500)
+    let bytes = 0
+    caller.on('data', (chunk: Buffer) => { bytes += chunk.length })
+    caller.on('error', () => {})
+    await once(caller, 'close')
+    assert.ok(bytes > LARGE_BYTES, `${bytes} of more than ${LARGE_BYTES} bytes`)
+    await stopped
+  } finally {
+    await deployment.kill()
+  }
+})
+
 test('the last node of a deployment finishes its open answers itself', async () => {
   // Failure guarded against: a node without a successor is stopped, and it cuts off its requests or repeats its
   // hand-over without end. It must finish the requests itself.
