A process that is asked to stop during its start stops once it has started

What callers may see: a process that is being started gets SIGTERM, and ends at once with the requests that it has taken by then. A gateway takes requests as soon as its parts are put together, and listened for signals only after it had opened its last addresses, some milliseconds later.

Cause: `runServer` began to handle signals when the start had ended.

Change: signals are handled from the beginning; the stop begins when the start has ended. Test, red before: "a server that is asked to stop while it starts is stopped once it has started".

--- a/src/bin/command-line.ts
+++ b/src/bin/command-line.ts
@@ -76,7 +76,10 @@
     if (path === undefined) throw new ServingError('--settings <file> is required', { code: 'invalid-request', verdict: 'not-run' })
     const settings = loadSettings(schema, path)
     if (options.check) return
-    onStopSignal(await start(settings, options, path))
+    const started = start(settings, options, path)
+    // Failure guarded against: a signal comes during the start, and the process ends with requests that it has taken by then.
+    onStopSignal(async () => (await started)())
+    await started
   }
 }
 
--- a/test/binaries.test.ts
+++ b/test/binaries.test.ts
@@ -4,7 +4,8 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { after, test } from 'node:test'
-import { EXIT } from '../src/bin/command-line.js'
+import * as z from 'zod'
+import { EXIT, runServer } from '../src/bin/command-line.js'
 import { VERSION } from '../src/version.js'
 
 const PROCESSES = [
@@ -87,3 +88,35 @@
     assert.equal((await run(module)).code, EXIT.usage)
   })
 }
+
+// Guards against requests that are cut off: a process is asked to stop while it starts, and has taken them by then.
+test('a server that is asked to stop while it starts is stopped once it has started', async () => {
+  const path = join(folder, 'empty.toml')
+  writeFileSync(path, '')
+  const before = process.listeners('SIGTERM')
+  const argv = process.argv
+  process.argv = ['node', 'server', '--settings', path]
+  const order: string[] = []
+  let finishStart = (): void => {}
+  try {
+    runServer({
+      name: 'server',
+      description: 'Run a server',
+      schema: z.object({}),
+      start: async () => {
+        await new Promise<void>((resolve) => { finishStart = resolve })
+        order.push('started')
+        return async () => { order.push('stopped') }
+      }
+    })
+    const [handle] = process.listeners('SIGTERM').filter((listener) => !before.includes(listener))
+    assert.ok(handle !== undefined, 'no signal is handled during the start')
+    handle('SIGTERM')
+    handle('SIGTERM')
+    finishStart()
+    while (order.length < 2) await new Promise((resolve) => setImmediate(resolve))
+    assert.deepEqual(order, ['started', 'stopped'])
+  } finally {
+    process.argv = argv
+  }
+})
