Bytes that make up no answer are given up at once

What callers saw: an upstream sends line ends before its status line, a status line, informational answers, or the size or the extension of a chunk without end. The request got 504 when its time was over, 4 s later, and reading cost all the processor time that there was: 9 to 18 s in 9 s for six such requests. Of the body of a refusal that doesn't end 2 GB were read and dropped within its second.

Cause: the parser drops such bytes, and nothing told how many there were. Only heads have a limit in undici.

Change: each exchange counts what has been read from its connection against the content that came of it. More than 64 KiB, or four times the content, is no answer: the connection is reset and the attempt counts as broken by its answer, not as a crash. Undici names the connection of a request in its documented channel `undici:client:sendHeaders`. A body that nobody wants is dropped up to 64 KiB, and then its connection is closed.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -10,6 +10,7 @@
 import type { UpstreamSignals } from '../backpressure/index.js'
 import type { Milliseconds } from '../clock.js'
 import type { UpstreamRecord } from '../placement/index.js'
+import { isNoAnswer, watchFraming } from '../protocols/answer-framing.js'
 import { connectionFailure, hasFraming } from '../protocols/http.js'
 import { addressSchema } from '../identifiers.js'
 import type { AnswerHead, Headers, RequestFormat } from './ports.js'
@@ -124,6 +125,7 @@
       let incoming: IncomingBody | undefined
       let isStarted = false
       let isFramed = true
+      const framing = watchFraming()
       // A request that waits for a connection ends at once, and is aborted before it is sent as soon as it has one.
       const stopListening = onAbort(signal, () => {
         if (controller === undefined) resolve({ kind: 'unsent' })
@@ -134,6 +136,7 @@
         onRequestStart: (started) => {
           controller = started
           if (signal.aborted) started.abort(abortReason(signal))
+          else framing.begin()
         },
         onResponseStart: (started, status, headers) => {
           pools.heard(upstream)
@@ -152,6 +155,7 @@
         },
         onResponseData: (_controller, chunk) => {
           pools.heard(upstream)
+          framing.content(chunk.length)
           incoming?.push(chunk)
         },
         onResponseEnd: () => {
@@ -199,9 +203,10 @@
  * Tells what ended a connection before the answer on it was complete.
  *
  * @example
- * brokenBy(error) // 'relay' if the relaying node was killed
+ * brokenBy(error) // 'relay' if the relaying node was killed, 'answer' if the bytes make up no answer
  */
 export function brokenBy (error: unknown): BrokenBy {
+  if (isNoAnswer(error)) return 'answer'
   return isRelayLost(error) ? 'relay' : 'connection'
 }
 
--- a/src/gateway/upstream-body.ts
+++ b/src/gateway/upstream-body.ts
@@ -19,12 +19,12 @@
    *
    * @returns promise that is rejected when the body is cut short. If `onChunk` throws, the connection is closed
    */
-  read (onChunk: (chunk: Buffer) => Promise<void> | void): Promise<void>
+  read (onChunk: (chunk: Buffer) => Promise<unknown> | undefined | void): Promise<void>
   /** Reads the whole body. */
   bytes (): Promise<Buffer>
   /** Reads the whole body as text. */
   text (): Promise<string>
-  /** Drops the body. The connection can be reused after its end. */
+  /** Drops the body. The connection can be reused after its end, and is closed if the body is long. */
   discard (): void
   /** Closes the connection. */
   destroy (): void
@@ -41,9 +41,12 @@
 /** Bytes that are kept for a reader before the upstream is paused. */
 const MAX_UNREAD_BYTES = 65_536
 
+/** Size of a body that is dropped up to its end. Those of refusals are short. */
+const MAX_DROPPED_BYTES = 65_536
+
 /** Reader of a body that is being read. */
 interface Reader {
-  readonly onChunk: (chunk: Buffer) => Promise<void> | void
+  readonly onChunk: (chunk: Buffer) => Promise<unknown> | undefined | void
   readonly resolve: () => void
   readonly reject: (error: unknown) => void
 }
@@ -62,6 +65,7 @@
   let end: { readonly error: unknown } | 'whole' | undefined
   let reader: Reader | undefined
   let isDropped = false
+  let droppedBytes = 0
   let isScheduled = false
   /** The reader has not accepted its latest chunk yet. */
   let isWaiting = false
@@ -106,7 +110,7 @@
     return chunk
   }
 
-  function waitFor (accepted: Promise<void>): void {
+  function waitFor (accepted: Promise<unknown>): void {
     isWaiting = true
     adjustFlow()
     accepted.then(() => {
@@ -132,6 +136,11 @@
     refusing?.reject(error)
   }
 
+  function drop (chunk: Buffer): void {
+    droppedBytes += chunk.length
+    if (droppedBytes > MAX_DROPPED_BYTES) source.abort(new Error('the rest of the answer is too long to be dropped'))
+  }
+
   function read (onChunk: Reader['onChunk']): Promise<void> {
     return new Promise((resolve, reject) => {
       reader = { onChunk, resolve, reject }
@@ -162,7 +171,7 @@
       }
     },
     push: (chunk) => {
-      if (isDropped) return
+      if (isDropped) return drop(chunk)
       unread.push(chunk)
       unreadBytes += chunk.length
       adjustFlow()
--- a/stand-ins/machines/deployment.ts
+++ b/stand-ins/machines/deployment.ts
@@ -17,6 +17,9 @@
 import type { MetadataStoreStandIn } from './metadata-store.js'
 import type { UpstreamStandIn } from './upstream.js'
 
+/** What the registry tells of an upstream. */
+export type RegisteredUpstream = Pick<UpstreamStandIn, 'id' | 'address'>
+
 /** A running deployment. */
 export interface MachineDeployment {
   readonly store: MetadataStoreStandIn
@@ -26,8 +29,8 @@
   /** Writes a configuration to the metadata store, as the operator does. */
   configure (configuration: object): void
   /** Registers an upstream, or replaces its record. `record` overrides the default fields. */
-  register (upstream: UpstreamStandIn, record?: object): void
-  unregister (upstream: UpstreamStandIn): void
+  register (upstream: RegisteredUpstream, record?: object): void
+  unregister (upstream: Pick<RegisteredUpstream, 'id'>): void
   startNode (name: string): Promise<GatewayNode>
   /** Starts nodes with these names on threads of their own, which end with the deployment at the latest. */
   startNodesInThreads (names: readonly string[], nodesPerThread: number): Promise<NodeThreads>
