Answers without end are borne: bounded in memory, and in the rate at which they are passed on

What callers saw: an upstream sends a body that doesn't end, and the node keeps all of it: 5 GB in 9 s for six requests, one a second, where a process that exceeds 350 MB is killed, with the requests of all other callers. A caller that retries the next node could end one after the other. An endless stream of short events took all the processor time until its limit.

Cause: the whole of a plain answer was read before it was passed on, however long it was.

Change: all answers that a node holds come out of one account, a fifth of the memory that its settings allow. An answer may take a quarter of what the others leave, 16 MiB at most and 64 KiB in any case (held-answers.ts). What goes beyond is passed on as it comes, with a length if the upstream gave one and in chunks otherwise, so that one that is cut off does not look complete; its upstream waits for its caller. An answer that is longer than any that is held is given up where it may run again and another upstream is there. All that is passed on beyond 16 MiB of an answer shares a rate of 8 MiB a second (answer-pace.ts); pieces count 256 bytes at least. An upstream whose long answer did not come to its end pauses like a silent one: others go first.

--- a/src/gateway/answering.ts
+++ b/src/gateway/answering.ts
@@ -21,17 +21,20 @@
  * a length of the node's own, the truncated answer would look complete. It ends with its connection here as well.
  *
  * @param headers names and values in turn
+ * @param body in the pieces that it came in
  * @param isFramed whether the upstream's answer itself told where it ended
  * @example
  * answerWhole(response, 200, ['content-type', 'text/plain'], body, answer.isFramed)
  */
-export function answerWhole (response: ServerResponse, status: number, headers: readonly string[], body: Buffer, isFramed: boolean): void {
+export function answerWhole (response: ServerResponse, status: number, headers: readonly string[], body: readonly Buffer[], isFramed: boolean): void {
   if (!isFramed) {
     response.useChunkedEncodingByDefault = false
     response.shouldKeepAlive = false
   }
-  response.writeHead(status, isFramed ? [...headers, 'content-length', String(body.length)] : [...headers])
-  response.end(body)
+  const length = body.reduce((sum, chunk) => sum + chunk.length, 0)
+  response.writeHead(status, isFramed ? [...headers, 'content-length', String(length)] : [...headers])
+  for (const chunk of body.slice(0, -1)) response.write(chunk)
+  response.end(body.at(-1))
 }
 
 /**
--- a/src/gateway/attempt-records.ts
+++ b/src/gateway/attempt-records.ts
@@ -71,6 +71,18 @@
   pauseUpstream(context, upstream, 'silent')
 }
 
+/**
+ * Records that an answer was longer than any that is held, and did not come to its end.
+ *
+ * Failure guarded against: an upstream whose answers don't end goes on getting as many requests as the others.
+ *
+ * @example
+ * recordLongAnswer(context, upstream)
+ */
+export function recordLongAnswer (context: GatewayContext, upstream: UpstreamRecord): void {
+  pauseUpstream(context, upstream, 'its answer does not end')
+}
+
 /**
  * Records that an upstream broke off an attempt, which its request may have caused.
  *
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -12,11 +12,13 @@
 import type { RunContinuation, RunLocation, WatchedRun } from './evacuation.js'
 import { brokenBy } from './exchange.js'
 import type { BrokenBy, ExchangeStart, UpstreamAnswer } from './exchange.js'
-import { logBrokenAttempt, recordAnswerStart, recordBrokenRun, recordCrash, recordDispatch, recordNotRun, recordCompleteAnswer, recordSilence, recordSlotTime } from './attempt-records.js'
+import { logBrokenAttempt, recordAnswerStart, recordBrokenRun, recordCrash, recordDispatch, recordLongAnswer, recordNotRun, recordCompleteAnswer, recordSilence, recordSlotTime } from './attempt-records.js'
 import { abortFailure, mayRetry, undispatchedFailure } from './proxied-request.js'
 import type { ProxiedRequest } from './proxied-request.js'
 import { eventTimeout, firstAnswerTimeout, startWatchdog } from './response-watchdog.js'
 import type { Watchdog } from './response-watchdog.js'
+import { readPlainAnswer } from './plain-answer.js'
+import type { PlainAnswerEnd } from './plain-answer.js'
 import { relayEvents } from './stream-relay.js'
 import { needsOriginRecord } from './stream-resumption.js'
 import type { VersionObservation } from './rollouts.js'
@@ -215,7 +217,7 @@
     case 'answered': {
       context.crashes.alive(attempt.upstream, attempt.since)
       const isStream = proxied.accepted.route.kind === 'stream' && started.answer.status === SUCCESS
-      return isStream ? relayStream(context, proxied, attempt, started.answer) : relayBufferedAnswer(context, proxied, attempt, started.answer)
+      return isStream ? relayStream(context, proxied, attempt, started.answer) : relayPlainAnswer(context, proxied, attempt, started.answer)
     }
     case 'not-run':
       proxied.attempts -= 1
@@ -277,7 +279,7 @@
     }
     if (progress.version === undefined) recordOrigin(context, proxied, attempt.upstream)
     events += count
-  }, attempt.signal)
+  }, { held: context.heldAnswers.open(), pace: context.beginPacedAnswer(), signal: attempt.signal })
   const location: RunLocation = await attempt.watchedRun?.location() ?? { kind: 'same' }
   if (proxied.signal.aborted) throw abortFailure(proxied)
   // A moved run continues elsewhere, regardless of how its stream was closed here.
@@ -300,17 +302,63 @@
   if (needsOriginRecord(context, accepted)) context.streamOrigins.began(accepted.head.id, { service, version })
 }
 
-/** Reads the whole answer before relaying it, so that a truncated answer can be retried or reported as a failure. */
-async function relayBufferedAnswer (context: GatewayContext, proxied: ProxiedRequest, attempt: Attempt, answer: UpstreamAnswer): Promise<DispatchResult> {
+/**
+ * Holds the whole answer before it is sent, so that one that breaks off can be replaced or reported as a failure. An answer for which the
+ * node has no room is passed on as it comes.
+ */
+async function relayPlainAnswer (context: GatewayContext, proxied: ProxiedRequest, attempt: Attempt, answer: UpstreamAnswer): Promise<DispatchResult> {
   const { response } = proxied
   const began = context.clock.now()
-  let body: Buffer
+  let isPassedOn = false
+  let isTooLong = false
+  let isGivenUp = false
+  let end: PlainAnswerEnd
   try {
-    body = await answer.body.bytes()
+    end = await readPlainAnswer(answer, response, { held: context.heldAnswers.open(), pace: context.beginPacedAnswer(), signal: attempt.signal }, {
+      onTooLong: () => {
+        isTooLong = true
+        isGivenUp = hasOtherUpstream(context, proxied) && mayRetry(context, proxied, 'may-have-run')
+        return isGivenUp
+      },
+      onPassingOn: () => {
+        isPassedOn = true
+        attempt.watchdog.stop()
+        recordPlainAnswer(context, proxied, attempt, answer)
+        return context.format.answerHeaders(answer.headers)
+      }
+    })
   } catch (error) {
-    return handleBrokenAttempt(context, proxied, attempt, { reason: `the answer broke off: ${String(error)}`, by: brokenBy(error), writtenFor: context.clock.now() - began })
+    // A caller that has left, or that reads slowly, ends the answer as well.
+    if (isTooLong && proxied.signal.reason !== ('caller-gone' satisfies AbortReason) && !response.writableNeedDrain) recordLongAnswer(context, attempt.upstream)
+    if (isGivenUp) {
+      logBrokenAttempt(context, proxied, attempt.upstream, 'its answer is too long')
+      return { kind: 'granted' }
+    }
+    const result = handleBrokenAttempt(context, proxied, attempt, { reason: `the answer broke off: ${String(error)}`, by: brokenBy(error), writtenFor: context.clock.now() - began })
+    // What the caller has received can't be taken back.
+    if (isPassedOn && result.kind === 'again') throw result.failure
+    return result
   }
   attempt.watchdog.stop()
+  if (!isPassedOn) recordPlainAnswer(context, proxied, attempt, answer)
+  recordCompleteAnswer(context, proxied, attempt.upstream)
+  if (answer.status < REDIRECTION) context.crashes.survived(proxied.accepted.head.sharedParts, began)
+  if (end.kind === 'held') {
+    if (answer.status >= SERVER_ERROR && mayRetry(context, proxied, 'ran')) {
+      end.release()
+      return { kind: 'granted' }
+    }
+    answerWhole(response, answer.status, context.format.answerHeaders(answer.headers), end.body, answer.isFramed)
+  }
+  return { kind: 'done', outcome: answer.status < REDIRECTION ? 'served' : 'upstream-failed' }
+}
+
+function hasOtherUpstream ({ upstreams, clock }: GatewayContext, { service, tried }: ProxiedRequest): boolean {
+  return upstreams.candidates(service, tried, clock.now()).length > 0
+}
+
+/** Records the time of an answer that is sent from now on. */
+function recordPlainAnswer (context: GatewayContext, proxied: ProxiedRequest, attempt: Attempt, answer: UpstreamAnswer): void {
   const now = context.clock.now()
   const took = now - attempt.since
   attempt.open.answered(now)
@@ -319,11 +367,4 @@
   else recordAnswerTime(proxied, attempt, took)
   if (attempt.isWholeRun && answer.status < REDIRECTION) recordSlotTime(context, proxied, Math.max(attempt.choice.reading, took - attempt.choice.waiting))
   recordAnswerStart(context, proxied, attempt.upstream)
-  recordCompleteAnswer(context, proxied, attempt.upstream)
-  if (answer.status < REDIRECTION) context.crashes.survived(proxied.accepted.head.sharedParts, began)
-  if (answer.status >= SERVER_ERROR && mayRetry(context, proxied, 'ran')) {
-    return { kind: 'granted' }
-  }
-  answerWhole(response, answer.status, context.format.answerHeaders(answer.headers), body, answer.isFramed)
-  return { kind: 'done', outcome: answer.status < REDIRECTION ? 'served' : 'upstream-failed' }
 }
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -8,12 +8,14 @@
 import type { RouteTable } from '../routing/index.js'
 import type { WorkMeter } from '../scaling/index.js'
 import type { UsageWindows } from '../usage/index.js'
+import type { AnswerPace } from './answer-pace.js'
 import type { Arrivals } from './arrivals.js'
 import type { Backpressure } from './backpressure.js'
 import type { CrashWatch } from './crash-causes.js'
 import type { DispatchQueues } from './dispatch-queues.js'
 import type { Evacuation } from './evacuation.js'
 import type { UpstreamConnections } from './exchange.js'
+import type { HeldAnswers } from './held-answers.js'
 import type { GatewayMetrics } from './metrics.js'
 import type { PlannedStop } from './planned-stop.js'
 import type { RequestFormat } from './ports.js'
@@ -74,4 +76,8 @@
   /** Resolves once this node has heard from another one since its start, if there is any that answers. Never rejects. */
   readonly firstContact: () => Promise<void>
   readonly plannedStop: PlannedStop
+  /** Memory for answers that have not been passed on. */
+  readonly heldAnswers: HeldAnswers
+  /** Begins to pass on an answer, at a rate that its node can bear. */
+  readonly beginPacedAnswer: () => AnswerPace
 }
--- a/src/gateway/node-metrics.ts
+++ b/src/gateway/node-metrics.ts
@@ -30,6 +30,8 @@
   /** Evidence of all nodes on the versions that are compared, by service. */
   readonly rollouts: () => RolloutEvidence
   readonly inFlight: () => number
+  /** Bytes of answers that this node holds. */
+  readonly heldAnswerBytes: () => number
   /** Connections that this node relays for other nodes. */
   readonly tunnels: () => number
   readonly holdsDuties: () => boolean
@@ -42,7 +44,7 @@
  * Registers the gauges and starts the periodic reports, which end with the signal.
  *
  * @example
- * exposeNodeMetrics({ metrics, clock, log, signal, sums, sources, fleet, upstreams, connections, backpressure, crashes, quotas, budgets, rollouts, inFlight, tunnels, holdsDuties })
+ * exposeNodeMetrics({ metrics, clock, log, signal, sums, sources, fleet, upstreams, connections, backpressure, crashes, quotas, budgets, rollouts, inFlight, heldAnswerBytes, tunnels, holdsDuties })
  */
 export function exposeNodeMetrics (options: NodeMetricsOptions): void {
   const { metrics, clock, sources, fleet, upstreams, connections, quotas, budgets } = options
@@ -61,6 +63,7 @@
   metrics.gauge('nodes_live', () => fleet.others().reduce((sum, { nodes }) => sum + nodes, 1))
   metrics.gauge('nodes_oldest_ms', fleet.maxSilence)
   metrics.gauge('requests_in_flight', options.inFlight)
+  metrics.gauge('answers_held_bytes', options.heldAnswerBytes)
   metrics.gauge('duties_held', () => options.holdsDuties() ? 1 : 0)
   metrics.gauge('resident_bytes', () => process.memoryUsage.rss())
   metrics.family('quota_granted', 'organisation', () => quotas.granted(clock.now()))
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -19,6 +19,7 @@
 import { createServiceVersions } from '../stream-origins/index.js'
 import { createUsageWindows, windowOf } from '../usage/index.js'
 import { refusal } from './acceptance.js'
+import { createAnswerPace } from './answer-pace.js'
 import { answerFailure } from './answering.js'
 import { createArrivals, eventLoopTimes } from './arrivals.js'
 import { createBackpressure } from './backpressure.js'
@@ -37,6 +38,7 @@
 import type { Fleet, LocalReport } from './fleet.js'
 import type { StoreContext, PrefixSubscription } from './follow.js'
 import { forwardRequest } from './forwarding.js'
+import { createHeldAnswers } from './held-answers.js'
 import { maxCallerConnections, createCallerServer, applyCallerLimits } from './listener.js'
 import { createGatewayMetrics } from './metrics.js'
 import { trackAnswers } from '../caller/open-answers.js'
@@ -96,6 +98,9 @@
 /** Part of the time from the cut-off to the kill that the last write of a stop may take. */
 const LAST_WRITE_FRACTION = 1 / 2
 
+/** Part of the memory of the process that the answers take which it holds. A node without any takes about a fourth. */
+const HELD_ANSWERS_SHARE = 1 / 5
+
 /** Number of past usage windows that are reported to other nodes, beside the present one. Older ones are in the store. */
 const REPORTED_PAST_WINDOWS = 1
 
@@ -140,6 +145,7 @@
   const usage = createUsageWindows(bounds.usageWindow)
   const sums = createRequestSums(clock.now())
   const work = createWorkMeter()
+  const heldAnswers = createHeldAnswers(settings.memory * HELD_ANSWERS_SHARE)
   const budgets = new Map<string, RetryBudget>()
   let sharedAmong = 0
   let context = undefined as GatewayContext | undefined
@@ -231,7 +237,9 @@
     sharedWall: fleet.wall,
     firstContact: fleet.firstContact,
     freshness: sources,
-    plannedStop
+    plannedStop,
+    heldAnswers,
+    beginPacedAnswer: createAnswerPace(clock)
   }
   const upstreamsSubscription = watchUpstreams(followContext, platform.registry, upstreams, connections, { drain: bounds.upstreamDrain, onSeen: ({ service, version }) => serviceVersions.seen(service, version, clock.now()), onLeaving: evacuation.leaving })
   const duties = platform.duties && startDuties({ context: followContext, settings, incarnation, calls: platform.duties, holder, fleet, usage, work, upstreams, speeds, carriesTraffic: rollouts.carriesTraffic, table: configuration.table })
@@ -249,7 +257,7 @@
   })
   repeat({ clock, log, signal: shutdown.signal }, 'lost-paths', PATH_TEST_PERIOD, connections.testLostPaths)
   repeat({ clock, log, signal: shutdown.signal }, 'speeds', SPEED_PERIOD, speeds.update)
-  exposeNodeMetrics({ metrics, clock, log, signal: shutdown.signal, sums, sources, fleet, upstreams, connections, backpressure, crashes, quotas, budgets, rollouts: rollouts.sums, inFlight: answers.count, tunnels: () => tunnels?.open() ?? 0, holdsDuties: () => holder.proof() !== undefined })
+  exposeNodeMetrics({ metrics, clock, log, signal: shutdown.signal, sums, sources, fleet, upstreams, connections, backpressure, crashes, quotas, budgets, rollouts: rollouts.sums, inFlight: answers.count, heldAnswerBytes: heldAnswers.bytes, tunnels: () => tunnels?.open() ?? 0, holdsDuties: () => holder.proof() !== undefined })
 
   const ready = await servePaths(settings.ready)
   await servePaths(settings.metrics)
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -53,6 +53,8 @@
   readonly duties: { readonly usage: boolean, readonly scaling: boolean }
   /** Number of processor cores that this process may use. May be a fraction. */
   readonly processor: number
+  /** Memory of this process in bytes. It is killed if it takes more. */
+  readonly memory: number
   /** Maximum number of open file descriptors of this process. */
   readonly mostDescriptors: number
   readonly bounds: GatewayBounds
--- a/src/gateway/stream-relay.ts
+++ b/src/gateway/stream-relay.ts
@@ -4,6 +4,7 @@
 import { createEventSplitter } from './event-stream.js'
 import { brokenBy } from './exchange.js'
 import type { BrokenBy, UpstreamAnswer } from './exchange.js'
+import type { AnswerBounds } from './plain-answer.js'
 
 /** Progress of a relayed stream, summed over all upstreams that served it. */
 export interface StreamProgress {
@@ -25,23 +26,28 @@
  *
  * @param progress updated with each event
  * @param onEvents called before complete events are written, with their number
- * @param signal aborts when the caller has disconnected or the time limit is reached
  * @example
- * const end = await relayEvents(answer, response, progress, () => writeHead(answer), signal)
+ * const end = await relayEvents(answer, response, progress, () => writeHead(answer), bounds)
  */
-export async function relayEvents (answer: UpstreamAnswer, response: ServerResponse, progress: StreamProgress, onEvents: (events: number) => void, signal: AbortSignal): Promise<RelayEnd> {
+export async function relayEvents (answer: UpstreamAnswer, response: ServerResponse, progress: StreamProgress, onEvents: (events: number) => void, { held, pace, signal }: AnswerBounds): Promise<RelayEnd> {
   const splitter = createEventSplitter()
   try {
     await answer.body.read((chunk) => {
       const events = splitter.push(chunk)
-      if (events.count === 0) return
+      held.release()
+      if (held.take(splitter.pendingBytes()) !== 'held') throw new RangeError('there is no room for a server-sent event of this length')
+      if (events.count === 0) return pace.passed(chunk.length, 1, signal)
       onEvents(events.count)
       progress.events += events.count
       progress.lastId = events.lastId ?? progress.lastId
-      return writeWithBackpressure(response, events.bytes, signal)
+      const written = writeWithBackpressure(response, events.bytes, signal)
+      const paced = pace.passed(chunk.length, events.count, signal)
+      return written === undefined && paced === undefined ? undefined : Promise.all([written, paced])
     })
   } catch (error) {
+    held.release()
     return { kind: 'broken', reason: String((error as Error).message), by: error instanceof RangeError ? 'answer' : brokenBy(error) }
   }
+  held.release()
   return splitter.pendingBytes() === 0 ? { kind: 'whole' } : { kind: 'broken', reason: 'the stream ended in the middle of an event', by: 'answer' }
 }
--- a/src/gateway/upstream-body.ts
+++ b/src/gateway/upstream-body.ts
@@ -20,10 +20,6 @@
    * @returns promise that is rejected when the body is cut short. If `onChunk` throws, the connection is closed
    */
   read (onChunk: (chunk: Buffer) => Promise<unknown> | undefined | void): Promise<void>
-  /** Reads the whole body. */
-  bytes (): Promise<Buffer>
-  /** Reads the whole body as text. */
-  text (): Promise<string>
   /** Drops the body. The connection can be reused after its end, and is closed if the body is long. */
   discard (): void
   /** Closes the connection. */
@@ -148,17 +144,9 @@
     })
   }
 
-  async function bytes (): Promise<Buffer> {
-    const chunks: Buffer[] = []
-    await read((chunk) => { chunks.push(chunk) })
-    return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)
-  }
-
   return {
     body: {
       read,
-      bytes,
-      text: async () => (await bytes()).toString('utf8'),
       discard: () => {
         isDropped = true
         unread = []
--- a/test/gateway/exchange.test.ts
+++ b/test/gateway/exchange.test.ts
@@ -9,6 +9,7 @@
 import type { ExchangeStart } from '../../src/gateway/exchange.js'
 import { createRandom } from '../../src/random.js'
 import { upstreamRecord } from '../placement/records.js'
+import { readText } from './read-body.js'
 
 describe('an exchange with an upstream', () => {
   const cleanups: (() => Promise<unknown>)[] = []
@@ -181,6 +182,6 @@
 
   async function bodyOf (started: ExchangeStart): Promise<string> {
     assert.equal(started.kind, 'answered')
-    return started.kind === 'answered' ? started.answer.body.text() : ''
+    return started.kind === 'answered' ? readText(started.answer.body) : ''
   }
 })
--- a/test/gateway/relay-ends.test.ts
+++ b/test/gateway/relay-ends.test.ts
@@ -13,6 +13,7 @@
 import { createRandom } from '../../src/random.js'
 import { listenOnFreePort } from '../listening.js'
 import { upstreamRecord } from '../placement/records.js'
+import { readText } from './read-body.js'
 
 const HEAD = 'HTTP/1.1 200 OK\r\nX-Hornbeamgap-Request-Id: r1\r\n'
 const UNFRAMED = `${HEAD}Connection: close\r\n\r\n`
@@ -87,7 +88,7 @@
   for (const [where, body] of Object.entries(endings)) {
     it(`fails if it has no length and its relaying node is killed ${where}`, async () => {
       const { answer, relay } = await answerThroughRelay(UNFRAMED + body)
-      const read = answer.body.text()
+      const read = readText(answer.body)
       relay.kill()
       await assert.rejects(read)
     })
@@ -95,14 +96,14 @@
 
   it('is whole if it has no length and the upstream ends it', async () => {
     const { answer, upstream } = await answerThroughRelay(UNFRAMED + EVENT)
-    const read = answer.body.text()
+    const read = readText(answer.body)
     upstream.end(EVENT)
     assert.equal(await read, EVENT + EVENT)
   })
 
   it('fails if it has no length and the upstream resets its connection', async () => {
     const { answer, upstream } = await answerThroughRelay(UNFRAMED + EVENT)
-    const read = answer.body.text()
+    const read = readText(answer.body)
     upstream.resetAndDestroy()
     await assert.rejects(read)
   })
@@ -110,7 +111,7 @@
   for (const [framing, bytes] of Object.entries({ length: `${HEAD}Content-Length: 20\r\n\r\nhalf`, chunks: `${HEAD}Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n` })) {
     it(`fails if it has ${framing} and its relaying node is killed`, async () => {
       const { answer, relay } = await answerThroughRelay(bytes)
-      const read = answer.body.text()
+      const read = readText(answer.body)
       relay.kill()
       await assert.rejects(read)
     })
@@ -122,6 +123,6 @@
     const { answer, relay } = await answerThroughRelay(`${HEAD}Content-Length: ${body.length}\r\n\r\n${body}`)
     await createSystemClock().sleep(50)
     relay.kill()
-    assert.equal(await answer.body.text(), body)
+    assert.equal(await readText(answer.body), body)
   })
 })
--- a/test/gateway/stream-relay.test.ts
+++ b/test/gateway/stream-relay.test.ts
@@ -5,7 +5,9 @@
 import { afterEach, describe, it } from 'node:test'
 import { createRequestFormat } from '../../platform/format.js'
 import { createSystemClock } from '../../src/clock.js'
+import { createAnswerPace } from '../../src/gateway/answer-pace.js'
 import { createUpstreamConnections } from '../../src/gateway/exchange.js'
+import { createHeldAnswers } from '../../src/gateway/held-answers.js'
 import { createRandom } from '../../src/random.js'
 import { relayEvents } from '../../src/gateway/stream-relay.js'
 import type { RelayEnd, StreamProgress } from '../../src/gateway/stream-relay.js'
@@ -15,6 +17,7 @@
 const clock = createSystemClock()
 const EVENT = `data: ${'x'.repeat(65_536)}\n\n`
 const EVENTS = 1_000
+const HELD_BYTES = 4_194_304
 
 interface Relay {
   readonly port: number
@@ -64,7 +67,7 @@
       connections.start(upstreamRecord('u', { address: `127.0.0.1:${upstreamPort}` }), { id: 'r1', method: 'GET', path: '/', headers: [], body: undefined }, controller.signal).then(async (start) => {
         assert.equal(start.kind, 'answered')
         if (start.kind !== 'answered') return
-        const relayed = await relayEvents(start.answer, response, progress, () => {}, controller.signal)
+        const relayed = await relayEvents(start.answer, response, progress, () => {}, { held: createHeldAnswers(HELD_BYTES).open(), pace: createAnswerPace(clock)(), signal: controller.signal })
         response.end()
         finish(relayed)
       }).catch((error) => finish({ kind: 'broken', reason: String(error), by: 'answer' }))
--- a/test/gateway/upstream-body.test.ts
+++ b/test/gateway/upstream-body.test.ts
@@ -3,6 +3,7 @@
 import { createIncomingBody } from '../../src/gateway/upstream-body.js'
 import type { IncomingBody } from '../../src/gateway/upstream-body.js'
 import { flushPromises } from '../../stand-ins/manual-clock.js'
+import { readText } from './read-body.js'
 
 /** A body with the controls that it has used, in order. */
 function createBody (): { incoming: IncomingBody, controls: string[] } {
@@ -48,7 +49,7 @@
     incoming.push(Buffer.alloc(40_000))
     assert.deepEqual(controls, ['pause'])
     incoming.end()
-    assert.equal((await incoming.body.bytes()).length, 80_000)
+    assert.equal((await readText(incoming.body)).length, 80_000)
   })
 
   // Guards against a truncated answer that looks complete: the connection breaks while the caller is slow.
@@ -64,7 +65,7 @@
     const { incoming: early } = createBody()
     early.push(Buffer.from('a'))
     early.fail(new Error('closed'))
-    await assert.rejects(early.body.text(), /closed/)
+    await assert.rejects(readText(early.body), /closed/)
   })
 
   // Guards against an upstream that runs on for nobody: the reader has given up, and the connection stays open.
