A node survives an answer without a length that ends while its caller reads slowly

What callers saw: a gateway process ends, with all requests that it has in progress, when an upstream ends a stream without a length and the caller of that stream has yet to read what came before. It starts again half a second later.

Cause: the node paused undici's parser while a caller took no more. Undici reads the connection up to its end all the same where the last bytes are the ones that pause it, asks the paused parser to finish, and fails its own assertion (`assert(!this.paused)` in `Parser.finish`) in an event handler: an uncaught exception.

Change: the parser is never paused. An answer that is paused gets nothing to read from its connection instead, so that the kernel holds its upstream back, and undici learns of the end when the bytes before it have been read.

Test, red before (the assertion, in each run): "is read to its end although the connection ends while the reader is busy", for answers without a length, in chunks, and with one.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -10,7 +10,7 @@
 import type { UpstreamSignals } from '../backpressure/index.js'
 import type { Milliseconds } from '../clock.js'
 import type { UpstreamRecord } from '../placement/index.js'
-import { isNoAnswer, watchFraming } from '../protocols/answer-framing.js'
+import { createAnswerReading, isNoAnswer } from '../protocols/answer-reading.js'
 import { connectionFailure, hasFraming } from '../protocols/http.js'
 import { addressSchema } from '../identifiers.js'
 import type { AnswerHead, Headers, RequestFormat } from './ports.js'
@@ -125,7 +125,7 @@
       let incoming: IncomingBody | undefined
       let isStarted = false
       let isFramed = true
-      const framing = watchFraming()
+      const reading = createAnswerReading()
       // A request that waits for a connection ends at once, and is aborted before it is sent as soon as it has one.
       const stopListening = onAbort(signal, () => {
         if (controller === undefined) resolve({ kind: 'unsent' })
@@ -136,12 +136,12 @@
         onRequestStart: (started) => {
           controller = started
           if (signal.aborted) started.abort(abortReason(signal))
-          else framing.begin()
+          else reading.begin()
         },
         onResponseStart: (started, status, headers) => {
           pools.heard(upstream)
           if (status < SUCCESS) return
-          incoming = createIncomingBody(started)
+          incoming = createIncomingBody({ pause: reading.pause, resume: reading.resume, abort: (reason) => started.abort(reason) })
           const head = format.readAnswer(headers, status)
           if (isFromUpstream(upstream, request.id, head, status)) onSignals?.(upstream, head.signals, sentAt)
           // Closing the connection of a rejected answer calls `onResponseError` at once.
@@ -155,17 +155,19 @@
         },
         onResponseData: (_controller, chunk) => {
           pools.heard(upstream)
-          framing.content(chunk.length)
+          reading.content(chunk.length)
           incoming?.push(chunk)
         },
         onResponseEnd: () => {
           stopListening()
+          reading.end()
           if (incoming === undefined) return
           if (isFramed) incoming.end()
           else endWithConnection(upstream, request.id, incoming)
         },
         onResponseError: (_controller, error) => {
           stopListening()
+          reading.end()
           if (!isStarted) resolve(failedStart(upstream, error))
           incoming?.fail(error)
         }
--- a/test/gateway/exchange.test.ts
+++ b/test/gateway/exchange.test.ts
@@ -1,16 +1,18 @@
 import assert from 'node:assert/strict'
-import { createSystemClock } from '../../src/clock.js'
 import { createServer } from 'node:net'
 import type { AddressInfo, Socket } from 'node:net'
 import { afterEach, describe, it } from 'node:test'
 import type { UpstreamSignals } from '../../src/backpressure/index.js'
 import { createRequestFormat } from '../../platform/format.js'
+import { createSystemClock } from '../../src/clock.js'
 import { createUpstreamConnections } from '../../src/gateway/exchange.js'
 import type { ExchangeStart } from '../../src/gateway/exchange.js'
 import { createRandom } from '../../src/random.js'
 import { upstreamRecord } from '../placement/records.js'
 import { readText } from './read-body.js'
 
+const clock = createSystemClock()
+
 describe('an exchange with an upstream', () => {
   const cleanups: (() => Promise<unknown>)[] = []
   afterEach(async () => { for (const close of cleanups.splice(0)) await close() })
@@ -57,6 +59,29 @@
     await assert.rejects(bodyOf(ended), /the upstream ended/)
   })
 
+  // Guards against a process that ends with all its requests: an answer without a length ends while its caller has yet to read what came before.
+  it('is read to its end although the connection ends while the reader is busy', async () => {
+    for (const framing of ['Connection: close\r\n\r\n', 'Transfer-Encoding: chunked\r\n\r\n', 'Content-Length: 30\r\n\r\n']) {
+      const part = (text: string): string => framing.startsWith('Transfer') ? `a\r\n${text}\r\n` : text
+      let sendRest = (): void => {}
+      const started = await exchangeWith((socket) => {
+        socket.write(`HTTP/1.1 200 OK\r\nX-Hornbeamgap-Request-Id: r1\r\n${framing}${part('1234567890')}`)
+        sendRest = () => {
+          socket.write(part('abcdefghij'))
+          socket.end(`${part('ABCDEFGHIJ')}${framing.startsWith('Transfer') ? '0\r\n\r\n' : ''}`)
+        }
+      })
+      if (started.kind !== 'answered') assert.fail(started.kind)
+      let text = ''
+      await started.answer.body.read(async (chunk) => {
+        if (text === '') sendRest()
+        text += String(chunk)
+        await clock.sleep(50)
+      })
+      assert.equal(text, '1234567890abcdefghijABCDEFGHIJ', framing)
+    }
+  })
+
   it('rejects an answer with a transfer coding that is not passed on', async () => {
     const otherCoding = await exchangeWith((socket) => { socket.end(unframedHead.replace('Connection: close', 'Connection: close\r\nTransfer-Encoding: gzip')) })
     assert.equal(otherCoding.kind, 'broken')
@@ -124,7 +149,7 @@
     })
     await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
     cleanups.push(() => new Promise((resolve) => server.close(resolve)))
-    const connections = createUpstreamConnections({ format: createRequestFormat(), clock: createSystemClock(), random: createRandom(1), relayNodes: () => [], failureDomain: 'a' })
+    const connections = createUpstreamConnections({ format: createRequestFormat(), clock, random: createRandom(1), relayNodes: () => [], failureDomain: 'a' })
     cleanups.unshift(() => connections.close())
     const upstream = upstreamRecord('i-1', { address: `127.0.0.1:${(server.address() as AddressInfo).port}`, slots: 1 })
     connections.setConnectionLimit(upstream.service, 1)
@@ -174,7 +199,7 @@
   }
 
   function start (port: number, heard: UpstreamSignals[] = [], signal = new AbortController().signal): Promise<ExchangeStart> {
-    const connections = createUpstreamConnections({ format: createRequestFormat(), clock: createSystemClock(), random: createRandom(1), relayNodes: () => [], failureDomain: 'a', onSignals: (_upstream, signals) => { heard.push(signals) } })
+    const connections = createUpstreamConnections({ format: createRequestFormat(), clock, random: createRandom(1), relayNodes: () => [], failureDomain: 'a', onSignals: (_upstream, signals) => { heard.push(signals) } })
     cleanups.unshift(() => connections.close())
     const upstream = upstreamRecord('i-1', { address: `127.0.0.1:${port}`, slots: 1 })
     return connections.start(upstream, { id: 'r1', method: 'GET', path: '/', headers: ['x-hornbeamgap-request-id', 'r1'], body: undefined }, signal)
--- a/test/scaling/slot-time.test.ts
+++ b/test/scaling/slot-time.test.ts
@@ -5,6 +5,8 @@
 import { SECOND } from '../../src/clock.js'
 import type { Milliseconds } from '../../src/clock.js'
 import { dispatchAttempt } from '../../src/gateway/attempt.js'
+import { createAnswerPace } from '../../src/gateway/answer-pace.js'
+import { createHeldAnswers } from '../../src/gateway/held-answers.js'
 import type { GatewayContext } from '../../src/gateway/context.js'
 import type { ProxiedRequest } from '../../src/gateway/proxied-request.js'
 import { fleetReportSchema, mergeReports } from '../../src/gossip/index.js'
@@ -133,12 +135,14 @@
       evacuation: { watch: () => ({ end: none, location: async () => ending === 'moved' ? { kind: 'moved', continuation: {} } : { kind: 'same' } }) },
       connections: { start: async () => ({ kind: 'answered', answer }) },
       format: { upstreamHeaders: () => [], answerHeaders: () => [] },
+      heldAnswers: createHeldAnswers(1_000_000),
+      beginPacedAnswer: createAnswerPace(clock),
       work: { add: none, rates: () => ({}), attemptEnded: (_: string, tokens: number, time: Milliseconds) => { if (tokens === PERMITTED) held.push(time) } }
     } as unknown as GatewayContext
     const proxied = {
       accepted: { head: { id: 'r', tokens: { prompt: 100, generated: PERMITTED }, parts: [], sharedParts: [] }, route: { name: 'plan', kind, target: 60 * SECOND, timeLimit: 90 * SECOND, maxPause: 30 * SECOND, maxAttempts: 1, resumable: false }, priority: 0 },
       request: { method: 'POST', url: '/', rawHeaders: [] },
-      response: { headersSent: false, writeHead: none, write: () => true, end: none },
+      response: { headersSent: false, writeHead: none, write: () => true, end: none, once: none },
       arrival: 0,
       fingerprint: 'f',
       signal: caller.signal,
