Calls of nodes bear responses without end

What callers saw, in the product's own interface: one engine or plain service that answers a call of a node without end (a load report, changes of its cache, a stream of comments, an event in small pieces, one token again and again) fills the memory of the node or takes its processor time, and with that the requests of all callers. Some such calls never ended.

A stream that a node takes over from one that died has no body at hand, so that only the largest number of tokens of any request bounds it.

--- a/src/entry/generation.ts
+++ b/src/entry/generation.ts
@@ -3,7 +3,7 @@
 import { createEngine } from '../protocols/engine.js'
 import type { EngineCall, EngineEvent, EngineStream } from '../protocols/engine.js'
 import { promptTokens } from '../protocols/prompt.js'
-import { createAttemptMatcher } from '../request/index.js'
+import { createAttemptMatcher, MAX_TOKENS } from '../request/index.js'
 import type { ChatBody } from '../request/index.js'
 import type { UpstreamView } from '../upstream/index.js'
 import { ServingError, toServingError } from '../verdict.js'
@@ -31,7 +31,7 @@
   handle: string | undefined
   /** Number of tokens of the answer that existed when the attempt started, and that the engine may have to prefill. */
   readonly tokensAtStart: number
-  /** Whether the attempt attached to a running stream. Nothing is recomputed in this case. */
+  /** Whether the attempt attached to a running stream. Nothing is recomputed, and the body of the request may be unknown in this case. */
   readonly found: boolean
 }
 
@@ -56,7 +56,7 @@
         location.handle = stream.handle === '' ? location.handle : stream.handle
         connection.attempt.handle = location.handle ?? ''
         context.notes.open(execution)
-        const finished = await appendEvents(context, execution, location.upstream.name, stream, connection.signal)
+        const finished = await appendEvents(context, execution, location.upstream.name, stream, location.found ? MAX_TOKENS : body.max_tokens, connection.signal)
         countRecomputed(execution, body, location, finished.usage.cached_tokens)
         return { kind: 'whole', end: finished, result: { kind: 'whole', usage: finished.usage } }
       } catch (error) {
@@ -135,11 +135,11 @@
 /**
  * Appends the events of a connection to the answer, in the order of their offsets.
  *
- * @throws ServingError with code `connection-lost` if the stream omits tokens or ends without a final event
+ * @throws ServingError with code `connection-lost` if the stream omits tokens, has too many, or ends without a final event
  */
-async function appendEvents (context: ExecutionContext, execution: Execution, upstream: UpstreamName, stream: EngineStream, signal: AbortSignal): Promise<Extract<EngineEvent, { kind: 'finished' }>> {
+async function appendEvents (context: ExecutionContext, execution: Execution, upstream: UpstreamName, stream: EngineStream, maxTokens: number, signal: AbortSignal): Promise<Extract<EngineEvent, { kind: 'finished' }>> {
   const { answer } = execution
-  const matcher = createAttemptMatcher(answer.offset())
+  const matcher = createAttemptMatcher(answer.offset(), maxTokens)
   matcher.begin(ATTEMPT)
   for await (const event of stream.events) {
     for (const effect of matcher.handle(ATTEMPT, event)) {
@@ -151,7 +151,7 @@
           break
         case 'finish': return { kind: 'finished', finish: effect.finish, usage: effect.usage }
         case 'cancel':
-        case 'starved': throw new ServingError('the stream left out tokens', { code: 'connection-lost', verdict: 'may-have-run' })
+        case 'starved': throw new ServingError('the stream left out tokens, or has more than were asked for', { code: 'connection-lost', verdict: 'may-have-run' })
       }
     }
   }
--- a/src/protocols/engine.ts
+++ b/src/protocols/engine.ts
@@ -88,6 +88,9 @@
 /** Timeout of calls other than streams. */
 const CALL_TIMEOUT: Milliseconds = 2 * SECOND
 
+/** Largest size of an answer other than a stream, in bytes. Changes of the prefix cache may be many. */
+const MAX_ANSWER_BYTES = 16_777_216
+
 /** Data of the event that ends every complete stream. */
 const DONE_EVENT = '[DONE]'
 
@@ -114,7 +117,7 @@
  */
 export function createEngine (connections: Connections, address: Address): Engine {
   const exchange = (method: 'GET' | 'POST', path: string, body: unknown, silence: Milliseconds, signal?: AbortSignal): HttpExchange =>
-    ({ address, method, path, body, idleTimeout: silence, ...(signal ? { signal } : {}) })
+    ({ address, method, path, body, idleTimeout: silence, maxBytes: MAX_ANSWER_BYTES, ...(signal ? { signal } : {}) })
 
   async function openStream (request: HttpExchange): Promise<EngineStream> {
     const response = await send(connections, request)
@@ -156,7 +159,7 @@
 }
 
 async function refusalError (response: HttpResponse, address: Address): Promise<ServingError> {
-  const text = await readBody(response, address)
+  const text = await readBody(response, address, MAX_ANSWER_BYTES)
   const verdict = text.includes('"verdict":"not-run"') ? 'not-run' : 'may-have-run'
   return new ServingError(`${address}: status ${response.statusCode}: ${text.slice(0, 200)}`, { code: 'upstream-refused', verdict })
 }
--- a/src/protocols/http.ts
+++ b/src/protocols/http.ts
@@ -7,6 +7,7 @@
 import { parseJson } from '../json.js'
 import { ServingError } from '../verdict.js'
 import type { Verdict } from '../verdict.js'
+import { readAnswers } from './answer-reading.js'
 
 /** Connections of this process to other processes. */
 export type Connections = Dispatcher
@@ -21,6 +22,8 @@
   readonly body?: unknown
   /** Maximum time until the response's headers, and between two chunks of its body. */
   readonly idleTimeout: Milliseconds
+  /** Largest size of the response's body in bytes, for {@link exchangeJson}. */
+  readonly maxBytes?: number
   readonly signal?: AbortSignal
 }
 
@@ -38,6 +41,9 @@
 
 const DEFAULT_CONNECT: Connect = { timeout: CONNECT_TIMEOUT }
 
+/** Largest size of a response's body in bytes, where none is given. Changes of the platform's store may come many at a time. */
+const MAX_BODY_BYTES = 67_108_864
+
 const NO_CONTENT = 204
 const NOT_MODIFIED = 304
 
@@ -56,7 +62,7 @@
  * const connections = createConnections(64)
  */
 export function createConnections (connections: number, connect: Connect = DEFAULT_CONNECT): Connections {
-  return new Agent({ connections, pipelining: 1, keepAliveTimeout: KEEP_ALIVE_TIMEOUT, connect })
+  return new Agent({ connections, pipelining: 1, keepAliveTimeout: KEEP_ALIVE_TIMEOUT, connect }).compose(readAnswers)
 }
 
 /**
@@ -72,7 +78,7 @@
  */
 export function createFreshConnections (connections: number, connect: Connect = DEFAULT_CONNECT): Connections {
   const agent = new Agent({ connections, pipelining: 1, connect })
-  return agent.compose((dispatch) => (options, handler) => dispatch({ ...options, reset: true }, handler))
+  return agent.compose(readAnswers, (dispatch) => (options, handler) => dispatch({ ...options, reset: true }, handler))
 }
 
 /**
@@ -108,7 +114,7 @@
  */
 export async function exchangeJson<T> (connections: Connections, exchange: HttpExchange, schema: z.ZodType<T>): Promise<T> {
   const response = await send(connections, exchange)
-  const text = await readBody(response, exchange.address)
+  const text = await readBody(response, exchange.address, exchange.maxBytes)
   if (response.statusCode >= 400) throw statusError(response.statusCode, text, exchange.address)
   const parsed = schema.safeParse(parseJson(text))
   if (parsed.success) return parsed.data
@@ -121,16 +127,36 @@
 /**
  * Reads the whole body of a response as text.
  *
- * @throws ServingError with the code `connection-lost`, `timeout` or `cancelled` if the body is incomplete
+ * @throws ServingError with the code `connection-lost`, `timeout` or `cancelled` if the body is incomplete, `upstream-failed` if it is too long
  * @example
  * const text = await readBody(response, address)
  */
-export async function readBody (response: HttpResponse, address: Address): Promise<string> {
+export async function readBody (response: HttpResponse, address: Address, maxBytes = MAX_BODY_BYTES): Promise<string> {
+  return (await readBytes(response, address, maxBytes)).toString('utf8')
+}
+
+/**
+ * Reads the whole body of a response.
+ *
+ * Failure guarded against: a response without end fills the memory of the process. Its connection is closed.
+ *
+ * @throws ServingError as {@link readBody}
+ * @example
+ * const bytes = await readBytes(response, address, 16_777_216)
+ */
+export async function readBytes (response: HttpResponse, address: Address, maxBytes: number): Promise<Buffer> {
+  const chunks: Buffer[] = []
+  let size = 0
   try {
-    return await response.body.text()
+    for await (const chunk of response.body) {
+      size += chunk.length
+      if (size > maxBytes) throw new ServingError(`${address}: the response is larger than ${maxBytes} bytes`, { code: 'upstream-failed', verdict: 'ran' })
+      chunks.push(chunk)
+    }
   } catch (error) {
     throw connectionFailure(error, address)
   }
+  return Buffer.concat(chunks, size)
 }
 
 /**
--- a/src/protocols/plain-service.ts
+++ b/src/protocols/plain-service.ts
@@ -4,7 +4,7 @@
 import type { Address } from '../identifiers.js'
 import type { PlainCall, PlainResponse } from '../request/index.js'
 import { ServingError } from '../verdict.js'
-import { connectionFailure, hasFraming, send } from './http.js'
+import { hasFraming, readBytes, send } from './http.js'
 import type { Connections, HttpResponse } from './http.js'
 import { acceptsConnections } from './plain-connections.js'
 
@@ -42,7 +42,7 @@
     idleTimeout: PLAIN_IDLE_TIMEOUT,
     signal: options.signal
   })
-  const body = await readBytes(response, address)
+  const body = await readBytes(response, address, MAX_RESPONSE_BYTES)
   if (!hasFraming(call.method, response.statusCode, response.headers) && !await acceptsConnections(address)) throw new ServingError(`${address}: the service ended with its answer`, { code: 'connection-lost', verdict: 'may-have-run' })
   if (refusedBeforeRunning(response, body)) {
     throw new ServingError(`${address}: refused with status ${response.statusCode}`, { code: 'upstream-refused', verdict: 'not-run' })
@@ -88,18 +88,3 @@
   if (response.headers[VERDICT_HEADER] === 'not-run') return true
   return response.statusCode === 503 && body.includes('"verdict":"not-run"')
 }
-
-async function readBytes (response: HttpResponse, address: Address): Promise<Buffer> {
-  const chunks: Buffer[] = []
-  let size = 0
-  try {
-    for await (const chunk of response.body) {
-      size += chunk.length
-      if (size > MAX_RESPONSE_BYTES) throw new ServingError(`${address}: the response is larger than ${MAX_RESPONSE_BYTES} bytes`, { code: 'upstream-failed', verdict: 'ran' })
-      chunks.push(chunk)
-    }
-  } catch (error) {
-    throw connectionFailure(error, address)
-  }
-  return Buffer.concat(chunks)
-}
--- a/src/protocols/server-sent-events.ts
+++ b/src/protocols/server-sent-events.ts
@@ -11,27 +11,47 @@
   readonly data: string
 }
 
-/** Maximum length of an event. A longer event ends the stream with an error. */
+/** Maximum number of characters from one event with data to the next one, comments included. More of them end the stream with an error. */
 const MAX_EVENT_CHARACTERS = 1_048_576
 
+/** Characters of a blank line that may be in earlier chunks than its last one. */
+const MAX_SPLIT_BLANK_LINE = 3
+
+const BLANK_LINE = /\r?\n\r?\n/
+
 /**
  * Parses a stream of server-sent events.
  *
  * @param body bytes of a `text/event-stream`
  * @returns the events with data in order. An incomplete last event is discarded, as the standard requires
- * @throws RangeError for an event of more than 1,048,576 characters
+ * @throws RangeError for an event of more than 1,048,576 characters, or as many without an event
  * @example
  * for await (const event of readEvents(response.body)) handle(event.data)
  */
 export async function * readEvents (body: AsyncIterable<Uint8Array>): AsyncIterable<ServerSentEvent> {
   const decoder = new TextDecoder()
-  let remainder = ''
+  const remainder: string[] = []
+  let tail = ''
+  let charactersSinceEvent = 0
   for await (const chunk of body) {
-    remainder += decoder.decode(chunk, { stream: true })
-    const blocks = remainder.split(/\r?\n\r?\n/)
-    remainder = blocks.pop() ?? ''
-    if (remainder.length > MAX_EVENT_CHARACTERS) throw new RangeError('server-sent event is too long')
-    yield * blocks.map(parseEvent).filter((event) => event.data !== '')
+    const text = decoder.decode(chunk, { stream: true })
+    charactersSinceEvent += text.length
+    remainder.push(text)
+    // Only a new chunk is searched, so that an event that comes in many pieces costs no more than another one.
+    const hasBlankLine = BLANK_LINE.test(tail + text)
+    tail = (tail + text).slice(-MAX_SPLIT_BLANK_LINE)
+    if (hasBlankLine) {
+      const blocks = remainder.splice(0).join('').split(BLANK_LINE)
+      const rest = blocks.pop() ?? ''
+      remainder.push(rest)
+      tail = rest.slice(-MAX_SPLIT_BLANK_LINE)
+      for (const event of blocks.map(parseEvent)) {
+        if (event.data === '') continue
+        charactersSinceEvent = rest.length
+        yield event
+      }
+    }
+    if (charactersSinceEvent > MAX_EVENT_CHARACTERS) throw new RangeError('server-sent event is too long')
   }
 }
 
--- a/src/request/attempts.ts
+++ b/src/request/attempts.ts
@@ -37,6 +37,8 @@
 interface OpenAttempt {
   /** Offset at which the attempt continues the answer. */
   readonly base: number
+  /** Tokens that have arrived, repeated ones included. */
+  received: number
   /** Tokens that arrived before the tokens preceding them, by offset. */
   readonly earlyTokens: Map<number, string>
   finished: Extract<AttemptEvent, { kind: 'finished' }> | undefined
@@ -45,18 +47,26 @@
 /** Maximum number of early tokens kept per attempt. An attempt that exceeds it is treated as failed. */
 const MAX_EARLY_TOKENS = 256
 
+/** Number of times that an attempt may send each token. One that sends more is treated as failed. */
+const MAX_COPIES = 4
+
+/** Maximum number of characters of an answer. An attempt that exceeds it is treated as failed. */
+const MAX_ANSWER_CHARACTERS = 16_777_216
+
 /**
  * Creates the matcher of one request.
  *
  * @param offset number of tokens that already exist, for a request that was taken over
+ * @param maxTokens maximum number of tokens that the request allows
  * @example
- * const matcher = createAttemptMatcher(0)
+ * const matcher = createAttemptMatcher(0, 512)
  * matcher.begin(1)
  * for (const effect of matcher.handle(1, { kind: 'token', offset: 0, text: 'Rinse ' })) carryOut(effect)
  */
-export function createAttemptMatcher (offset: number): AttemptMatcher {
+export function createAttemptMatcher (offset: number, maxTokens: number): AttemptMatcher {
   const open = new Map<number, OpenAttempt>()
   let length = offset
+  let characters = 0
   let selectedAttempt: number | undefined
   let isComplete = false
 
@@ -89,13 +99,25 @@
     return open.size === 0 && !isComplete ? [{ kind: 'starved' }] : []
   }
 
+  function cancel (attempt: number): AttemptEffect[] {
+    return [{ kind: 'cancel', attempt }, ...removeAttempt(attempt)]
+  }
+
+  /** Failure guarded against: an upstream sends tokens without end, which fill the memory of the node, or the same ones again and again. */
+  function isExcessive (state: OpenAttempt, token: AnswerToken): boolean {
+    state.received += 1
+    characters += token.text.length
+    return token.offset >= maxTokens || state.received > maxTokens * MAX_COPIES || characters > MAX_ANSWER_CHARACTERS
+  }
+
   function acceptToken (attempt: number, state: OpenAttempt, token: AnswerToken): AttemptEffect[] {
+    if (isExcessive(state, token)) return cancel(attempt)
     if (token.offset < length) return []
     if (token.offset > length) {
       state.earlyTokens.set(token.offset, token.text)
-      return state.earlyTokens.size > MAX_EARLY_TOKENS ? [{ kind: 'cancel', attempt }, ...removeAttempt(attempt)] : []
+      return state.earlyTokens.size > MAX_EARLY_TOKENS ? cancel(attempt) : []
     }
-    if (!mayContinue(attempt, state)) return [{ kind: 'cancel', attempt }, ...removeAttempt(attempt)]
+    if (!mayContinue(attempt, state)) return cancel(attempt)
     const effects = select(attempt)
     for (let text: string | undefined = token.text; text !== undefined; text = takeEarlyToken(state, length)) {
       effects.push({ kind: 'append', token: { offset: length, text } })
@@ -113,7 +135,7 @@
   function finishIfComplete (attempt: number, state: OpenAttempt): AttemptEffect[] {
     const finishedEvent = state.finished
     if (finishedEvent === undefined || state.earlyTokens.size > 0 || (finishedEvent.tokens !== undefined && finishedEvent.tokens > length)) return []
-    if (!mayContinue(attempt, state)) return [{ kind: 'cancel', attempt }, ...removeAttempt(attempt)]
+    if (!mayContinue(attempt, state)) return cancel(attempt)
     const effects = select(attempt)
     isComplete = true
     open.clear()
@@ -123,7 +145,7 @@
   return {
     offset: () => length,
     begin: (attempt) => {
-      if (!isComplete) open.set(attempt, { base: length, earlyTokens: new Map(), finished: undefined })
+      if (!isComplete) open.set(attempt, { base: length, received: 0, earlyTokens: new Map(), finished: undefined })
     },
     handle: (attempt, event) => {
       const state = open.get(attempt)
--- a/src/request/index.ts
+++ b/src/request/index.ts
@@ -1,5 +1,5 @@
 /** Requests: identity, execution at most once, attempts, hand-over and outcome. */
-export { chatBodySchema, chatMessageSchema, plainCallSchema, requestSchema, streamPositionSchema } from './types.js'
+export { chatBodySchema, chatMessageSchema, MAX_TOKENS, plainCallSchema, requestSchema, streamPositionSchema } from './types.js'
 export type { ChatBody, ChatMessage, FinishReason, Outcome, PlainCall, Request, RequestKey, RequestTimes, StreamPosition, Work } from './types.js'
 export { createAnswer } from './answer.js'
 export type { Answer, AnswerEnd, AnswerPart, PlainResponse } from './answer.js'
--- a/src/request/types.ts
+++ b/src/request/types.ts
@@ -11,12 +11,15 @@
 })
 export type ChatMessage = z.infer<typeof chatMessageSchema>
 
+/** Largest number of tokens that a request may allow. */
+export const MAX_TOKENS = 1_000_000
+
 /** Body of a chat completion. `model` names the request class. */
 export const chatBodySchema = z.object({
   model: classNameSchema,
   messages: z.array(chatMessageSchema).min(1),
   stream: z.boolean().default(false),
-  max_tokens: z.number().int().positive().max(1_000_000).default(512),
+  max_tokens: z.number().int().positive().max(MAX_TOKENS).default(512),
   temperature: z.number().min(0).max(2).optional(),
   adapter: z.string().optional()
 })
