A long answer without a length tells its own end

The kernel delivers what it has and ends the connection as after the whole answer.

Cause: a whole answer that came without a length is passed on without one, however long it is, so the end of the connection alone tells the caller where it ends, and the end of a process looks the same.

Change: more than 16 KiB are passed on in chunks. What that costs: a long answer without a length that its upstream breaks off while it goes on serving looks whole.

Test, red before: "tells its own end if it is longer than what the kernel takes at once" (no chunks in the answer).

--- a/src/gateway/answering.ts
+++ b/src/gateway/answering.ts
@@ -14,24 +14,33 @@
 /** Status of a request that reached its time limit without having been sent. It promises that the request was not run. */
 const NEVER_DISPATCHED_STATUS = 503
 
+/**
+ * Largest answer that is passed on without a length, in bytes. The kernel takes as many at once, and delivers them also if this process is
+ * killed.
+ */
+const MAX_LENGTHLESS_BYTES = 16_384
+
 /**
  * Sends the whole answer of an upstream.
  *
  * Failure guarded against: an upstream breaks off an answer without a length and closes its connection, as it does at the end of one. With
  * a length of the node's own, the truncated answer would look complete. It ends with its connection here as well.
  *
+ * Failure guarded against: this process is killed while it holds what its caller has not read of a longer answer. The kernel ends the
+ * connection as after the whole answer, which would look complete. It is sent in chunks, which tell their end.
+ *
  * @param headers names and values in turn
  * @param body in the pieces that it came in
  * @param isFramed whether the upstream's answer itself told where it ended
  * @example
- * answerWhole(response, 200, ['content-type', 'text/plain'], body, answer.isFramed)
+ * answerWhole(response, 200, ['content-type', 'text/plain'], [body], answer.isFramed)
  */
 export function answerWhole (response: ServerResponse, status: number, headers: readonly string[], body: readonly Buffer[], isFramed: boolean): void {
+  const length = body.reduce((sum, chunk) => sum + chunk.length, 0)
   if (!isFramed) {
-    response.useChunkedEncodingByDefault = false
+    response.useChunkedEncodingByDefault = length > MAX_LENGTHLESS_BYTES
     response.shouldKeepAlive = false
   }
-  const length = body.reduce((sum, chunk) => sum + chunk.length, 0)
   response.writeHead(status, isFramed ? [...headers, 'content-length', String(length)] : [...headers])
   for (const chunk of body.slice(0, -1)) response.write(chunk)
   response.end(body.at(-1))
--- a/test/gateway/lengthless-answers.test.ts
+++ b/test/gateway/lengthless-answers.test.ts
@@ -17,10 +17,13 @@
 /** Time without bytes after which no more are expected on a connection that stays open. */
 const SILENCE = 300
 
+/** Bytes of an answer of which the node may hold a part when it is killed. */
+const LONG_ANSWER = 20_000
+
 const configuration = {
   version: 1,
-  routes: ['framed', 'lengthless'].map((service) => ({ name: service, host: HOST, prefix: `/${service}/`, kind: 'idempotent', timeoutMs: 2_000, targetLatencyMs: 500, service, maxAttempts: 2 })),
-  services: [{ name: 'framed', maxConns: 100 }, { name: 'lengthless', maxConns: 100 }]
+  routes: ['framed', 'lengthless', 'long'].map((service) => ({ name: service, host: HOST, prefix: `/${service}/`, kind: 'idempotent', timeoutMs: 2_000, targetLatencyMs: 500, service, maxAttempts: 2 })),
+  services: [{ name: 'framed', maxConns: 100 }, { name: 'lengthless', maxConns: 100 }, { name: 'long', maxConns: 100 }]
 }
 
 describe('an answer with neither a length nor chunks', () => {
@@ -32,7 +35,7 @@
   before(async () => {
     deployment = await createMachineDeployment(clock)
     deployment.configure(configuration)
-    upstreams = await Promise.all(['framed', 'lengthless'].map((id) => serveUpstream({ id, clock, unframed: id === 'lengthless' })))
+    upstreams = await Promise.all(['framed', 'lengthless', 'long'].map((id) => serveUpstream({ id, clock, unframed: id !== 'framed', answerBytes: id === 'long' ? LONG_ANSWER : 0 })))
     for (const upstream of upstreams) deployment.register(upstream, { service: upstream.id })
     node = await deployment.startNode('node-1')
     for (const { id } of upstreams) while (!(await ask(id)).startsWith('HTTP/1.1 200 ')) await clock.sleep(POLL_INTERVAL)
@@ -65,6 +68,14 @@
     assert.match(answer, /\r\n\r\nanswer of lengthless$/)
   })
 
+  // Guards against a truncated answer that looks complete: the node is killed, and the kernel ends the connection of what it held in the usual way.
+  it('tells its own end if it is longer than what the kernel takes at once', async () => {
+    const answer = await ask('long')
+    assert.match(answer, /\r\ntransfer-encoding: chunked\r\n/i)
+    assert.doesNotMatch(answer, /content-length/i)
+    assert.match(answer, /\r\n0\r\n\r\n$/)
+  })
+
   it('does not change how others are sent', async () => {
     const answer = await ask('framed')
     assert.match(answer, /\r\ncontent-length: 16\r\n/i)
