Lines on resumed streams say what the node knows of the versions of their service

`stream-resumed` and `stream-resume-refused` name the time for which the node has watched the service, and the versions that it counts. So a node that has just started and saw one version is told from one that watched long enough and missed one.

--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -30,6 +30,9 @@
 const taskFailure = z.strictObject({ error })
 const noFacts = z.strictObject({})
 
+/** Time for which the node has watched a service, and the versions that it has seen there lately. */
+const versionFacts = { watchedFor: duration.optional(), versions: z.string() }
+
 /** Configuration version of the node, ages of its configuration and its view of upstreams, and number of known nodes. */
 const freshnessFacts = { configuration: count.optional(), configurationAge: duration.optional(), upstreamsAge: duration.optional(), nodes: count }
 
@@ -120,8 +123,8 @@
   'crash-causes-failing': taskFailure.describe('the parts that crash upstreams can\'t be written to the store; the nodes still tell each other'),
   'crash-causes-works-again': noFacts.describe('and can again'),
   'crash-cause-probed': z.strictObject({ request, part: z.string() }).describe('this request runs although its part is refused, to find out whether the part is sound'),
-  'stream-resumed': z.strictObject({ request, resumes: z.string().optional(), service: z.string(), version: z.string(), recorded: z.boolean() }).describe('a caller takes up a stream that began as `resumes`, at this version; without `recorded` the version is the only one that the service had lately'),
-  'stream-resume-refused': z.strictObject({ request, resumes: z.string().optional(), service: z.string().optional(), version: z.string().optional(), reason: z.string(), ...freshnessFacts }).describe('a caller takes up a stream that cannot go on as it began'),
+  'stream-resumed': z.strictObject({ request, resumes: z.string().optional(), service: z.string(), version: z.string(), recorded: z.boolean(), ...versionFacts }).describe('a caller takes up a stream that began as `resumes`, at this version; without `recorded` the version is the only one that the service had lately, as far as this node knows, which has watched it for `watchedFor` and counts these `versions`'),
+  'stream-resume-refused': z.strictObject({ request, resumes: z.string().optional(), service: z.string().optional(), version: z.string().optional(), reason: z.string(), ...versionFacts, ...freshnessFacts }).describe('a caller takes up a stream that cannot go on as it began'),
   'run-moved': z.strictObject({ request, upstream: z.string(), target: z.string(), outcome: z.string(), took: duration }).describe('its upstream leaves; the run goes on at the target unless the outcome says why not'),
   'move-unanswered': z.strictObject({ request, upstream: z.string(), target: z.string(), error }).describe('nobody knows whether the run was moved; it is broken off'),
   'evacuation-failed': z.strictObject({ upstream: z.string(), error }).describe('a fault of the program: runs were not moved'),
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -7,6 +7,7 @@
 import type { Random } from '../random.js'
 import type { RouteTable } from '../routing/index.js'
 import type { WorkMeter } from '../scaling/index.js'
+import type { VersionFacts } from '../stream-origins/index.js'
 import type { UsageWindows } from '../usage/index.js'
 import type { AnswerPace } from './answer-pace.js'
 import type { Arrivals } from './arrivals.js'
@@ -67,6 +68,8 @@
   readonly streamOrigins: StreamOrigins
   /** The only version that a service has had lately; undefined if there may be several, or if the view of the upstreams is older than `maxAge`. */
   readonly onlyVersion: (service: string, maxAge: Milliseconds) => string | undefined
+  /** What this node knows of the versions of a service, for log lines. */
+  readonly versionFacts: (service: string) => VersionFacts
   /** Routes of the configuration in force; undefined until a configuration is known. */
   readonly routeTable: () => RouteTable | undefined
   /** Wall-clock time agreed between the nodes, unaffected by steps of this instance's clock. */
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -233,6 +233,7 @@
     announcePrefill: fleet.announcePrefill,
     streamOrigins: fleet.streamOrigins,
     onlyVersion,
+    versionFacts: (service) => serviceVersions.facts(service, clock.now()),
     routeTable: configuration.table,
     sharedWall: fleet.wall,
     firstContact: fleet.firstContact,
--- a/src/gateway/stream-resumption.ts
+++ b/src/gateway/stream-resumption.ts
@@ -45,14 +45,14 @@
   if (origin === undefined) throw resumeRefusal(context, accepted, 'unknown')
   if (!route.destinations.some(({ service }) => service === origin.service)) throw resumeRefusal(context, accepted, 'elsewhere', origin)
   context.metrics.count('streams_resumed', { origin: recorded === undefined ? 'inferred' : 'recorded' })
-  context.log.info('stream-resumed', { request: head.id, resumes: head.resumes, service: origin.service, version: origin.version, recorded: recorded !== undefined })
+  context.log.info('stream-resumed', { request: head.id, resumes: head.resumes, service: origin.service, version: origin.version, recorded: recorded !== undefined, ...context.versionFacts(origin.service) })
   return origin
 }
 
-function resumeRefusal ({ log, metrics, freshness }: GatewayContext, { head }: AcceptedRequest, cause: keyof typeof REFUSAL_REASONS, origin?: StreamOrigin): ServingError {
+function resumeRefusal ({ log, metrics, freshness, versionFacts }: GatewayContext, { head, route }: AcceptedRequest, cause: keyof typeof REFUSAL_REASONS, origin?: StreamOrigin): ServingError {
   const reason = REFUSAL_REASONS[cause]
   metrics.count('streams_resumed', { origin: cause })
-  log.info('stream-resume-refused', { request: head.id, resumes: head.resumes, service: origin?.service, version: origin?.version, reason, ...freshness() })
+  log.info('stream-resume-refused', { request: head.id, resumes: head.resumes, service: origin?.service, version: origin?.version, reason, ...versionFacts(origin?.service ?? route.destinations[0]?.service ?? ''), ...freshness() })
   return refusal('no-upstream', reason, RESUME_RETRY_AFTER)
 }
 
