--- a/stand-ins/machines/node-threads.ts
+++ b/stand-ins/machines/node-threads.ts
@@ -20,11 +20,8 @@
 export interface NodeThreads {
   readonly addresses: readonly GatewayNode['addresses'][]
   stop (): Promise<void>
-}
-
-interface NodeThread {
-  readonly addresses: readonly GatewayNode['addresses'][]
-  stop (): Promise<void>
+  /** Ends the threads as a kill ends processes: without a last write to the store or a word to other nodes. */
+  kill (): Promise<void>
 }
 
 /**
@@ -40,17 +37,23 @@
   const threads = await Promise.all(groups.map((group) => startThread(group, write)))
   return {
     addresses: threads.flatMap(({ addresses }) => addresses),
-    stop: async () => { await Promise.all(threads.map((thread) => thread.stop())) }
+    stop: async () => { await Promise.all(threads.map((thread) => thread.stop())) },
+    kill: async () => { await Promise.all(threads.map((thread) => thread.kill())) }
   }
 }
 
-function startThread (options: readonly NodeOptions[], write: (line: string) => void): Promise<NodeThread> {
+function startThread (options: readonly NodeOptions[], write: (line: string) => void): Promise<NodeThreads> {
   const worker = new Worker(`(async () => { ${LOADER} await import('${NODE_PROGRAM}') })()`, { eval: true, workerData: options })
   const ended = once(worker, 'exit')
+  let isKilled = false
   const stop = async (): Promise<void> => {
-    worker.postMessage('stop')
+    if (!isKilled) worker.postMessage('stop')
     await ended
   }
+  const kill = async (): Promise<void> => {
+    isKilled = true
+    await worker.terminate()
+  }
   return new Promise((resolve, reject) => {
     worker.once('error', reject)
     worker.on('message', (message: NodeThreadMessage) => {
@@ -58,7 +61,7 @@
         case 'line':
           write(message.line)
           return
-        case 'started': resolve({ addresses: message.addresses, stop })
+        case 'started': resolve({ addresses: message.addresses, stop, kill })
       }
     })
   })
