Streams are taken up at their versions after all nodes were killed

Cause: a node that had just started took the only version that it saw for the only one that there was, once it had watched for 3 s; it knows nothing of the time before. All that other nodes knew was in memory, and of streams that began while one version was seen nobody kept a record. Class: what a fresh process has not seen is taken for what has not been.

Change: each node keeps a checkpoint in the store under a lease of a minute: the versions that it has seen lately, and the origins of its streams whose callers may still resume them, where these cannot be inferred. A version counts as the only one if complete checkpoints name no other, or after 30 s of watching, the time for which streams are resumed; not after an interruption, nor by checkpoints of an earlier epoch of the store, which came back from a copy. A node that starts reads them once, and again, at most once a second, for a stream of which it and its holders know nothing. Resumable streams begin at versions that a checkpoint names, as long as there are any. Streams that began before there was a second version are recorded as soon as there is.

Why it works: a stream began at some node, whose checkpoint named the version before. The checkpoint outlasts its node by 30 s at least. So either it names the stream, or its versions show that there were several, and the stream is refused as not run.

Weighed: a record of the versions of each service kept by one node (few writes, but an owner that may be cut off, and streams lost with all nodes all the same); a write for each stream (rates); the version in the id of an event (bodies are the upstream's).

What began in the last period is lost with all nodes.

The test of versions that had a single one after 3 s asked for the fault: it asks for 30 s now, or for complete checkpoints. Nodes of tests that start again are no longer told that the system starts for the first time.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -276,8 +276,8 @@
     if (!response.headersSent) {
       recordAnswerStart(context, proxied, attempt.upstream)
       response.writeHead(answer.status, context.format.answerHeaders(answer.headers))
+      recordOrigin(context, proxied, attempt.upstream)
     }
-    if (progress.version === undefined) recordOrigin(context, proxied, attempt.upstream)
     events += count
   }, { held: context.heldAnswers.open(), pace: context.beginPacedAnswer(), signal: attempt.signal })
   const location: RunLocation = await attempt.watchedRun?.location() ?? { kind: 'same' }
@@ -297,9 +297,12 @@
 }
 
 /** From its first event on, the stream continues at this version only. */
-function recordOrigin (context: GatewayContext, { accepted, service, progress }: ProxiedRequest, { version }: UpstreamRecord): void {
+function recordOrigin (context: GatewayContext, { accepted, service, limit, progress }: ProxiedRequest, { version }: UpstreamRecord): void {
+  const { head, route } = accepted
   progress.version = version
-  if (needsOriginRecord(context, accepted)) context.streamOrigins.began(accepted.head.id, { service, version })
+  if (!route.resumable) return
+  const stream = (head.lastEvent === undefined ? undefined : head.resumes) ?? head.id
+  context.streamOrigins.began(stream, { origin: { service, version }, until: limit.end, isInferable: () => !needsOriginRecord(context, accepted) })
 }
 
 /**
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -7,7 +7,6 @@
 import type { Random } from '../random.js'
 import type { RouteTable } from '../routing/index.js'
 import type { WorkMeter } from '../scaling/index.js'
-import type { VersionFacts } from '../stream-origins/index.js'
 import type { UsageWindows } from '../usage/index.js'
 import type { AnswerPace } from './answer-pace.js'
 import type { Arrivals } from './arrivals.js'
@@ -25,6 +24,7 @@
 import type { GatewaySettings } from './settings.js'
 import type { StreamOrigins } from './stream-origins.js'
 import type { UpstreamView } from './upstream-view.js'
+import type { VersionWatch } from './version-watch.js'
 
 /** Version and age of the state on which this node's decisions are based. */
 export interface StateFreshness {
@@ -67,9 +67,9 @@
   /** Origins of streams that callers may resume. */
   readonly streamOrigins: StreamOrigins
   /** The only version that a service has had lately; undefined if there may be several, or if the view of the upstreams is older than `maxAge`. */
-  readonly onlyVersion: (service: string, maxAge: Milliseconds) => string | undefined
+  readonly onlyVersion: VersionWatch['only']
   /** What this node knows of the versions of a service, for log lines. */
-  readonly versionFacts: (service: string) => VersionFacts
+  readonly versionFacts: VersionWatch['facts']
   /** Routes of the configuration in force; undefined until a configuration is known. */
   readonly routeTable: () => RouteTable | undefined
   /** Wall-clock time agreed between the nodes, unaffected by steps of this instance's clock. */
--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -22,7 +22,7 @@
 import type { StoreUpdateExchange } from './store-updates.js'
 import { createMemberReporter } from './reporting.js'
 import { createStreamOrigins } from './stream-origins.js'
-import type { StreamOrigins } from './stream-origins.js'
+import type { StreamOrigins, StreamOriginsSettings } from './stream-origins.js'
 
 /** State that a node reports about itself, without the fields of its record. */
 export type LocalReport = Omit<NodeState, keyof NodeRecord | 'sequence' | 'nodes'>
@@ -81,6 +81,7 @@
   readonly context: StoreContext & { readonly storeUpdates: StoreUpdateExchange }
   /** This node's record without its peer address, which is known once the peer server listens. */
   readonly self: Omit<NodeRecord, 'peer'>
+  readonly streamOrigins: StreamOriginsSettings
   /** Starts listening with the server for requests of other nodes. @returns its address */
   readonly listen: (server: Server) => Promise<string>
   readonly configuration: ConfigurationWatcher
@@ -129,7 +130,7 @@
  *
  * @throws when the peer server cannot listen on its address
  * @example
- * const fleet = await joinFleet({ context, self, listen, configuration, maxAddresses, isReady, report, heard, reading, onRecordsLoaded, onOtherEntry, onOtherKeyDeleted })
+ * const fleet = await joinFleet({ context, self, streamOrigins, listen, configuration, maxAddresses, isReady, report, heard, reading, onRecordsLoaded, onOtherEntry, onOtherKeyDeleted })
  */
 export async function joinFleet (options: FleetOptions): Promise<Fleet> {
   const { context, configuration } = options
@@ -152,7 +153,7 @@
   const reachable = createReachablePeers(clock, log, signal)
   const records = startNodeRegistration(context, self, { onOtherEntry: options.onOtherEntry, onOtherKeyDeleted: options.onOtherKeyDeleted, onLoaded: onRecordsLoaded })
   const localState = (): NodeState => ({ ...self, ...options.report(), nodes: 1, sequence: Math.round(clock.now()) })
-  const streamOrigins = createStreamOrigins({ clock, ownName: self.name, nodes: records.all, link, reachable })
+  const streamOrigins = createStreamOrigins({ ...options.streamOrigins, context, incarnation: self.incarnation, ownName: self.name, nodes: records.all, link, reachable })
   const gossip = createGossipExchange({
     incarnation: self.incarnation,
     wall,
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -16,7 +16,6 @@
 import { repeat } from '../repeat.js'
 import type { RoutingConfiguration } from '../routing/index.js'
 import { createWorkMeter } from '../scaling/index.js'
-import { createServiceVersions } from '../stream-origins/index.js'
 import { createUsageWindows, windowOf } from '../usage/index.js'
 import { refusal } from './acceptance.js'
 import { createAnswerPace } from './answer-pace.js'
@@ -54,11 +53,13 @@
 import { createServicePaths } from './service-paths.js'
 import type { GatewaySettings } from './settings.js'
 import { stopMarginOf, stopNode } from './stopping.js'
+import { MAX_INFERENCE_AGE_FACTOR } from './stream-resumption.js'
 import { serveTunnels } from './tunnels.js'
 import type { TunnelServer } from './tunnels.js'
 import { createSlownessReporter } from './upstream-slowness.js'
 import { watchUpstreams } from './upstream-watcher.js'
 import { createUpstreamView } from './upstream-view.js'
+import { createVersionWatch } from './version-watch.js'
 
 /** Options of `startGatewayNode`. */
 export interface GatewayOptions {
@@ -141,7 +142,7 @@
   const speeds = createEngineSpeeds()
   const quotas = createQuotaLimiter(random, bounds.quotaMargin)
   const quarantine = createQuarantine()
-  const serviceVersions = createServiceVersions()
+  const versions = createVersionWatch({ clock, maxAge: MAX_INFERENCE_AGE_FACTOR * bounds.upstreamDrain })
   const usage = createUsageWindows(bounds.usageWindow)
   const sums = createRequestSums(clock.now())
   const work = createWorkMeter()
@@ -178,6 +179,7 @@
   const fleet = await joinFleet({
     context: followContext,
     self: { name: settings.name, incarnation, failureDomain: settings.failureDomain, front, processor: settings.processor },
+    streamOrigins: { firstStart: settings.firstStart, versions, storeWriteRate: settings.storeWriteRate, onRecorded: dispatchQueues.wake },
     listen: (peerServer) => {
       servers.push(peerServer)
       tunnels = serveTunnels(peerServer, { clock, find: findRelayable })
@@ -232,8 +234,8 @@
     retryBudget,
     announcePrefill: fleet.announcePrefill,
     streamOrigins: fleet.streamOrigins,
-    onlyVersion,
-    versionFacts: (service) => serviceVersions.facts(service, clock.now()),
+    onlyVersion: versions.only,
+    versionFacts: versions.facts,
     routeTable: configuration.table,
     sharedWall: fleet.wall,
     firstContact: fleet.firstContact,
@@ -242,7 +244,8 @@
     heldAnswers,
     beginPacedAnswer: createAnswerPace(clock)
   }
-  const upstreamsSubscription = watchUpstreams(followContext, platform.registry, upstreams, connections, { drain: bounds.upstreamDrain, onSeen: ({ service, version }) => serviceVersions.seen(service, version, clock.now()), onLeaving: evacuation.leaving })
+  const upstreamsSubscription = watchUpstreams(followContext, platform.registry, upstreams, connections, { drain: bounds.upstreamDrain, onSeen: versions.seen, onLeaving: evacuation.leaving })
+  versions.follow(upstreamsSubscription)
   const duties = platform.duties && startDuties({ context: followContext, settings, incarnation, calls: platform.duties, holder, fleet, usage, work, upstreams, speeds, carriesTraffic: rollouts.carriesTraffic, table: configuration.table })
 
   startRolloutDuty({ context: followContext, registry: platform.registry.rollouts, bounds: bounds.rollout, records: rolloutRecords, rollouts, upstreams, fleet, duty: holder })
@@ -282,16 +285,11 @@
     return {
       configuration: configuration.table()?.configuration.version,
       configurationAge: ageOf(configuration.subscription),
-      upstreamsAge: ageOf(upstreamsSubscription),
+      upstreamsAge: versions.viewAge(),
       nodes: fleet.maxNodeCount()
     }
   }
 
-  function onlyVersion (service: string, maxAge: Milliseconds): string | undefined {
-    const age = ageOf(upstreamsSubscription)
-    return age === undefined || age > maxAge ? undefined : serviceVersions.only(service, clock.now())
-  }
-
   function ageOf (subscription: PrefixSubscription): Milliseconds | undefined {
     const receivedAt = subscription.lastContactAt()
     return receivedAt === undefined ? undefined : Math.round(clock.now() - receivedAt)
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -46,6 +46,8 @@
   /** Address of the metrics page. */
   readonly metrics: HostPort
   readonly store: HostPort
+  /** Number of writes that the store takes from all nodes in a second. */
+  readonly storeWriteRate: number
   /** Address for usage reports and orders; undefined if the deployment has neither. */
   readonly cloud: HostPort | undefined
   /** The whole system starts for the first time. */
--- a/src/gateway/stream-origins.ts
+++ b/src/gateway/stream-origins.ts
@@ -3,26 +3,28 @@
  *
  * Failure guarded against: a caller loses its node in the middle of a stream and resumes at another one, which sends the rest to an
  * upstream of another version. The caller names the stream by an id of its own, so the record is kept at nodes that follow from
- * this id, and the node that began the stream may be gone.
+ * this id, and the node that began the stream may be gone. Where all of these are, the checkpoints in the store are left.
  */
-import type { Clock, Milliseconds } from '../clock.js'
-import { ASKED_HOLDERS, createOriginRecords, MAX_STREAM_ID_LENGTH, pickHolders, RECORD_HOLDERS } from '../stream-origins/index.js'
-import type { StreamId, StreamOrigin } from '../stream-origins/index.js'
+import { onAbort } from '../abort-listeners.js'
+import type { Milliseconds } from '../clock.js'
+import { ASKED_HOLDERS, createOpenStreams, createOriginRecords, MAX_STREAM_ID_LENGTH, pickHolders, RECORD_HOLDERS } from '../stream-origins/index.js'
+import type { OpenStream, StreamId, StreamOrigin } from '../stream-origins/index.js'
 import { startCallTimeout } from '../timeout-signal.js'
 import type { NodeRecord } from './node-records.js'
+import { createOriginCheckpoints } from './origin-checkpoints.js'
+import type { OriginCheckpoints, OriginCheckpointsOptions } from './origin-checkpoints.js'
 import { createOriginFeeds } from './origin-feeds.js'
 import type { PeerHandlers, PeerLink } from './peer-link.js'
 import type { ReachablePeers } from './reachable-peers.js'
 
 /** Origins of streams. */
 export interface StreamOrigins {
-  /** Keeps the origin of a stream whose first event is about to be relayed, here and at its holders. */
-  began (stream: StreamId, origin: StreamOrigin): void
-  /**
-   * @param timeout for the answers of the holders
-   * @returns the origin of a stream as this node or a holder knows it; undefined if none does
-   */
-  find (stream: StreamId, timeout: Milliseconds, signal: AbortSignal): Promise<StreamOrigin | undefined>
+  /** Keeps the origin of a stream of which this node is about to relay the first event, or the first one since its caller took it up. */
+  began (stream: StreamId, opened: OpenStream): void
+  /** @returns the origin of a stream as this node, a holder or the store knows it; undefined if none does */
+  find (stream: StreamId, search: OriginSearch, signal: AbortSignal): Promise<StreamOrigin | undefined>
+  /** Whether the store knows that streams may begin at this version. */
+  readonly isRecorded: OriginCheckpoints['isRecorded']
   /** Number of records that this node holds. */
   size (): number
   /** Closes the connections to the holders. */
@@ -31,9 +33,19 @@
   readonly answers: Pick<PeerHandlers, 'streamBegan' | 'streamOrigin'>
 }
 
+/** How the origin of a stream is looked for. */
+export interface OriginSearch {
+  /** Time for the answers of the holders and of the store. */
+  readonly timeout: Milliseconds
+  /** Whether the store is asked as well, unless it was a moment ago. */
+  readonly asksStore: boolean
+}
+
+/** What the node that creates them contributes. */
+export type StreamOriginsSettings = Pick<OriginCheckpointsOptions, 'firstStart' | 'versions' | 'storeWriteRate' | 'onRecorded'>
+
 /** Dependencies of {@link createStreamOrigins}. */
-export interface StreamOriginsOptions {
-  readonly clock: Clock
+export interface StreamOriginsOptions extends StreamOriginsSettings, Pick<OriginCheckpointsOptions, 'context' | 'incarnation'> {
   readonly ownName: string
   /** All registered nodes. */
   readonly nodes: () => readonly NodeRecord[]
@@ -46,12 +58,16 @@
  * Creates the origins of one node.
  *
  * @example
- * const origins = createStreamOrigins({ clock, ownName, nodes, link, reachable })
- * origins.began('9c41d07be2a35f68', { service: 'plans', version: 'v2' })
+ * const origins = createStreamOrigins({ ...settings, context, incarnation, ownName, nodes, link, reachable })
+ * origins.began('9c41d07be2a35f68', { origin: { service: 'plans', version: 'v2' }, until: limit.end, isInferable: () => false })
  */
-export function createStreamOrigins ({ clock, ownName, nodes, link, reachable }: StreamOriginsOptions): StreamOrigins {
+export function createStreamOrigins (options: StreamOriginsOptions): StreamOrigins {
+  const { context, ownName, nodes, link, reachable } = options
+  const { clock } = context
   const records = createOriginRecords()
+  const openStreams = createOpenStreams()
   const feeds = createOriginFeeds(clock, reachable)
+  const checkpoints = createOriginCheckpoints({ ...options, streams: recordedStreams, records, nodeCount: () => nodes().length })
 
   function holderAddresses (stream: StreamId, count: number): string[] {
     return pickHolders(stream, nodes().filter(({ name }) => name !== ownName), count).map(({ peer }) => peer)
@@ -63,9 +79,17 @@
     return origin
   }
 
-  async function askHolders (stream: StreamId, timeout: Milliseconds, signal: AbortSignal): Promise<StreamOrigin | undefined> {
+  async function askStore (stream: StreamId): Promise<StreamOrigin> {
+    await checkpoints.refresh()
+    const origin = records.find(stream, clock.now())
+    if (origin === undefined) throw new Error('the store does not know the stream')
+    return origin
+  }
+
+  async function askOthers (stream: StreamId, { timeout, asksStore }: OriginSearch, signal: AbortSignal): Promise<StreamOrigin | undefined> {
     const call = startCallTimeout(timeout, signal)
     const answers = holderAddresses(stream, ASKED_HOLDERS).map((address) => ask(address, stream, call.signal))
+    if (asksStore) answers.push(untilAborted(askStore(stream), call.signal))
     // Answers that do not know the stream, and holders that are gone, leave its origin unknown, which the caller of `find` logs.
     const origin = await Promise.any(answers).catch(() => undefined)
     call.end()
@@ -73,16 +97,28 @@
     return origin
   }
 
+  function replicate (stream: StreamId, origin: StreamOrigin): void {
+    records.put(stream, origin, clock.now())
+    for (const address of holderAddresses(stream, RECORD_HOLDERS)) feeds.send(address, { stream, origin })
+  }
+
+  /** Streams whose origin other nodes cannot infer. It could be inferred of some until another version came. */
+  function recordedStreams (): ReadonlyMap<StreamId, StreamOrigin> {
+    const now = clock.now()
+    for (const [stream, origin] of openStreams.takeDue(now)) replicate(stream, origin)
+    return openStreams.recorded(now)
+  }
+
   return {
-    began: (stream, origin) => {
+    began: (stream, opened) => {
       if (stream.length > MAX_STREAM_ID_LENGTH) return
-      records.put(stream, origin, clock.now())
-      for (const address of holderAddresses(stream, RECORD_HOLDERS)) feeds.send(address, { stream, origin })
+      if (openStreams.begin(stream, opened)) replicate(stream, opened.origin)
     },
-    find: async (stream, timeout, signal) => {
+    find: async (stream, search, signal) => {
       if (stream.length > MAX_STREAM_ID_LENGTH) return undefined
-      return records.find(stream, clock.now()) ?? askHolders(stream, timeout, signal)
+      return records.find(stream, clock.now()) ?? askOthers(stream, search, signal)
     },
+    isRecorded: checkpoints.isRecorded,
     size: records.size,
     close: feeds.close,
     answers: {
@@ -91,3 +127,11 @@
     }
   }
 }
+
+/** Settles as the promise does, or rejects once the signal aborts. */
+function untilAborted<Value> (promise: Promise<Value>, signal: AbortSignal): Promise<Value> {
+  return new Promise((resolve, reject) => {
+    const stopListening = onAbort(signal, () => reject(signal.reason))
+    promise.then(resolve, reject).finally(stopListening)
+  })
+}
--- a/src/gateway/stream-resumption.ts
+++ b/src/gateway/stream-resumption.ts
@@ -6,6 +6,7 @@
 import { refusal } from './acceptance.js'
 import type { AcceptedRequest } from './acceptance.js'
 import type { GatewayContext } from './context.js'
+import type { OriginSearch } from './stream-origins.js'
 
 /** `Retry-After` of a stream that cannot go on here. Short, since another node may know its origin. */
 const RESUME_RETRY_AFTER: Milliseconds = 100
@@ -25,7 +26,7 @@
  * Age of the view of upstreams up to which an origin is inferred, as a multiple of the age up to which none is recorded. A node
  * with an older view records the origins of its streams, so views that differ a little in age leave no gap.
  */
-const MAX_INFERENCE_AGE_FACTOR = 2
+export const MAX_INFERENCE_AGE_FACTOR = 2
 
 /**
  * Finds the origin of a stream that its caller resumes.
@@ -39,8 +40,8 @@
   const { head, route } = accepted
   if (head.lastEvent === undefined || route.kind !== 'stream') return undefined
   const inferred = inferOrigin(context, accepted, MAX_INFERENCE_AGE_FACTOR * context.settings.bounds.upstreamDrain)
-  const askTimeout = inferred === undefined ? ASK_TIMEOUT : CONFIRMATION_TIMEOUT
-  const recorded = head.resumes === undefined ? undefined : await context.streamOrigins.find(head.resumes, askTimeout, signal)
+  const search: OriginSearch = inferred === undefined ? { timeout: ASK_TIMEOUT, asksStore: true } : { timeout: CONFIRMATION_TIMEOUT, asksStore: false }
+  const recorded = head.resumes === undefined ? undefined : await context.streamOrigins.find(head.resumes, search, signal)
   const origin = recorded ?? inferred
   if (origin === undefined) throw resumeRefusal(context, accepted, 'unknown')
   if (!route.destinations.some(({ service }) => service === origin.service)) throw resumeRefusal(context, accepted, 'elsewhere', origin)
@@ -67,7 +68,7 @@
  * Whether the origin of a stream must be recorded because other nodes cannot infer it.
  *
  * @example
- * if (needsOriginRecord(context, accepted)) context.streamOrigins.began(accepted.head.id, origin)
+ * context.streamOrigins.began(stream, { origin, until, isInferable: () => !needsOriginRecord(context, accepted) })
  */
 export function needsOriginRecord (context: GatewayContext, accepted: AcceptedRequest): boolean {
   return accepted.route.resumable && inferOrigin(context, accepted, context.settings.bounds.upstreamDrain) === undefined
--- a/src/gateway/upstream-choice.ts
+++ b/src/gateway/upstream-choice.ts
@@ -34,10 +34,21 @@
 }
 
 /** Upstreams that the versions of the service allow: a stream that has begun stays at its version, and a roll-out selects those of other requests. */
-function admittedUpstreams ({ rollouts }: GatewayContext, proxied: ProxiedRequest, present: readonly UpstreamRecord[]): readonly UpstreamRecord[] {
+function admittedUpstreams (context: GatewayContext, proxied: ProxiedRequest, present: readonly UpstreamRecord[]): readonly UpstreamRecord[] {
+  const { rollouts } = context
   const { service, tried, progress } = proxied
   if (progress.version !== undefined) return present.filter((upstream) => canContinue(proxied, upstream) && rollouts.roleOf(upstream) !== 'avoided')
   proxied.side ??= rollouts.side(service)
   // A request that failed at the version being rolled out is retried at the version that already serves.
-  return rollouts.admit(service, tried.size === 0 ? proxied.side : 'serving', present)
+  return recordedFirst(context, proxied, rollouts.admit(service, tried.size === 0 ? proxied.side : 'serving', present))
+}
+
+/**
+ * Failure guarded against: streams begin at a version of which the store knows nothing, all nodes are killed, and their successors take
+ * another version for the only one. Where no version is known to the store, it may not take writes, and streams begin all the same.
+ */
+function recordedFirst ({ streamOrigins }: GatewayContext, { accepted, service }: ProxiedRequest, admitted: readonly UpstreamRecord[]): readonly UpstreamRecord[] {
+  if (!accepted.route.resumable) return admitted
+  const recorded = admitted.filter(({ version }) => streamOrigins.isRecorded(service, version))
+  return recorded.length > 0 ? recorded : admitted
 }
--- /dev/null
+++ b/src/gateway/version-watch.ts
@@ -0,0 +1,74 @@
+/** Follows the versions of the services' upstreams in the registry. */
+import type { Clock, Milliseconds } from '../clock.js'
+import type { UpstreamRecord } from '../placement/index.js'
+import { createServiceVersions } from '../stream-origins/index.js'
+import type { ServiceVersions, VersionFacts, VersionsByService } from '../stream-origins/index.js'
+import type { PrefixSubscription } from './follow.js'
+
+/** Versions of the services' upstreams, as this node knows them. */
+export interface VersionWatch extends Pick<ServiceVersions, 'recalled'> {
+  /** The registry has delivered this record. */
+  seen (record: UpstreamRecord): void
+  /** Begins to take the age of the view of upstreams from this subscription. */
+  follow (subscription: PrefixSubscription): void
+  /**
+   * Checks the age of the view of upstreams. To be called regularly.
+   *
+   * @returns whether the registry is followed; if not, versions may come and go unseen
+   */
+  update (): boolean
+  /** Whether all versions are known at which a stream that is still resumed may have begun. */
+  isComplete (): boolean
+  recent (): VersionsByService
+  /** The only version of a service; undefined if there may be several, or if the view of upstreams is older than `maxAge`. */
+  only (service: string, maxAge: Milliseconds): string | undefined
+  facts (service: string): VersionFacts
+  /** Time since the store last confirmed the view of upstreams; undefined before the first time. */
+  viewAge (): Milliseconds | undefined
+}
+
+/** Options of {@link createVersionWatch}. */
+export interface VersionWatchOptions {
+  readonly clock: Clock
+  /** Age of the view of upstreams from which on the registry counts as not followed. */
+  readonly maxAge: Milliseconds
+}
+
+/**
+ * Creates a watch that has seen no version.
+ *
+ * @example
+ * const versions = createVersionWatch({ clock, maxAge: 4 * SECOND })
+ * versions.follow(subscription)
+ */
+export function createVersionWatch ({ clock, maxAge }: VersionWatchOptions): VersionWatch {
+  const versions = createServiceVersions()
+  let subscription: PrefixSubscription | undefined
+  let isFollowed = false
+
+  function viewAge (): Milliseconds | undefined {
+    const contactAt = subscription?.lastContactAt()
+    return contactAt === undefined ? undefined : Math.round(clock.now() - contactAt)
+  }
+
+  function isFresh (limit: Milliseconds): boolean {
+    return (viewAge() ?? Infinity) <= limit
+  }
+
+  return {
+    seen: ({ service, version }) => versions.seen(service, version, clock.now()),
+    follow: (followed) => { subscription = followed },
+    update: () => {
+      const wasFollowed = isFollowed
+      isFollowed = isFresh(maxAge)
+      if (wasFollowed && !isFollowed) versions.interrupted()
+      return isFollowed
+    },
+    recalled: versions.recalled,
+    isComplete: () => versions.isComplete(clock.now()),
+    recent: () => versions.recent(clock.now()),
+    only: (service, limit) => isFresh(limit) ? versions.only(service, clock.now()) : undefined,
+    facts: (service) => versions.facts(service, clock.now()),
+    viewAge
+  }
+}
--- /dev/null
+++ b/src/stream-origins/open-streams.ts
@@ -0,0 +1,65 @@
+/** Streams of one node whose callers may still resume them. */
+import type { Milliseconds } from '../clock.js'
+import { evictOldest } from '../evict-oldest.js'
+import type { StreamId, StreamOrigin } from './types.js'
+
+/** A stream that has begun at this node, or went on here. */
+export interface OpenStream {
+  readonly origin: StreamOrigin
+  /** Time limit of its request. Its caller does not come back after it. */
+  readonly until: Milliseconds
+  /** Whether other nodes can infer its origin now. */
+  readonly isInferable: () => boolean
+}
+
+/** Streams of one node. */
+export interface OpenStreams {
+  /** @returns whether the origin must be recorded now */
+  begin (stream: StreamId, opened: OpenStream): boolean
+  /** Streams whose origin could be inferred until now, and must be recorded from now on. */
+  takeDue (now: Milliseconds): ReadonlyMap<StreamId, StreamOrigin>
+  /** Streams whose origin is recorded. */
+  recorded (now: Milliseconds): ReadonlyMap<StreamId, StreamOrigin>
+}
+
+const MAX_STREAMS = 2_000
+
+interface KnownStream extends OpenStream {
+  isRecorded: boolean
+}
+
+/**
+ * Creates an empty set of streams.
+ *
+ * @example
+ * const streams = createOpenStreams()
+ * streams.begin('9c41d07be2a35f68', { origin: { service: 'plans', version: 'v2' }, until: limit.end, isInferable: () => false })
+ */
+export function createOpenStreams (): OpenStreams {
+  const streams = new Map<StreamId, KnownStream>()
+
+  function select (now: Milliseconds, isSelected: (known: KnownStream) => boolean): Map<StreamId, StreamOrigin> {
+    const selected = new Map<StreamId, StreamOrigin>()
+    for (const [stream, known] of streams) {
+      if (known.until <= now) streams.delete(stream)
+      else if (isSelected(known)) selected.set(stream, known.origin)
+    }
+    return selected
+  }
+
+  return {
+    begin: (stream, opened) => {
+      const isRecorded = !opened.isInferable()
+      streams.delete(stream)
+      streams.set(stream, { ...opened, isRecorded })
+      evictOldest(streams, MAX_STREAMS)
+      return isRecorded
+    },
+    takeDue: (now) => {
+      const due = select(now, ({ isRecorded, isInferable }) => !isRecorded && !isInferable())
+      for (const stream of due.keys()) streams.get(stream)!.isRecorded = true
+      return due
+    },
+    recorded: (now) => select(now, ({ isRecorded }) => isRecorded)
+  }
+}
--- a/stand-ins/machines/deployment.ts
+++ b/stand-ins/machines/deployment.ts
@@ -51,6 +51,8 @@
   readonly api: string
   /** Seed of its random numbers. */
   readonly seed: number
+  /** Whether a node of this name ran before. */
+  readonly isRestart?: boolean
   readonly bounds?: NodeBounds
 }
 
@@ -69,11 +71,12 @@
   const api = await serveDutyApi(clock, createRandom(2))
   const lines: Record<string, unknown>[] = []
   const closeActions: (() => Promise<unknown>)[] = []
-  let startedNodes = 0
+  const startedNames: string[] = []
 
   function createOptions (name: string): NodeOptions {
-    startedNodes += 1
-    return { name, store: store.address, api: api.address, seed: startedNodes, bounds }
+    const isRestart = startedNames.includes(name)
+    startedNames.push(name)
+    return { name, store: store.address, api: api.address, seed: startedNames.length, isRestart, bounds }
   }
 
   async function startNodeWithPaths (name: string, pathTo: (address: string) => string): Promise<GatewayNode> {
@@ -140,13 +143,13 @@
   }
 }
 
-function createSettings ({ name, store, api, bounds }: NodeOptions): GatewaySettings {
+function createSettings ({ name, store, api, isRestart = false, bounds }: NodeOptions): GatewaySettings {
   return gatewaySettingsSchema.parse({
     nodeName: name,
     ip: '127.0.0.1',
     zone: 'zone-a',
     internalPorts: [0, 0],
-    bootstrap: true,
+    bootstrap: !isRestart,
     zones: { 'zone-a': 'region' },
     listen: { front: '127.0.0.1:0', ready: '127.0.0.1:0', directory: '127.0.0.1:0' },
     limits: { memoryMb: 350, maxFds: 4_100 },
--- a/test/stream-origins/stream-origins.test.ts
+++ b/test/stream-origins/stream-origins.test.ts
@@ -71,12 +71,37 @@
 })
 
 describe('the versions of a service', () => {
-  it('leave a single one only after three seconds without another', () => {
+  // Guards against a node that has just started and takes the only version that it sees for the only one that there was.
+  it('leave a single one only after watching for as long as streams are resumed', () => {
     const versions = createServiceVersions()
     versions.seen('plans', 'v1', 0)
-    assert.equal(versions.only('plans', 2 * SECOND), undefined)
-    assert.equal(versions.only('plans', 3 * SECOND), 'v1')
-    assert.equal(versions.only('other', 3 * SECOND), undefined)
+    versions.seen('plans', 'v1', 29 * SECOND)
+    assert.equal(versions.only('plans', 29 * SECOND), undefined)
+    assert.equal(versions.only('plans', 30 * SECOND), 'v1')
+    assert.equal(versions.only('other', 30 * SECOND), undefined)
+  })
+
+  it('leave a single one at once where complete checkpoints name no other', () => {
+    const versions = createServiceVersions()
+    versions.recalled({ plans: ['v1'], bookings: ['v1', 'v2'] }, true, 0)
+    assert.equal(versions.only('plans', 1), 'v1')
+    assert.equal(versions.only('bookings', 1), undefined)
+    versions.seen('plans', 'v2', 2)
+    assert.equal(versions.only('plans', 2), undefined)
+    assert.deepEqual(versions.recent(2), { bookings: ['v1', 'v2'], plans: ['v1', 'v2'] })
+  })
+
+  // Guards against versions that come and go while the registry is not followed.
+  it('leave none after checkpoints that are not complete, or after an interruption, until they have been watched for long enough', () => {
+    const versions = createServiceVersions()
+    versions.recalled({ plans: ['v1'] }, false, 0)
+    assert.equal(versions.only('plans', 1), undefined)
+    versions.recalled({}, true, 2)
+    versions.interrupted()
+    versions.seen('plans', 'v1', 3)
+    assert.equal(versions.only('plans', 29 * SECOND), undefined)
+    versions.seen('plans', 'v1', 31 * SECOND)
+    assert.equal(versions.only('plans', 31 * SECOND), 'v1')
   })
 
   it('count for half a minute after the last heartbeat of their upstreams', () => {
