A version counts for as long as upstreams of it serve

What callers could see: with two versions in service and nothing that changes in the registry for half a minute, an upstream of one version starts again; streams of the other one whose record is gone are taken up at it (ORDER).

Cause: a version was seen when the registry delivered a record, and forgotten 30 s later.

Change: what the registry shows is taken at each update of the checkpoints, as long as the registry is followed.

Test, red before: "name a version for as long as upstreams of it serve" (the version of the upstream that came again was the only one).

--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -142,7 +142,7 @@
   const speeds = createEngineSpeeds()
   const quotas = createQuotaLimiter(random, bounds.quotaMargin)
   const quarantine = createQuarantine()
-  const versions = createVersionWatch({ clock, maxAge: MAX_INFERENCE_AGE_FACTOR * bounds.upstreamDrain })
+  const versions = createVersionWatch({ clock, present: upstreams.all, maxAge: MAX_INFERENCE_AGE_FACTOR * bounds.upstreamDrain })
   const usage = createUsageWindows(bounds.usageWindow)
   const sums = createRequestSums(clock.now())
   const work = createWorkMeter()
--- a/src/gateway/version-watch.ts
+++ b/src/gateway/version-watch.ts
@@ -12,7 +12,7 @@
   /** Begins to take the age of the view of upstreams from this subscription. */
   follow (subscription: PrefixSubscription): void
   /**
-   * Checks the age of the view of upstreams. To be called regularly.
+   * Takes what the registry shows now. To be called regularly.
    *
    * @returns whether the registry is followed; if not, versions may come and go unseen
    */
@@ -30,6 +30,8 @@
 /** Options of {@link createVersionWatch}. */
 export interface VersionWatchOptions {
   readonly clock: Clock
+  /** All upstreams in the registry. */
+  readonly present: () => readonly UpstreamRecord[]
   /** Age of the view of upstreams from which on the registry counts as not followed. */
   readonly maxAge: Milliseconds
 }
@@ -38,10 +40,10 @@
  * Creates a watch that has seen no version.
  *
  * @example
- * const versions = createVersionWatch({ clock, maxAge: 4 * SECOND })
+ * const versions = createVersionWatch({ clock, present: upstreams.all, maxAge: 4 * SECOND })
  * versions.follow(subscription)
  */
-export function createVersionWatch ({ clock, maxAge }: VersionWatchOptions): VersionWatch {
+export function createVersionWatch ({ clock, present, maxAge }: VersionWatchOptions): VersionWatch {
   const versions = createServiceVersions()
   let subscription: PrefixSubscription | undefined
   let isFollowed = false
@@ -62,6 +64,7 @@
       const wasFollowed = isFollowed
       isFollowed = isFresh(maxAge)
       if (wasFollowed && !isFollowed) versions.interrupted()
+      if (isFollowed) for (const { service, version } of present()) versions.seen(service, version, clock.now())
       return isFollowed
     },
     recalled: versions.recalled,
--- a/test/gateway/origin-checkpoints.test.ts
+++ b/test/gateway/origin-checkpoints.test.ts
@@ -8,7 +8,6 @@
 import { createVersionWatch } from '../../src/gateway/version-watch.js'
 import type { VersionWatch } from '../../src/gateway/version-watch.js'
 import { createRandom } from '../../src/random.js'
-import { repeat } from '../../src/repeat.js'
 import { createOriginRecords } from '../../src/stream-origins/index.js'
 import type { OriginRecords, StreamId, StreamOrigin } from '../../src/stream-origins/index.js'
 import { createFaultSwitch } from '../../stand-ins/faults.js'
@@ -47,13 +46,13 @@
     started += 1
     const controller = new AbortController()
     const keyValue = createDirectKeyValue(store, faultSwitch, clock)
-    const versions = createVersionWatch({ clock, maxAge: VIEW_AGE })
+    const upstreams = (): readonly ReturnType<typeof upstreamRecord>[] => member.present.map((version) => upstreamRecord(version, { service: SERVICE, version }))
+    const versions = createVersionWatch({ clock, present: upstreams, maxAge: VIEW_AGE })
     versions.follow({ lastContactAt: () => isFollowing ? clock.now() : undefined })
     const records = createOriginRecords()
     const streams = new Map<StreamId, StreamOrigin>()
     const context = { store: keyValue, clock, random: createRandom(started), log: { info: add, warn: add, error: add }, signal: controller.signal }
     const member: Member = { versions, streams, records, present, kill: () => controller.abort(), checkpoints: undefined as unknown as OriginCheckpoints }
-    repeat({ clock, log: context.log, signal: controller.signal }, 'registry', SECOND, () => { for (const version of member.present) versions.seen(upstreamRecord(version, { service: SERVICE, version })) })
     return Object.assign(member, { checkpoints: createOriginCheckpoints({ context, incarnation: `node-${started}`, firstStart, streams: () => streams, records, versions, nodeCount: () => nodeCount, storeWriteRate, onRecorded: () => {} }) })
   }
 
@@ -101,6 +100,16 @@
     assert.equal(only(third), undefined)
   })
 
+  // Guards against streams of two versions: upstreams that serve on, of which nothing changes in the registry, are forgotten beside one that has just started.
+  it('name a version for as long as upstreams of it serve', async () => {
+    const { clock, start } = createNodes()
+    const node = start(true, ['v1', 'v2'])
+    await clock.advance(SETTLED)
+    await clock.advance(60 * SECOND)
+    node.versions.seen(upstreamRecord('again', { service: SERVICE, version: 'v1' }))
+    assert.equal(only(node), undefined)
+  })
+
   // Guards against an empty store that is taken for a system without a past.
   it('that are missing leave the past unknown, unless the system starts for the first time', async () => {
     const { clock, start } = createNodes()
