Checkpoints hold streams in progress only, and are written four times a second

A stream that has been sent as a whole is kept for one second, for callers whose last events are lost on the way.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -293,16 +293,21 @@
   if (events > 0) context.crashes.survived(proxied.accepted.head.sharedParts, firstEventAt)
   if (attempt.isWholeRun) recordSlotTime(context, proxied, attempt.choice.reading + context.clock.now() - firstEventAt)
   response.end()
+  context.streamOrigins.ended(streamIdOf(proxied))
   return { kind: 'done', outcome: 'served' }
 }
 
 /** From its first event on, the stream continues at this version only. */
-function recordOrigin (context: GatewayContext, { accepted, service, limit, progress }: ProxiedRequest, { version }: UpstreamRecord): void {
-  const { head, route } = accepted
+function recordOrigin (context: GatewayContext, proxied: ProxiedRequest, { version }: UpstreamRecord): void {
+  const { accepted, service, limit, progress } = proxied
   progress.version = version
-  if (!route.resumable) return
-  const stream = (head.lastEvent === undefined ? undefined : head.resumes) ?? head.id
-  context.streamOrigins.began(stream, { origin: { service, version }, until: limit.end, isInferable: () => !needsOriginRecord(context, accepted) })
+  if (!accepted.route.resumable) return
+  context.streamOrigins.began(streamIdOf(proxied), { origin: { service, version }, until: limit.end, isInferable: () => !needsOriginRecord(context, accepted) })
+}
+
+/** Id by which the caller names the stream when it takes it up: that of the attempt that brought the first event. */
+function streamIdOf ({ accepted: { head } }: ProxiedRequest): string {
+  return (head.lastEvent === undefined ? undefined : head.resumes) ?? head.id
 }
 
 /**
--- a/src/gateway/origin-checkpoints.ts
+++ b/src/gateway/origin-checkpoints.ts
@@ -46,7 +46,7 @@
 export const CHECKPOINT_PREFIX = 'hornbeamgap/stream-origins/'
 
 /** Period at which checkpoints are compared with what this node knows. Streams that began later are lost with all nodes. */
-const UPDATE_PERIOD: Milliseconds = 400
+const UPDATE_PERIOD: Milliseconds = 250
 
 /** Part of the store's rate of writes that the checkpoints of all nodes may take together. */
 const WRITE_SHARE = 1 / 4
--- a/src/gateway/stream-origins.ts
+++ b/src/gateway/stream-origins.ts
@@ -21,6 +21,8 @@
 export interface StreamOrigins {
   /** Keeps the origin of a stream of which this node is about to relay the first event, or the first one since its caller took it up. */
   began (stream: StreamId, opened: OpenStream): void
+  /** The whole stream has been sent. */
+  ended (stream: StreamId): void
   /** @returns the origin of a stream as this node, a holder or the store knows it; undefined if none does */
   find (stream: StreamId, search: OriginSearch, signal: AbortSignal): Promise<StreamOrigin | undefined>
   /** Whether the store knows that streams may begin at this version. */
@@ -114,6 +116,7 @@
       if (stream.length > MAX_STREAM_ID_LENGTH) return
       if (openStreams.begin(stream, opened)) replicate(stream, opened.origin)
     },
+    ended: (stream) => openStreams.end(stream, clock.now()),
     find: async (stream, search, signal) => {
       if (stream.length > MAX_STREAM_ID_LENGTH) return undefined
       return records.find(stream, clock.now()) ?? askOthers(stream, search, signal)
--- a/src/stream-origins/open-streams.ts
+++ b/src/stream-origins/open-streams.ts
@@ -1,5 +1,6 @@
 /** Streams of one node whose callers may still resume them. */
 import type { Milliseconds } from '../clock.js'
+import { SECOND } from '../clock.js'
 import { evictOldest } from '../evict-oldest.js'
 import type { StreamId, StreamOrigin } from './types.js'
 
@@ -16,6 +17,8 @@
 export interface OpenStreams {
   /** @returns whether the origin must be recorded now */
   begin (stream: StreamId, opened: OpenStream): boolean
+  /** The whole stream has been sent. Its caller comes back only if the last events are lost on their way. */
+  end (stream: StreamId, now: Milliseconds): void
   /** Streams whose origin could be inferred until now, and must be recorded from now on. */
   takeDue (now: Milliseconds): ReadonlyMap<StreamId, StreamOrigin>
   /** Streams whose origin is recorded. */
@@ -24,8 +27,13 @@
 
 const MAX_STREAMS = 2_000
 
+/** Time for which a stream that has been sent as a whole counts as open. */
+const SENT_RETENTION: Milliseconds = 1 * SECOND
+
 interface KnownStream extends OpenStream {
   isRecorded: boolean
+  /** Time until which it is open. */
+  end: Milliseconds
 }
 
 /**
@@ -41,7 +49,7 @@
   function select (now: Milliseconds, isSelected: (known: KnownStream) => boolean): Map<StreamId, StreamOrigin> {
     const selected = new Map<StreamId, StreamOrigin>()
     for (const [stream, known] of streams) {
-      if (known.until <= now) streams.delete(stream)
+      if (known.end <= now) streams.delete(stream)
       else if (isSelected(known)) selected.set(stream, known.origin)
     }
     return selected
@@ -51,10 +59,14 @@
     begin: (stream, opened) => {
       const isRecorded = !opened.isInferable()
       streams.delete(stream)
-      streams.set(stream, { ...opened, isRecorded })
+      streams.set(stream, { ...opened, isRecorded, end: opened.until })
       evictOldest(streams, MAX_STREAMS)
       return isRecorded
     },
+    end: (stream, now) => {
+      const known = streams.get(stream)
+      if (known !== undefined) known.end = Math.min(known.end, now + SENT_RETENTION)
+    },
     takeDue: (now) => {
       const due = select(now, ({ isRecorded, isInferable }) => !isRecorded && !isInferable())
       for (const stream of due.keys()) streams.get(stream)!.isRecorded = true
--- a/test/stream-origins/checkpoint.test.ts
+++ b/test/stream-origins/checkpoint.test.ts
@@ -32,4 +32,12 @@
     assert.equal(streams.recorded(9).size, 1)
     assert.equal(streams.recorded(10).size, 0)
   })
+
+  it('are forgotten a second after they have been sent as a whole', () => {
+    const streams = createOpenStreams()
+    streams.begin('a', { origin: first, until: 10_000, isInferable: () => false })
+    streams.end('a', 5)
+    assert.equal(streams.recorded(1_004).size, 1)
+    assert.equal(streams.recorded(1_005).size, 0)
+  })
 })
