--- a/src/gateway/origin-checkpoints.ts
+++ b/src/gateway/origin-checkpoints.ts
@@ -82,7 +82,7 @@
   const ownKey = CHECKPOINT_PREFIX + incarnation
   const unreadable = new Set<string>()
   /** Versions that a checkpoint in the store names. */
-  let recorded: VersionsByService = {}
+  const recorded = new Map<string, ReadonlySet<string>>()
   let lease: Lease | undefined
   let written: string | undefined
   let nextWriteAt = -Infinity
@@ -114,7 +114,7 @@
       if (checkpoint === undefined) continue
       isComplete ||= checkpoint.isComplete && checkpoint.epoch === currentEpoch()
       versions.recalled(checkpoint.versions, false, now)
-      for (const [service, names] of Object.entries(checkpoint.versions)) recorded = { ...recorded, [service]: [...recorded[service] ?? [], ...names] }
+      for (const [service, names] of Object.entries(checkpoint.versions)) recorded.set(service, new Set([...recorded.get(service) ?? [], ...names]))
       for (const { service, version, ids } of checkpoint.streams) {
         found += ids.length
         for (const id of ids) records.put(id, { service, version }, now)
@@ -154,10 +154,16 @@
     if (text === written) return
     await store.put(ownKey, text, { lease: leaseId, signal })
     written = text
-    recorded = named
+    setRecorded(named)
     options.onRecorded()
   }
 
+  /** Versions that this checkpoint no longer names may have left the others as well. */
+  function setRecorded (named: VersionsByService): void {
+    recorded.clear()
+    for (const [service, names] of Object.entries(named)) recorded.set(service, new Set(names))
+  }
+
   /** Shortest time between two writes, so that those of all nodes stay within their share of the rate. */
   function writePeriod (): Milliseconds {
     return options.nodeCount() * SECOND / (options.storeWriteRate * WRITE_SHARE)
@@ -192,6 +198,6 @@
 
   return {
     refresh,
-    isRecorded: (service, version) => recorded[service]?.includes(version) === true
+    isRecorded: (service, version) => recorded.get(service)?.has(version) === true
   }
 }
