--- a/bench/main.ts
+++ b/bench/main.ts
@@ -26,6 +26,7 @@
   'dispatch-queue': () => import('./dispatch-queue.js'),
   'partial-view': () => import('./partial-view.js'),
   'crashing-parts': () => import('./crashing-parts.js'),
+  'resumed-streams': () => import('./resumed-streams.js'),
   reclaim: () => import('./reclaim.js'),
   'reclaim-notices': () => import('./reclaim-notices.js'),
   report: () => import('./report.js')
