Half an answer with an unknown transfer coding does not look whole

What callers saw: a 200 with half of the body and a length of the node's own, where an upstream sent `Transfer-Encoding: x-chunked` (or `chunked` with a tab behind it, `chunked;chunked`, `"chunked`) and closed or reset its connection within the body. With `gzip, chunked` they got the compressed bytes without the header that says so. In the product's own interface any such coding was passed on undecoded.

Cause: whether an answer tells its own end was read from its head by another rule than that of undici's parser: anything whose last word is `chunked`. The parser reads a coding that it doesn't know up to the end of the connection, and takes a reset for that end; the check of resets and of the upstream's life is made for answers without a length only, and this one counted as chunks.

Change: one rule for both, what the parser takes for chunks, alone; any other coding of a body is no answer (502, or another upstream where the request may run again). Answers without a body, as to HEAD, are not concerned.

Ruled out in the same trial (100 heads, each with FIN and RST): two lengths, a length with a coding in either order, lengths that are no number or too large, line ends without CR, folded lines: broken off before, too.

Tests, red before: "rejects an answer with any transfer coding but chunks" (x-chunked was answered; replaces the one for gzip, which it includes), "fails if it has a transfer coding but chunks" for both kinds of connections of plain services (missing rejection).

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -11,7 +11,7 @@
 import type { Milliseconds } from '../clock.js'
 import type { UpstreamRecord } from '../placement/index.js'
 import { createAnswerReading, isNoAnswer } from '../protocols/answer-reading.js'
-import { connectionFailure, hasFraming } from '../protocols/http.js'
+import { connectionFailure, hasFraming, hasOtherCoding } from '../protocols/http.js'
 import { addressSchema } from '../identifiers.js'
 import type { AnswerHead, Headers, RequestFormat } from './ports.js'
 import { isRelayLost } from './tunnel-frames.js'
@@ -148,7 +148,7 @@
           isStarted = true
           isFramed = hasFraming(request.method, status, headers)
           const answer: UpstreamAnswer = { status, headers, body: incoming.body, isFramed }
-          const result = classifyAnswer(request.id, answer, head)
+          const result = classifyAnswer(request, answer, head)
           if (result.kind === 'broken') answer.body.destroy()
           if (result.kind === 'not-run') drainBody(answer)
           resolve(result)
@@ -231,11 +231,11 @@
  * answer to the next request on the same connection. Answers carry the id of their request, which reveals the mismatch.
  * The connection is then closed, and the request sent on it is treated as one that may have run.
  */
-function classifyAnswer (id: string, answer: UpstreamAnswer, head: AnswerHead): ExchangeStart {
+function classifyAnswer ({ id, method }: UpstreamRequest, answer: UpstreamAnswer, head: AnswerHead): ExchangeStart {
   if (head.id !== undefined && head.id !== id) return invalidAnswer('the answer belongs to another request')
   if (head.notRun) return { kind: 'not-run', reason: notRunReason(answer.status) }
   if (head.id === undefined) return invalidAnswer('the answer names no request')
-  if (!answer.isFramed && answer.headers['transfer-encoding'] !== undefined) return invalidAnswer('the answer has a transfer coding that is not passed on')
+  if (hasOtherCoding(method, answer.status, answer.headers)) return invalidAnswer('the answer has a transfer coding that is not passed on')
   return { kind: 'answered', answer }
 }
 
--- a/src/protocols/http.ts
+++ b/src/protocols/http.ts
@@ -44,6 +44,9 @@
 /** Largest size of a response's body in bytes, where none is given. Changes of the platform's store may come many at a time. */
 const MAX_BODY_BYTES = 67_108_864
 
+/** The coding that undici's parser takes for chunks, alone. Several headers are joined by commas. */
+const CHUNKED = /^chunked *$/i
+
 const NO_CONTENT = 204
 const NOT_MODIFIED = 304
 
@@ -166,8 +169,27 @@
  * hasFraming('GET', 200, { connection: 'close' }) // false
  */
 export function hasFraming (method: string, status: number, headers: Readonly<Record<string, string | string[] | undefined>>): boolean {
-  if (method === 'HEAD' || status === NO_CONTENT || status === NOT_MODIFIED) return true
-  return headers['content-length'] !== undefined || /\bchunked\s*$/i.test(String(headers['transfer-encoding'] ?? ''))
+  if (isBodiless(method, status)) return true
+  return headers['content-length'] !== undefined || (headers['transfer-encoding'] !== undefined && !hasOtherCoding(method, status, headers))
+}
+
+/**
+ * Whether the body of an answer has a transfer coding other than chunks alone, which is not decoded.
+ *
+ * Failure guarded against: half an answer with the coding `x-chunked` looks whole. Undici's parser reads any coding that it does not
+ * recognise as chunks, such as `chunked` with a tab behind it, up to the end of the connection. Here it counted as chunks, whose end the parser
+ * had seen. So only what that parser takes for chunks is one, see {@link CHUNKED}.
+ *
+ * @example
+ * hasOtherCoding('GET', 200, { 'transfer-encoding': 'gzip, chunked' }) // true
+ */
+export function hasOtherCoding (method: string, status: number, headers: Readonly<Record<string, string | string[] | undefined>>): boolean {
+  const coding = headers['transfer-encoding']
+  return coding !== undefined && !isBodiless(method, status) && !CHUNKED.test(String(coding))
+}
+
+function isBodiless (method: string, status: number): boolean {
+  return method === 'HEAD' || status === NO_CONTENT || status === NOT_MODIFIED
 }
 
 /**
--- a/src/protocols/plain-service.ts
+++ b/src/protocols/plain-service.ts
@@ -4,7 +4,7 @@
 import type { Address } from '../identifiers.js'
 import type { PlainCall, PlainResponse } from '../request/index.js'
 import { ServingError } from '../verdict.js'
-import { hasFraming, readBytes, send } from './http.js'
+import { hasFraming, hasOtherCoding, readBytes, send } from './http.js'
 import type { Connections, HttpResponse } from './http.js'
 import { acceptsConnections } from './plain-connections.js'
 
@@ -42,6 +42,10 @@
     idleTimeout: PLAIN_IDLE_TIMEOUT,
     signal: options.signal
   })
+  if (hasOtherCoding(call.method, response.statusCode, response.headers)) {
+    response.body.destroy()
+    throw new ServingError(`${address}: the response has a transfer coding that is not read`, { code: 'upstream-failed', verdict: 'may-have-run' })
+  }
   const body = await readBytes(response, address, MAX_RESPONSE_BYTES)
   if (!hasFraming(call.method, response.statusCode, response.headers) && !await acceptsConnections(address)) throw new ServingError(`${address}: the service ended with its answer`, { code: 'connection-lost', verdict: 'may-have-run' })
   if (refusedBeforeRunning(response, body)) {
--- a/test/gateway/exchange.test.ts
+++ b/test/gateway/exchange.test.ts
@@ -82,9 +82,16 @@
     }
   })
 
-  it('rejects an answer with a transfer coding that is not passed on', async () => {
-    const otherCoding = await exchangeWith((socket) => { socket.end(unframedHead.replace('Connection: close', 'Connection: close\r\nTransfer-Encoding: gzip')) })
-    assert.equal(otherCoding.kind, 'broken')
+  // Guards against half an answer that looks whole: its transfer coding ends with `chunked` and is another one for the parser, for which the end
+  // or the reset of the connection then ends the answer.
+  it('rejects an answer with any transfer coding but chunks', async () => {
+    for (const coding of ['gzip', 'x-chunked', 'gzip, chunked', 'chunked, chunked', 'chunked\t', 'chunked;chunked', '"chunked', 'gzip\r\nTransfer-Encoding: chunked']) {
+      const head = unframedHead.replace('Connection: close', `Transfer-Encoding: ${coding}`)
+      for (const end of [(socket: Socket) => socket.end(), (socket: Socket) => socket.resetAndDestroy()]) {
+        const { kind } = await exchangeWith((socket) => { socket.write(head, () => end(socket)) })
+        assert.equal(kind, 'broken', coding)
+      }
+    }
   })
 
   it('accepts an answer of the announced length, and fails if it ends early', async () => {
--- a/test/protocols/plain-service.test.ts
+++ b/test/protocols/plain-service.test.ts
@@ -62,5 +62,12 @@
         socket.destroy()
       }), { code: 'connection-lost', verdict: 'may-have-run' })
     })
+
+    // Guards against bytes that are not the body: their transfer coding is not one that is read, and is not told to the caller either.
+    it(`fails if it has a transfer coding but chunks (${kind})`, async () => {
+      for (const coding of ['gzip', 'x-chunked', 'chunked\t']) {
+        await assert.rejects(callEnding((socket) => socket.end(), `HTTP/1.1 200 OK\r\nTransfer-Encoding: ${coding}\r\n\r\n`), { code: 'upstream-failed', verdict: 'may-have-run' }, coding)
+      }
+    })
   }
 })
