Half a stream is reset where its caller knows no chunks

What callers saw: one that asks by HTTP/1.0 gets the first events of a stream whose upstream breaks it off, and an orderly end of its connection, which for it is the end of the whole stream.

Cause: an answer that has begun and fails is ended by `response.destroy()`, which closes the connection in the usual way. Within chunks or a length that is visible. A caller of HTTP/1.0 gets no chunks, and node:http then lets the end of the connection end the answer.

Change: such an answer is ended by a reset. Answers in chunks are ended as before: a reset would drop what the kernel has not sent yet.

Test, red before ("ended" instead of ECONNRESET): "is reset if its upstream breaks it off, where the caller knows no chunks".

--- a/src/gateway/answering.ts
+++ b/src/gateway/answering.ts
@@ -1,6 +1,7 @@
 /** Answers to callers that are sent whole: those of upstreams, and failures. */
 import type { ServerResponse } from 'node:http'
 import type { Milliseconds } from '../clock.js'
+import { resetConnection } from '../connection-reset.js'
 import { ServingError, httpStatusOf } from '../verdict.js'
 import type { FailureCode } from '../verdict.js'
 import type { RequestFormat } from './ports.js'
@@ -39,17 +40,14 @@
 
 /**
  * Answers with a failure. If the headers have already been sent, the status can no longer be changed. The connection is
- * then destroyed, so that the caller does not take a truncated answer for a complete one.
+ * then ended within the answer, so that the caller does not take a truncated answer for a complete one.
  *
  * @param id of the request, if it has one
  * @example
  * answerFailure(response, format, id, refusal('overloaded', 'all upstreams are busy', 200))
  */
 export function answerFailure (response: ServerResponse, format: RequestFormat, id: string | undefined, failure: ServingError): void {
-  if (response.headersSent) {
-    response.destroy()
-    return
-  }
+  if (response.headersSent) return breakOff(response)
   const body = Buffer.from(JSON.stringify({ error: { message: failure.message, type: failure.code, verdict: failure.verdict } }))
   const headers = [...format.ownHeaders(id), 'content-type', 'application/json', 'content-length', String(body.length)]
   if (failure.retryAfter !== undefined) headers.push('retry-after', retryAfterSeconds(failure.retryAfter))
@@ -58,6 +56,15 @@
   response.end(body)
 }
 
+/**
+ * Failure guarded against: a caller of HTTP/1.0 gets streams without chunks, and the end of its connection ends them. Half of one would
+ * look whole, so that its connection is reset.
+ */
+function breakOff (response: ServerResponse): void {
+  if (response.chunkedEncoding || response.socket === null) response.destroy()
+  else resetConnection(response.socket)
+}
+
 /**
  * The statuses 408, 421, 429 and 503 promise that the request was not run. A request that may have run gets 502
  * instead.
--- a/test/gateway/lengthless-answers.test.ts
+++ b/test/gateway/lengthless-answers.test.ts
@@ -1,14 +1,17 @@
 /** Answers with neither a length nor chunks, as callers receive them. */
 import assert from 'node:assert/strict'
 import { once } from 'node:events'
-import { connect } from 'node:net'
+import { connect, createServer } from 'node:net'
+import type { Server } from 'node:net'
 import { after, before, describe, it } from 'node:test'
 import { createSystemClock } from '../../src/clock.js'
+import { hasBeenReset, RESET_CODE } from '../../src/connection-reset.js'
 import type { GatewayNode } from '../../src/gateway/node.js'
 import { createMachineDeployment } from '../../stand-ins/machines/deployment.js'
 import type { MachineDeployment } from '../../stand-ins/machines/deployment.js'
 import { serveUpstream } from '../../stand-ins/machines/upstream.js'
 import type { UpstreamStandIn } from '../../stand-ins/machines/upstream.js'
+import { listenOnFreePort } from '../listening.js'
 
 const clock = createSystemClock()
 const HOST = 'api.example'
@@ -17,16 +20,20 @@
 /** Time without bytes after which no more are expected on a connection that stays open. */
 const SILENCE = 300
 
+/** Head and first event of a stream, which is broken off behind it. */
+const HALF_STREAM = 'HTTP/1.1 200 OK\r\nX-Hornbeamgap-Request-Id: stream\r\nX-Hornbeamgap-Server-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: x\n\n\r\n'
+
 const configuration = {
   version: 1,
-  routes: ['framed', 'lengthless'].map((service) => ({ name: service, host: HOST, prefix: `/${service}/`, kind: 'idempotent', timeoutMs: 2_000, targetLatencyMs: 500, service, maxAttempts: 2 })),
-  services: [{ name: 'framed', maxConns: 100 }, { name: 'lengthless', maxConns: 100 }]
+  routes: ['framed', 'lengthless', 'broken'].map((service) => ({ name: service, host: HOST, prefix: `/${service}/`, kind: service === 'broken' ? 'streaming' : 'idempotent', timeoutMs: 2_000, targetLatencyMs: 500, service, maxAttempts: 2 })),
+  services: ['framed', 'lengthless', 'broken'].map((name) => ({ name, maxConns: 100 }))
 }
 
 describe('an answer with neither a length nor chunks', () => {
   let deployment: MachineDeployment
   let node: GatewayNode
   let upstreams: UpstreamStandIn[]
+  let broken: Server
   let ids = 0
 
   before(async () => {
@@ -34,12 +41,18 @@
     deployment.configure(configuration)
     upstreams = await Promise.all(['framed', 'lengthless'].map((id) => serveUpstream({ id, clock, unframed: id === 'lengthless' })))
     for (const upstream of upstreams) deployment.register(upstream, { service: upstream.id })
+    broken = createServer((socket) => {
+      socket.on('error', () => {})
+      socket.once('data', () => socket.write(HALF_STREAM, () => setTimeout(() => socket.end(), POLL_INTERVAL)))
+    })
+    deployment.register({ id: 'broken', address: await listenOnFreePort(broken) }, { service: 'broken' })
     node = await deployment.startNode('node-1')
     for (const { id } of upstreams) while (!(await ask(id)).startsWith('HTTP/1.1 200 ')) await clock.sleep(POLL_INTERVAL)
   })
 
   after(async () => {
     await deployment?.close()
+    broken?.close()
     await Promise.all((upstreams ?? []).map((upstream) => upstream.close()))
   })
 
@@ -70,4 +83,22 @@
     assert.match(answer, /\r\ncontent-length: 16\r\n/i)
     assert.doesNotMatch(answer, /\r\nconnection: close\r\n/i)
   })
+
+  // Guards against half a stream that looks whole: a caller of HTTP/1.0 gets it without chunks, so that the end of its connection ends it.
+  it('is reset if its upstream breaks it off, where the caller knows no chunks', async () => {
+    const [host, port] = node.addresses.front.split(':')
+    let text = ''
+    let end = 'ended'
+    do {
+      const caller = connect(Number(port), host)
+      text = ''
+      caller.on('data', (chunk) => { text += String(chunk) })
+      caller.on('error', ({ code }: NodeJS.ErrnoException) => { end = String(code) })
+      caller.on('end', () => { if (hasBeenReset(caller)) end = RESET_CODE })
+      caller.write(`GET /broken/x HTTP/1.0\r\nhost: ${HOST}\r\nx-hornbeamgap-request-id: stream\r\nx-hornbeamgap-token-usage: 1,1\r\n\r\n`)
+      await new Promise((resolve) => caller.once('close', resolve))
+    } while (text.startsWith('HTTP/1.1 503 '))
+    assert.match(text, /^HTTP\/1.1 200 .*\r\n\r\nid: 1\ndata: x\n\n$/s)
+    assert.equal(end, RESET_CODE)
+  })
 })
