Own interface: an answer that only its connection ended is not called whole

What callers saw, in the product's own interface: a plain service that answers without a length and closes its connection behind the head or within the body, and serves on, gave a 200 with an empty or a short body, in chunks of the entry node's own and with `hornbeamgap-answer: whole`.

Cause: nothing tells such an answer from a whole one (a reset, and a service that has ended, are told already), but the entry node vouched for it.

Change: such an answer carries `hornbeamgap-answer: ended-with-connection`, also where another node forwards it. The caller decides, as by a digest of its own. Nodes of an earlier build drop the mark and say `whole`, as before; clients look only for the presence of the header.

Weighed: sending it without a length, as the gateway does. Then an entry node that is killed within it would end it in the same way, and a client that sees the broken chunks today, and asks again under its id, would take half of it for the whole. Refusing it: legitimate answers may have no length.

Test, red before ("whole"): "is not called whole if only the end of its connection ended it", for both kinds of connections, through the form in which nodes forward it.

--- a/src/caller/delivery.ts
+++ b/src/caller/delivery.ts
@@ -86,11 +86,15 @@
   }
 }
 
+/**
+ * Failure guarded against: a service breaks off a response without a length in the way in which it ends one, and the part is told to the caller
+ * as the whole. The body is sent in chunks all the same, so that the end of this node does not look like its own.
+ */
 function sendPlain (plain: PlainResponse, response: ServerResponse): void {
   const headers = new Map<string, string[]>()
   for (const [name, value] of plain.headers) headers.set(name, [...(headers.get(name) ?? []), value])
   for (const [name, values] of headers) response.setHeader(name, values.length === 1 ? values[0] as string : values)
-  response.setHeader(ANSWER_HEADER, 'whole')
+  response.setHeader(ANSWER_HEADER, plain.endedWithConnection ? 'ended-with-connection' : 'whole')
   response.writeHead(plain.status)
   response.end(Buffer.from(plain.body, 'base64'))
 }
--- a/src/peer/request.ts
+++ b/src/peer/request.ts
@@ -44,7 +44,7 @@
   z.object({ kind: z.literal('finished'), finish: z.enum(['stop', 'length']), usage: usageSchema }),
   z.object({
     kind: z.literal('plain'),
-    response: z.object({ status: z.number().int(), headers: z.array(z.tuple([z.string(), z.string()])), body: z.string() })
+    response: z.object({ status: z.number().int(), headers: z.array(z.tuple([z.string(), z.string()])), body: z.string(), endedWithConnection: z.literal(true).optional() })
   }),
   z.object({ kind: z.literal('failed'), failure: wireFailureSchema }),
   z.object({ kind: z.literal('moved'), retryAfter: z.number() }),
--- a/src/protocols/plain-service.ts
+++ b/src/protocols/plain-service.ts
@@ -47,11 +47,12 @@
     throw new ServingError(`${address}: the response has a transfer coding that is not read`, { code: 'upstream-failed', verdict: 'may-have-run' })
   }
   const body = await readBytes(response, address, MAX_RESPONSE_BYTES)
-  if (!hasFraming(call.method, response.statusCode, response.headers) && !await acceptsConnections(address)) throw new ServingError(`${address}: the service ended with its answer`, { code: 'connection-lost', verdict: 'may-have-run' })
+  const endedWithConnection = !hasFraming(call.method, response.statusCode, response.headers)
+  if (endedWithConnection && !await acceptsConnections(address)) throw new ServingError(`${address}: the service ended with its answer`, { code: 'connection-lost', verdict: 'may-have-run' })
   if (refusedBeforeRunning(response, body)) {
     throw new ServingError(`${address}: refused with status ${response.statusCode}`, { code: 'upstream-refused', verdict: 'not-run' })
   }
-  return { status: response.statusCode, headers: responseHeaders(response), body: body.toString('base64') }
+  return { status: response.statusCode, headers: responseHeaders(response), body: body.toString('base64'), ...(endedWithConnection ? { endedWithConnection } : {}) }
 }
 
 /**
--- a/src/request/answer.ts
+++ b/src/request/answer.ts
@@ -22,6 +22,8 @@
   readonly headers: readonly (readonly [string, string])[]
   /** The bytes of the body, in Base64. */
   readonly body: string
+  /** Set where the response did not tell its own end, so that a service that broke it off is not ruled out. */
+  readonly endedWithConnection?: true | undefined
 }
 
 /** What a reader receives: a token or the final event. */
--- a/test/protocols/plain-service.test.ts
+++ b/test/protocols/plain-service.test.ts
@@ -1,9 +1,14 @@
 /** Answers of plain services with neither a length nor chunks, which end with their connection, over real sockets. */
 import assert from 'node:assert/strict'
+import { createServer as createHttpServer } from 'node:http'
 import { createServer } from 'node:net'
 import type { Server, Socket } from 'node:net'
 import { afterEach, describe, it } from 'node:test'
+import { sendCompleteAnswer } from '../../src/caller/delivery.js'
+import type { AnswerSource } from '../../src/entry/answer-source.js'
+import { toAnswerPart, toForwardedPart } from '../../src/entry/forwarded.js'
 import { addressSchema } from '../../src/identifiers.js'
+import { forwardedPartSchema } from '../../src/peer/request.js'
 import { createPlainConnections } from '../../src/protocols/plain-connections.js'
 import { callPlainService } from '../../src/protocols/plain-service.js'
 import type { PlainResponse } from '../../src/request/index.js'
@@ -28,6 +33,21 @@
       return callPlainService(connections[kind], address, { method: 'GET', path: '/', headers: [], body: '' }, { signal: new AbortController().signal })
     }
 
+    /** Sends the answer to a caller of another node. @returns what the header of a service's own answer says */
+    async function markOf (response: PlainResponse): Promise<string | null> {
+      const part = toAnswerPart(forwardedPartSchema.parse(JSON.parse(JSON.stringify(toForwardedPart({ kind: 'plain', response })))) as Parameters<typeof toAnswerPart>[0])
+      const source = { read: async function * () { yield part } } as unknown as AnswerSource
+      const server = createHttpServer((_request, answer) => { sendCompleteAnswer(source, answer).catch(() => answer.destroy()) })
+      cleanups.push(() => server.close(), () => server.closeAllConnections())
+      return (await fetch(`http://${await listenOnFreePort(server)}`)).headers.get('hornbeamgap-answer')
+    }
+
+    // Guards against a part of an answer that the entry node calls whole: a service that breaks off ends its connection in the same way.
+    it(`is not called whole if only the end of its connection ended it (${kind})`, async () => {
+      assert.equal(await markOf(await callEnding((socket) => socket.end())), 'ended-with-connection')
+      assert.equal(await markOf(await callEnding((socket) => socket.end(), 'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n')), 'whole')
+    })
+
     it(`is whole if the service ends its connection (${kind})`, async () => {
       const { body } = await callEnding((socket) => socket.end(' and half'))
       assert.equal(Buffer.from(body, 'base64').toString(), 'half and half')
