--- a/stand-ins/machines/resumed-streams.ts
+++ b/stand-ins/machines/resumed-streams.ts
@@ -135,14 +135,23 @@
     return { id, version: versionOf(String(headers['x-hornbeamgap-server-stamp'])), lastEvent }
   }
 
+  /** A connection that ends without an answer, as of a node that has no time for it, is a try that failed. */
+  async function readAnswer (nodes: NodeThreads, node: number, resumed: Record<string, string>): Promise<{ readonly status: number, readonly version: string, readonly text: string }> {
+    try {
+      const { statusCode, headers, body } = await ask(nodes, node, nextId(), resumed)
+      return { status: statusCode, version: versionOf(String(headers['x-hornbeamgap-server-stamp'])), text: await body.text() }
+    } catch {
+      return { status: 0, version: '', text: '' }
+    }
+  }
+
   async function takeUpOne (nodes: NodeThreads, node: number, begun: BegunStream): Promise<ResumptionOutcome> {
     const lastEvent = await begun.lastEvent
     for (let round = 0; round < TRIES; round += 1) {
-      const { statusCode, headers, body } = await ask(nodes, node + round, nextId(), { [HEADER.lastEventId]: String(lastEvent), [HEADER.resumes]: begun.id })
-      const text = await body.text()
-      if (statusCode === SUCCESS) {
+      const { status, version, text } = await readAnswer(nodes, node + round, { [HEADER.lastEventId]: String(lastEvent), [HEADER.resumes]: begun.id })
+      if (status === SUCCESS) {
         const rest = Array.from({ length: EVENTS - lastEvent }, (_, index) => lastEvent + 1 + index)
-        return { begunAt: begun.version, wentOnAt: versionOf(String(headers['x-hornbeamgap-server-stamp'])), isWhole: eventsIn(text).join() === rest.join() }
+        return { begunAt: begun.version, wentOnAt: version, isWhole: eventsIn(text).join() === rest.join() }
       }
       await clock.sleep(RETRY_PAUSE)
     }
