An address that no connection can be opened to is not accepted

Callers got 500 for requests that a sound upstream could have served: an entry of the servers with 127.0.0.1:65536, port 0, an octet of 256 or [::::]:80 was accepted, its upstream was chosen, and making a connection pool for it threw "Invalid URL".

Cause: `addressSchema` checked the form of an address only. It is now checked to be an IP number by node:net and to have a port from 1 to 65535, once for upstreams, node records of the product, settings and messages of the operator. `listenAddressSchema` also allows port 0, which selects a free port; two tests that listen on port 0 parse with it. The settings file of a gateway node uses the same checks.

--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -4,7 +4,7 @@
 import { listen, stopAccepting } from '../protocols/listen.js'
 import { addressOf } from '../host-port.js'
 import type { HostPort } from '../host-port.js'
-import { addressSchema } from '../identifiers.js'
+import { listenAddressSchema } from '../identifiers.js'
 import type { Clock, Milliseconds } from '../clock.js'
 import type { EventLog } from '../events/index.js'
 import { chooseUpstream, createEngineSpeeds, ENGINE_COSTS } from '../placement/index.js'
@@ -419,7 +419,7 @@
 
 /** @returns the address that is listened on */
 async function listenAt (server: Server, hostPort: HostPort): Promise<string> {
-  return listen(server, addressSchema.parse(addressOf(hostPort)))
+  return listen(server, listenAddressSchema.parse(addressOf(hostPort)))
 }
 
 function findOrCreate<T> (known: Map<string, T>, name: string, create: () => T): T {
--- a/src/identifiers.ts
+++ b/src/identifiers.ts
@@ -2,7 +2,9 @@
  * Names and identifiers that are exchanged between processes. Each type is a branded string, so that the name of an
  * organisation cannot be passed where the name of an upstream is expected.
  */
+import { isIP } from 'node:net'
 import * as z from 'zod'
+import { hostPortOf } from './host-port.js'
 
 const NAME_PATTERN = /^[a-z0-9][a-z0-9-]{0,62}$/
 
@@ -45,8 +47,25 @@
 export const requestIdSchema = z.string().regex(REQUEST_ID_PATTERN, 'must be <incarnation>.<16 to 64 random characters>').brand<'RequestId'>()
 export type RequestId = z.infer<typeof requestIdSchema>
 
-/** Address of a process, `host:port`. The host is an IP address. */
-export const addressSchema = z.string().regex(/^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}$/i, 'must be an IP number and a port').brand<'Address'>()
+const ADDRESS_FORM = /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}$/i
+
+const MAX_PORT = 65_535
+
+function isAddress (text: string): boolean {
+  if (!ADDRESS_FORM.test(text)) return false
+  const { host, port } = hostPortOf(text)
+  return isIP(host) > 0 && port <= MAX_PORT
+}
+
+/** Address that a process listens on, `host:port`. The host is an IP address. Port 0 selects any free port. */
+export const listenAddressSchema = z.string().refine(isAddress, 'must be an IP number and a port').brand<'Address'>()
+
+/**
+ * Address that connections are opened to, `host:port`. The host is an IP address.
+ *
+ * Failure guarded against: a record names port 65536 or an octet of 256, its upstream is chosen, and opening a connection throws.
+ */
+export const addressSchema = listenAddressSchema.refine((text) => hostPortOf(text).port > 0, 'must have a port above 0')
 export type Address = z.infer<typeof addressSchema>
 
 /**
--- a/src/settings.ts
+++ b/src/settings.ts
@@ -6,7 +6,7 @@
 import { readFileSync } from 'node:fs'
 import { parse, TomlError } from 'smol-toml'
 import * as z from 'zod'
-import { addressSchema, failureDomainSchema, instanceNameSchema } from './identifiers.js'
+import { addressSchema, failureDomainSchema, instanceNameSchema, listenAddressSchema } from './identifiers.js'
 import { ServingError } from './verdict.js'
 
 const logLevelSchema = z.enum(['trace', 'debug', 'info', 'warn', 'error', 'silent'])
@@ -42,9 +42,9 @@
   instance: instanceNameSchema,
   failure_domain: failureDomainSchema,
   /** Address that callers and operators connect to. */
-  listen: addressSchema,
+  listen: listenAddressSchema,
   /** Address that peer nodes connect to. */
-  peer_listen: addressSchema,
+  peer_listen: listenAddressSchema,
   log_level: logLevelSchema.default('info'),
   /** SHA-256 hash of the operators' bearer key, in hexadecimal. */
   operator_key_sha256: z.string().regex(/^[0-9a-f]{64}$/),
--- a/test/entry/listener.test.ts
+++ b/test/entry/listener.test.ts
@@ -6,7 +6,7 @@
 import { test } from 'node:test'
 import { createCallerServer } from '../../src/entry/listener.js'
 import { closeServer, listen } from '../../src/protocols/listen.js'
-import { addressSchema } from '../../src/identifiers.js'
+import { listenAddressSchema } from '../../src/identifiers.js'
 import { createEntryMetrics } from '../../src/metrics.js'
 import { entrySettingsSchema } from '../../src/settings.js'
 
@@ -16,7 +16,7 @@
   const metrics = createEntryMetrics()
   const server = createCallerServer(limits, metrics)
   server.on('request', (_request, response) => response.end('ok'))
-  const address = await listen(server, addressSchema.parse('127.0.0.1:0'))
+  const address = await listen(server, listenAddressSchema.parse('127.0.0.1:0'))
   const open = async (text: string): Promise<Socket> => {
     const socket = connect({ host: '127.0.0.1', port: Number(address.split(':')[1]) })
     socket.on('error', () => {})
--- /dev/null
+++ b/test/gateway/odd-entries.test.ts
@@ -0,0 +1,77 @@
+/** A gateway node beside entries of the store that hold odd values. */
+import assert from 'node:assert/strict'
+import { after, before, describe, it } from 'node:test'
+import { request } from 'undici'
+import { createSystemClock } from '../../src/clock.js'
+import type { GatewayNode } from '../../src/gateway/node.js'
+import { createMachineDeployment } from '../../stand-ins/machines/deployment.js'
+import type { MachineDeployment } from '../../stand-ins/machines/deployment.js'
+import { serveUpstream } from '../../stand-ins/machines/upstream.js'
+import type { UpstreamStandIn } from '../../stand-ins/machines/upstream.js'
+
+const clock = createSystemClock()
+const HOST = 'api.example'
+
+const ODD_ADDRESSES = ['127.0.0.1:65536', '127.0.0.1:99999', '127.0.0.1:0', '127.0.0.1:-1', '999.0.0.1:80', '256.1.1.1:80', '010.0.0.1:80', '[::::]:80', '[abc]:80', 'localhost:80', '']
+
+describe('a node beside odd entries', { timeout: 60_000 }, () => {
+  let deployment: MachineDeployment
+  let node: GatewayNode
+  let upstreams: UpstreamStandIn[]
+  let version = 0
+  let ids = 0
+
+  before(async () => {
+    deployment = await createMachineDeployment(clock)
+    upstreams = await Promise.all(['p-1', 'p-2'].map((id) => serveUpstream({ id, clock })))
+    for (const upstream of upstreams) deployment.register(upstream)
+    configure()
+    node = await deployment.startNode('node-1')
+    await until(async () => await ask() === 200)
+  })
+
+  after(async () => {
+    await deployment?.close()
+    await Promise.all((upstreams ?? []).map((upstream) => upstream.close()))
+  })
+
+  function configure (): void {
+    version += 1
+    deployment.configure({ version, routes: [{ name: 'lookup', host: HOST, prefix: '/lookup/', kind: 'idempotent', timeoutMs: 3_000, targetLatencyMs: 1_000, service: 'plain', maxAttempts: 2 }], services: [{ name: 'plain', maxConns: 100 }] })
+  }
+
+  async function until (condition: () => Promise<boolean> | boolean): Promise<void> {
+    while (!(await condition())) await clock.sleep(10)
+  }
+
+  async function ask (): Promise<number> {
+    ids += 1
+    const { statusCode, body } = await request(`http://${node.addresses.front}/lookup/x`, { method: 'POST', headers: { host: HOST, 'x-hornbeamgap-request-id': `r${ids}`, 'x-hornbeamgap-deadline-ms': '2000' }, body: '' })
+    await body.dump()
+    return statusCode
+  }
+
+  async function statuses (): Promise<number[]> {
+    const all = new Set<number>()
+    for (let count = 0; count < 40; count += 1) all.add(await ask())
+    return [...all]
+  }
+
+  /** Waits until the node has taken up a change of the configuration and of the upstreams. */
+  async function untilFollowed (): Promise<void> {
+    configure()
+    await until(() => deployment.lines.some((line) => line.event === 'configuration-in-force' && line.version === version))
+    const id = `later-${version}`
+    deployment.register({ id, address: upstreams[0]!.address }, { service: 'other' })
+    await until(() => deployment.lines.some((line) => line.event === 'upstream-new' && line.upstream === id))
+    deployment.unregister({ id })
+  }
+
+  // Guards against status 500 for callers of sound upstreams: an entry with such an address was chosen, and opening a connection threw.
+  it('serves no caller with 500 where an upstream is registered at an address that no connection can be opened to', async () => {
+    for (const [index, address] of ODD_ADDRESSES.entries()) deployment.register({ id: `odd-${index}`, address })
+    await untilFollowed()
+    assert.deepEqual(await statuses(), [200])
+    assert.equal(deployment.lines.filter(({ event }) => event === 'upstream-record-unusable').length, ODD_ADDRESSES.length)
+  })
+})
--- a/test/gateway/peer-link.test.ts
+++ b/test/gateway/peer-link.test.ts
@@ -8,7 +8,7 @@
 import { MAX_MESSAGE_BYTES } from '../../src/gateway/packing.js'
 import { createConnections } from '../../src/protocols/http.js'
 import { closeServer, listen } from '../../src/protocols/listen.js'
-import { addressSchema } from '../../src/identifiers.js'
+import { listenAddressSchema } from '../../src/identifiers.js'
 import type { UpstreamIncarnation } from '../../src/placement/index.js'
 import type { StreamOrigin } from '../../src/stream-origins/index.js'
 
@@ -33,7 +33,7 @@
 
   before(async () => {
     const link = createPeerLinks(connections, { sent: 0, received: 0 })
-    for (const server of servers) clients.push(link(await listen(server, addressSchema.parse('127.0.0.1:0'))))
+    for (const server of servers) clients.push(link(await listen(server, listenAddressSchema.parse('127.0.0.1:0'))))
     const { port } = servers[0]!.address() as { port: number }
     clients.push(createTRPCClient<ReturnType<typeof createPeerRouter>>({ links: [httpLink({ url: `http://127.0.0.1:${port}` })] }))
   })
