A connection that throws as it is opened counts as not run

What callers would see: 500 although another upstream is there. `start` of the upstream connections "never rejects", but making the pool of an address that is no URL threw "Invalid URL" through it, and the request ended as an internal error.

The schema of addresses refuses all that are known to throw; this is the second line for those that are not. The outcome is `not-run`, `unreachable`: nothing has been sent, so that the attempt is given back, the upstream pauses as after any failed connection, and another one is tried.

The test saw the TypeError ERR_INVALID_URL before for 127.0.0.1:65536 and for a text that is no address.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -12,7 +12,7 @@
 import type { UpstreamRecord } from '../placement/index.js'
 import { createAnswerReading, isNoAnswer } from '../protocols/answer-reading.js'
 import { connectionFailure, hasFraming } from '../protocols/http.js'
-import { addressSchema } from '../identifiers.js'
+import type { Address } from '../identifiers.js'
 import type { AnswerHead, Headers, RequestFormat } from './ports.js'
 import { isRelayLost } from './tunnel-frames.js'
 import { createIncomingBody } from './upstream-body.js'
@@ -118,7 +118,22 @@
     clock.schedule(DRAIN_TIMEOUT, () => body.destroy())
   }
 
-  function start (upstream: UpstreamRecord, request: UpstreamRequest, signal: AbortSignal): Promise<ExchangeStart> {
+  /** Failure guarded against: no connection can be made to an address, which throws, and the caller gets an error although another upstream serves. */
+  function findPool (upstream: UpstreamRecord): Dispatcher | undefined {
+    try {
+      return pools.of(upstream)
+    } catch (error) {
+      options.onConnectionFailed?.({ upstream, error, took: 0, silentFor: undefined, allSilentFor: undefined })
+      return undefined
+    }
+  }
+
+  async function start (upstream: UpstreamRecord, request: UpstreamRequest, signal: AbortSignal): Promise<ExchangeStart> {
+    const pool = findPool(upstream)
+    return pool === undefined ? { kind: 'not-run', reason: 'unreachable' } : dispatch(pool, upstream, request, signal)
+  }
+
+  function dispatch (pool: Dispatcher, upstream: UpstreamRecord, request: UpstreamRequest, signal: AbortSignal): Promise<ExchangeStart> {
     const sentAt = clock.now()
     return new Promise((resolve) => {
       let controller: Dispatcher.DispatchController | undefined
@@ -132,7 +147,7 @@
         else controller.abort(abortReason(signal))
       })
 
-      pools.of(upstream).dispatch({ method: request.method as Dispatcher.HttpMethod, path: request.path, headers: request.headers, body: request.body ?? null }, {
+      pool.dispatch({ method: request.method as Dispatcher.HttpMethod, path: request.path, headers: request.headers, body: request.body ?? null }, {
         onRequestStart: (started) => {
           controller = started
           if (signal.aborted) started.abort(abortReason(signal))
@@ -197,7 +212,7 @@
 }
 
 function failedStart (upstream: UpstreamRecord, error: unknown): ExchangeStart {
-  const failure = connectionFailure(error, addressSchema.parse(upstream.address))
+  const failure = connectionFailure(error, upstream.address as Address)
   return failure.verdict === 'not-run' ? { kind: 'not-run', reason: 'unreachable' } : { kind: 'broken', reason: failure.message, by: brokenBy(error) }
 }
 
--- a/test/gateway/exchange.test.ts
+++ b/test/gateway/exchange.test.ts
@@ -19,6 +19,16 @@
 
   const unframedHead = 'HTTP/1.1 200 OK\r\nX-Hornbeamgap-Request-Id: r1\r\nConnection: close\r\n\r\nhalf'
 
+  // Guards against status 500 for a caller while another upstream serves: opening a connection throws, and no outcome tells that nothing ran.
+  it('has not run if opening a connection throws', async () => {
+    const connections = createUpstreamConnections({ format: createRequestFormat(), clock, random: createRandom(1), relayNodes: () => [], failureDomain: 'a' })
+    cleanups.push(() => connections.close())
+    for (const address of ['127.0.0.1:65536', 'no address']) {
+      const started = await connections.start(upstreamRecord('u', { address }), { id: 'r1', method: 'POST', path: '/', headers: [], body: undefined }, new AbortController().signal)
+      assert.deepEqual(started, { kind: 'not-run', reason: 'unreachable' })
+    }
+  })
+
   it('accepts an answer without a length, which ends with its connection', async () => {
     assert.equal(await bodyOf(await exchangeWith((socket) => { socket.end(unframedHead) })), 'half')
   })
