A relaying node refuses where opening a connection throws

What could happen: a node that is asked to relay to an upstream with an odd address ends, and with it the requests of all its callers. Opening a connection to port 65536 throws ERR_SOCKET_BAD_PORT, here within an event of the server for other nodes, which is an uncaught exception.

The relay now answers 503, as where it has no path.

Before, the test failed with "uncaughtException", ERR_SOCKET_BAD_PORT.

--- a/src/gateway/tunnels.ts
+++ b/src/gateway/tunnels.ts
@@ -70,11 +70,12 @@
       refuse(peer)
       return
     }
-    relay(peer, head, upstream)
+    const outbound = openSocket(upstream)
+    if (outbound === undefined) refuse(peer)
+    else relay(peer, head, outbound)
   })
 
-  function relay (peer: Socket, head: Buffer, upstream: UpstreamRecord): void {
-    const outbound = connectSocket(upstream.address)
+  function relay (peer: Socket, head: Buffer, outbound: Socket): void {
     const tunnel: Tunnel = { ends: [peer, outbound], announceLeaving: undefined }
     tunnels.add(tunnel)
     const cancelTimeout = clock.schedule(RELAY_CONNECT_TIMEOUT, () => outbound.destroy())
@@ -119,6 +120,15 @@
   }
 }
 
+/** Failure guarded against: opening a connection to an odd address throws, within an event, which ends the process. */
+function openSocket ({ address }: UpstreamRecord): Socket | undefined {
+  try {
+    return connectSocket(address)
+  } catch {
+    return undefined
+  }
+}
+
 function refuse (peer: Socket): void {
   peer.end('HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n')
 }
--- a/test/gateway/tunnels.test.ts
+++ b/test/gateway/tunnels.test.ts
@@ -72,6 +72,13 @@
     while (tunnels.open() > 0) await new Promise((resolve) => setImmediate(resolve))
   })
 
+  // Guards against the end of the process that relays: opening a connection throws within the server's event.
+  it('is refused if opening a connection to the upstream throws', async () => {
+    const { peer, upstream, tunnels } = await relayToAddress('127.0.0.1:65536')
+    await assert.rejects(openTunnel(peer, upstream, never), /status 503/)
+    assert.equal(tunnels.open(), 0)
+  })
+
   // Guards against a truncated answer: the upstream closes its connection after an answer that the other node reads slowly.
   it('delivers all that the upstream sent before it closed the connection', async () => {
     const bytes = 4_000_000
