Names that objects inherit are names as any other

What could happen: after an upstream, a service, a route or an organisation called `constructor`, `toString` or `__proto__` had appeared, a node told the others nothing more until its end ("gossip-ended"), and callers of such a service got 502.

Cause: sums were kept in plain objects. Reading such a name finds what every object inherits instead of nothing: a sum of loads became NaN, which is `null` in the message, so that other nodes refused it; the sum of offered work threw, outside of what is caught. Mean slot times became NaN, so that answers counted as overdue at once.

Values by names that other processes choose are now read by `valueOf`, which sees own properties alone, and merged by `mergeByName`, which keeps them in a map.

Before, the test of merged reports threw "Cannot read properties of undefined (reading 'span')", and the two nodes beside such entries wrote "gossip-ended" with it.

--- a/src/backpressure/rate-limits.ts
+++ b/src/backpressure/rate-limits.ts
@@ -11,6 +11,7 @@
 import type { Milliseconds } from '../clock.js'
 import { evictOldest } from '../evict-oldest.js'
 import { score } from '../membership/rendezvous.js'
+import { mergeByName } from '../named-values.js'
 import { upstreamIncarnationSchema } from '../placement/index.js'
 import type { UpstreamIncarnation } from '../placement/index.js'
 
@@ -243,13 +244,7 @@
  * mergeLimits([{ [incarnation]: { rate: 1, age: 900 } }, { [incarnation]: { age: 100 } }]) // no limit any more
  */
 export function mergeLimits (reports: readonly ReportedLimits[]): ReportedLimits {
-  const merged: ReportedLimits = {}
-  for (const [name, limit] of reports.flatMap((report) => Object.entries(report))) {
-    const incarnation = name as UpstreamIncarnation
-    const known = merged[incarnation]
-    if (known === undefined || limit.age < known.age) merged[incarnation] = limit
-  }
-  return merged
+  return mergeByName(reports, (known, limit) => known === undefined || limit.age < known.age ? limit : known)
 }
 
 function meanInterval (rate: number): Milliseconds {
--- a/src/gateway/rollout-duty.ts
+++ b/src/gateway/rollout-duty.ts
@@ -1,6 +1,7 @@
 /** Decides the stages of roll-outs while this node holds the duties, and writes them to the store for the operator and all nodes. */
 import type { Milliseconds } from '../clock.js'
 import { SECOND } from '../clock.js'
+import { valueOf } from '../named-values.js'
 import { ABSENT } from '../protocols/key-value.js'
 import { repeat } from '../repeat.js'
 import { nextStatus } from '../rollout/index.js'
@@ -68,7 +69,7 @@
     const loadsByNode = [upstreams.inFlight(), ...fleet.loads().values()]
     return upstreams.all()
       .filter((upstream) => upstream.service === order.service && rollouts.roleOf(upstream) !== 'tried')
-      .reduce((sum, { incarnation }) => sum + loadsByNode.reduce((requests, loads) => requests + (loads[incarnation]?.requests ?? 0), 0), 0)
+      .reduce((sum, { incarnation }) => sum + loadsByNode.reduce((requests, loads) => requests + (valueOf(loads, incarnation)?.requests ?? 0), 0), 0)
   }
 
   async function decide (order: RolloutOrder): Promise<void> {
--- a/src/gateway/rollouts.ts
+++ b/src/gateway/rollouts.ts
@@ -6,6 +6,7 @@
 import { SECOND } from '../clock.js'
 import type { EventLog } from '../events/index.js'
 import { score } from '../membership/rendezvous.js'
+import { valueOf } from '../named-values.js'
 import type { UpstreamIncarnation, UpstreamRecord } from '../placement/index.js'
 import type { Random } from '../random.js'
 import { canaryFraction, createExposureShare, createVersionTest, emptyRouteEvidence, mergeEvidence, emptyEvidence, PROBE_TIME, roleOf, timeStepOf } from '../rollout/index.js'
@@ -164,7 +165,7 @@
 
   function sumsOf (trial: Trial): VersionEvidence {
     const { service, revision } = trial.order
-    return mergeEvidence([{ [service]: trial.own }, ...trial.others])[service] ?? emptyEvidence(revision)
+    return valueOf(mergeEvidence([{ [service]: trial.own }, ...trial.others]), service) ?? emptyEvidence(revision)
   }
 
   /** Counts the interruptions whose time is over, unless something else explains the crashes. */
@@ -211,7 +212,8 @@
       const { own } = active.trial
       own.sent += 1
       if (side === 'tried') own.exposed += 1
-      const evidence = (own.routes[route] ??= emptyRouteEvidence())[side]
+      if (!Object.hasOwn(own.routes, route)) own.routes = { ...own.routes, [route]: emptyRouteEvidence() }
+      const evidence = own.routes[route]![side]
       const failed = (): void => {
         evidence.failures += 1
         if (side === 'tried') judge(active.trial)
--- a/src/gateway/scaling-controller.ts
+++ b/src/gateway/scaling-controller.ts
@@ -1,5 +1,6 @@
 /** Orders the number of upstreams of each service from the platform, while this node holds the duties. */
 import type { Milliseconds } from '../clock.js'
+import { valueOf } from '../named-values.js'
 import { repeat } from '../repeat.js'
 import type { EngineSpeeds, UpstreamRecord } from '../placement/index.js'
 import type { RouteTable, ScalingConfiguration, Service } from '../routing/index.js'
@@ -109,7 +110,7 @@
     const present = upstreams.all().filter((upstream) => upstream.service === service.name)
     const scaled = stateOf(service, present.length)
     if (scaled === undefined) return
-    const work = options.work()[service.name]
+    const work = valueOf(options.work(), service.name)
     // Without the last known slots, a service would need none at all while all of its upstreams are gone.
     if (present.length > 0) scaled.slots = Math.min(...present.map((upstream) => upstream.slots))
     const load = observeLoad(scaled, work, now)
--- a/src/gateway/usage-reporter.ts
+++ b/src/gateway/usage-reporter.ts
@@ -6,6 +6,7 @@
 import { SECOND } from '../clock.js'
 import type { Milliseconds } from '../clock.js'
 import { readJson } from '../json.js'
+import { mergeByName } from '../named-values.js'
 import { DEFAULT_EPOCH } from '../protocols/epochs.js'
 import { ABSENT } from '../protocols/key-value.js'
 import type { KeyValueEntry, LeaseId } from '../protocols/key-value.js'
@@ -230,7 +231,5 @@
 /** The higher count of each organisation. Counts of a node only rise, so the higher one is the later one. */
 function maxCounts (left: UsageCounts | undefined, right: UsageCounts): UsageCounts {
   if (left === undefined) return right
-  const max: Record<string, number> = { ...left }
-  for (const [organisation, count] of Object.entries(right)) max[organisation] = Math.max(max[organisation] ?? 0, count)
-  return max
+  return mergeByName([left, right], (known = 0, count) => Math.max(known, count))
 }
--- a/src/gossip/merge.ts
+++ b/src/gossip/merge.ts
@@ -1,6 +1,7 @@
 /** Merges the reports of several nodes, so that the volume that a node receives does not grow with the number of nodes. */
 import { mergeLimits } from '../backpressure/index.js'
 import { mergeEvidence } from '../crash-causes/index.js'
+import { mergeByName, valueOf } from '../named-values.js'
 import { combineSpeeds, mergeDelays, mergeMeanTimes, roundSpeed } from '../placement/index.js'
 import type { NodeLoad, UpstreamIncarnation } from '../placement/index.js'
 import { ANSWERED } from '../quarantine/index.js'
@@ -40,41 +41,22 @@
 }
 
 function sumCounts (parts: readonly Readonly<Record<string, number>>[]): Record<string, number> {
-  const sum: Record<string, number> = {}
-  for (const part of parts) {
-    for (const [name, count] of Object.entries(part)) sum[name] = (sum[name] ?? 0) + count
-  }
-  return sum
+  return mergeByName(parts, (known = 0, count) => known + count)
 }
 
 function sumLoads (reports: readonly FleetReport[]): FleetReport['inFlight'] {
-  const sum: Record<UpstreamIncarnation, NodeLoad> = {}
-  for (const { inFlight } of reports) {
-    for (const [name, load] of Object.entries(inFlight)) {
-      const incarnation = name as UpstreamIncarnation
-      const known = sum[incarnation]
-      sum[incarnation] = known === undefined ? load : { requests: known.requests + load.requests, reading: known.reading + load.reading, unanswered: known.unanswered + load.unanswered }
-    }
-  }
-  return sum
+  return mergeByName<UpstreamIncarnation, NodeLoad>(reports.map(({ inFlight }) => inFlight), (known, load) => known === undefined ? load : { requests: known.requests + load.requests, reading: known.reading + load.reading, unanswered: known.unanswered + load.unanswered })
 }
 
 function mergeSpeeds (reports: readonly FleetReport[]): FleetReport['speeds'] {
   const services = new Set(reports.flatMap(({ speeds }) => Object.keys(speeds)))
   return Object.fromEntries([...services].map((service) => {
-    const estimates = reports.map(({ speeds }) => speeds[service]).filter((speed) => speed !== undefined)
+    const estimates = reports.map(({ speeds }) => valueOf(speeds, service)).filter((speed) => speed !== undefined)
     return [service, roundSpeed({ ...combineSpeeds(estimates), samples: estimates.reduce((sum, { samples }) => sum + samples, 0) }, COMBINED_DIGITS)]
   }))
 }
 
 /** Sums crash counts by request fingerprint. A complete answer at any node clears the fingerprint. */
 function mergeCrashes (reports: readonly FleetReport[]): Record<string, number> {
-  const merged: Record<string, number> = {}
-  for (const { crashes } of reports) {
-    for (const [fingerprint, count] of Object.entries(crashes)) {
-      const known = merged[fingerprint] ?? 0
-      merged[fingerprint] = known === ANSWERED || count === ANSWERED ? ANSWERED : known + count
-    }
-  }
-  return merged
+  return mergeByName(reports.map(({ crashes }) => crashes), (known = 0, count) => known === ANSWERED || count === ANSWERED ? ANSWERED : known + count)
 }
--- a/src/gossip/table.ts
+++ b/src/gossip/table.ts
@@ -3,6 +3,7 @@
  * maintenance, 1987). Each node writes only its own state, so the highest sequence of an incarnation is the latest state.
  */
 import type { Milliseconds } from '../clock.js'
+import { valueOf } from '../named-values.js'
 import { SECOND } from '../clock.js'
 import type { GossipMessage, NodeState, VersionVector } from './types.js'
 
@@ -67,7 +68,7 @@
     peerVersions.set(message.from, message.versions)
     const newer: NodeState[] = []
     for (const state of message.states) {
-      const at = now - (message.ages[state.incarnation] ?? 0)
+      const at = now - (valueOf(message.ages, state.incarnation) ?? 0)
       if (state.incarnation === ownIncarnation || now - at > MAX_FORWARDED_AGE) continue
       const last = received.get(state.incarnation)
       if (last !== undefined && last.state.sequence >= state.sequence) continue
@@ -83,10 +84,9 @@
   }
 
   function versions (): VersionVector {
-    const all: Record<string, number> = {}
-    for (const [incarnation, { state }] of received) all[incarnation] = state.sequence
-    if (ownState !== undefined) all[ownIncarnation] = ownState.sequence
-    return all
+    const all = new Map([...received].map(([incarnation, { state }]) => [incarnation, state.sequence]))
+    if (ownState !== undefined) all.set(ownIncarnation, ownState.sequence)
+    return Object.fromEntries(all)
   }
 
   return {
@@ -96,7 +96,7 @@
       const has = peer === undefined ? {} : peerVersions.get(peer) ?? {}
       const forwarded = [...received.values()].filter(({ at }) => now - at < MAX_FORWARDED_AGE)
       if (ownState !== undefined) forwarded.push({ state: ownState, at: now })
-      const lacking = forwarded.filter(({ state }) => state.incarnation !== peer && (has[state.incarnation] ?? -1) < state.sequence)
+      const lacking = forwarded.filter(({ state }) => state.incarnation !== peer && (valueOf(has, state.incarnation) ?? -1) < state.sequence)
       return {
         states: lacking.map(({ state }) => state),
         ages: Object.fromEntries(lacking.map(({ state, at }) => [state.incarnation, Math.round(now - at)]))
--- a/src/placement/slot-times.ts
+++ b/src/placement/slot-times.ts
@@ -4,6 +4,7 @@
  * It differs tenfold between deployments, and the wait for a slot is proportional to it.
  */
 import type { Milliseconds } from '../clock.js'
+import { mergeByName, valueOf } from '../named-values.js'
 import { assumedSlotTime } from './expected-wait.js'
 
 /** A mean and the number of samples it is based on. */
@@ -53,7 +54,7 @@
     },
     receive: (others) => { reported = mergeMeanTimes(others) },
     of: (service, hasEngines) => {
-      const combined = combine(ownMeans.get(service), reported[service])
+      const combined = combine(ownMeans.get(service), valueOf(reported, service))
       return combined === undefined || combined.samples < MIN_SAMPLES ? assumedSlotTime(hasEngines) : combined.mean
     },
     own: () => Object.fromEntries([...ownMeans].map(([service, { mean, samples }]) => [service, { mean: Math.round(mean), samples }]))
@@ -67,11 +68,7 @@
  * mergeMeanTimes([{ plans: { mean: 100, samples: 1 } }, { plans: { mean: 200, samples: 3 } }]).plans // { mean: 175, samples: 4 }
  */
 export function mergeMeanTimes (reports: readonly MeanTimes[]): Record<string, MeanTime> {
-  const merged: Record<string, MeanTime> = {}
-  for (const report of reports) {
-    for (const [service, time] of Object.entries(report)) merged[service] = combine(merged[service], time)!
-  }
-  return merged
+  return mergeByName(reports, (known, time) => combine(known, time)!)
 }
 
 function combine (left: MeanTime | undefined, right: MeanTime | undefined): MeanTime | undefined {
--- a/src/placement/speeds.ts
+++ b/src/placement/speeds.ts
@@ -1,4 +1,5 @@
 /** Speeds of the engines of all services: a node's own estimates combined with those that other nodes report. */
+import { valueOf } from '../named-values.js'
 import { combineSpeeds, createSpeedEstimator, roundSpeed } from './speed.js'
 import type { EngineSpeed, EstimatedSpeed, PrefillSample, SpeedEstimator } from './speed.js'
 
@@ -36,7 +37,7 @@
 
   function combine (service: string): EngineSpeed {
     const own = estimators.get(service)?.speed()
-    const others = reported.map((speeds) => speeds[service]).filter((speed) => speed !== undefined)
+    const others = reported.map((speeds) => valueOf(speeds, service)).filter((speed) => speed !== undefined)
     return combineSpeeds(own === undefined ? others : [own, ...others])
   }
 
--- a/src/quota/demand.ts
+++ b/src/quota/demand.ts
@@ -41,12 +41,8 @@
     },
     rate,
     rates: (now) => {
-      const rates: Record<string, number> = {}
-      for (const organisation of ratesByOrganisation.keys()) {
-        const present = Math.round(rate(organisation, now))
-        if (present > 0) rates[organisation] = present
-      }
-      return rates
+      const rates = [...ratesByOrganisation.keys()].map((organisation) => [organisation, Math.round(rate(organisation, now))] as const)
+      return Object.fromEntries(rates.filter(([, present]) => present > 0))
     }
   }
 }
--- a/src/quota/limiter.ts
+++ b/src/quota/limiter.ts
@@ -265,9 +265,8 @@
     demand: demand.rates,
     granted: granted.rates,
     windowFractions: () => {
-      const fractions: Record<string, number> = {}
-      for (const [name, { quota }] of organisations) if (quota !== undefined) fractions[name] = Math.round(quota.level.windowFraction() * 1_000) / 1_000
-      return fractions
+      const fractions = [...organisations].flatMap(([name, { quota }]) => quota === undefined ? [] : [[name, Math.round(quota.level.windowFraction() * 1_000) / 1_000] as const])
+      return Object.fromEntries(fractions)
     }
   }
 }
--- a/src/quota/reported-usage.ts
+++ b/src/quota/reported-usage.ts
@@ -1,4 +1,5 @@
 /** Use of quotas as other nodes report it. */
+import { valueOf } from '../named-values.js'
 
 /** Units per second by organisation. */
 export type UnitRates = Readonly<Record<string, number>>
@@ -32,8 +33,8 @@
   let demand = 0
   let granted = 0
   for (const report of reports) {
-    demand += report.demand[organisation] ?? 0
-    granted += report.granted[organisation] ?? 0
+    demand += valueOf(report.demand, organisation) ?? 0
+    granted += valueOf(report.granted, organisation) ?? 0
   }
   return { demand, granted }
 }
--- a/src/rollout/evidence.ts
+++ b/src/rollout/evidence.ts
@@ -5,6 +5,7 @@
  * are significant. Times are kept as a histogram, because histograms can be added exactly and in any order.
  */
 import * as z from 'zod'
+import { mergeByName } from '../named-values.js'
 import type { Milliseconds } from '../clock.js'
 
 /**
@@ -90,22 +91,14 @@
  * mergeEvidence([own, ...others])['plans']?.exposed
  */
 export function mergeEvidence (reports: readonly Readonly<Record<string, VersionEvidence>>[]): Record<string, VersionEvidence> {
-  const merged: Record<string, VersionEvidence> = {}
-  for (const report of reports) {
-    for (const [service, evidence] of Object.entries(report)) merged[service] = mergeVersionEvidence(merged[service], evidence)
-  }
-  return merged
+  return mergeByName(reports, mergeVersionEvidence)
 }
 
 /** The result shares no objects with the arguments, because a node goes on counting in its own evidence. */
 function mergeVersionEvidence (known: VersionEvidence | undefined, right: VersionEvidence): VersionEvidence {
   const left = known === undefined || known.order < right.order ? emptyEvidence(right.order) : known
   if (left.order > right.order) return left
-  const routes = { ...left.routes }
-  for (const [name, route] of Object.entries(right.routes)) {
-    const { serving, tried } = routes[name] ?? emptyRouteEvidence()
-    routes[name] = { serving: mergeSides(serving, route.serving), tried: mergeSides(tried, route.tried) }
-  }
+  const routes = mergeByName([left.routes, right.routes], (known = emptyRouteEvidence(), route) => ({ serving: mergeSides(known.serving, route.serving), tried: mergeSides(known.tried, route.tried) }))
   return {
     order: left.order,
     sent: left.sent + right.sent,
--- a/src/scaling/load.ts
+++ b/src/scaling/load.ts
@@ -1,6 +1,7 @@
 /** Load of a service, in engines that the offered work keeps busy. */
 import type { Milliseconds } from '../clock.js'
 import { SECOND } from '../clock.js'
+import { mergeByName } from '../named-values.js'
 import { NO_MEASUREMENTS } from './types.js'
 import type { OfferedWork } from './types.js'
 
@@ -97,22 +98,15 @@
  * sumWork([own, ...others]).plans?.requests
  */
 export function sumWork (workByNode: readonly Readonly<Record<string, OfferedWork>>[]): Record<string, OfferedWork> {
-  const sum: Record<string, OfferedWork> = {}
-  for (const nodeWork of workByNode) {
-    for (const [service, work] of Object.entries(nodeWork)) {
-      const previous = sum[service] ?? { requests: 0, reading: 0, generatedTokens: 0, measured: NO_MEASUREMENTS }
-      sum[service] = {
-        requests: previous.requests + work.requests,
-        reading: previous.reading + work.reading,
-        generatedTokens: previous.generatedTokens + work.generatedTokens,
-        measured: {
-          span: Math.max(previous.measured.span, work.measured.span),
-          attempts: previous.measured.attempts + work.measured.attempts,
-          tokens: previous.measured.tokens + work.measured.tokens,
-          held: previous.measured.held + work.measured.held
-        }
-      }
+  return mergeByName<string, OfferedWork>(workByNode, (previous = { requests: 0, reading: 0, generatedTokens: 0, measured: NO_MEASUREMENTS }, work) => ({
+    requests: previous.requests + work.requests,
+    reading: previous.reading + work.reading,
+    generatedTokens: previous.generatedTokens + work.generatedTokens,
+    measured: {
+      span: Math.max(previous.measured.span, work.measured.span),
+      attempts: previous.measured.attempts + work.measured.attempts,
+      tokens: previous.measured.tokens + work.measured.tokens,
+      held: previous.measured.held + work.measured.held
     }
-  }
-  return sum
+  }))
 }
--- a/src/scaling/plan.ts
+++ b/src/scaling/plan.ts
@@ -4,6 +4,7 @@
  * Reclaimable upstreams carry the part of the load that may be lost for some seconds. On-demand upstreams carry the
  * rest, and replace reclaimable ones while the platform has none.
  */
+import { valueOf } from '../named-values.js'
 import type { PoolSize, PresentUpstream, ScalingInput } from './types.js'
 
 /**
@@ -163,7 +164,7 @@
 
 /** Failure domains by price, the cheapest first. Domains without a price come last. */
 function sortByPrice ({ facts, failureDomains }: ScalingInput): string[] {
-  const price = (domain: string): number => facts.prices[domain] ?? Infinity
+  const price = (domain: string): number => valueOf(facts.prices, domain) ?? Infinity
   return [...failureDomains].sort((left, right) => price(left) - price(right))
 }
 
--- a/src/scaling/work-meter.ts
+++ b/src/scaling/work-meter.ts
@@ -81,19 +81,19 @@
       measured.set(service, { attempts: sums.attempts * kept + 1, tokens: sums.tokens * kept + generatedTokens, held: sums.held * kept + held })
     },
     rates: (now) => {
-      const rates: Record<string, OfferedWork> = {}
+      const rates = new Map<string, OfferedWork>()
       for (const [service, meter] of meters) {
         const { requests, reading: prefillTime, generatedTokens } = decayed(meter, now)
         if (requests < NEGLIGIBLE_RATE) continue
         const { attempts, tokens, held } = measured.get(service) ?? NO_MEASUREMENTS
-        rates[service] = {
+        rates.set(service, {
           requests: round(requests),
           reading: round(prefillTime),
           generatedTokens: round(generatedTokens),
           measured: { span: Math.round(now - meter.since), attempts: round(attempts), tokens: Math.round(tokens), held: Math.round(held) }
-        }
+        })
       }
-      return rates
+      return Object.fromEntries(rates)
     }
   }
 }
--- a/src/usage/windows.ts
+++ b/src/usage/windows.ts
@@ -1,5 +1,6 @@
 /** Counts of started requests per organisation, in fixed windows of wall time. */
 import type { Milliseconds } from '../clock.js'
+import { mergeByName } from '../named-values.js'
 
 /** Number of requests by organisation name. */
 export type UsageCounts = Readonly<Record<string, number>>
@@ -55,9 +56,5 @@
  * sumCounts([{ a: 1 }, { a: 2, b: 1 }]) // { a: 3, b: 1 }
  */
 export function sumCounts (nodeCounts: readonly UsageCounts[]): UsageCounts {
-  const sum: Record<string, number> = {}
-  for (const counts of nodeCounts) {
-    for (const [organisation, count] of Object.entries(counts)) sum[organisation] = (sum[organisation] ?? 0) + count
-  }
-  return sum
+  return mergeByName(nodeCounts, (known = 0, count) => known + count)
 }
--- a/test/gateway/odd-entries.test.ts
+++ b/test/gateway/odd-entries.test.ts
@@ -12,8 +12,13 @@
 const clock = createSystemClock()
 const HOST = 'api.example'
 
+/** Mean time between two exchanges of a node, in milliseconds. */
+const EXCHANGE_PERIOD = 400
+
 const ODD_ADDRESSES = ['127.0.0.1:65536', '127.0.0.1:99999', '127.0.0.1:0', '127.0.0.1:-1', '999.0.0.1:80', '256.1.1.1:80', '010.0.0.1:80', '[::::]:80', '[abc]:80', 'localhost:80', '']
 
+const route = (name: string, service: string): object => ({ name, host: HOST, prefix: `/${name}/`, kind: 'idempotent', timeoutMs: 3_000, targetLatencyMs: 1_000, service, maxAttempts: 2 })
+
 describe('a node beside odd entries', { timeout: 60_000 }, () => {
   let deployment: MachineDeployment
   let node: GatewayNode
@@ -37,23 +42,23 @@
 
   function configure (): void {
     version += 1
-    deployment.configure({ version, routes: [{ name: 'lookup', host: HOST, prefix: '/lookup/', kind: 'idempotent', timeoutMs: 3_000, targetLatencyMs: 1_000, service: 'plain', maxAttempts: 2 }], services: [{ name: 'plain', maxConns: 100 }] })
+    deployment.configure({ version, routes: [route('lookup', 'plain'), route('constructor', 'constructor')], services: [{ name: 'plain', maxConns: 100 }, { name: 'constructor', maxConns: 100 }] })
   }
 
   async function until (condition: () => Promise<boolean> | boolean): Promise<void> {
     while (!(await condition())) await clock.sleep(10)
   }
 
-  async function ask (): Promise<number> {
+  async function ask (path = 'lookup'): Promise<number> {
     ids += 1
-    const { statusCode, body } = await request(`http://${node.addresses.front}/lookup/x`, { method: 'POST', headers: { host: HOST, 'x-hornbeamgap-request-id': `r${ids}`, 'x-hornbeamgap-deadline-ms': '2000' }, body: '' })
+    const { statusCode, body } = await request(`http://${node.addresses.front}/${path}/x`, { method: 'POST', headers: { host: HOST, 'x-hornbeamgap-request-id': `r${ids}`, 'x-hornbeamgap-deadline-ms': '2000' }, body: '' })
     await body.dump()
     return statusCode
   }
 
-  async function statuses (): Promise<number[]> {
+  async function statuses (path?: string): Promise<number[]> {
     const all = new Set<number>()
-    for (let count = 0; count < 40; count += 1) all.add(await ask())
+    for (let count = 0; count < 40; count += 1) all.add(await ask(path))
     return [...all]
   }
 
@@ -74,4 +79,17 @@
     assert.deepEqual(await statuses(), [200])
     assert.equal(deployment.lines.filter(({ event }) => event === 'upstream-record-unusable').length, ODD_ADDRESSES.length)
   })
+
+  // Guards against a node that tells the others nothing more: summing by the names of these upstreams and of this service threw.
+  it('goes on exchanging states where an upstream or a service has a name that objects inherit', async () => {
+    const named = await Promise.all(['__proto__', 'constructor', 'c-1', 'c-2'].map((id) => serveUpstream({ id, clock })))
+    upstreams.push(...named)
+    for (const upstream of named) deployment.register(upstream, upstream.id.startsWith('c-') ? { service: 'constructor' } : {})
+    const second = await deployment.startNode('node-2')
+    await until(() => named.every(({ id }) => deployment.lines.filter(({ event, upstream }) => event === 'upstream-new' && upstream === id).length === 2))
+    for (const path of ['lookup', 'constructor', 'lookup']) assert.deepEqual(await statuses(path), [200])
+    await clock.sleep(3 * EXCHANGE_PERIOD)
+    await second.stop()
+    assert.deepEqual(deployment.lines.filter(({ event }) => ['gossip-ended', 'exchange-failed', 'exchange-failed-unexpectedly'].includes(String(event))), [])
+  })
 })
--- a/test/gossip/merge.test.ts
+++ b/test/gossip/merge.test.ts
@@ -5,6 +5,7 @@
 import type { FleetReport } from '../../src/gossip/index.js'
 import { incarnationOf } from '../../src/placement/index.js'
 import { ANSWERED } from '../../src/quarantine/index.js'
+import { sumReports } from '../../src/quota/reported-usage.js'
 
 const counts = fc.dictionary(fc.constantFrom('tejo', 'minho', 'douro'), fc.nat(1_000))
 
@@ -40,4 +41,34 @@
     assert.deepEqual(mergeReports([{ ...base, crashes: { f: 2 } }, { ...base, crashes: { f: ANSWERED } }, { ...base, crashes: { f: 1 } }])?.crashes, { f: ANSWERED })
     assert.equal(mergeReports([]), undefined)
   })
+
+  // Guards against nodes that hear no more of each other: sums by the name of an upstream, a service, a route or an organisation that every
+  // object inherits were no numbers, so that other nodes refused the report, or threw.
+  it('count names that objects inherit as any other', () => {
+    for (const name of ['constructor', '__proto__', 'toString']) {
+      const named = <Value>(value: Value): Record<string, Value> => Object.fromEntries([[name, value]])
+      const sides = { serving: { failures: 1, times: { 0: 1 } }, tried: { failures: 0, times: {} } }
+      const one: FleetReport = {
+        nodes: 1,
+        configuration: 0,
+        demand: named(1),
+        granted: named(1),
+        inFlight: named({ requests: 1, reading: 1, unanswered: 1 }),
+        delays: named(60),
+        holdTime: named({ mean: 5, samples: 1 }),
+        work: named({ requests: 1, reading: 1, generatedTokens: 1, measured: { span: 1, attempts: 1, tokens: 1, held: 1 } }),
+        speeds: {},
+        crashes: named(1),
+        crashCauses: {},
+        rollouts: named({ order: 1, sent: 1, exposed: 0, followers: 0, routes: named(sides) }),
+        limits: named({ rate: 1, age: 1 }),
+        departures: []
+      }
+      assert.equal(JSON.stringify(mergeReports([one])), JSON.stringify(one))
+      const { demand, inFlight, rollouts } = mergeReports([one, one]) ?? one
+      assert.deepEqual([demand, inFlight].map((sums) => Object.entries(sums)), [[[name, 2]], [[name, { requests: 2, reading: 2, unanswered: 2 }]]])
+      assert.deepEqual(Object.entries(Object.entries(rollouts)[0]![1].routes)[0]![1].serving, { failures: 2, times: { 0: 2 } })
+      assert.deepEqual(sumReports([{ nodes: 1, demand: {}, granted: {} }], name), { demand: 0, granted: 0 })
+    }
+  })
 })
