An exchange that fails unexpectedly is not the node's last one

What could happen: a node tells the others nothing more and passes no changes on until it is started again, after a single failure to make its report: its loop of exchanges ended with the error ("gossip-ended"). The same failure as a change is announced at once was thrown at whoever announced it, in one case within a timer, which ends the process.

Both now catch the error, log the first one of several in a row, and go on.

--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -174,6 +174,7 @@
   const reporter = createMemberReporter({ clock, signal, wall, storeUpdates, reachable, link, localState, fetchConfiguration: gossip.fetchConfiguration, heard })
 
   let currentAggregator: string | undefined
+  let isFailing = false
   let endFirstContact: () => void = () => {}
   const firstContact = new Promise<void>((resolve) => { endFirstContact = resolve })
   const cancelFirstContact = clock.schedule(FIRST_CONTACT_TIMEOUT, () => endFirstContact())
@@ -218,14 +219,27 @@
   }
 
   function announce (): void {
-    if (isMember()) reportOrExchange().catch((error) => log.error('exchange-failed-unexpectedly', { peer: currentAggregator ?? 'none', error: String(error) }))
-    else gossip.exchangeUrgently()
+    tryExchange(async () => isMember() ? reportOrExchange() : gossip.exchangeUrgently())
+  }
+
+  /**
+   * Failure guarded against: one exchange fails in a way that nobody thought of, and this node tells the others nothing more, or ends.
+   * Of failures in a row the first one is logged.
+   */
+  async function tryExchange (exchange: () => Promise<void>): Promise<void> {
+    try {
+      await exchange()
+      isFailing = false
+    } catch (error) {
+      if (!isFailing && !signal.aborted) log.error('exchange-failed-unexpectedly', { peer: currentAggregator ?? 'none', error: String(error) })
+      isFailing = true
+    }
   }
 
   async function runExchanges (): Promise<void> {
     await clock.sleep(EXCHANGE_PERIOD * random.fraction(), signal).catch(() => {})
     while (!signal.aborted) {
-      await reportOrExchange()
+      await tryExchange(reportOrExchange)
       await clock.sleep(EXCHANGE_PERIOD * (0.75 + 0.5 * random.fraction()), signal).catch(() => {})
     }
   }
