Only a usable record of a node counts, and the node restores its own

What could happen: another writer leaves a record under the prefix of the nodes. With front 127.0.0.1:65536 or a text as address it was given to callers and asked by other nodes; under a key of another name it replaced that node's record, whose address callers then got, and the removal of the key removed nothing. An unreadable record left the former one in force when it was seen by the watch, and removed it when it was listed. Each read logged each unreadable record again.

Addresses are checked by the common schema, and a record counts under its own name only. An unusable one removes the former, as with upstreams: the key no longer ends with the node's lease, and a node that serves is known by its states. A node whose own record is unusable registers again. Each unusable record is logged once.

Before, the test saw the nodes with port 65536 and with a text as address among the nodes. The rest of its assertions were not reached.

--- a/src/gateway/node-records.ts
+++ b/src/gateway/node-records.ts
@@ -3,10 +3,12 @@
 import type { Milliseconds } from '../clock.js'
 import { SECOND } from '../clock.js'
 import { createDepartedNodes } from '../gossip/index.js'
+import { addressSchema } from '../identifiers.js'
 import { readJson } from '../json.js'
 import type { KeyValueEntry, LeaseId } from '../protocols/key-value.js'
 import { followPrefix, NODE_RECORD_SETTINGS } from './follow.js'
 import type { PrefixSubscription, StoreContext } from './follow.js'
+import { createUnusableEntries } from './unusable-entries.js'
 
 /** Record that a node writes about itself. */
 export const nodeRecordSchema = z.object({
@@ -15,13 +17,13 @@
   incarnation: z.string(),
   failureDomain: z.string(),
   /** Address for callers, as host and port. */
-  front: z.string(),
+  front: addressSchema,
   /** Address for other nodes, as host and port. */
-  peer: z.string(),
+  peer: addressSchema,
   /** Number of processor cores that the node may use. */
   processor: z.number().positive().default(1)
 })
-export type NodeRecord = z.infer<typeof nodeRecordSchema>
+export type NodeRecord = z.input<typeof nodeRecordSchema> & { readonly processor: number }
 
 /** Records of the registered nodes. */
 export interface NodeRecords {
@@ -56,6 +58,9 @@
 const REGISTRATION_LEASE_TIME: Milliseconds = 6 * SECOND
 const RENEWAL_PERIOD: Milliseconds = 2 * SECOND
 
+/** Maximum number of characters of a key or a value in a log line. */
+const MAX_LOGGED_LENGTH = 100
+
 /**
  * Pause after a failed registration or renewal, which doubles with each further failure in a row. Failure guarded against:
  * during an outage of the store, or while the store rejects nodes, every node keeps calling, and every call is charged for.
@@ -81,6 +86,7 @@
   let isLoaded = false
   const withdrawal = new AbortController()
   const departedNodes = createDepartedNodes()
+  const unusable = createUnusableEntries()
 
   async function register (): Promise<void> {
     const granted = await store.grantLease(REGISTRATION_LEASE_TIME, signal)
@@ -120,6 +126,7 @@
       const previousNames = [...records.keys()]
       records.clear()
       list = undefined
+      unusable.retainOnly(new Set(entries.map(({ key }) => key)))
       for (const entry of entries) putRecord(entry)
       for (const name of previousNames) if (!records.has(name)) departedNodes.gone(name, clock.now())
       if (isLoaded) return
@@ -129,23 +136,40 @@
     put: putRecord,
     remove: (key) => {
       if (!key.startsWith(NODE_PREFIX)) return handlers.onOtherKeyDeleted(key)
-      const name = key.slice(NODE_PREFIX.length)
-      if (!records.delete(name)) return
-      list = undefined
-      departedNodes.gone(name, clock.now())
-      log.info('node-gone', { node: name })
+      unusable.forget(key)
+      removeRecord(key.slice(NODE_PREFIX.length))
     }
   }, NODE_RECORD_SETTINGS)
 
   function putRecord (entry: KeyValueEntry): void {
     const { key, value } = entry
     if (!key.startsWith(NODE_PREFIX)) return handlers.onOtherEntry(entry)
+    const name = key.slice(NODE_PREFIX.length)
     const record = readJson(nodeRecordSchema, value)
-    if (record === undefined) return log.warn('node-record-unreadable', { key, value: value.slice(0, 100) })
-    if (records.get(record.name)?.incarnation !== record.incarnation) log.info('node-known', { node: record.name, incarnation: record.incarnation, front: record.front })
-    records.set(record.name, record)
+    if (record?.name !== name) return rejectRecord(entry, name)
+    unusable.forget(key)
+    if (records.get(name)?.incarnation !== record.incarnation) log.info('node-known', { node: name, incarnation: record.incarnation, front: record.front })
+    records.set(name, record)
+    list = undefined
+    departedNodes.returned(name)
+  }
+
+  /**
+   * Failure guarded against: another writer spoils the record of a node, which no longer ends with the node's lease, and callers are
+   * directed to the node after its end. The other nodes know a node that serves from its states. It writes its own record again.
+   */
+  function rejectRecord ({ key, value }: KeyValueEntry, name: string): void {
+    const logged = value.slice(0, MAX_LOGGED_LENGTH)
+    if (unusable.note(key, logged)) log.warn('node-record-unreadable', { key: key.slice(0, MAX_LOGGED_LENGTH), value: logged })
+    removeRecord(name)
+    if (name === own.name) lease = undefined
+  }
+
+  function removeRecord (name: string): void {
+    if (!records.delete(name)) return
     list = undefined
-    departedNodes.returned(record.name)
+    departedNodes.gone(name, clock.now())
+    log.info('node-gone', { node: name })
   }
 
   return {
--- a/test/gateway/node-records.test.ts
+++ b/test/gateway/node-records.test.ts
@@ -3,6 +3,7 @@
 import { describe, it } from 'node:test'
 import { SECOND } from '../../src/clock.js'
 import { startNodeRegistration } from '../../src/gateway/node-records.js'
+import type { KeyValue } from '../../src/protocols/key-value.js'
 import { createRandom } from '../../src/random.js'
 import { createFaultSwitch } from '../../stand-ins/faults.js'
 import { createDirectKeyValue } from '../../stand-ins/key-value-direct.js'
@@ -56,4 +57,44 @@
     assert.deepEqual(records.all().map(({ name }) => name), ['a'])
     controller.abort()
   })
+
+  // Guards against callers that are directed to an address that nobody can connect to, against a node that is told of by a record under
+  // another key, and against as many log lines as reads times odd records.
+  it('counts only if it is usable, and an odd one is logged once', async () => {
+    const clock = createManualClock()
+    const random = createRandom(1)
+    const keys = createKeyValueStore(clock)
+    const direct = createDirectKeyValue(keys, createFaultSwitch(clock, random), clock)
+    const controller = new AbortController()
+    const unusable: unknown[] = []
+    const log = { info: () => {}, warn: (event: string, fields?: object) => { if (event === 'node-record-unreadable') unusable.push((fields as { key: string }).key) }, error: () => {} }
+    let cutWatch = new AbortController()
+    const store: KeyValue = {
+      ...direct,
+      watch: (prefix, revision, signal, idle) => {
+        cutWatch = new AbortController()
+        return direct.watch(prefix, revision, AbortSignal.any([signal, cutWatch.signal]), idle)
+      }
+    }
+    const write = (name: string, value: object | string): void => { keys.put(`hornbeamgap/fleet/nodes/${name}`, typeof value === 'string' ? value : JSON.stringify(value)) }
+    const record = (name: string, more: object = {}): object => ({ name, incarnation: `${name}-1`, failureDomain: 'x', front: '127.0.0.1:1', peer: '127.0.0.1:2', processor: 1, ...more })
+    const odd = ['{', '[]', `${'['.repeat(20_000)}${']'.repeat(20_000)}`, record('b'), record('odd-4', { front: '127.0.0.1:65536' }), record('odd-5', { peer: 'nowhere' }), JSON.stringify(record('odd-6')).replace('"processor":1', '"processor":1e999')]
+    for (const [index, value] of odd.entries()) write(`odd-${index}`, value)
+    write('b', record('b'))
+    write('c', record('c'))
+    const records = startNodeRegistration({ store, clock, random, log, signal: controller.signal }, { name: 'a', incarnation: 'a-1', failureDomain: 'x', front: '127.0.0.1:1', peer: '127.0.0.1:2', processor: 1 }, { onOtherEntry: () => {}, onOtherKeyDeleted: () => {}, onLoaded: () => {} })
+    const names = (): string[] => records.all().map(({ name }) => name).sort()
+    await clock.advance(SECOND)
+    assert.deepEqual(names(), ['a', 'b', 'c'])
+    write('c', '{')
+    write('a', '[]')
+    for (let read = 0; read < 3; read += 1) {
+      for (const [index, value] of odd.entries()) write(`odd-${index}`, value)
+      cutWatch.abort()
+      await clock.advance(2 * SECOND)
+    }
+    assert.deepEqual(names(), ['a', 'b'], 'the node itself writes its record again')
+    assert.deepEqual(unusable.sort(), [...odd.keys()].map((index) => `hornbeamgap/fleet/nodes/odd-${index}`).concat('hornbeamgap/fleet/nodes/a', 'hornbeamgap/fleet/nodes/c').sort())
+    controller.abort()
+  })
 })
