Each of hundreds of odd records of upstreams is logged once

What could happen: with more than 50 unusable records among the upstreams, each read of them logged each of them again, since the reasons of the last 50 alone were remembered. At hundreds of records that are written about once a second, the lines cost a node time that its requests need.

The reasons are kept for all unusable records that the store has, no more than the copy of all followed entries that a node keeps anyway, and are forgotten as they are removed.

--- a/src/gateway/upstream-watcher.ts
+++ b/src/gateway/upstream-watcher.ts
@@ -1,6 +1,5 @@
 /** Watches the upstream records of the registry and updates the view of upstreams. */
 import type { Milliseconds } from '../clock.js'
-import { evictOldest } from '../evict-oldest.js'
 import { createEndedIncarnations, REGISTRY_SETTLE_TIME } from '../placement/index.js'
 import type { UpstreamRecord } from '../placement/index.js'
 import type { KeyValueEntry } from '../protocols/key-value.js'
@@ -8,6 +7,7 @@
 import { followPrefix, boundedDelaySettings } from './follow.js'
 import type { StoreContext, PrefixSubscription } from './follow.js'
 import type { Registry } from './ports.js'
+import { createUnusableEntries } from './unusable-entries.js'
 import type { RegisteredUpstream, UpstreamView } from './upstream-view.js'
 
 /**
@@ -17,9 +17,6 @@
  */
 const BATCH_FRACTION = 0.4
 
-/** Maximum number of unusable records whose reason is remembered, so that each is logged once and not at every read. */
-const MAX_REMEMBERED_UNUSABLE = 50
-
 /** Maximum number of characters of a key in a log line. Keys of the store may have 200. */
 const MAX_LOGGED_KEY_LENGTH = 100
 
@@ -43,7 +40,7 @@
   const endedIncarnations = createEndedIncarnations()
   /** Records that are not used yet since the store was restored and their upstream may have ended, by id. */
   const doubtful = new Map<string, RegisteredUpstream>()
-  const unusable = new Map<string, string>()
+  const unusable = createUnusableEntries()
 
   /**
    * Failure guarded against: another writer corrupts a record, or writes one with another meaning. Neither this record
@@ -54,21 +51,14 @@
     const parsed = registry.readUpstream(key.slice(prefix.length), value)
     switch (parsed.kind) {
       case 'usable':
-        unusable.delete(key)
+        unusable.forget(key)
         return { record: parsed.record, revision }
       case 'unusable':
-        if (unusable.get(key) !== parsed.reason) log.warn('upstream-record-unusable', { key: key.slice(0, MAX_LOGGED_KEY_LENGTH), reason: parsed.reason })
-        rememberUnusable(key, parsed.reason)
+        if (unusable.note(key, parsed.reason)) log.warn('upstream-record-unusable', { key: key.slice(0, MAX_LOGGED_KEY_LENGTH), reason: parsed.reason })
         return undefined
     }
   }
 
-  function rememberUnusable (key: string, reason: string): void {
-    unusable.delete(key)
-    unusable.set(key, reason)
-    evictOldest(unusable, MAX_REMEMBERED_UNUSABLE)
-  }
-
   function put (registered: RegisteredUpstream, source: 'watch' | 'listing'): void {
     const { record, revision } = registered
     onSeen(record)
@@ -116,6 +106,7 @@
 
   return followPrefix(context, prefix, {
     replace: (entries) => {
+      unusable.retainOnly(new Set(entries.map(({ key }) => key)))
       const present = entries.map(readRecord).filter((registered) => registered !== undefined)
       doubtful.clear()
       for (const gone of view.retainOnly(new Set(present.map(({ record }) => record.id)))) recordGone(gone, 'listing')
@@ -127,6 +118,9 @@
       if (registered === undefined) remove(entry.key, entry.revision)
       else put(registered, 'watch')
     },
-    remove
+    remove: (key, revision) => {
+      unusable.forget(key)
+      remove(key, revision)
+    }
   }, boundedDelaySettings(drain, drain * BATCH_FRACTION))
 }
--- a/test/gateway/upstream-watcher.test.ts
+++ b/test/gateway/upstream-watcher.test.ts
@@ -106,6 +106,21 @@
     await until(() => usable().length === 2)
     assert.equal(lines.filter((event) => event === 'upstream-record-unusable').length, 1)
   })
+
+  // Guards against as many log lines as reads times odd records, which cost a node the time for its requests. The reasons of 50 were remembered.
+  it('logs each of hundreds of odd records once, however often they are read', async () => {
+    const odd = Array.from({ length: 300 }, (_, index) => `odd-${index}`)
+    for (const id of odd) write(id, '{')
+    write('sound', VALID_RECORD)
+    followUpstreams()
+    await until(() => usable().length === 1)
+    for (let round = 0; round < 3; round += 1) {
+      for (const id of odd) write(id, '{')
+      write(`later-${round}`, VALID_RECORD)
+      await until(() => usable().length === round + 2)
+    }
+    assert.equal(lines.filter((event) => event === 'upstream-record-unusable').length, odd.length)
+  })
 })
 
 describe('the upstreams of a registry that was restored from a backup', () => {
