A roll-out whose status another writer has spoiled begins, and keeps its stage

What could happen: a status that can't be read, or with order 1e300, stood at the key of a service's roll-out. The order was never carried out: its first status is written where there is none, and each write found one. A status spoiled later stayed so for good, and a node that started after it couldn't read that a version had been rolled back. Each read logged it again.

A node now knows the revision of a status that it can't read. One it never knew is replaced by the first status; one that it knew is written again, as after a restore of the store. Unreadable orders and statuses are logged once each.

--- a/src/gateway/rollout-duty.ts
+++ b/src/gateway/rollout-duty.ts
@@ -2,7 +2,6 @@
 import type { Milliseconds } from '../clock.js'
 import { SECOND } from '../clock.js'
 import { valueOf } from '../named-values.js'
-import { ABSENT } from '../protocols/key-value.js'
 import { repeat } from '../repeat.js'
 import { nextStatus } from '../rollout/index.js'
 import type { RolloutBounds, RolloutOrder, RolloutSituation, RolloutStatus } from '../rollout/index.js'
@@ -79,7 +78,7 @@
     const next = nextStatus(order, before?.status, situation, fleet.wall()) ?? lostStatus(before)
     const proof = duty.proof()
     if (next === undefined || proof === undefined) return
-    const swap = await store.compareAndSwap(registry.statusKey(order.service), before?.revision ?? ABSENT, registry.writeStatus(next), { signal })
+    const swap = await store.compareAndSwap(registry.statusKey(order.service), records.statusRevision(order.service), registry.writeStatus(next), { signal })
     log.info('rollout-decided', {
       service: order.service,
       version: order.version,
--- a/src/gateway/rollout-records.ts
+++ b/src/gateway/rollout-records.ts
@@ -9,6 +9,7 @@
 import { followPrefix, boundedDelaySettings } from './follow.js'
 import type { StoreContext, PrefixHandler, PrefixSubscription } from './follow.js'
 import type { RolloutRegistry } from './ports.js'
+import { createUnusableEntries } from './unusable-entries.js'
 
 /** A roll-out status as this node knows it. */
 export interface KnownStatus {
@@ -26,6 +27,8 @@
   orders (): readonly RolloutOrder[]
   order (service: string): RolloutOrder | undefined
   status (service: string): KnownStatus | undefined
+  /** Revision of what the store has in place of a service's status, also where it can't be read; {@link ABSENT} where it has nothing. */
+  statusRevision (service: string): number
   /** Time at which the statuses were last received; undefined before the first time. */
   statusReceivedAt (): Milliseconds | undefined
   /** Receives the entries that the operator writes beside the configuration. */
@@ -48,12 +51,20 @@
   const { store, clock, log } = context
   const orders = new Map<string, { readonly key: string, readonly order: RolloutOrder }>()
   const statuses = new Map<string, KnownStatus>()
+  /** Revisions of statuses that can't be read, by service. */
+  const unreadableStatuses = new Map<string, number>()
+  const unusable = createUnusableEntries()
   let following: PrefixSubscription | undefined
 
   function putOrder ({ key, value, revision }: KeyValueEntry): void {
     const read = registry.readOrder(key, value, revision)
     if (read === undefined) return
-    if (read instanceof Error) return log.warn('rollout-order-unreadable', { key, error: read.message.slice(0, MAX_LOGGED_LENGTH) })
+    if (read instanceof Error) {
+      const error = read.message.slice(0, MAX_LOGGED_LENGTH)
+      if (unusable.note(key, error)) log.warn('rollout-order-unreadable', { key, error })
+      return
+    }
+    unusable.forget(key)
     const known = orders.get(read.service)?.order
     const order = withAnsweredRevision(withKnownRevision(read, known))
     if (known?.revision === order.revision) return
@@ -100,7 +111,9 @@
   function putStatus ({ key, value, revision }: KeyValueEntry): void {
     const service = key.slice(registry.statusPrefix.length)
     const status = registry.readStatus(service, value)
-    if (status === undefined) return log.warn('rollout-status-unreadable', { key, value: value.slice(0, MAX_LOGGED_LENGTH) })
+    if (status === undefined) return rejectStatus(service, { key, value, revision })
+    unusable.forget(key)
+    unreadableStatuses.delete(service)
     const known = statuses.get(service)
     if (known !== undefined && known.revision >= revision) return
     if (known !== undefined && isSuperseded(status, known.status)) {
@@ -116,10 +129,23 @@
     changed(service)
   }
 
+  /**
+   * Failure guarded against: another writer spoils a status, which is then never written again, since a write expects the revision of the
+   * status that was read last, or none.
+   */
+  function rejectStatus (service: string, { key, value, revision }: KeyValueEntry): void {
+    const logged = value.slice(0, MAX_LOGGED_LENGTH)
+    if (unusable.note(key, logged)) log.warn('rollout-status-unreadable', { key, value: logged })
+    const known = statuses.get(service)
+    if (known === undefined) unreadableStatuses.set(service, revision)
+    else if (revision > known.revision) statuses.set(service, { ...known, revision, isLost: true })
+  }
+
   return {
     orders: () => [...orders.values()].map(({ order }) => order),
     order: (service) => orders.get(service)?.order,
     status: (service) => statuses.get(service),
+    statusRevision: (service) => statuses.get(service)?.revision ?? unreadableStatuses.get(service) ?? ABSENT,
     statusReceivedAt: () => following?.lastContactAt(),
     handler: {
       replace: (entries) => {
--- a/test/gateway/rollout-records.test.ts
+++ b/test/gateway/rollout-records.test.ts
@@ -16,7 +16,6 @@
 import { createKeyValueStore } from '../../stand-ins/key-value-store.js'
 import { createManualClock } from '../../stand-ins/manual-clock.js'
 
-const LOG = { info: () => {}, warn: () => {}, error: () => {} }
 const registry = createRegistry().rollouts
 const ORDER_KEY = 'op/rollout/plans'
 
@@ -32,10 +31,12 @@
   const keys = createKeyValueStore(clock)
   const shutdown = new AbortController()
   setMaxListeners(0, shutdown.signal)
+  const warnings: string[] = []
+  const log = { info: () => {}, warn: (event: string) => { warnings.push(event) }, error: () => {} }
 
   function start () {
     const store = createDirectKeyValue(keys, createFaultSwitch(clock, random), clock)
-    const context = { store, clock, random, log: LOG, signal: shutdown.signal }
+    const context = { store, clock, random, log, signal: shutdown.signal }
     const records = watchRolloutRecords(context, registry, 2 * SECOND, () => {})
     followPrefix(context, 'op/', records.handler, boundedDelaySettings(2 * SECOND, 0))
     return { context, records }
@@ -45,6 +46,7 @@
   const statusOf = (stage: RolloutStage): RolloutStatus => ({ service: 'plans', version: 'v2', order: node.records.order('plans')!.revision, stage, probedPart: undefined, orderedAt: 0, avoided: [] })
   return {
     keys,
+    warnings,
     node,
     start,
     writeStatus: (stage: RolloutStage) => { keys.put(registry.statusKey('plans'), registry.writeStatus(statusOf(stage))) },
@@ -112,3 +114,39 @@
     fixture.stop()
   })
 })
+
+describe('a roll-out whose status another writer has spoiled', () => {
+  const ODD_STATUSES = ['{', '[]', '[['.repeat(10_000), '{"to":"v2","stage":"canary","order":1e300,"orderedAt":0}', '{"to":"v2","stage":"unknown","order":1,"orderedAt":0}']
+
+  // Guards against a roll-out that never begins, since its status is written only where there is none.
+  it('begins all the same', async () => {
+    for (const odd of ODD_STATUSES) {
+      const fixture = createFixture()
+      fixture.keys.put(registry.statusKey('plans'), odd)
+      fixture.keys.put(ORDER_KEY, ORDER)
+      await fixture.advance(SECOND)
+      fixture.holdDuty()
+      await fixture.advance(2 * SECOND)
+      assert.equal(fixture.storedStage(), 'canary', odd.slice(0, 50))
+      fixture.stop()
+    }
+  })
+
+  // Guards against a version that was rolled back and is tried again, since nodes that start later can't read that it was.
+  it('has its last known status again, and the odd one is logged once', async () => {
+    for (const odd of ODD_STATUSES) {
+      const fixture = createFixture()
+      fixture.keys.put(ORDER_KEY, ORDER)
+      await fixture.advance(SECOND)
+      fixture.writeStatus('rolled-back')
+      await fixture.advance(SECOND)
+      for (let write = 0; write < 3; write += 1) fixture.keys.put(registry.statusKey('plans'), odd)
+      await fixture.advance(SECOND)
+      fixture.holdDuty()
+      await fixture.advance(2 * SECOND)
+      assert.equal(fixture.storedStage(), 'rolled-back', odd.slice(0, 50))
+      assert.equal(fixture.warnings.filter((event) => event === 'rollout-status-unreadable').length, 1)
+      fixture.stop()
+    }
+  })
+})
--- a/test/gateway/rollouts.test.ts
+++ b/test/gateway/rollouts.test.ts
@@ -20,6 +20,7 @@
     orders: () => known.hasOrder === false ? [] : [ORDER],
     order: () => known.hasOrder === false ? undefined : ORDER,
     status: () => stage && { status: { service: 's', version: 'v2', order: 7, stage, probedPart: undefined, orderedAt: 0, avoided: [] }, revision: 9, isLost: false, since: clock.now() },
+    statusRevision: () => 9,
     statusReceivedAt: () => known.statusReceivedAt,
     handler: { replace: () => {}, put: () => {}, remove: () => {} }
   }
