One odd item of the store's answer doesn't make the whole answer unusable

What could happen: an item without a key, with a value that is no text, or with a revision of 1e999, stands in an answer of the store among sound ones. The whole answer was refused, at each read again ("store-lost"), and the node followed neither upstreams nor configuration any more. A revision such as 1e300 was accepted: all later changes of that key then counted as older, and members of this node got no more updates.

--- a/src/revision.ts
+++ b/src/revision.ts
@@ -10,7 +10,7 @@
  * Number of revisions available per epoch. It lasts 34 years at a thousand changes per second, and leaves room for
  * 8,000 epochs in a safe integer.
  */
-const REVISIONS_PER_EPOCH = 2 ** 40
+export const REVISIONS_PER_EPOCH = 2 ** 40
 
 /**
  * Combines an epoch with a revision of the service.
--- a/test/platform/platform.test.ts
+++ b/test/platform/platform.test.ts
@@ -1,20 +1,23 @@
 /** Adapters of the platform: store client, headers, records and settings file. */
 import assert from 'node:assert/strict'
+import { createServer } from 'node:http'
 import { afterEach, beforeEach, describe, it } from 'node:test'
 import { createRequestFormat } from '../../platform/format.js'
 import { createRegistry } from '../../platform/registry.js'
+import { STORE_PATH } from '../../platform/names.js'
 import { gatewaySettingsSchema } from '../../platform/settings.js'
 import { createStore } from '../../platform/store.js'
 import { createSystemClock } from '../../src/clock.js'
 import { createConnections } from '../../src/protocols/http.js'
 import type { Connections } from '../../src/protocols/http.js'
 import { ABSENT } from '../../src/protocols/key-value.js'
-import type { KeyValue } from '../../src/protocols/key-value.js'
+import type { KeyValue, KeyValueChange } from '../../src/protocols/key-value.js'
 import { createRandom } from '../../src/random.js'
 import { parseSettings } from '../../src/settings.js'
 import { ServingError } from '../../src/verdict.js'
 import { serveMetadataStore } from '../../stand-ins/machines/metadata-store.js'
 import type { MetadataStoreStandIn } from '../../stand-ins/machines/metadata-store.js'
+import { listenOnFreePort } from '../listening.js'
 
 describe('the client of the metadata store', () => {
   let server: MetadataStoreStandIn
@@ -44,6 +47,27 @@
     assert.equal(await store.get('a'), undefined)
   })
 
+  // Guards against a node that follows nothing more because of one odd item among sound ones: the whole answer was refused at each read, or
+  // one revision was higher than all to come.
+  it('passes over odd items of an answer, and uses the others', async () => {
+    const sound = (key: string, revision: number): object => ({ key, value: Buffer.from(`value of ${key}`).toString('base64'), revision })
+    const odd = ['{}', '[]', 'null', '"p/x"', '7', '{"key":"p/x","value":"eA==","revision":1e999}', '{"key":"p/x","value":"eA==","revision":1e300}', '{"key":"p/x","value":"eA==","revision":9007199254740993}', '{"key":"p/x","value":"eA==","revision":-1}', '{"key":"p/x","value":"eA==","revision":1.5}', '{"key":"p/x","value":"eA==","revision":"7"}', '{"key":"p/x","value":{},"revision":7}', '{"key":["p/x"],"value":"","revision":7}', `{"key":"p/x","value":${'['.repeat(50_000)}${']'.repeat(50_000)},"revision":7}`]
+    const items = [JSON.stringify(sound('p/a', 5)), ...odd, JSON.stringify(sound('p/b', 9))].join(',')
+    const answers = createServer((request, response) => { response.end(request.url!.startsWith(STORE_PATH.watch) ? `{"events":[${items}],"asOf":12}` : `{"items":[${items}],"asOf":12}`) })
+    const faulty = createStore(connections, () => oddAddress)
+    const oddAddress = await listenOnFreePort(answers)
+    try {
+      const expected = ['p/a', 'p/b'].map((key) => `value of ${key}`)
+      const { entries, revision } = await faulty.list('p/')
+      assert.deepEqual([entries.map(({ value }) => value), revision], [expected, 12])
+      const { value: changes } = await faulty.watch('p/', 1, new AbortController().signal)[Symbol.asyncIterator]().next() as { value: KeyValueChange[] }
+      assert.deepEqual(changes.map((change) => change.kind === 'put' && change.entry.value), expected)
+    } finally {
+      answers.close()
+      answers.closeAllConnections()
+    }
+  })
+
   it('lists a prefix over several pages', async () => {
     for (let index = 0; index < 1_234; index += 1) server.store.put(`p/${String(index).padStart(4, '0')}`, 'x')
     server.store.put('q', 'x')
