One odd entry of the instance list doesn't make the whole list unusable

What could happen, in the product's own interface: an entry of the instance list with port 65536, without a role, or that is no object, stands among sound ones. The whole list was refused at each read ("instance-list-failing"), so that nodes and planner followed no start and no end of an instance any more.

Each entry is now checked by itself; odd ones are passed over, and logged when they change.

Before, the test with eight kinds of odd entries around a sound one got "unexpected answer: Invalid input: expected object, received number".

--- a/src/entry/node.ts
+++ b/src/entry/node.ts
@@ -106,7 +106,7 @@
   const ledger = createLedger({ wall: clock.wall })
   const facts = createFactStore({ bytes: FACT_STORE_BYTES })
 
-  const instanceList = createInstanceList(connections, settings.platform.instance_list)
+  const instanceList = createInstanceList(connections, settings.platform.instance_list, log)
   const directory = createUpstreamDirectory({ instanceList, clock, log, signal })
   startDrainWatcher({ keyValue, directory, clock, log, signal })
   let ready = false
--- a/src/planner/planner.ts
+++ b/src/planner/planner.ts
@@ -73,7 +73,7 @@
     settings,
     keyValue,
     cloud: createCloud(connections, settings.platform.cloud),
-    instanceList: createInstanceList(connections, settings.platform.instance_list),
+    instanceList: createInstanceList(connections, settings.platform.instance_list, log),
     engineAt: (address) => createEngine(connections, address),
     weightStore: weightStoreAddress === undefined ? undefined : createWeightStore(connections, weightStoreAddress),
     leadership,
--- a/test/entry/upstream-directory.test.ts
+++ b/test/entry/upstream-directory.test.ts
@@ -1,12 +1,16 @@
 /** Upstream directory: notices apply to an upstream at its address. */
 import assert from 'node:assert/strict'
+import { createServer } from 'node:http'
 import { test } from 'node:test'
 import { createUpstreamDirectory } from '../../src/entry/upstream-directory.js'
-import { upstreamNameSchema } from '../../src/identifiers.js'
+import { addressSchema, upstreamNameSchema } from '../../src/identifiers.js'
 import { createLog } from '../../src/log.js'
+import { createConnections } from '../../src/protocols/http.js'
+import { createInstanceList } from '../../src/protocols/instance-list.js'
 import { instanceSchema } from '../../src/upstream/index.js'
 import type { Instance } from '../../src/upstream/index.js'
 import { createManualClock } from '../../stand-ins/manual-clock.js'
+import { listenOnFreePort } from '../listening.js'
 
 const name = upstreamNameSchema.parse('engine-1')
 
@@ -41,3 +45,22 @@
   owner.abort()
   assert.equal(directory.find(name)?.leaving, false)
 })
+
+// Guards against a node that takes up no change of the instances because of one odd entry among sound ones: the whole list was refused.
+test('an odd entry of the instance list is passed over and logged once, and the others are followed', async () => {
+  const odd = ['7', 'null', '{}', '{"name":"m"}', `${'['.repeat(50_000)}${']'.repeat(50_000)}`, JSON.stringify({ ...instanceAt(1), address: '127.0.0.1:65536' }), JSON.stringify({ ...instanceAt(1), role: { kind: 'entry', peerAddress: '256.0.0.1:1' } }), JSON.stringify({ ...instanceAt(1), name: 'x'.repeat(100_000) })]
+  let port = 1
+  const server = createServer((_request, response) => { response.end(`{"instances":[${[...odd, JSON.stringify(instanceAt(port)), ...odd].join(',')}]}`) })
+  const address = addressSchema.parse(await listenOnFreePort(server))
+  const connections = createConnections(1)
+  const lines: string[] = []
+  const log = { ...createLog('test', 'silent', () => 0), warn: (event: string) => { lines.push(event) } }
+  try {
+    const instanceList = createInstanceList(connections, address, log)
+    for (port = 1; port <= 3; port += 1) assert.deepEqual((await instanceList.read()).map((instance) => instance.address), [`127.0.0.1:${port}`])
+    assert.deepEqual(lines, ['instances-unusable'])
+  } finally {
+    await connections.destroy()
+    server.close()
+  }
+})
