One odd item of the key-value service doesn't make its answer unusable

What could happen, in the product's own interface: an item without a key, or with a revision that is no number, stands in an answer of the key-value service among sound ones. The whole answer was refused at each read, so that nothing more was followed. A revision "no number" became NaN and one of 1e300 stayed: comparisons with later revisions then failed.

Revisions are whole numbers that are exact.

Before, the test with 13 odd items among two sound ones got "unexpected answer: Invalid input: expected object, received number".

--- a/src/json.ts
+++ b/src/json.ts
@@ -1,5 +1,5 @@
 /** Parsing of JSON text written by other processes, which may run another version of the software. */
-import type * as z from 'zod'
+import * as z from 'zod'
 
 /**
  * Parses a JSON text and validates the value against a schema.
@@ -26,3 +26,18 @@
     return undefined
   }
 }
+
+/**
+ * Schema of a list whose odd items are passed over.
+ *
+ * Failure guarded against: one odd item makes a whole answer unusable at each read, and the process follows nothing more.
+ *
+ * @example
+ * const answerSchema = z.object({ items: usableItems(itemSchema) })
+ */
+export function usableItems<Item> (schema: z.ZodType<Item>) {
+  return z.array(z.unknown()).transform((items) => items.flatMap((item) => {
+    const { success, data } = schema.safeParse(item)
+    return success ? [data] : []
+  }))
+}
--- a/src/protocols/key-value.ts
+++ b/src/protocols/key-value.ts
@@ -9,6 +9,7 @@
 import { createEpochTracker } from './epochs.js'
 import type { Epochs } from './epochs.js'
 import type { Address } from '../identifiers.js'
+import { usableItems } from '../json.js'
 import { exchangeJson, send } from './http.js'
 import type { Connections, HttpExchange } from './http.js'
 
@@ -107,28 +108,26 @@
 const WATCH_IDLE_TIMEOUT: Milliseconds = 30 * SECOND
 
 /** The service writes 64-bit numbers as strings. */
-const numberSchema = z.union([z.string(), z.number()]).transform(Number)
+const numberSchema = z.union([z.string().regex(/^\d+$/), z.number()]).transform(Number).pipe(z.number().int().nonnegative())
 const headerSchema = z.object({ revision: numberSchema })
 const entrySchema = z.object({
   key: z.string(),
   value: z.string().default(''),
   mod_revision: numberSchema
 })
-const rangeSchema = z.object({ header: headerSchema, kvs: z.array(entrySchema).default([]) })
+const eventSchema = z.object({ type: z.enum(['PUT', 'DELETE']).default('PUT'), kv: entrySchema })
+const rangeSchema = z.object({ header: headerSchema, kvs: usableItems(entrySchema).default([]) })
 const transactionSchema = z.object({
   header: headerSchema,
   succeeded: z.boolean().default(false),
-  responses: z.array(z.object({ response_range: z.object({ kvs: z.array(entrySchema).default([]) }).optional() })).default([])
+  responses: z.array(z.object({ response_range: z.object({ kvs: usableItems(entrySchema).default([]) }).optional() })).default([])
 })
 const grantSchema = z.object({ ID: z.union([z.string(), z.number()]).transform(String) })
 const keepAliveSchema = z.object({ result: z.object({ TTL: numberSchema.default(0) }) })
 const watchSchema = z.object({
   result: z.object({
     header: headerSchema,
-    events: z.array(z.object({
-      type: z.enum(['PUT', 'DELETE']).default('PUT'),
-      kv: z.object({ key: z.string(), value: z.string().default(''), mod_revision: numberSchema })
-    })).default([])
+    events: usableItems(eventSchema).default([])
   })
 })
 const anySchema = z.unknown()
--- a/test/protocols/key-value.test.ts
+++ b/test/protocols/key-value.test.ts
@@ -1,13 +1,16 @@
 /** HTTP client of the key-value service. */
 import assert from 'node:assert/strict'
 import { subscribe, unsubscribe } from 'node:diagnostics_channel'
+import { createServer } from 'node:http'
 import { test } from 'node:test'
 import { createSystemClock } from '../../src/clock.js'
+import { addressSchema } from '../../src/identifiers.js'
 import { createConnections, createFreshConnections } from '../../src/protocols/http.js'
 import { ABSENT, createKeyValue } from '../../src/protocols/key-value.js'
 import type { KeyValueChange } from '../../src/protocols/key-value.js'
 import { createRandom } from '../../src/random.js'
 import { serveKeyValue } from '../../stand-ins/key-value.js'
+import { listenOnFreePort } from '../listening.js'
 
 /** Diagnostics channel on which undici reports each new connection. */
 const CONNECTED = 'undici:client:connected'
@@ -74,3 +77,26 @@
     await Promise.all([connections.destroy(), fresh.destroy(), service.kill()])
   }
 })
+
+// Guards against a process that follows nothing more because of one odd item among sound ones, whose revision was no number or made the
+// whole answer unusable.
+test('odd items of an answer are passed over, and the others are used', async () => {
+  const encode = (text: string): string => Buffer.from(text).toString('base64')
+  const odd = ['7', 'null', '{}', '{"key":7}', `${'['.repeat(50_000)}${']'.repeat(50_000)}`, ...['"no number"', '""', '1e999', '1e300', '"9007199254740993"', '-1', '1.5', '{}'].map((revision) => `{"key":"${encode('a/x')}","value":"eA==","mod_revision":${revision}}`)]
+  const items = [`{"key":"${encode('a/1')}","value":"${encode('one')}","mod_revision":"5"}`, ...odd, `{"key":"${encode('a/2')}","value":"${encode('two')}","mod_revision":"6"}`]
+  const server = createServer((request, response) => {
+    const events = items.map((item) => `{"kv":${item}}`).join(',')
+    response.end(request.url === '/v3/watch' ? `{"result":{"header":{"revision":"7"},"events":[${events}]}}\n` : `{"header":{"revision":"7"},"kvs":[${items.join(',')}]}`)
+  })
+  const connections = createConnections(1)
+  const keyValue = createKeyValue(connections, [addressSchema.parse(await listenOnFreePort(server))])
+  const expected = [{ key: 'a/1', value: 'one', revision: 5 }, { key: 'a/2', value: 'two', revision: 6 }]
+  try {
+    assert.deepEqual(await keyValue.list('a/'), { entries: expected, revision: 7 })
+    const { value: changes } = await keyValue.watch('a/', 1, new AbortController().signal)[Symbol.asyncIterator]().next() as { value: KeyValueChange[] }
+    assert.deepEqual(changes, expected.map((entry) => ({ kind: 'put', entry })))
+  } finally {
+    await connections.destroy()
+    server.close()
+  }
+})
