A time that is too large for a timer waits instead of ending at once

What callers saw: 504 at once for each request of a route whose time limit is more than 24 days, such as 1e300 ms, if the caller would wait as long. What an upstream says of the time until it leaves had the same effect: its runs were moved at once.

Cause: a timer of Node.js whose delay doesn't fit into 31 bits fires after a millisecond. The clock now bounds each delay, which all timers of nodes go through.

--- a/src/clock.ts
+++ b/src/clock.ts
@@ -31,6 +31,14 @@
 /** Milliseconds in an hour. */
 export const HOUR: Milliseconds = 60 * MINUTE
 
+/**
+ * Longest delay of a timer of Node.js, 24 days.
+ *
+ * Failure guarded against: a time limit in the configuration or a time in a record is larger. Such a timer would fire after a millisecond,
+ * and end at once what has almost any time.
+ */
+const MAX_DELAY: Milliseconds = 2 ** 31 - 1
+
 /**
  * Creates the clock of the running process.
  *
@@ -61,7 +69,7 @@
  */
 export function startTimeout (delay: Milliseconds, callback: () => void, keepsProcess = true): () => void {
   let immediate: NodeJS.Immediate | undefined
-  const timer = setTimeout(() => { immediate = setImmediate(callback) }, delay)
+  const timer = setTimeout(() => { immediate = setImmediate(callback) }, Math.min(delay, MAX_DELAY))
   if (!keepsProcess) timer.unref()
   return () => {
     clearTimeout(timer)
@@ -105,14 +113,14 @@
 function systemSleep (delay: Milliseconds, signal?: AbortSignal): Promise<void> {
   return new Promise((resolve, reject) => {
     if (signal === undefined) {
-      setTimeout(resolve, delay)
+      setTimeout(resolve, Math.min(delay, MAX_DELAY))
       return
     }
     if (signal.aborted) return reject(signal.reason)
     const timer = setTimeout(() => {
       stopListening()
       resolve()
-    }, delay)
+    }, Math.min(delay, MAX_DELAY))
     const stopListening = onAbort(signal, () => {
       clearTimeout(timer)
       reject(signal.reason)
--- a/test/gateway/odd-entries.test.ts
+++ b/test/gateway/odd-entries.test.ts
@@ -40,31 +40,31 @@
     await Promise.all((upstreams ?? []).map((upstream) => upstream.close()))
   })
 
-  function configure (): void {
+  function configure (more: object = {}): void {
     version += 1
-    deployment.configure({ version, routes: [route('lookup', 'plain'), route('constructor', 'constructor')], services: [{ name: 'plain', maxConns: 100 }, { name: 'constructor', maxConns: 100 }] })
+    deployment.configure({ version, routes: [{ ...route('lookup', 'plain'), ...more }, route('constructor', 'constructor')], services: [{ name: 'plain', maxConns: 100 }, { name: 'constructor', maxConns: 100 }] })
   }
 
   async function until (condition: () => Promise<boolean> | boolean): Promise<void> {
     while (!(await condition())) await clock.sleep(10)
   }
 
-  async function ask (path = 'lookup'): Promise<number> {
+  async function ask (path = 'lookup', deadline = '2000'): Promise<number> {
     ids += 1
-    const { statusCode, body } = await request(`http://${node.addresses.front}/${path}/x`, { method: 'POST', headers: { host: HOST, 'x-hornbeamgap-request-id': `r${ids}`, 'x-hornbeamgap-deadline-ms': '2000' }, body: '' })
+    const { statusCode, body } = await request(`http://${node.addresses.front}/${path}/x`, { method: 'POST', headers: { host: HOST, 'x-hornbeamgap-request-id': `r${ids}`, 'x-hornbeamgap-deadline-ms': deadline }, body: '' })
     await body.dump()
     return statusCode
   }
 
-  async function statuses (path?: string): Promise<number[]> {
+  async function statuses (path?: string, deadline?: string): Promise<number[]> {
     const all = new Set<number>()
-    for (let count = 0; count < 40; count += 1) all.add(await ask(path))
+    for (let count = 0; count < 40; count += 1) all.add(await ask(path, deadline))
     return [...all]
   }
 
   /** Waits until the node has taken up a change of the configuration and of the upstreams. */
-  async function untilFollowed (): Promise<void> {
-    configure()
+  async function untilFollowed (more?: object): Promise<void> {
+    configure(more)
     await until(() => deployment.lines.some((line) => line.event === 'configuration-in-force' && line.version === version))
     const id = `later-${version}`
     deployment.register({ id, address: upstreams[0]!.address }, { service: 'other' })
@@ -92,4 +92,23 @@
     await second.stop()
     assert.deepEqual(deployment.lines.filter(({ event }) => ['gossip-ended', 'exchange-failed', 'exchange-failed-unexpectedly'].includes(String(event))), [])
   })
+
+  // Guards against 504 at once for each request of a route, and runs that are moved long before their upstream leaves: a timer for more than
+  // 24 days fires after a millisecond.
+  it('waits where a time is too large for a timer', async () => {
+    await untilFollowed({ timeoutMs: 1e300 })
+    assert.deepEqual(await statuses('lookup', '999999999999999'), [200])
+    configure()
+    for (const tooLong of [2 ** 31, 1e300, Infinity]) {
+      const end = new AbortController()
+      const ended: string[] = []
+      const cancel = clock.schedule(tooLong, () => { ended.push('timer') })
+      const slept = clock.sleep(tooLong, end.signal).then(() => { ended.push('sleep') }, () => {})
+      await clock.sleep(20)
+      assert.deepEqual(ended, [])
+      cancel()
+      end.abort()
+      await slept
+    }
+  })
 })
