An unreadable configuration or crash record is logged once, not at each read

What could happen: as long as another writer leaves the operator's configuration or the record of crash causes unreadable, each read and each write of it was another line. The configuration in force stays, as before.

Both remember what they have logged, as the records of upstreams and nodes do. The test also covers what held: 282 odd entries of upstreams, nodes, orders and statuses of all kinds, nested 100,000 deep and written three times, beside sound ones; the node serves, follows changes, and one that starts then becomes ready.

--- a/src/gateway/configuration-watcher.ts
+++ b/src/gateway/configuration-watcher.ts
@@ -5,6 +5,10 @@
 import { boundedDelaySettings, followPrefix } from './follow.js'
 import type { PrefixHandler, PrefixSubscription, StoreContext } from './follow.js'
 import type { Registry } from './ports.js'
+import { createUnusableEntries } from './unusable-entries.js'
+
+/** Maximum number of characters of the reason why a configuration can't be read, in a log line. */
+const MAX_REASON_LENGTH = 300
 
 /** Configuration in force at one node. */
 export interface ConfigurationWatcher {
@@ -30,15 +34,19 @@
   const { log } = context
   let table: RouteTable | undefined
   let text: string | undefined
+  /** Sources whose latest text can't be read. */
+  const unusable = createUnusableEntries()
 
   function offer (candidate: string, source: string): void {
     let configuration: RoutingConfiguration
     try {
       configuration = registry.readConfiguration(candidate)
     } catch (error) {
-      log.warn('configuration-unreadable', { source, error: String(error).slice(0, 300) })
+      const reason = String(error).slice(0, MAX_REASON_LENGTH)
+      if (unusable.note(source, reason)) log.warn('configuration-unreadable', { source, error: reason })
       return
     }
+    unusable.forget(source)
     const inForce = table?.configuration.version
     if (!supersedes(configuration.version, inForce)) return
     table = createRouteTable(configuration)
--- a/src/gateway/crash-cause-record.ts
+++ b/src/gateway/crash-cause-record.ts
@@ -10,6 +10,7 @@
 import { repeat } from '../repeat.js'
 import type { CrashWatch } from './crash-causes.js'
 import type { StoreContext } from './follow.js'
+import { createUnusableEntries } from './unusable-entries.js'
 
 /** The record in the store, as one node keeps it. */
 export interface CrashCauseRecord {
@@ -36,6 +37,9 @@
 
 const NOTHING = '{}'
 
+/** Maximum number of characters of a record in a log line. */
+const MAX_LOGGED_LENGTH = 100
+
 /**
  * Starts to keep the record, until the signal of the context aborts.
  *
@@ -47,6 +51,7 @@
   const { store, clock, log, signal } = context
   let stored = NOTHING
   let writtenAt = -Infinity
+  const unusable = createUnusableEntries()
 
   async function write (): Promise<void> {
     const text = JSON.stringify(crashes.supporting())
@@ -62,7 +67,12 @@
   return {
     received: (text) => {
       const evidence = readJson(crashEvidenceSchema, text)
-      if (evidence === undefined) return log.warn('crash-causes-unreadable', { key: CRASH_CAUSES_KEY, value: text.slice(0, 100) })
+      if (evidence === undefined) {
+        const value = text.slice(0, MAX_LOGGED_LENGTH)
+        if (unusable.note(CRASH_CAUSES_KEY, value)) log.warn('crash-causes-unreadable', { key: CRASH_CAUSES_KEY, value })
+        return
+      }
+      unusable.forget(CRASH_CAUSES_KEY)
       stored = text
       crashes.observe([evidence])
     }
--- a/test/gateway/odd-entries.test.ts
+++ b/test/gateway/odd-entries.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict'
 import { after, before, describe, it } from 'node:test'
 import { request } from 'undici'
-import { createSystemClock } from '../../src/clock.js'
+import { createSystemClock, SECOND } from '../../src/clock.js'
 import type { GatewayNode } from '../../src/gateway/node.js'
 import { createMachineDeployment } from '../../stand-ins/machines/deployment.js'
 import type { MachineDeployment } from '../../stand-ins/machines/deployment.js'
@@ -111,4 +111,33 @@
       await slept
     }
   })
+
+  // Guards against a line at each read of an odd entry, and against a node that is ended by one, stops following, or uses a part of one.
+  it('serves and follows beside hundreds of odd entries of all kinds, which it logs once each', async () => {
+    const nested = (depth: number): string => `${'['.repeat(depth)}${']'.repeat(depth)}`
+    const odd = [...[20_000, 100_000].map(nested), '1e999', '9007199254740993', '-5', '"12"', 'null', 'no JSON', '{"a":', '\ufffd\u0000', JSON.stringify('x'.repeat(50_000)), '{"__proto__":{"version":9}}']
+    const fields = ['slots', 'born', 'version', 'state', 'leaves_ms']
+    const oddValues = ['1e999', nested(20_000), 'null', '-1.5']
+    const odder = [...odd, ...fields.flatMap((field) => oddValues.map((value) => `{"service":"plain","zone":"zone-a","state":"ready","address":"127.0.0.1:9","${field}":${value}}`))]
+    const keys: [string, string][] = odder.flatMap((value, index) => Array.from({ length: 8 }, (_, copy): [string, string] => [`servers/many-${copy}-${index}`, value]))
+    for (const [index, value] of odd.entries()) keys.push([`hornbeamgap/fleet/nodes/many-${index}`, value], [`op/rollout/many-${index}`, value], [`status/rollout/many-${index}`, value])
+    const single = ['hornbeamgap/fleet/crash-causes', 'op/config']
+    const events = ['upstream-record-unusable', 'node-record-unreadable', 'rollout-order-unreadable', 'rollout-status-unreadable', 'crash-causes-unreadable', 'configuration-unreadable']
+    const from = deployment.lines.length
+    for (let write = 0; write < 3; write += 1) {
+      for (const [key, value] of keys) deployment.store.store.put(key, value)
+      for (const key of single) deployment.store.store.put(key, odd[0]!)
+      await clock.sleep(SECOND)
+    }
+    assert.deepEqual(await statuses(), [200])
+    await untilFollowed()
+    const late = await deployment.startNode('node-3')
+    await until(async () => (await fetch(`http://${late.addresses.ready}/ready`)).status === 200)
+    await late.stop()
+    const logged = deployment.lines.slice(from).filter(({ process, event }) => process === 'node-1' && events.includes(String(event)))
+    const statusLines = logged.filter(({ event }) => event === 'rollout-status-unreadable').length
+    // The statuses are followed from the first order on.
+    assert.deepEqual([logged.length, statusLines], [keys.length + single.length - odd.length, 0])
+    assert.deepEqual(deployment.lines.slice(from).filter(({ event }) => ['following-ended', 'gossip-ended', 'exchange-failed-unexpectedly'].includes(String(event))), [])
+  })
 })
