An update with a revision that no store has is refused

What could happen: a node that is told of changes by another one follows nothing more. A revision of 1e300 in an update, which a node of an earlier build could take from an odd answer of the store and pass on, is higher than all to come: each later update counts as older, while its age says that the member is up to date.

Revisions in updates are whole numbers that are exact. The message is refused as a whole, and the member reads the store itself, as without an aggregator.

--- a/src/gossip/types.ts
+++ b/src/gossip/types.ts
@@ -113,20 +113,23 @@
 })
 export type MemberMessage = z.infer<typeof memberMessageSchema>
 
-const entrySchema = z.object({ key: z.string(), value: z.string(), revision: z.number() })
+/** An odd revision may be higher than all to come, after which a member takes every change for an older one. */
+const revisionSchema = z.number().int().nonnegative()
+
+const entrySchema = z.object({ key: z.string(), value: z.string(), revision: revisionSchema })
 
 /** Changes under a prefix of the store since a revision, for a node that does not read the store itself. */
 export const storeUpdateSchema = z.object({
   prefix: z.string(),
   /** Latest revision that the update contains. */
-  revision: z.number(),
+  revision: revisionSchema,
   /**
    * Whether the entries are the complete content of the prefix, since the changes after the requested revision are no
    * longer known.
    */
   isWhole: z.boolean(),
   entries: z.array(entrySchema),
-  removed: z.array(z.object({ key: z.string(), revision: z.number() })),
+  removed: z.array(z.object({ key: z.string(), revision: revisionSchema })),
   /** Time since the store last answered for this prefix, in milliseconds. */
   age: z.number()
 })
--- a/test/gateway/store-updates.test.ts
+++ b/test/gateway/store-updates.test.ts
@@ -7,6 +7,7 @@
 import { boundedDelaySettings, followPrefix } from '../../src/gateway/follow.js'
 import { createStoreUpdateExchange } from '../../src/gateway/store-updates.js'
 import type { StoreUpdateExchange } from '../../src/gateway/store-updates.js'
+import { storeUpdateSchema } from '../../src/gossip/index.js'
 import { createRandom } from '../../src/random.js'
 import { createFaultSwitch } from '../../stand-ins/faults.js'
 import { createDirectKeyValue } from '../../stand-ins/key-value-direct.js'
@@ -117,4 +118,13 @@
       controller.abort()
     })
   }
+
+  // Guards against a member that follows nothing more: a revision that another node passes on is higher than all to come.
+  it('are refused as a whole if a revision is none that a store has', () => {
+    const update = { prefix: 'a/', revision: 7, isWhole: false, entries: [{ key: 'a/1', value: '{', revision: 7 }], removed: [{ key: 'a/2', revision: 6 }], age: 0 }
+    assert.equal(storeUpdateSchema.safeParse(update).success, true)
+    for (const revision of [1e300, 2 ** 53, -1, 1.5, '7', null]) {
+      for (const odd of [{ revision }, { entries: [{ key: 'a/1', value: '', revision }] }, { removed: [{ key: 'a/2', revision }] }]) assert.equal(storeUpdateSchema.safeParse({ ...update, ...odd }).success, false, JSON.stringify(odd))
+    }
+  })
 })
