--- a/src/gateway/origin-checkpoints.ts
+++ b/src/gateway/origin-checkpoints.ts
@@ -13,6 +13,7 @@
 import { groupByOrigin, originCheckpointSchema, VERSION_RETENTION } from '../stream-origins/index.js'
 import type { OriginCheckpoint, OriginRecords, StreamId, StreamOrigin, VersionsByService } from '../stream-origins/index.js'
 import type { StoreContext } from './follow.js'
+import { createUnusableEntries } from './unusable-entries.js'
 import type { VersionWatch } from './version-watch.js'
 
 /** Origins in the store. */
@@ -64,6 +65,9 @@
 /** Age of the lease at which it is renewed. */
 const RENEWAL_AGE: Milliseconds = LEASE_TIME - VERSION_RETENTION - 10 * SECOND
 
+/** Maximum number of characters of a key or a value in a log line. */
+const MAX_LOGGED_LENGTH = 100
+
 interface Lease {
   readonly id: LeaseId
   grantedAt: Milliseconds
@@ -80,7 +84,7 @@
   const { context, incarnation, streams, records, versions } = options
   const { store, clock, log, signal } = context
   const ownKey = CHECKPOINT_PREFIX + incarnation
-  const unreadable = new Set<string>()
+  const unusable = createUnusableEntries()
   /** Versions that a checkpoint in the store names. */
   const recorded = new Map<string, ReadonlySet<string>>()
   let lease: Lease | undefined
@@ -99,13 +103,14 @@
 
   function readCheckpoint ({ key, value }: KeyValueEntry): OriginCheckpoint | undefined {
     const checkpoint = readJson(originCheckpointSchema, value)
-    if (checkpoint === undefined && !unreadable.has(key)) log.warn('stream-origins-unreadable', { key, value: value.slice(0, 100) })
-    if (checkpoint === undefined) unreadable.add(key)
+    const logged = value.slice(0, MAX_LOGGED_LENGTH)
+    if (checkpoint === undefined && unusable.note(key, logged)) log.warn('stream-origins-unreadable', { key: key.slice(0, MAX_LOGGED_LENGTH), value: logged })
     return checkpoint
   }
 
   async function read (): Promise<void> {
     const { entries } = await store.list(CHECKPOINT_PREFIX, signal)
+    unusable.retainOnly(new Set(entries.map(({ key }) => key)))
     const checkpoints = entries.filter(({ key }) => key !== ownKey).map(readCheckpoint)
     const now = clock.now()
     let isComplete = options.firstStart && checkpoints.length === 0
