--- a/src/gateway/acceptance.ts
+++ b/src/gateway/acceptance.ts
@@ -9,6 +9,8 @@
 /** A request whose head has passed the checks. */
 export interface AcceptedRequest {
   readonly head: RequestHead & { readonly id: string }
+  readonly host: string
+  readonly path: string
   readonly route: Route
   /** Undefined if the request has no known key, which is allowed on anonymous routes. */
   readonly organisation: Organisation | undefined
@@ -36,6 +38,8 @@
   if (needsKey && organisation === undefined) throw refusal('unauthenticated', 'the key is missing or unknown')
   return {
     head: { ...head, id: head.id },
+    host: host ?? '',
+    path,
     route,
     organisation,
     priority: organisation?.priority ?? route.priority
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -20,7 +20,7 @@
 import { readPlainAnswer } from './plain-answer.js'
 import type { PlainAnswerEnd } from './plain-answer.js'
 import { relayEvents } from './stream-relay.js'
-import { needsOriginRecord } from './stream-resumption.js'
+import { needsOriginRecord, routeKeyOf } from './stream-resumption.js'
 import type { VersionObservation } from './rollouts.js'
 import type { AbortReason } from './time-limit.js'
 
@@ -300,14 +300,15 @@
 /** From its first event on, the stream continues at this version only. */
 function recordOrigin (context: GatewayContext, proxied: ProxiedRequest, { version }: UpstreamRecord): void {
   const { accepted, service, limit, progress } = proxied
+  const { route } = accepted
   progress.version = version
-  if (!accepted.route.resumable) return
-  context.streamOrigins.began(streamIdOf(proxied), { origin: { service, version }, until: limit.end, isInferable: () => !needsOriginRecord(context, accepted) })
+  if (!route.resumable) return
+  context.streamOrigins.began(streamIdOf(proxied), routeKeyOf(route), { origin: { service, version }, until: limit.end, isInferable: () => !needsOriginRecord(context, accepted) })
 }
 
 /** Id by which the caller names the stream when it takes it up: that of the attempt that brought the first event. */
 function streamIdOf ({ accepted: { head } }: ProxiedRequest): string {
-  return (head.lastEvent === undefined ? undefined : head.resumes) ?? head.id
+  return head.lastEvent === undefined || head.resumes === undefined ? head.id : head.resumes
 }
 
 /**
--- a/src/gateway/configuration-watcher.ts
+++ b/src/gateway/configuration-watcher.ts
@@ -28,9 +28,9 @@
  * @param onChange called with each version that comes into force
  * @param otherHandler receives the operator's other entries. One watch for the whole prefix needs one call instead of several
  * @example
- * const watcher = createConfigurationWatcher(context, platform.registry, 2 * SECOND, (configuration) => applyCallerLimits(server, configuration.limits), orders)
+ * const watcher = createConfigurationWatcher(context, platform.registry, 2 * SECOND, ({ configuration }) => applyCallerLimits(server, configuration.limits), orders)
  */
-export function createConfigurationWatcher (context: StoreContext, registry: Registry, maxDelay: Milliseconds, onChange: (configuration: RoutingConfiguration) => void, otherHandler: PrefixHandler): ConfigurationWatcher {
+export function createConfigurationWatcher (context: StoreContext, registry: Registry, maxDelay: Milliseconds, onChange: (table: RouteTable) => void, otherHandler: PrefixHandler): ConfigurationWatcher {
   const { log } = context
   let table: RouteTable | undefined
   let text: string | undefined
@@ -52,7 +52,7 @@
     table = createRouteTable(configuration)
     text = candidate
     log.info('configuration-in-force', { version: configuration.version, before: inForce, source, routes: configuration.routes.length, organisations: configuration.organisations?.length, quotaRate: configuration.organisations?.reduce((sum, { quota }) => sum + quota.rate, 0) })
-    onChange(configuration)
+    onChange(table)
   }
 
   const isConfiguration = (key: string): boolean => key === registry.configurationKey
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -8,6 +8,7 @@
 import type { RouteTable } from '../routing/index.js'
 import type { WorkMeter } from '../scaling/index.js'
 import type { UsageWindows } from '../usage/index.js'
+import type { AcceptedRequest } from './acceptance.js'
 import type { AnswerPace } from './answer-pace.js'
 import type { Arrivals } from './arrivals.js'
 import type { Backpressure } from './backpressure.js'
@@ -68,6 +69,8 @@
   readonly streamOrigins: StreamOrigins
   /** The only version that a service has had lately; undefined if there may be several, or if the view of the upstreams is older than `maxAge`. */
   readonly onlyVersion: VersionWatch['only']
+  /** Whether requests like this one have gone to this service alone for as long as streams are resumed. */
+  readonly ledOnlyTo: (request: AcceptedRequest, service: string) => boolean
   /** What this node knows of the versions of a service, for log lines. */
   readonly versionFacts: VersionWatch['facts']
   /** Routes of the configuration in force; undefined until a configuration is known. */
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -14,8 +14,10 @@
 import type { RetryBudget } from '../quota/index.js'
 import type { Random } from '../random.js'
 import { repeat } from '../repeat.js'
-import type { RoutingConfiguration } from '../routing/index.js'
+import { createRouteHistory } from '../routing/index.js'
+import type { RouteTable } from '../routing/index.js'
 import { createWorkMeter } from '../scaling/index.js'
+import { STREAM_RETENTION } from '../stream-origins/index.js'
 import { createUsageWindows, windowOf } from '../usage/index.js'
 import { refusal } from './acceptance.js'
 import { createAnswerPace } from './answer-pace.js'
@@ -53,7 +55,7 @@
 import { createServicePaths } from './service-paths.js'
 import type { GatewaySettings } from './settings.js'
 import { stopMarginOf, stopNode } from './stopping.js'
-import { MAX_INFERENCE_AGE_FACTOR } from './stream-resumption.js'
+import { createDestinationCheck, MAX_INFERENCE_AGE_FACTOR } from './stream-resumption.js'
 import { serveTunnels } from './tunnels.js'
 import type { TunnelServer } from './tunnels.js'
 import { createSlownessReporter } from './upstream-slowness.js'
@@ -142,6 +144,7 @@
   const speeds = createEngineSpeeds()
   const quotas = createQuotaLimiter(random, bounds.quotaMargin)
   const quarantine = createQuarantine()
+  const routeHistory = createRouteHistory(STREAM_RETENTION)
   const versions = createVersionWatch({ clock, present: upstreams.all, maxAge: MAX_INFERENCE_AGE_FACTOR * bounds.upstreamDrain })
   const usage = createUsageWindows(bounds.usageWindow)
   const sums = createRequestSums(clock.now())
@@ -170,7 +173,7 @@
     rollouts.changed(service)
     dispatchQueues.wake()
   })
-  const configuration = createConfigurationWatcher(followContext, platform.registry, bounds.configurationApplies, applyLimits, rolloutRecords.handler)
+  const configuration = createConfigurationWatcher(followContext, platform.registry, bounds.configurationApplies, applyTable, rolloutRecords.handler)
   const rollouts = createRollouts({ clock, random, log, bounds: bounds.rollout, records: rolloutRecords, hasOtherCause: (incarnation) => crashes.explains(incarnation), nodes: () => fleet.maxNodeCount(), ordersReceivedAt: configuration.subscription.lastContactAt })
   const holder: DutyHolder = createDutyHolder({ context: followContext, node: settings.name, incarnation, leaseTime: bounds.lease, firstStart: settings.firstStart, isCandidate: () => context !== undefined && !fleet.isMember() })
   const crashes = createCrashWatch({ clock, log, node: settings.name, nodeNames: () => fleet.nodeNames(), wall: () => fleet.wall(), announce: () => fleet.announce() })
@@ -235,6 +238,7 @@
     announcePrefill: fleet.announcePrefill,
     streamOrigins: fleet.streamOrigins,
     onlyVersion: versions.only,
+    ledOnlyTo: createDestinationCheck(routeHistory, versions, settings.firstStart, clock),
     versionFacts: versions.facts,
     routeTable: configuration.table,
     sharedWall: fleet.wall,
@@ -372,8 +376,9 @@
     log.info('shares-dealt', { nodes, heard: others.reduce((sum, report) => sum + report.nodes, 0) })
   }
 
-  function applyLimits (next: RoutingConfiguration): void {
-    applyCallerLimits(server, next.limits)
+  function applyTable (table: RouteTable): void {
+    applyCallerLimits(server, table.configuration.limits)
+    routeHistory.put(table, clock.now())
     limitConnections()
   }
 
--- a/src/gateway/origin-checkpoints.ts
+++ b/src/gateway/origin-checkpoints.ts
@@ -8,10 +8,11 @@
 import { SECOND } from '../clock.js'
 import { readJson } from '../json.js'
 import { DEFAULT_EPOCH } from '../protocols/epochs.js'
+import { ABSENT } from '../protocols/key-value.js'
 import type { KeyValueEntry, LeaseId } from '../protocols/key-value.js'
 import { repeat } from '../repeat.js'
-import { groupByOrigin, originCheckpointSchema, VERSION_RETENTION } from '../stream-origins/index.js'
-import type { OriginCheckpoint, OriginRecords, StreamId, StreamOrigin, VersionsByService } from '../stream-origins/index.js'
+import { groupByOrigin, originCheckpointSchema, STREAM_RETENTION } from '../stream-origins/index.js'
+import type { OriginCheckpoint, OriginRecords, StreamId, StreamOrigin, ValuesByName } from '../stream-origins/index.js'
 import type { StoreContext } from './follow.js'
 import { createUnusableEntries } from './unusable-entries.js'
 import type { VersionWatch } from './version-watch.js'
@@ -20,8 +21,8 @@
 export interface OriginCheckpoints {
   /** Reads the other nodes' checkpoints unless that was done a moment ago. Rejects if the store does not answer. */
   refresh (): Promise<void>
-  /** Whether the store knows that streams may begin at this version. */
-  isRecorded (service: string, version: string): boolean
+  /** Whether streams may begin at this version: the store knows of it, or has not taken a record of it for a while. */
+  mayBegin (service: string, version: string): boolean
 }
 
 /** Options of {@link createOriginCheckpoints}. */
@@ -34,7 +35,7 @@
   readonly streams: () => ReadonlyMap<StreamId, StreamOrigin>
   /** Receives the origins that are read. */
   readonly records: Pick<OriginRecords, 'put'>
-  readonly versions: Pick<VersionWatch, 'update' | 'recalled' | 'recent' | 'isComplete'>
+  readonly versions: Pick<VersionWatch, 'update' | 'recalled' | 'completed' | 'ownSeen' | 'isComplete'>
   /** Number of nodes that share the rate of writes. */
   readonly nodeCount: () => number
   /** Number of writes that the store takes from all nodes in a second. */
@@ -60,10 +61,13 @@
 const READ_PERIOD: Milliseconds = 1 * SECOND
 
 /** Lease time of a checkpoint. It outlasts its node by more than the time for which streams are resumed. */
-const LEASE_TIME: Milliseconds = 2 * VERSION_RETENTION
+const LEASE_TIME: Milliseconds = 2 * STREAM_RETENTION
 
 /** Age of the lease at which it is renewed. */
-const RENEWAL_AGE: Milliseconds = LEASE_TIME - VERSION_RETENTION - 10 * SECOND
+const RENEWAL_AGE: Milliseconds = LEASE_TIME - STREAM_RETENTION - 10 * SECOND
+
+/** Time after which streams begin at a version of which the store has taken no record. Until then upstreams of other versions get them, if there are any. */
+const MAX_WITHHELD: Milliseconds = 2 * SECOND
 
 /** Maximum number of characters of a key or a value in a log line. */
 const MAX_LOGGED_LENGTH = 100
@@ -78,17 +82,20 @@
  *
  * @example
  * const checkpoints = createOriginCheckpoints({ context, incarnation, firstStart, streams, records, versions, nodeCount, storeWriteRate, onRecorded })
- * if (checkpoints.isRecorded('plans', 'v2')) ...
+ * if (checkpoints.mayBegin('plans', 'v2')) ...
  */
 export function createOriginCheckpoints (options: OriginCheckpointsOptions): OriginCheckpoints {
   const { context, incarnation, streams, records, versions } = options
   const { store, clock, log, signal } = context
   const ownKey = CHECKPOINT_PREFIX + incarnation
   const unusable = createUnusableEntries()
-  /** Versions that a checkpoint in the store names. */
+  /** Versions that a checkpoint in the store names, by service. */
   const recorded = new Map<string, ReadonlySet<string>>()
+  /** Times since which versions are known that the store has taken no record of. */
+  const unrecordedSince = new Map<string, Milliseconds>()
   let lease: Lease | undefined
   let written: string | undefined
+  let revision = ABSENT
   let nextWriteAt = -Infinity
   let retryPause = MIN_RETRY_PAUSE
   let hasRead = false
@@ -112,23 +119,22 @@
     const { entries } = await store.list(CHECKPOINT_PREFIX, signal)
     unusable.retainOnly(new Set(entries.map(({ key }) => key)))
     const checkpoints = entries.filter(({ key }) => key !== ownKey).map(readCheckpoint)
-    const now = clock.now()
-    let isComplete = options.firstStart && checkpoints.length === 0
-    let found = 0
-    for (const checkpoint of checkpoints) {
-      if (checkpoint === undefined) continue
-      isComplete ||= checkpoint.isComplete && checkpoint.epoch === currentEpoch()
-      versions.recalled(checkpoint.versions, false, now)
-      for (const [service, names] of Object.entries(checkpoint.versions)) recorded.set(service, new Set([...recorded.get(service) ?? [], ...names]))
-      for (const { service, version, ids } of checkpoint.streams) {
-        found += ids.length
-        for (const id of ids) records.put(id, { service, version }, now)
-      }
-    }
-    versions.recalled({}, isComplete && !checkpoints.includes(undefined), now)
+    const usable = checkpoints.filter((checkpoint) => checkpoint !== undefined)
+    for (const checkpoint of usable) take(checkpoint)
+    const isFirst = options.firstStart && !hasRead && checkpoints.length === 0
+    const isComplete = isFirst || usable.some((checkpoint) => checkpoint.isComplete && checkpoint.epoch === currentEpoch())
+    if (isComplete && usable.length === checkpoints.length) versions.completed()
+    const found = usable.reduce((sum, checkpoint) => sum + checkpoint.streams.reduce((ids, group) => ids + group.ids.length, 0), 0)
+    if (isReadNeeded) log.info('stream-origins-read', { checkpoints: checkpoints.length, streams: found, isComplete: versions.isComplete() })
     hasRead = true
     isReadNeeded = false
-    log.info('stream-origins-read', { checkpoints: checkpoints.length, streams: found, isComplete: versions.isComplete() })
+  }
+
+  function take (checkpoint: OriginCheckpoint): void {
+    const now = clock.now()
+    versions.recalled(checkpoint)
+    for (const [service, names] of Object.entries(checkpoint.versions)) recorded.set(service, new Set([...recorded.get(service) ?? [], ...names]))
+    for (const { service, version, ids } of checkpoint.streams) for (const id of ids) records.put(id, { service, version }, now)
   }
 
   function refresh (): Promise<void> {
@@ -150,38 +156,56 @@
     return lease.id
   }
 
-  async function write (): Promise<void> {
-    const named = versions.recent()
-    if (Object.keys(named).length === 0) return
+  async function write (recordedStreams: ReadonlyMap<StreamId, StreamOrigin>): Promise<void> {
+    const seen = versions.ownSeen()
+    if (Object.keys(seen.versions).length === 0) return
     const leaseId = await holdLease()
-    const checkpoint: OriginCheckpoint = { epoch: currentEpoch(), isComplete: versions.isComplete(), versions: named, streams: groupByOrigin(streams()) }
+    const checkpoint: OriginCheckpoint = { epoch: currentEpoch(), isComplete: versions.isComplete(), ...seen, streams: groupByOrigin(recordedStreams) }
     const text = JSON.stringify(checkpoint)
     if (text === written) return
-    await store.put(ownKey, text, { lease: leaseId, signal })
+    await swap(text, leaseId)
     written = text
-    setRecorded(named)
+    setRecorded(seen.versions)
     options.onRecorded()
   }
 
+  /**
+   * Failure guarded against: the store carries out a write seconds after its call was given up, in place of a later one, or under a lease that nobody
+   * renews. A write expects what the one before left.
+   */
+  async function swap (text: string, leaseId: LeaseId): Promise<void> {
+    const first = await store.compareAndSwap(ownKey, revision, text, { lease: leaseId, signal })
+    const result = first.kind === 'swapped' ? first : await store.compareAndSwap(ownKey, first.current?.revision ?? ABSENT, text, { lease: leaseId, signal })
+    if (result.kind === 'conflict') throw new Error('an earlier write of the checkpoint was carried out meanwhile')
+    revision = result.revision
+  }
+
   /** Versions that this checkpoint no longer names may have left the others as well. */
-  function setRecorded (named: VersionsByService): void {
+  function setRecorded (named: ValuesByName): void {
     recorded.clear()
     for (const [service, names] of Object.entries(named)) recorded.set(service, new Set(names))
   }
 
+  function isRecorded (service: string, version: string): boolean {
+    return recorded.get(service)?.has(version) === true
+  }
+
+  /** Keeps the times of versions that are not recorded yet. */
+  function noteUnrecorded (): void {
+    const named = Object.entries(versions.ownSeen().versions).flatMap(([service, names]) => names.filter((version) => !isRecorded(service, version)).map((version) => versionKey(service, version)))
+    for (const key of unrecordedSince.keys()) if (!named.includes(key)) unrecordedSince.delete(key)
+    for (const key of named) if (!unrecordedSince.has(key)) unrecordedSince.set(key, clock.now())
+  }
+
   /** Shortest time between two writes, so that those of all nodes stay within their share of the rate. */
   function writePeriod (): Milliseconds {
     return options.nodeCount() * SECOND / (options.storeWriteRate * WRITE_SHARE)
   }
 
-  async function update (): Promise<void> {
-    const isFollowed = versions.update()
-    isReadNeeded ||= wasFollowed && !isFollowed
-    wasFollowed = isFollowed
-    if (isReadNeeded && (isFollowed || !hasRead)) await refresh()
+  async function tryWrite (recordedStreams: ReadonlyMap<StreamId, StreamOrigin>): Promise<void> {
     if (clock.now() < nextWriteAt) return
     try {
-      await write()
+      await write(recordedStreams)
       nextWriteAt = clock.now() + writePeriod()
       retryPause = MIN_RETRY_PAUSE
     } catch (error) {
@@ -193,6 +217,16 @@
     }
   }
 
+  async function update (): Promise<void> {
+    const isFollowed = versions.update()
+    isReadNeeded ||= wasFollowed && !isFollowed
+    wasFollowed = isFollowed
+    noteUnrecorded()
+    const reading = isReadNeeded && (isFollowed || !hasRead) ? refresh() : Promise.resolve()
+    const results = await Promise.allSettled([reading, tryWrite(streams())])
+    for (const result of results) if (result.status === 'rejected') throw result.reason
+  }
+
   function forgetWritten (): void {
     lease = undefined
     written = undefined
@@ -203,6 +237,10 @@
 
   return {
     refresh,
-    isRecorded: (service, version) => recorded.get(service)?.has(version) === true
+    mayBegin: (service, version) => isRecorded(service, version) || clock.now() - (unrecordedSince.get(versionKey(service, version)) ?? Infinity) > MAX_WITHHELD
   }
 }
+
+function versionKey (service: string, version: string): string {
+  return JSON.stringify([service, version])
+}
--- a/src/gateway/stream-origins.ts
+++ b/src/gateway/stream-origins.ts
@@ -7,7 +7,7 @@
  */
 import { onAbort } from '../abort-listeners.js'
 import type { Milliseconds } from '../clock.js'
-import { ASKED_HOLDERS, createOpenStreams, createOriginRecords, MAX_STREAM_ID_LENGTH, pickHolders, RECORD_HOLDERS } from '../stream-origins/index.js'
+import { ASKED_HOLDERS, createOpenStreams, createOriginRecords, pickHolders, RECORD_HOLDERS, streamIdSchema } from '../stream-origins/index.js'
 import type { OpenStream, StreamId, StreamOrigin } from '../stream-origins/index.js'
 import { startCallTimeout } from '../timeout-signal.js'
 import type { NodeRecord } from './node-records.js'
@@ -16,17 +16,18 @@
 import { createOriginFeeds } from './origin-feeds.js'
 import type { PeerHandlers, PeerLink } from './peer-link.js'
 import type { ReachablePeers } from './reachable-peers.js'
+import type { VersionWatch } from './version-watch.js'
 
 /** Origins of streams. */
 export interface StreamOrigins {
   /** Keeps the origin of a stream of which this node is about to relay the first event, or the first one since its caller took it up. */
-  began (stream: StreamId, opened: OpenStream): void
+  began (stream: StreamId, route: string, opened: OpenStream): void
   /** The whole stream has been sent. */
   ended (stream: StreamId): void
   /** @returns the origin of a stream as this node, a holder or the store knows it; undefined if none does */
-  find (stream: StreamId, search: OriginSearch, signal: AbortSignal): Promise<StreamOrigin | undefined>
-  /** Whether the store knows that streams may begin at this version. */
-  readonly isRecorded: OriginCheckpoints['isRecorded']
+  find (stream: StreamId, timeout: Milliseconds, signal: AbortSignal): Promise<StreamOrigin | undefined>
+  /** Whether streams may begin at this version, see {@link OriginCheckpoints}. */
+  readonly mayBegin: OriginCheckpoints['mayBegin']
   /** Number of records that this node holds. */
   size (): number
   /** Closes the connections to the holders. */
@@ -35,16 +36,10 @@
   readonly answers: Pick<PeerHandlers, 'streamBegan' | 'streamOrigin'>
 }
 
-/** How the origin of a stream is looked for. */
-export interface OriginSearch {
-  /** Time for the answers of the holders and of the store. */
-  readonly timeout: Milliseconds
-  /** Whether the store is asked as well, unless it was a moment ago. */
-  readonly asksStore: boolean
-}
-
 /** What the node that creates them contributes. */
-export type StreamOriginsSettings = Pick<OriginCheckpointsOptions, 'firstStart' | 'versions' | 'storeWriteRate' | 'onRecorded'>
+export interface StreamOriginsSettings extends Pick<OriginCheckpointsOptions, 'firstStart' | 'storeWriteRate' | 'onRecorded'> {
+  readonly versions: VersionWatch
+}
 
 /** Dependencies of {@link createStreamOrigins}. */
 export interface StreamOriginsOptions extends StreamOriginsSettings, Pick<OriginCheckpointsOptions, 'context' | 'incarnation'> {
@@ -61,7 +56,7 @@
  *
  * @example
  * const origins = createStreamOrigins({ ...settings, context, incarnation, ownName, nodes, link, reachable })
- * origins.began('9c41d07be2a35f68', { origin: { service: 'plans', version: 'v2' }, until: limit.end, isInferable: () => false })
+ * origins.began('9c41d07be2a35f68', 'api.example/plans/', { origin: { service: 'plans', version: 'v2' }, until: limit.end, isInferable: () => false })
  */
 export function createStreamOrigins (options: StreamOriginsOptions): StreamOrigins {
   const { context, ownName, nodes, link, reachable } = options
@@ -88,10 +83,10 @@
     return origin
   }
 
-  async function askOthers (stream: StreamId, { timeout, asksStore }: OriginSearch, signal: AbortSignal): Promise<StreamOrigin | undefined> {
+  async function askOthers (stream: StreamId, timeout: Milliseconds, signal: AbortSignal): Promise<StreamOrigin | undefined> {
     const call = startCallTimeout(timeout, signal)
     const answers = holderAddresses(stream, ASKED_HOLDERS).map((address) => ask(address, stream, call.signal))
-    if (asksStore) answers.push(untilAborted(askStore(stream), call.signal))
+    answers.push(untilAborted(askStore(stream), call.signal))
     // Answers that do not know the stream, and holders that are gone, leave its origin unknown, which the caller of `find` logs.
     const origin = await Promise.any(answers).catch(() => undefined)
     call.end()
@@ -112,16 +107,17 @@
   }
 
   return {
-    began: (stream, opened) => {
-      if (stream.length > MAX_STREAM_ID_LENGTH) return
+    began: (stream, route, opened) => {
+      options.versions.began(route, opened.origin.service)
+      if (!streamIdSchema.safeParse(stream).success) return
       if (openStreams.begin(stream, opened)) replicate(stream, opened.origin)
     },
     ended: (stream) => openStreams.end(stream, clock.now()),
-    find: async (stream, search, signal) => {
-      if (stream.length > MAX_STREAM_ID_LENGTH) return undefined
-      return records.find(stream, clock.now()) ?? askOthers(stream, search, signal)
+    find: async (stream, timeout, signal) => {
+      if (!streamIdSchema.safeParse(stream).success) return undefined
+      return records.find(stream, clock.now()) ?? askOthers(stream, timeout, signal)
     },
-    isRecorded: checkpoints.isRecorded,
+    mayBegin: checkpoints.mayBegin,
     size: records.size,
     close: feeds.close,
     answers: {
--- a/src/gateway/stream-resumption.ts
+++ b/src/gateway/stream-resumption.ts
@@ -1,12 +1,12 @@
 /** Finds the service and the version at which a caller's resumed stream continues. */
-import type { Milliseconds } from '../clock.js'
-import { chooseService } from '../routing/index.js'
+import type { Clock, Milliseconds } from '../clock.js'
+import type { Route, RouteHistory } from '../routing/index.js'
 import type { StreamOrigin } from '../stream-origins/index.js'
 import type { ServingError } from '../verdict.js'
 import { refusal } from './acceptance.js'
 import type { AcceptedRequest } from './acceptance.js'
 import type { GatewayContext } from './context.js'
-import type { OriginSearch } from './stream-origins.js'
+import type { VersionWatch } from './version-watch.js'
 
 /** `Retry-After` of a stream that cannot go on here. Short, since another node may know its origin. */
 const RESUME_RETRY_AFTER: Milliseconds = 100
@@ -39,10 +39,11 @@
 export async function findResumedOrigin (context: GatewayContext, accepted: AcceptedRequest, signal: AbortSignal): Promise<StreamOrigin | undefined> {
   const { head, route } = accepted
   if (head.lastEvent === undefined || route.kind !== 'stream') return undefined
-  const inferred = inferOrigin(context, accepted, MAX_INFERENCE_AGE_FACTOR * context.settings.bounds.upstreamDrain)
-  const search: OriginSearch = inferred === undefined ? { timeout: ASK_TIMEOUT, asksStore: true } : { timeout: CONFIRMATION_TIMEOUT, asksStore: false }
-  const recorded = head.resumes === undefined ? undefined : await context.streamOrigins.find(head.resumes, search, signal)
-  const origin = recorded ?? inferred
+  const maxAge = MAX_INFERENCE_AGE_FACTOR * context.settings.bounds.upstreamDrain
+  const askTimeout = inferOrigin(context, accepted, maxAge) === undefined ? ASK_TIMEOUT : CONFIRMATION_TIMEOUT
+  const recorded = head.resumes === undefined ? undefined : await context.streamOrigins.find(head.resumes, askTimeout, signal)
+  // What was read meanwhile may name another version.
+  const origin = recorded ?? inferOrigin(context, accepted, maxAge)
   if (origin === undefined) throw resumeRefusal(context, accepted, 'unknown')
   if (!route.destinations.some(({ service }) => service === origin.service)) throw resumeRefusal(context, accepted, 'elsewhere', origin)
   context.metrics.count('streams_resumed', { origin: recorded === undefined ? 'inferred' : 'recorded' })
@@ -57,19 +58,46 @@
   return refusal('no-upstream', reason, RESUME_RETRY_AFTER)
 }
 
+/**
+ * Creates the check whether requests have gone to one service alone. A process that has started lately knows earlier configurations by the
+ * checkpoints alone, which name the routes on which streams began.
+ *
+ * @param isFirstStart the system starts for the first time, so there was no configuration before
+ * @example
+ * const ledOnlyTo = createDestinationCheck(history, versions, settings.firstStart, clock)
+ */
+export function createDestinationCheck (history: RouteHistory, versions: Pick<VersionWatch, 'beganOnlyAt'>, isFirstStart: boolean, clock: Clock): GatewayContext['ledOnlyTo'] {
+  return ({ host, path, route }, service) => {
+    const now = clock.now()
+    if (!history.ledOnlyTo(host, path, service, now)) return false
+    return isFirstStart || history.isComplete(now) || versions.beganOnlyAt(routeKeyOf(route), service)
+  }
+}
+
 /** The origin of any recent stream of the route, if there is only one service and one version. */
-function inferOrigin ({ onlyVersion, random }: GatewayContext, { route }: AcceptedRequest, maxAge: Milliseconds): StreamOrigin | undefined {
-  const service = route.destinations.length > 1 ? undefined : chooseService(route, random)
-  const version = service === undefined ? undefined : onlyVersion(service, maxAge)
-  return service === undefined || version === undefined ? undefined : { service, version }
+function inferOrigin ({ onlyVersion, ledOnlyTo }: GatewayContext, accepted: AcceptedRequest, maxAge: Milliseconds): StreamOrigin | undefined {
+  const [destination, ...others] = accepted.route.destinations
+  if (destination === undefined || others.length > 0 || !ledOnlyTo(accepted, destination.service)) return undefined
+  const version = onlyVersion(destination.service, maxAge)
+  return version === undefined ? undefined : { service: destination.service, version }
 }
 
 /**
  * Whether the origin of a stream must be recorded because other nodes cannot infer it.
  *
  * @example
- * context.streamOrigins.began(stream, { origin, until, isInferable: () => !needsOriginRecord(context, accepted) })
+ * context.streamOrigins.began(stream, routeKeyOf(route), { origin, until, isInferable: () => !needsOriginRecord(context, accepted) })
  */
 export function needsOriginRecord (context: GatewayContext, accepted: AcceptedRequest): boolean {
   return accepted.route.resumable && inferOrigin(context, accepted, context.settings.bounds.upstreamDrain) === undefined
 }
+
+/**
+ * Name of a route in checkpoints. Its own name may be given to another one.
+ *
+ * @example
+ * routeKeyOf(route) // 'api.example/plans/'
+ */
+export function routeKeyOf ({ host, prefix }: Pick<Route, 'host' | 'prefix'>): string {
+  return host + prefix
+}
--- a/src/gateway/upstream-choice.ts
+++ b/src/gateway/upstream-choice.ts
@@ -45,10 +45,10 @@
 
 /**
  * Failure guarded against: streams begin at a version of which the store knows nothing, all nodes are killed, and their successors take
- * another version for the only one. Where no version is known to the store, it may not take writes, and streams begin all the same.
+ * another version for the only one. Where no other version serves, or the store takes no writes, streams begin there all the same.
  */
 function recordedFirst ({ streamOrigins }: GatewayContext, { accepted, service }: ProxiedRequest, admitted: readonly UpstreamRecord[]): readonly UpstreamRecord[] {
   if (!accepted.route.resumable) return admitted
-  const recorded = admitted.filter(({ version }) => streamOrigins.isRecorded(service, version))
-  return recorded.length > 0 ? recorded : admitted
+  const usable = admitted.filter(({ version }) => streamOrigins.mayBegin(service, version))
+  return usable.length > 0 ? usable : admitted
 }
--- a/src/gateway/version-watch.ts
+++ b/src/gateway/version-watch.ts
@@ -2,11 +2,11 @@
 import type { Clock, Milliseconds } from '../clock.js'
 import type { UpstreamRecord } from '../placement/index.js'
 import { createServiceVersions } from '../stream-origins/index.js'
-import type { ServiceVersions, VersionFacts, VersionsByService } from '../stream-origins/index.js'
+import type { SeenOrigins, ServiceVersions, VersionFacts } from '../stream-origins/index.js'
 import type { PrefixSubscription } from './follow.js'
 
 /** Versions of the services' upstreams, as this node knows them. */
-export interface VersionWatch extends Pick<ServiceVersions, 'recalled'> {
+export interface VersionWatch extends Pick<ServiceVersions, 'completed'> {
   /** The registry has delivered this record. */
   seen (record: UpstreamRecord): void
   /** Begins to take the age of the view of upstreams from this subscription. */
@@ -17,9 +17,16 @@
    * @returns whether the registry is followed; if not, versions may come and go unseen
    */
   update (): boolean
+  /** A stream of this node began on this route at this service. */
+  began (route: string, service: string): void
+  /** Another node's checkpoint names these. */
+  recalled (named: SeenOrigins): void
   /** Whether all versions are known at which a stream that is still resumed may have begun. */
   isComplete (): boolean
-  recent (): VersionsByService
+  /** Whether streams that began on this route lately began at this service alone, as far as the checkpoints tell. */
+  beganOnlyAt (route: string, service: string): boolean
+  /** What this node has seen itself in the last time. */
+  ownSeen (): SeenOrigins
   /** The only version of a service; undefined if there may be several, or if the view of upstreams is older than `maxAge`. */
   only (service: string, maxAge: Milliseconds): string | undefined
   facts (service: string): VersionFacts
@@ -47,6 +54,7 @@
   const versions = createServiceVersions()
   let subscription: PrefixSubscription | undefined
   let isFollowed = false
+  let updatedAt = -Infinity
 
   function viewAge (): Milliseconds | undefined {
     const contactAt = subscription?.lastContactAt()
@@ -61,15 +69,23 @@
     seen: ({ service, version }) => versions.seen(service, version, clock.now()),
     follow: (followed) => { subscription = followed },
     update: () => {
+      const now = clock.now()
       const wasFollowed = isFollowed
-      isFollowed = isFresh(maxAge)
+      // A process that was frozen has not followed it either.
+      isFollowed = isFresh(maxAge) && (!wasFollowed || now - updatedAt <= maxAge)
+      updatedAt = now
       if (wasFollowed && !isFollowed) versions.interrupted()
-      if (isFollowed) for (const { service, version } of present()) versions.seen(service, version, clock.now())
-      return isFollowed
+      if (!isFollowed) return false
+      versions.watched(now)
+      for (const { service, version } of present()) versions.seen(service, version, now)
+      return true
     },
-    recalled: versions.recalled,
+    began: (route, service) => versions.began(route, service, clock.now()),
+    recalled: (named) => versions.recalled(named, clock.now()),
+    completed: versions.completed,
     isComplete: () => versions.isComplete(clock.now()),
-    recent: () => versions.recent(clock.now()),
+    beganOnlyAt: (route, service) => versions.beganOnlyAt(route, service, clock.now()),
+    ownSeen: () => versions.ownSeen(clock.now()),
     only: (service, limit) => isFresh(limit) ? versions.only(service, clock.now()) : undefined,
     facts: (service) => versions.facts(service, clock.now()),
     viewAge
--- a/src/stream-origins/checkpoint.ts
+++ b/src/stream-origins/checkpoint.ts
@@ -3,19 +3,18 @@
 import type { StreamId, StreamOrigin } from './types.js'
 import { streamIdSchema, streamOriginSchema } from './types.js'
 
-const versionsByServiceSchema = z.record(z.string(), z.array(z.string()))
-
-/** Versions by service. */
-export type VersionsByService = z.infer<typeof versionsByServiceSchema>
+const valuesByNameSchema = z.record(z.string(), z.array(z.string()))
 
 /** Checkpoint of one incarnation of a node. */
 export const originCheckpointSchema = z.object({
   /** Epoch of the store that the node knew. A checkpoint of an earlier epoch comes from a copy, so that what was written after it is missing. */
   epoch: z.number(),
-  /** Whether `versions` holds all versions at which a stream that is still resumed may have begun at any node. */
+  /** Whether this checkpoint and the others that the node had read named all versions at which a stream that is still resumed may have begun at any node. */
   isComplete: z.boolean(),
-  /** Versions that the node has seen lately. */
-  versions: versionsByServiceSchema,
+  /** Versions that the node has seen lately, by service. */
+  versions: valuesByNameSchema,
+  /** Services at which streams of the node began lately, by route. */
+  destinations: valuesByNameSchema,
   /** Streams of the node whose callers may still resume them, unless their origin can be inferred. */
   streams: z.array(streamOriginSchema.extend({ ids: z.array(streamIdSchema) }))
 })
--- a/src/stream-origins/open-streams.ts
+++ b/src/stream-origins/open-streams.ts
@@ -17,7 +17,7 @@
 export interface OpenStreams {
   /** @returns whether the origin must be recorded now */
   begin (stream: StreamId, opened: OpenStream): boolean
-  /** The whole stream has been sent. Its caller comes back only if the last events are lost on their way. */
+  /** One of the answers that were begun has been sent as a whole. Its caller comes back only if the last events are lost on their way. */
   end (stream: StreamId, now: Milliseconds): void
   /** Streams whose origin could be inferred until now, and must be recorded from now on. */
   takeDue (now: Milliseconds): ReadonlyMap<StreamId, StreamOrigin>
@@ -32,6 +32,8 @@
 
 interface KnownStream extends OpenStream {
   isRecorded: boolean
+  /** Answers that have begun and not been sent as a whole: a caller may take a stream up before its node knows that it had left. */
+  answers: number
   /** Time until which it is open. */
   end: Milliseconds
 }
@@ -58,14 +60,17 @@
   return {
     begin: (stream, opened) => {
       const isRecorded = !opened.isInferable()
+      const answers = (streams.get(stream)?.answers ?? 0) + 1
       streams.delete(stream)
-      streams.set(stream, { ...opened, isRecorded, end: opened.until })
+      streams.set(stream, { ...opened, isRecorded, answers, end: opened.until })
       evictOldest(streams, MAX_STREAMS)
       return isRecorded
     },
     end: (stream, now) => {
       const known = streams.get(stream)
-      if (known !== undefined) known.end = Math.min(known.end, now + SENT_RETENTION)
+      if (known === undefined) return
+      known.answers -= 1
+      if (known.answers === 0) known.end = Math.min(known.end, now + SENT_RETENTION)
     },
     takeDue: (now) => {
       const due = select(now, ({ isRecorded, isInferable }) => !isRecorded && !isInferable())
--- a/stand-ins/machines/resumed-streams.ts
+++ b/stand-ins/machines/resumed-streams.ts
@@ -49,12 +49,14 @@
   addVersion (version: string, service?: string): Promise<void>
   /** Removes the records of a version's upstreams. */
   removeVersion (version: string): void
-  /** Puts a configuration into force whose route leads to `service`. */
-  routeTo (service: string): void
+  /** Writes a configuration whose route leads to these services, in equal parts. @returns its version */
+  routeTo (...services: readonly string[]): number
   /** Starts nodes, and waits until they serve unless `isWaiting` is false. */
   startNodes (names: readonly string[], isWaiting?: boolean): Promise<NodeThreads>
   /** Waits until each node has written the event for all upstreams of a version. */
   untilNodesKnow (nodes: readonly string[], event: 'upstream-new' | 'upstream-gone', version: string): Promise<void>
+  /** Waits until a configuration is in force at each node. */
+  untilInForce (nodes: readonly string[], version: number): Promise<void>
   /** Waits until each node sends requests to upstreams of a version. */
   untilServed (nodes: NodeThreads, version: string): Promise<void>
   /** Begins streams, and waits until the first events of all have come and {@link RUN_TIME} has passed. */
@@ -64,13 +66,14 @@
   close (): Promise<void>
 }
 
-const DEFAULT_SERVICE = 'model'
+/** Service of the upstreams for which none is named. */
+export const DEFAULT_SERVICE = 'model'
 
-function configurationFor (version: number, service: string): object {
+function configurationFor (version: number, services: readonly string[]): object {
   return {
     version,
-    routes: [{ name: 'question', host: HOST, prefix: '/question/', kind: 'streaming', resumable: true, timeoutMs: 20_000, targetLatencyMs: 800, service, maxAttempts: 4 }],
-    services: [DEFAULT_SERVICE, service].map((name) => ({ name, maxConns: 500, engine: { slots: 64, moves: false } }))
+    routes: [{ name: 'question', host: HOST, prefix: '/question/', kind: 'streaming', resumable: true, timeoutMs: 20_000, targetLatencyMs: 800, trafficSplit: services.map((service) => ({ service, weight: 1 })), maxAttempts: 4 }],
+    services: [...new Set([DEFAULT_SERVICE, ...services])].map((name) => ({ name, maxConns: 500, engine: { slots: 64, moves: false } }))
   }
 }
 
@@ -96,9 +99,10 @@
   let configurationVersion = 0
   let lastId = 0
 
-  function routeTo (service: string): void {
+  function routeTo (...services: readonly string[]): number {
     configurationVersion += 1
-    deployment.configure(configurationFor(configurationVersion, service))
+    deployment.configure(configurationFor(configurationVersion, services))
+    return configurationVersion
   }
 
   function nextId (): string {
@@ -181,6 +185,10 @@
       const linesOf = (name: string): number => deployment.lines.filter((line) => line.process === name && line.event === event && versionOf(String(line.upstream)) === version).length
       while (names.some((name) => linesOf(name) < UPSTREAMS_PER_VERSION)) await clock.sleep(POLL_INTERVAL)
     },
+    untilInForce: async (names, version) => {
+      const isInForce = (name: string): boolean => deployment.lines.some((line) => line.process === name && line.event === 'configuration-in-force' && line.version === version)
+      while (!names.every(isInForce)) await clock.sleep(POLL_INTERVAL)
+    },
     untilServed: async (nodes, version) => {
       for (const node of nodes.addresses.keys()) while ((await probe(nodes, node)).version !== version) await clock.sleep(POLL_INTERVAL)
     },
--- a/test/gateway/stream-resumption.test.ts
+++ b/test/gateway/stream-resumption.test.ts
@@ -22,6 +22,7 @@
     settings: { bounds: { upstreamDrain: DRAIN } },
     streamOrigins: { find: async () => recorded },
     onlyVersion: (_service: string, maxAge: number) => viewAge <= maxAge ? onlyVersion : undefined,
+    ledOnlyTo: () => true,
     versionFacts: () => ({ watchedFor: undefined, versions: '' }),
     metrics: { count: () => {} },
     log: { info: () => {} },
--- a/test/gateway/streams-after-a-kill.test.ts
+++ b/test/gateway/streams-after-a-kill.test.ts
@@ -4,12 +4,13 @@
 import { createSystemClock } from '../../src/clock.js'
 import type { Milliseconds } from '../../src/clock.js'
 import type { NodeThreads } from '../../stand-ins/machines/node-threads.js'
-import { createResumedStreams } from '../../stand-ins/machines/resumed-streams.js'
+import { createResumedStreams, DEFAULT_SERVICE } from '../../stand-ins/machines/resumed-streams.js'
 import type { ResumedStreams, ResumptionOutcome } from '../../stand-ins/machines/resumed-streams.js'
 
 const clock = createSystemClock()
 const NODE_NAMES = ['node-1', 'node-2', 'node-3']
 const STREAMS = 24
+const OTHER_SERVICE = 'elsewhere'
 
 /** Streams that are taken up go on at least half as often as new ones begin, while two upstreams of their version serve. All new ones begin here. */
 const MIN_RESUMED_FRACTION = 1 / 2
@@ -93,4 +94,27 @@
     assertNoneCrossed(outcomes)
     assertMostWentOn(outcomes)
   })
+
+  // Guards against streams of two services: no record is kept while the service has one version, and the only version of the new one is inferred.
+  it('do not go on at the service to which their route was moved', { timeout: TEST_TIMEOUT }, async () => {
+    await streams.addVersion('other', OTHER_SERVICE)
+    const begun = await streams.begin(nodes, STREAMS)
+    await streams.untilInForce(NODE_NAMES, streams.routeTo(OTHER_SERVICE))
+    await nodes.kill()
+    nodes = await streams.startNodes(NODE_NAMES)
+    assertNoneCrossed(await streams.takeUp(nodes, begun))
+  })
+
+  // Guards against losing streams whose upstreams serve: nothing is inferred on a route with two services, and no record was kept before.
+  it('go on at their service where their route was split', { timeout: TEST_TIMEOUT }, async () => {
+    await streams.addVersion('other', OTHER_SERVICE)
+    const begun = await streams.begin(nodes, STREAMS)
+    await streams.untilInForce(NODE_NAMES, streams.routeTo(DEFAULT_SERVICE, OTHER_SERVICE))
+    await clock.sleep(WRITTEN_WITHIN)
+    await nodes.kill()
+    nodes = await streams.startNodes(NODE_NAMES)
+    const outcomes = await streams.takeUp(nodes, begun)
+    assertNoneCrossed(outcomes)
+    assertMostWentOn(outcomes)
+  })
 })
--- a/test/stream-origins/checkpoint.test.ts
+++ b/test/stream-origins/checkpoint.test.ts
@@ -40,4 +40,16 @@
     assert.equal(streams.recorded(1_004).size, 1)
     assert.equal(streams.recorded(1_005).size, 0)
   })
+
+  // Guards against a node that has not noticed that the caller left: the first answer ends beside the one in which the caller has taken the stream up.
+  it('stay while another answer with the stream is sent', () => {
+    const streams = createOpenStreams()
+    const opened = { origin: first, until: 10_000, isInferable: () => false }
+    streams.begin('a', opened)
+    streams.begin('a', opened)
+    streams.end('a', 5)
+    assert.equal(streams.recorded(3_000).size, 1)
+    streams.end('a', 3_000)
+    assert.equal(streams.recorded(4_000).size, 0)
+  })
 })
