--- a/stand-ins/machines/severable-path.ts
+++ b/stand-ins/machines/severable-path.ts
@@ -5,6 +5,8 @@
 import { connect } from 'node:net'
 import type { AddressInfo, Socket } from 'node:net'
 import { Worker } from 'node:worker_threads'
+import { startTimeout } from '../../src/clock.js'
+import type { Milliseconds } from '../../src/clock.js'
 
 /**
  * How a path is severed.
@@ -30,6 +32,12 @@
 /** Connections that the kernel establishes for a thread that does not accept them, with a queue of one. */
 const UNACCEPTED_CONNECTIONS = 2
 
+/**
+ * Time after which a connection that has not been established finds the queue full. The kernel establishes one on the loopback interface
+ * while it is being opened.
+ */
+const FULL_QUEUE_TIMEOUT: Milliseconds = 100
+
 const BLOCKED = 1
 const RUNNING = 0
 
@@ -86,7 +94,7 @@
   const worker = new Worker(RELAY_PROGRAM, { eval: true, workerData: { host, port: Number(port), state } })
   const nextMessage = <Message>(): Promise<Message> => new Promise((resolve) => { worker.once('message', resolve) })
   const listening = await nextMessage<AddressInfo>()
-  let fillers: Socket[] = []
+  const fillers: Socket[] = []
   let isRefusing = false
 
   async function order (command: Command): Promise<void> {
@@ -98,10 +106,25 @@
   async function block (): Promise<void> {
     Atomics.store(state, 0, BLOCKED)
     await order('block')
-    fillers = await Promise.all(Array.from({ length: UNACCEPTED_CONNECTIONS }, () => new Promise<Socket>((resolve) => {
-      const socket = connect(listening.port, listening.address, () => resolve(socket))
+    await Promise.all(Array.from({ length: UNACCEPTED_CONNECTIONS }, takePlace))
+  }
+
+  /**
+   * Takes a place in the queue of connections that wait to be accepted.
+   *
+   * Failure guarded against: nodes whose connections are reset open others at once and take the places, so that the wait for this
+   * connection never ends. The queue is full then all the same.
+   */
+  function takePlace (): Promise<void> {
+    return new Promise((resolve) => {
+      const cancel = startTimeout(FULL_QUEUE_TIMEOUT, resolve)
+      const socket = connect(listening.port, listening.address, () => {
+        cancel()
+        resolve()
+      })
       socket.on('error', () => {})
-    })))
+      fillers.push(socket)
+    })
   }
 
   function unblock (): void {
