Reclaims in the scenarios go by a paced clock

Seen: "An engine is reclaimed during plans and its link carries all of them" red on a busy machine: 2,027 to 10,147 tokens were computed again where none may be.

An export that the link carries in 81 ms takes several hundred while the one process of the deployment waits for its turns, so that the queue measures a slow link and gives up the last exports.

Change: the deployment of these scenarios goes by the paced clock, which waits together with the process. No expectation is changed. No fault of the product was seen; its timeouts of calls (timeout-signal.ts) go by the machine's time, as before.

--- a/features/steps/upstream-reclaim.steps.ts
+++ b/features/steps/upstream-reclaim.steps.ts
@@ -1,17 +1,22 @@
 /** Steps for scenarios in which the platform reclaims upstreams. */
 import assert from 'node:assert/strict'
-import { Given, Then, When } from '@cucumber/cucumber'
+import { AfterAll, Given, Then, When } from '@cucumber/cucumber'
 import { createClient } from '../../src/client/index.js'
 import type { ChatAnswer } from '../../src/client/index.js'
-import { createSystemClock, SECOND } from '../../src/clock.js'
+import { SECOND } from '../../src/clock.js'
 import { failureDomainSchema } from '../../src/identifiers.js'
 import type { FailureDomain, UpstreamName } from '../../src/identifiers.js'
 import { startDeployment } from '../../stand-ins/deployment.js'
 import { answerWords } from '../../stand-ins/engine.js'
 import type { EngineStandIn } from '../../stand-ins/engine.js'
+import { startPacedClock } from '../../stand-ins/paced-clock.js'
+import { waitUntil } from '../../test/wait-until.js'
 import type { DeploymentWorld } from './world.js'
 
-const clock = createSystemClock()
+/** With the clock of the system a busy machine lengthens exports, so that the node measures a slow link and gives up the last ones. */
+const clock = startPacedClock()
+
+AfterAll(() => clock.stop())
 
 /** So many tokens that no plan finishes before the notice period of any of these scenarios ends. */
 const ANSWER_TOKENS = 400
@@ -36,12 +41,13 @@
   const engineShape = { token_ms: TOKEN_TIME_MS, link_tokens_per_ms: rate, batch_cost: 0, prefill_tokens_per_ms: 100 }
   this.deployment = await startDeployment({ clock, seed: 1, entries, engines, logLevel: 'silent', engineShape })
   this.client = createClient({ addresses: this.deployment.addresses, key: this.deployment.key })
-  while (this.deployment.entries.some((entry) => entry.parts.membership.count() < entries)) await clock.sleep(20)
+  const { entries: nodes } = this.deployment
+  await waitUntil(() => nodes.every((entry) => entry.parts.membership.count() >= entries), { clock, what: 'nodes that know each other' })
 })
 
 Given('{int} plans are being written from prompts of {int} tokens', async function (this: ReclaimWorld, count: number, tokens: number) {
   this.plans = Array.from({ length: count }, (_, index) => requestPlan(this, `Plan ${index}: `.padEnd(tokens * CHARACTERS_PER_TOKEN, `log ${index} `)))
-  while (this.plans.some((plan) => plan.offsets.length < FIRST_TOKENS)) await clock.sleep(5)
+  await waitUntil(() => this.plans.every((plan) => plan.offsets.length >= FIRST_TOKENS), { clock, what: `${FIRST_TOKENS} tokens of each plan`, interval: 5 })
 })
 
 Given('the instance list shows nothing new', function (this: ReclaimWorld) {
@@ -139,7 +145,7 @@
 }
 
 function killAfterDelay (engine: EngineStandIn): void {
-  setTimeout(() => { engine.kill().catch(() => {}) }, SECOND / 4)
+  clock.schedule(SECOND / 4, () => { engine.kill().catch(() => {}) })
 }
 
 function findEngine (world: ReclaimWorld, name: UpstreamName): EngineStandIn {
--- a/stand-ins/paced-clock.ts
+++ b/stand-ins/paced-clock.ts
@@ -3,6 +3,8 @@
  *
  * Failure guarded against: on a busy machine the process waits for its turns, and what its parts measure of each other is that wait. With
  * the clock of the system, sound upstreams seem slow or silent then. Here the clock waits together with the process.
+ *
+ * So a test by this clock doesn't see what the parts themselves cost in processor time.
  */
 import { onAbort } from '../src/abort-listeners.js'
 import type { Clock, Milliseconds } from '../src/clock.js'
