Roll-outs with real nodes are tested by a paced clock, and each wait has a bound

Seen, once, in a whole run at a load of up to 30: the new version was judged slow and rolled back, and the test "of a good version is done once nothing runs at the old version" waited for `done` until it was ended by hand.

Cause: the judgement compares times of answers, and the test took them in the machine's time. Nodes, upstreams and callers share a process; where it waits for its turns while the new version answers, the new version seems slow. Ruled out: the decision itself, which does what it should with these times.

Change: the file goes by the paced clock, which waits together with the process. Expectations are as they were.

--- a/test/gateway/rollout.test.ts
+++ b/test/gateway/rollout.test.ts
@@ -1,16 +1,18 @@
 /** Roll-outs with real nodes, the platform adapter, and stand-ins for the platform and the upstreams. */
 import assert from 'node:assert/strict'
-import { afterEach, beforeEach, describe, it } from 'node:test'
+import { after, afterEach, beforeEach, describe, it } from 'node:test'
 import { request } from 'undici'
 import { STATUS_KEY, STORE_KEY } from '../../platform/names.js'
-import { createSystemClock } from '../../src/clock.js'
 import type { GatewayNode } from '../../src/gateway/node.js'
 import { createMachineDeployment } from '../../stand-ins/machines/deployment.js'
 import type { MachineDeployment } from '../../stand-ins/machines/deployment.js'
 import { serveUpstream } from '../../stand-ins/machines/upstream.js'
 import type { UpstreamStandIn } from '../../stand-ins/machines/upstream.js'
+import { startPacedClock } from '../../stand-ins/paced-clock.js'
+import { waitUntil } from '../wait-until.js'
 
-const clock = createSystemClock()
+/** Roll-outs judge the times of answers. On a busy machine these are long, with the clock of the system, and good versions seem slow. */
+const clock = startPacedClock()
 const HOST = 'api.example'
 const SERVICE = 'plain'
 
@@ -27,6 +29,8 @@
   services: [{ name: SERVICE, maxConns: 200 }]
 }
 
+after(() => clock.stop())
+
 describe('a roll-out', () => {
   let deployment: MachineDeployment
   let nodes: GatewayNode[]
@@ -69,8 +73,14 @@
     return statusCode
   }
 
-  async function until (condition: () => Promise<boolean> | boolean): Promise<void> {
-    while (!(await condition())) await clock.sleep(20)
+  /** @throws if the condition is not met in time, with the last status and stages of the nodes */
+  async function until (condition: () => Promise<boolean> | boolean, what = 'what the test waits for'): Promise<void> {
+    try {
+      await waitUntil(condition, { clock, what })
+    } catch (cause) {
+      const stages = deployment.lines.filter(({ event }) => event === 'rollout-stage').map(({ process, version, stage }) => `${process} ${version} ${stage}`)
+      throw new Error(`the roll-out is ${JSON.stringify(status())}, stages: ${stages.join(', ')}`, { cause })
+    }
   }
 
   function order (version: string, durationS = 6): void {
@@ -92,8 +102,8 @@
   it('of a good version is done once nothing runs at the old version', async () => {
     order('v2')
     for (const upstream of newUpstreams) deployment.register(upstream, { version: 'v2' })
-    await until(() => status().state === 'running')
-    await until(() => status().state === 'done')
+    await until(() => status().state === 'running', 'the beginning of the roll-out')
+    await until(() => status().state === 'done', 'the end of the roll-out')
     const runs = runsOf(oldUpstreams)
     assert.equal(runningAt(oldUpstreams), 0)
     assert.equal(status().to, 'v2')
