--- a/stand-ins/machines/severable-path.ts
+++ b/stand-ins/machines/severable-path.ts
@@ -38,6 +38,9 @@
  */
 const FULL_QUEUE_TIMEOUT: Milliseconds = 100
 
+/** Longest wait for the thread of a path to carry out a command. */
+const COMMAND_TIMEOUT: Milliseconds = 15_000
+
 const BLOCKED = 1
 const RUNNING = 0
 
@@ -100,7 +103,13 @@
   async function order (command: Command): Promise<void> {
     const done = nextMessage()
     worker.postMessage(command)
-    await done
+    await new Promise<void>((resolve, reject) => {
+      const cancel = startTimeout(COMMAND_TIMEOUT, () => reject(new Error(`the thread of a path has not answered to ${command}`)), false)
+      done.then(() => {
+        cancel()
+        resolve()
+      }, reject)
+    })
   }
 
   async function block (): Promise<void> {
--- a/test/gateway/lost-paths.test.ts
+++ b/test/gateway/lost-paths.test.ts
@@ -95,7 +95,7 @@
   afterEach(async () => {
     await Promise.all(paths.map((path) => path.restore()))
     for (const node of severed) await untilAllServed(node)
-  })
+  }, { timeout: TEST_TIMEOUT })
 
   after(async () => {
     await deployment?.close()
