A restarted process keeps to a part of its retry budget for one window

Cause: what a process took is forgotten with it, and each life takes its share of the ratio and of the extra retries again. A process did not know that others might have run before it, though the settings say so (`firstStart`).

Within a window of its start, a process that is not of the first start uses a quarter of the ratio of its own requests and no extra retries (RESTARTED_FRACTION). Why it works: all that one earlier life may have taken is 0.7 of the bound, and all lives that are younger than a window take a quarter of the ratio of their own requests together. Nothing is exchanged or stored.

Ruled out: taking no extra retries alone.

Cost: a process that restarts by itself has fewer retries for one window too. At a ratio of 0.2 that is one for each 20 of its requests, where it had one for each 7 and its part of the extra ones. It can't learn what its predecessor took, since retries are not reported. At a first start nothing changes.

--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -114,6 +114,7 @@
 export async function startGatewayNode (options: GatewayOptions): Promise<GatewayNode> {
   const { settings, platform, clock, random, log } = options
   const { bounds } = settings
+  const startedAt = clock.now()
   const incarnation = `${settings.name}-${randomBytes(4).toString('hex')}`
   const shutdown = new AbortController()
   const storeUpdates = createStoreUpdateExchange(clock)
@@ -386,7 +387,7 @@
   }
 
   function createBudget (knownFleet: Fleet): RetryBudget {
-    const budget = createRetryBudget(bounds.retryBudget)
+    const budget = createRetryBudget(bounds.retryBudget, settings.firstStart ? -Infinity : startedAt)
     budget.setNodeCount(knownFleet.maxNodeCount())
     return budget
   }
--- a/src/quota/retry-budget.ts
+++ b/src/quota/retry-budget.ts
@@ -28,18 +28,30 @@
 }
 
 /**
- * Fraction of the allowed retries that is used. The rest covers a restarted node whose predecessor spent its share just
- * before it died, and retries that reach the upstream in a later window than they were counted in.
+ * Fraction of the allowed retries that is used by a process that has run for a window. The rest covers restarted processes,
+ * and retries that reach the upstream in a later window than they were counted in.
  */
 const USED_FRACTION = 0.7
 
+/**
+ * Fraction of the ratio that is used within a window of the start of a process, without any of the extra retries. Together with
+ * {@link USED_FRACTION} it is below 1, so that one life of a process that has used all that it may, and any number of lives
+ * after it in the same window, keep to the bound.
+ */
+const RESTARTED_FRACTION = 0.25
+
 /**
  * Creates a budget for a single node; see {@link RetryBudget.setNodeCount}.
  *
+ * Failure guarded against: all nodes are killed at once, and what they took is forgotten. If each new process took its
+ * whole share again, the sum in a window would grow with the number of kills. Within a window of its start, a process
+ * assumes that its predecessor took its share, and therefore uses only a part of the ratio of its own requests.
+ *
+ * @param restartedAt time at which this process started; -Infinity if no process can have run before it
  * @example
- * const budget = createRetryBudget({ ratio: 0.2, extra: 58, window: 10 * SECOND })
+ * const budget = createRetryBudget({ ratio: 0.2, extra: 58, window: 10 * SECOND }, -Infinity)
  */
-export function createRetryBudget ({ ratio, extra, window }: RetryBudgetOptions): RetryBudget {
+export function createRetryBudget ({ ratio, extra, window }: RetryBudgetOptions, restartedAt: Milliseconds): RetryBudget {
   const requests: Milliseconds[] = []
   const taken: Milliseconds[] = []
   let nodes = 1
@@ -47,7 +59,8 @@
   function left (now: Milliseconds): number {
     dropBefore(requests, now - window)
     dropBefore(taken, now - window)
-    return USED_FRACTION * (ratio * requests.length + extra / nodes) - taken.length
+    const allowed = now - restartedAt > window ? USED_FRACTION * (ratio * requests.length + extra / nodes) : RESTARTED_FRACTION * ratio * requests.length
+    return allowed - taken.length
   }
 
   return {
--- a/test/quota/quota.test.ts
+++ b/test/quota/quota.test.ts
@@ -204,7 +204,7 @@
   it('keeps the sum of all nodes within ratio and extra in every window', () => {
     const step = fc.record({ node: fc.nat(4), after: fc.nat(300), retries: fc.nat(4) })
     fc.assert(fc.property(fc.array(step, { maxLength: 200, size: 'max' }), (steps) => {
-      const budgets = Array.from({ length: 5 }, () => createRetryBudget({ ratio: 0.2, extra: 20, window: 10 * SECOND }))
+      const budgets = Array.from({ length: 5 }, () => createRetryBudget({ ratio: 0.2, extra: 20, window: 10 * SECOND }, -Infinity))
       for (const budget of budgets) budget.setNodeCount(5)
       const requests: number[] = []
       const retries: number[] = []
