--- a/bench/resumed-streams.ts
+++ b/bench/resumed-streams.ts
@@ -79,7 +79,7 @@
     versions: ['v1'],
     whileDown: async (streams) => {
       const { store } = streams.deployment.store
-      for (const { key, revision } of store.list('hornbeamgap/stream-origins/', 'hornbeamgap/stream-origins0').entries) store.compareAndDelete(key, revision)
+      streams.removeCheckpoints(streams.checkpoints())
       store.restore(store.backUp())
       await replaceVersion(streams)
     }
--- a/stand-ins/machines/resumed-streams.ts
+++ b/stand-ins/machines/resumed-streams.ts
@@ -2,6 +2,8 @@
 import { request } from 'undici'
 import { HEADER } from '../../platform/names.js'
 import type { Clock, Milliseconds } from '../../src/clock.js'
+import { CHECKPOINT_PREFIX } from '../../src/gateway/origin-checkpoints.js'
+import { ABSENT, prefixEnd } from '../../src/protocols/key-value.js'
 import { createMachineDeployment } from './deployment.js'
 import type { MachineDeployment } from './deployment.js'
 import type { NodeThreads } from './node-threads.js'
@@ -51,6 +53,10 @@
   removeVersion (version: string): void
   /** Writes a configuration whose route leads to these services, in equal parts. @returns its version */
   routeTo (...services: readonly string[]): number
+  /** Keys of the checkpoints of stream origins in the store. */
+  checkpoints (): string[]
+  /** Removes checkpoints, as the ends of their leases do. */
+  removeCheckpoints (keys: readonly string[]): void
   /** Starts nodes, and waits until they serve unless `isWaiting` is false. */
   startNodes (names: readonly string[], isWaiting?: boolean): Promise<NodeThreads>
   /** Waits until each node has written the event for all upstreams of a version. */
@@ -61,6 +67,8 @@
   untilServed (nodes: NodeThreads, version: string): Promise<void>
   /** Begins streams, and waits until the first events of all have come and {@link RUN_TIME} has passed. */
   begin (nodes: NodeThreads, count: number): Promise<BegunStream[]>
+  /** Takes streams up at one node each, and returns as {@link ResumedStreams.begin} does. */
+  continue (nodes: NodeThreads, begun: readonly BegunStream[]): Promise<BegunStream[]>
   /** Takes streams up, each at one node after the other until one lets it go on. */
   takeUp (nodes: NodeThreads, begun: readonly BegunStream[]): Promise<ResumptionOutcome[]>
   close (): Promise<void>
@@ -95,6 +103,7 @@
  */
 export async function createResumedStreams (clock: Clock): Promise<ResumedStreams> {
   const deployment = await createMachineDeployment(clock)
+  const { store } = deployment.store
   const upstreams: UpstreamStandIn[] = []
   let configurationVersion = 0
   let lastId = 0
@@ -130,13 +139,14 @@
     }
   }
 
-  async function beginOne (nodes: NodeThreads, node: number): Promise<BegunStream> {
+  /** @param before the stream that its caller takes up */
+  async function beginOne (nodes: NodeThreads, node: number, before?: BegunStream): Promise<BegunStream> {
     const id = nextId()
-    const { headers, body } = await ask(nodes, node, id)
+    const { headers, body } = await ask(nodes, node, id, before && await resumption(before))
     const chunks = body[Symbol.asyncIterator]()
     let text = String((await chunks.next()).value)
     const lastEvent = readRest(chunks, (chunk) => { text += chunk }).then(() => eventsIn(text).at(-1)!)
-    return { id, version: versionOf(String(headers['x-hornbeamgap-server-stamp'])), lastEvent }
+    return { id: before?.id ?? id, version: versionOf(String(headers['x-hornbeamgap-server-stamp'])), lastEvent }
   }
 
   /** A connection that ends without an answer, as of a node that has no time for it, is a try that failed. */
@@ -149,10 +159,14 @@
     }
   }
 
+  async function resumption ({ id, lastEvent }: BegunStream): Promise<Record<string, string>> {
+    return { [HEADER.lastEventId]: String(await lastEvent), [HEADER.resumes]: id }
+  }
+
   async function takeUpOne (nodes: NodeThreads, node: number, begun: BegunStream): Promise<ResumptionOutcome> {
     const lastEvent = await begun.lastEvent
     for (let round = 0; round < TRIES; round += 1) {
-      const { status, version, text } = await readAnswer(nodes, node + round, { [HEADER.lastEventId]: String(lastEvent), [HEADER.resumes]: begun.id })
+      const { status, version, text } = await readAnswer(nodes, node + round, await resumption(begun))
       if (status === SUCCESS) {
         const rest = Array.from({ length: EVENTS - lastEvent }, (_, index) => lastEvent + 1 + index)
         return { begunAt: begun.version, wentOnAt: version, isWhole: eventsIn(text).join() === rest.join() }
@@ -176,6 +190,8 @@
     removeVersion: (version) => {
       for (const upstream of upstreams.filter(({ id }) => versionOf(id) === version)) deployment.unregister(upstream)
     },
+    checkpoints: () => store.list(CHECKPOINT_PREFIX, prefixEnd(CHECKPOINT_PREFIX)).entries.map(({ key }) => key),
+    removeCheckpoints: (keys) => { for (const key of keys) store.compareAndDelete(key, store.get(key)?.revision ?? ABSENT) },
     startNodes: async (names, isWaiting = true) => {
       const nodes = await deployment.startNodesInThreads(names, 1)
       for (const node of isWaiting ? names.keys() : []) while ((await probe(nodes, node)).status !== SUCCESS) await clock.sleep(POLL_INTERVAL)
@@ -197,6 +213,11 @@
       await clock.sleep(RUN_TIME)
       return begun
     },
+    continue: async (nodes, begun) => {
+      const continued = await Promise.all(begun.map((stream, index) => beginOne(nodes, index, stream)))
+      await clock.sleep(RUN_TIME)
+      return continued
+    },
     takeUp: (nodes, begun) => Promise.all(begun.map((stream, index) => takeUpOne(nodes, index, stream))),
     close: async () => {
       await deployment.close()
--- a/test/gateway/streams-after-a-kill.test.ts
+++ b/test/gateway/streams-after-a-kill.test.ts
@@ -82,6 +82,23 @@
     assertMostWentOn(outcomes)
   })
 
+  // Guards against a stream that is known by its first attempt alone, whose node's checkpoint is gone: its caller names that attempt each time.
+  it('go on at their versions after another kill', { timeout: TEST_TIMEOUT }, async () => {
+    await streams.addVersion('v2')
+    await streams.untilServed(nodes, 'v2')
+    const begun = await streams.begin(nodes, STREAMS)
+    await nodes.kill()
+    const firstCheckpoints = streams.checkpoints()
+    nodes = await streams.startNodes(NODE_NAMES)
+    const continued = await streams.continue(nodes, begun)
+    await nodes.kill()
+    streams.removeCheckpoints(firstCheckpoints)
+    nodes = await streams.startNodes(NODE_NAMES)
+    const outcomes = await streams.takeUp(nodes, continued)
+    assertNoneCrossed(outcomes)
+    assertMostWentOn(outcomes)
+  })
+
   // Guards against losing the streams that began before there was a second version, of which no node kept a record.
   it('go on at their version where another one came while they ran', { timeout: TEST_TIMEOUT }, async () => {
     const begun = await streams.begin(nodes, STREAMS)
