--- a/stand-ins/machines/resumed-streams.ts
+++ b/stand-ins/machines/resumed-streams.ts
@@ -57,7 +57,7 @@
   checkpoints (): string[]
   /** Removes checkpoints, as the ends of their leases do. */
   removeCheckpoints (keys: readonly string[]): void
-  /** Starts nodes, and waits until they serve unless `isWaiting` is false. */
+  /** Starts nodes on one thread, and waits until they serve unless `isWaiting` is false. */
   startNodes (names: readonly string[], isWaiting?: boolean): Promise<NodeThreads>
   /** Waits until each node has written the event for all upstreams of a version. */
   untilNodesKnow (nodes: readonly string[], event: 'upstream-new' | 'upstream-gone', version: string): Promise<void>
@@ -193,7 +193,7 @@
     checkpoints: () => store.list(CHECKPOINT_PREFIX, prefixEnd(CHECKPOINT_PREFIX)).entries.map(({ key }) => key),
     removeCheckpoints: (keys) => { for (const key of keys) store.compareAndDelete(key, store.get(key)?.revision ?? ABSENT) },
     startNodes: async (names, isWaiting = true) => {
-      const nodes = await deployment.startNodesInThreads(names, 1)
+      const nodes = await deployment.startNodesInThreads(names, names.length)
       for (const node of isWaiting ? names.keys() : []) while ((await probe(nodes, node)).status !== SUCCESS) await clock.sleep(POLL_INTERVAL)
       return nodes
     },
