--- a/bench/agreement/virtual-clock.ts
+++ b/bench/agreement/virtual-clock.ts
@@ -1,8 +1,8 @@
 /** Virtual time for many copies in one process: whole milliseconds, sleepers in a binary heap. */
-import { onAbort } from '../../src/abort-listeners.js'
 import type { Milliseconds } from '../../src/clock.js'
 import { flushPromises } from '../../stand-ins/manual-clock.js'
 import type { ManualClock } from '../../stand-ins/manual-clock.js'
+import { createSleep } from '../../stand-ins/scheduled-sleep.js'
 
 interface Sleeper {
   readonly due: Milliseconds
@@ -20,20 +20,6 @@
   const heap: Sleeper[] = []
   let time = 0
 
-  function sleep (delay: Milliseconds, signal?: AbortSignal): Promise<void> {
-    return new Promise((resolve, reject) => {
-      if (signal?.aborted) return reject(signal.reason)
-      const cancel = schedule(delay, () => {
-        stopListening?.()
-        resolve()
-      })
-      const stopListening = signal && onAbort(signal, () => {
-        cancel()
-        reject(signal.reason)
-      })
-    })
-  }
-
   function schedule (delay: Milliseconds, callback: () => void): () => void {
     const sleeper = { due: Math.ceil(time + Math.max(delay, 1)), wake: callback }
     push(heap, sleeper)
@@ -43,7 +29,7 @@
   return {
     now: () => time,
     wall: () => time,
-    sleep,
+    sleep: createSleep(schedule),
     schedule,
     advance: async (duration) => {
       const until = time + duration
--- a/stand-ins/manual-clock.ts
+++ b/stand-ins/manual-clock.ts
@@ -1,6 +1,6 @@
 /** Clock that advances only on request, for tests and simulations. */
-import { onAbort } from '../src/abort-listeners.js'
 import type { Clock, Milliseconds } from '../src/clock.js'
+import { createSleep } from './scheduled-sleep.js'
 
 /** Clock that is advanced by its owner. */
 export interface ManualClock extends Clock {
@@ -25,20 +25,6 @@
   let time = start
   let sleepers: Sleeper[] = []
 
-  function sleep (delay: Milliseconds, signal?: AbortSignal): Promise<void> {
-    return new Promise((resolve, reject) => {
-      if (signal?.aborted) return reject(signal.reason)
-      const cancel = schedule(delay, () => {
-        stopListening?.()
-        resolve()
-      })
-      const stopListening = signal && onAbort(signal, () => {
-        cancel()
-        reject(signal.reason)
-      })
-    })
-  }
-
   function schedule (delay: Milliseconds, callback: () => void): () => void {
     const sleeper = { due: time + delay, wake: callback }
     sleepers.push(sleeper)
@@ -54,7 +40,7 @@
   return {
     now: () => time,
     wall: () => time,
-    sleep,
+    sleep: createSleep(schedule),
     schedule,
     advance: async (duration) => {
       const until = time + duration
--- a/stand-ins/paced-clock.ts
+++ b/stand-ins/paced-clock.ts
@@ -6,8 +6,8 @@
  *
  * So a test by this clock doesn't see what the parts themselves cost in processor time.
  */
-import { onAbort } from '../src/abort-listeners.js'
 import type { Clock, Milliseconds } from '../src/clock.js'
+import { createSleep } from './scheduled-sleep.js'
 
 /** A running clock. */
 export interface PacedClock extends Clock {
@@ -75,25 +75,11 @@
     return () => { remove(sleeper) }
   }
 
-  function sleep (delay: Milliseconds, signal?: AbortSignal): Promise<void> {
-    return new Promise((resolve, reject) => {
-      if (signal?.aborted) return reject(signal.reason)
-      const cancel = schedule(delay, () => {
-        stopListening?.()
-        resolve()
-      })
-      const stopListening = signal && onAbort(signal, () => {
-        cancel()
-        reject(signal.reason)
-      })
-    })
-  }
-
   scheduleTurn()
   return {
     now,
     wall: () => now() + offset,
-    sleep,
+    sleep: createSleep(schedule),
     schedule,
     stop: () => {
       isStopped = true
