Evidence of roll-outs is merged in one pass again

Cause: since values are merged by name, each report that is added to the sum merged the whole sum once more, histograms included.

Change: the sum is taken as it is, and only the routes of the report are merged; names that objects inherit stay ordinary ones.

--- a/src/rollout/evidence.ts
+++ b/src/rollout/evidence.ts
@@ -98,13 +98,17 @@
 function mergeVersionEvidence (known: VersionEvidence | undefined, right: VersionEvidence): VersionEvidence {
   const left = known === undefined || known.order < right.order ? emptyEvidence(right.order) : known
   if (left.order > right.order) return left
-  const routes = mergeByName([left.routes, right.routes], (known = emptyRouteEvidence(), route) => ({ serving: mergeSides(known.serving, route.serving), tried: mergeSides(known.tried, route.tried) }))
+  const routes = new Map(Object.entries(left.routes))
+  for (const [name, route] of Object.entries(right.routes)) {
+    const { serving, tried } = routes.get(name) ?? emptyRouteEvidence()
+    routes.set(name, { serving: mergeSides(serving, route.serving), tried: mergeSides(tried, route.tried) })
+  }
   return {
     order: left.order,
     sent: left.sent + right.sent,
     exposed: left.exposed + right.exposed,
     followers: left.followers + right.followers,
-    routes
+    routes: Object.fromEntries(routes)
   }
 }
 
