--- a/stand-ins/machines/rehearsal.ts
+++ b/stand-ins/machines/rehearsal.ts
@@ -4,14 +4,13 @@
  */
 import { mkdtempSync, writeFileSync } from 'node:fs'
 import { request as sendRequest } from 'node:http'
-import { createServer } from 'node:net'
-import type { AddressInfo } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { HEADER, NODE_PATH, STORE_KEY } from '../../platform/names.js'
 import { createSystemClock } from '../../src/clock.js'
 import type { Milliseconds } from '../../src/clock.js'
 import { createRandom } from '../../src/random.js'
+import { findFreePorts } from '../observed-process.js'
 import { serveDutyApi } from './duty-api.js'
 import { serveMetadataStore } from './metadata-store.js'
 import { serveUpstream } from './upstream.js'
@@ -102,14 +101,3 @@
     outgoing.end(kind === 'idempotent' ? undefined : 'a body')
   })
 }
-
-/** Finds distinct free ports. Another process can take a port before it is used. */
-async function findFreePorts (count: number): Promise<number[]> {
-  const servers = await Promise.all(Array.from({ length: count }, () => new Promise<ReturnType<typeof createServer>>((resolve) => {
-    const server = createServer()
-    server.listen(0, LOOPBACK, () => resolve(server))
-  })))
-  const ports = servers.map((server) => (server.address() as AddressInfo).port)
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))))
-  return ports
-}
