A body in pieces of one byte no longer ends a process

What callers saw: a handful of callers that send chunks of one byte ended a gateway process by SIGABRT within seconds, with all that it had accepted; a process of the own interface took 4,978 MB. Cause: readBody kept each piece as the parser hands it out. A Buffer, its ArrayBuffer and its backing store are some hundred bytes for one byte of body, so the limit on the size of a body didn't bound them. Change: pieces are copied into blocks that grow with the body (src/caller/body-blocks.ts). Peers and operators are read by the same function. Bounds and crowd are unchanged.

--- a/src/caller/http.ts
+++ b/src/caller/http.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Milliseconds } from '../clock.js'
 import { ServingError, httpStatusOf, toServingError } from '../verdict.js'
+import { createBodyBlocks } from './body-blocks.js'
 
 /** Request and response header with the request id. */
 export const REQUEST_ID_HEADER = 'hornbeamgap-request-id'
@@ -92,8 +93,7 @@
  * const bytes = await readBody(request, 1_048_576)
  */
 export function readBody (request: IncomingMessage, limit: number): Promise<Buffer> {
-  const chunks: Buffer[] = []
-  let size = 0
+  const blocks = createBodyBlocks(announcedLength(request))
   return new Promise((resolve, reject) => {
     if (request.readableEnded) return resolve(EMPTY)
     if (request.destroyed) return endEarly()
@@ -103,9 +103,8 @@
     request.on('close', endEarly)
 
     function take (chunk: Buffer): void {
-      size += chunk.length
-      if (size <= limit) {
-        chunks.push(chunk)
+      if (blocks.size() + chunk.length <= limit) {
+        blocks.append(chunk)
         return
       }
       request.pause()
@@ -115,7 +114,7 @@
 
     function finish (): void {
       stopListening()
-      resolve(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks, size))
+      resolve(blocks.whole())
     }
 
     function endEarly (error?: Error): void {
@@ -132,6 +131,11 @@
   })
 }
 
+function announcedLength ({ headers }: IncomingMessage): number | undefined {
+  const length = headers['content-length']
+  return length === undefined ? undefined : Number(length)
+}
+
 /**
  * Writes a chunk and waits until the write buffer of the connection has drained, so that a slow caller does not fill
  * the memory of the node. A caller that accepts no data for a minute is disconnected, and may resume later.
--- a/stand-ins/misbehaving-callers.ts
+++ b/stand-ins/misbehaving-callers.ts
@@ -1,4 +1,4 @@
-/** Callers that send what no well-behaved one does. All of them stay connected until they are told to leave. */
+/** Callers that send what no well-behaved one does, or unusual forms that are allowed. All of them stay connected until they are told to leave. */
 import { connect } from 'node:net'
 import type { Socket } from 'node:net'
 
@@ -9,8 +9,8 @@
   readonly head: (index: number) => string
 }
 
-/** How callers misbehave. */
-export interface Misbehaviour {
+/** How callers behave. */
+export interface CallerBehaviour {
   /** Bytes that one caller sends, piece by piece. */
   readonly bytes: (target: CallerTarget, index: number) => Iterable<Buffer>
   /** Whether it reads what it is sent. Default true. */
@@ -44,11 +44,11 @@
  * Connects callers, which begin to send at once.
  *
  * @example
- * const crowd = openCrowd(target, 48, MISBEHAVIOURS.shortOfLength(4_194_304))
+ * const crowd = openCrowd(target, 48, BEHAVIOURS.shortOfLength(4_194_304))
  * await crowd.sent()
  */
-export function openCrowd (target: CallerTarget, callers: number, misbehaviour: Misbehaviour): Crowd {
-  const members = Array.from({ length: callers }, (_, index) => openMember(target, index, misbehaviour))
+export function openCrowd (target: CallerTarget, callers: number, behaviour: CallerBehaviour): Crowd {
+  const members = Array.from({ length: callers }, (_, index) => openMember(target, index, behaviour))
   return {
     sent: async () => { await Promise.all(members.map(({ sent }) => sent)) },
     statuses: () => members.flatMap(({ answer }) => [...answer().matchAll(/^HTTP\/1\.1 (\d{3}) /gm)].map((match) => Number(match[1]))),
@@ -62,7 +62,7 @@
   readonly answer: () => string
 }
 
-function openMember (target: CallerTarget, index: number, { bytes, reads = true, apart = false }: Misbehaviour): Member {
+function openMember (target: CallerTarget, index: number, { bytes, reads = true, apart = false }: CallerBehaviour): Member {
   const socket = connect({ host: '127.0.0.1', port: target.port, noDelay: true, allowHalfOpen: true })
   let answer = ''
   // Being cut off is expected.
@@ -118,24 +118,24 @@
   return Buffer.from(`${head(index)}content-length: ${length}\r\n${END_OF_HEAD}`)
 }
 
-/** Misbehaviours by name. */
-export const MISBEHAVIOURS = {
+/** Behaviours by name. */
+export const BEHAVIOURS = {
   /** Large chunks, one short of the limit, and the end doesn't come. */
-  shortOfLimitInLargeChunks: (limit: number): Misbehaviour => ({
+  shortOfLimitInLargeChunks: (limit: number): CallerBehaviour => ({
     bytes: function * (target, index) {
       yield chunkedHead(target, index)
       yield * inPieces(chunkOf(LARGE_CHUNK_BYTES), Math.floor(limit / LARGE_CHUNK_BYTES) - 1)
     }
   }),
   /** Chunks of one byte, and the end doesn't come. */
-  oneByteChunks: (chunks: number): Misbehaviour => ({
+  oneByteChunks: (chunks: number): CallerBehaviour => ({
     bytes: function * (target, index) {
       yield chunkedHead(target, index)
       yield * inPieces(chunkOf(1), chunks)
     }
   }),
   /** Chunks of one byte that arrive one by one, and the end doesn't come. */
-  oneByteChunksApart: (chunks: number): Misbehaviour => ({
+  oneByteChunksApart: (chunks: number): CallerBehaviour => ({
     apart: true,
     bytes: function * (target, index) {
       yield chunkedHead(target, index)
@@ -143,14 +143,14 @@
     }
   }),
   /** The announced length but for the last byte. */
-  shortOfLength: (length: number): Misbehaviour => ({
+  shortOfLength: (length: number): CallerBehaviour => ({
     bytes: function * (target, index) {
       yield lengthHead(target, index, length)
       yield * inPieces('x', length - 1)
     }
   }),
   /** Announces a body and sends it, whatever is answered, and reads nothing. */
-  overAnnounced: (length: number): Misbehaviour => ({
+  overAnnounced: (length: number): CallerBehaviour => ({
     reads: false,
     bytes: function * (target, index) {
       yield lengthHead(target, index, length)
@@ -158,7 +158,7 @@
     }
   }),
   /** Sends chunks beyond any limit, whatever is answered, and reads nothing. */
-  overInChunks: (length: number): Misbehaviour => ({
+  overInChunks: (length: number): CallerBehaviour => ({
     reads: false,
     bytes: function * (target, index) {
       yield chunkedHead(target, index)
@@ -166,33 +166,41 @@
     }
   }),
   /** Whole requests with bodies of this length, one after the other. */
-  whole: (length: number): Misbehaviour => ({
+  whole: (length: number): CallerBehaviour => ({
     bytes: function * (target, index) {
       yield lengthHead(target, index, length)
       yield * inPieces('x', length)
     }
   }),
+  /** A whole body in chunks of this size, which divides its length. */
+  wholeInChunks: (length: number, chunkBytes: number): CallerBehaviour => ({
+    bytes: function * (target, index) {
+      yield chunkedHead(target, index)
+      yield * inPieces(chunkOf(chunkBytes), length / chunkBytes)
+      yield Buffer.from('0\r\n\r\n')
+    }
+  }),
   /** Requests behind one another, whose answers are not read. */
-  pipelined: (requests: number): Misbehaviour => ({
+  pipelined: (requests: number): CallerBehaviour => ({
     reads: false,
     bytes: ({ head }, index) => inPieces(`${head(index)}content-length: 1\r\n${END_OF_HEAD}x`, requests)
   }),
   /** Requests without a body behind one another, whose answers are not read. */
-  pipelinedWithoutBody: (requests: number): Misbehaviour => ({
+  pipelinedWithoutBody: (requests: number): CallerBehaviour => ({
     reads: false,
     bytes: ({ head }, index) => inPieces(`${head(index).replace('POST', 'GET')}${END_OF_HEAD}`, requests)
   }),
   /** Whole requests, whose answers are not read. */
-  unreadAnswers: (): Misbehaviour => ({
+  unreadAnswers: (): CallerBehaviour => ({
     reads: false,
     bytes: function * (target, index) { yield lengthHead(target, index, 0) }
   }),
   /** Part of a head. */
-  halfHead: (bytes: number): Misbehaviour => ({
+  halfHead: (bytes: number): CallerBehaviour => ({
     bytes: function * ({ head }, index) { yield Buffer.from(`${head(index)}x-filler: ${'x'.repeat(bytes)}`) }
   }),
   /** A chunk whose extension doesn't end. */
-  endlessExtension: (bytes: number): Misbehaviour => ({
+  endlessExtension: (bytes: number): CallerBehaviour => ({
     bytes: function * (target, index) {
       yield chunkedHead(target, index)
       yield Buffer.from('1;')
@@ -200,7 +208,7 @@
     }
   }),
   /** A whole body, whose trailers don't end. */
-  endlessTrailers: (bytes: number): Misbehaviour => ({
+  endlessTrailers: (bytes: number): CallerBehaviour => ({
     bytes: function * (target, index) {
       yield chunkedHead(target, index)
       yield Buffer.from('1\r\nx\r\n0\r\n')
@@ -208,5 +216,5 @@
     }
   }),
   /** Nothing at all. */
-  silent: (): Misbehaviour => ({ bytes: () => [] })
+  silent: (): CallerBehaviour => ({ bytes: () => [] })
 } as const
--- a/test/processes/misbehaving-callers-of-entries.test.ts
+++ b/test/processes/misbehaving-callers-of-entries.test.ts
@@ -6,8 +6,8 @@
 import type { Milliseconds } from '../../src/clock.js'
 import { startEntryProcess } from '../../stand-ins/entry-process.js'
 import type { EntryProcess } from '../../stand-ins/entry-process.js'
-import { MISBEHAVIOURS, openCrowd } from '../../stand-ins/misbehaving-callers.js'
-import type { Crowd, Misbehaviour } from '../../stand-ins/misbehaving-callers.js'
+import { BEHAVIOURS, openCrowd } from '../../stand-ins/misbehaving-callers.js'
+import type { Crowd, CallerBehaviour } from '../../stand-ins/misbehaving-callers.js'
 
 /** Memory of the machines in docs/CAPACITY.md; the crowd's bodies together are larger. */
 const MEMORY_MB = 350
@@ -82,9 +82,9 @@
     }
   }
 
-  async function withstands (misbehaviour: Misbehaviour, callers = CALLERS): Promise<void> {
+  async function withstands (behaviour: CallerBehaviour, callers = CALLERS): Promise<void> {
     entry = await startEntryProcess(clock, LIMITS)
-    crowd = openCrowd({ port: entry.port, head: () => entry.head(CLASS, ECHO_PATH) }, callers, misbehaviour)
+    crowd = openCrowd({ port: entry.port, head: () => entry.head(CLASS, ECHO_PATH) }, callers, behaviour)
     await crowd.sent()
     await servesAnOrdinaryRequest()
     assertStands()
@@ -96,26 +96,26 @@
   }
 
   // Guards against bodies that don't end and take the memory of the process.
-  it('stands bodies in large chunks that stop short of the limit', { timeout: TEST_TIMEOUT }, () => withstands(MISBEHAVIOURS.shortOfLimitInLargeChunks(LIMITS.bodyBytes)))
+  it('stands bodies in large chunks that stop short of the limit', { timeout: TEST_TIMEOUT }, () => withstands(BEHAVIOURS.shortOfLimitInLargeChunks(LIMITS.bodyBytes)))
 
   // Guards against what the runtime keeps for each piece of a body, which is many times the piece.
-  it('stands bodies in chunks of one byte', { timeout: TEST_TIMEOUT }, () => withstands(MISBEHAVIOURS.oneByteChunks(200_000)))
+  it('stands bodies in chunks of one byte', { timeout: TEST_TIMEOUT }, () => withstands(BEHAVIOURS.oneByteChunks(200_000)))
 
   // Guards against bodies that are held although their last byte doesn't come.
-  it('stands bodies one byte short of their length', { timeout: TEST_TIMEOUT }, () => withstands(MISBEHAVIOURS.shortOfLength(LIMITS.bodyBytes)))
+  it('stands bodies one byte short of their length', { timeout: TEST_TIMEOUT }, () => withstands(BEHAVIOURS.shortOfLength(LIMITS.bodyBytes)))
 
   // Guards against reading on what has been refused.
   it('stands bodies far over the limit', { timeout: TEST_TIMEOUT }, async () => {
-    await withstands(MISBEHAVIOURS.overAnnounced(4 * LIMITS.bodyBytes))
+    await withstands(BEHAVIOURS.overAnnounced(4 * LIMITS.bodyBytes))
     await entry.close()
-    await withstands(MISBEHAVIOURS.overInChunks(4 * LIMITS.bodyBytes))
+    await withstands(BEHAVIOURS.overInChunks(4 * LIMITS.bodyBytes))
   })
 
   // Guards against requests that are parsed and kept behind one that isn't answered.
-  it('stands requests behind one another whose answers are not read', { timeout: TEST_TIMEOUT }, () => withstands(MISBEHAVIOURS.pipelined(20_000)))
+  it('stands requests behind one another whose answers are not read', { timeout: TEST_TIMEOUT }, () => withstands(BEHAVIOURS.pipelined(20_000)))
 
   // Guards against connections that take all descriptors.
-  it('stands callers that send nothing', { timeout: TEST_TIMEOUT }, () => withstands(MISBEHAVIOURS.silent(), SILENT_CALLERS))
+  it('stands callers that send nothing', { timeout: TEST_TIMEOUT }, () => withstands(BEHAVIOURS.silent(), SILENT_CALLERS))
 
   // Guards against limits on misbehaviour that a proper request meets.
   it('serves one of the largest size in calm', { timeout: TEST_TIMEOUT }, async () => {
--- a/test/processes/misbehaving-callers.test.ts
+++ b/test/processes/misbehaving-callers.test.ts
@@ -10,8 +10,9 @@
 import type { Milliseconds } from '../../src/clock.js'
 import { startGatewayProcess } from '../../stand-ins/machines/gateway-process.js'
 import type { GatewayPorts, GatewayProcess } from '../../stand-ins/machines/gateway-process.js'
-import { MISBEHAVIOURS, openCrowd } from '../../stand-ins/misbehaving-callers.js'
-import type { CallerTarget, Crowd, Misbehaviour } from '../../stand-ins/misbehaving-callers.js'
+import { BEHAVIOURS, openCrowd } from '../../stand-ins/misbehaving-callers.js'
+import type { CallerBehaviour, CallerTarget, Crowd } from '../../stand-ins/misbehaving-callers.js'
+import { waitUntil } from '../wait-until.js'
 
 /** Memory of the smallest machines, and few descriptors, so that a small crowd is enough. */
 const LIMITS = { memoryMb: 250, descriptors: 500, bodyBytes: 4_194_304 }
@@ -57,15 +58,12 @@
   readonly method: 'GET' | 'POST'
   readonly path: string
   readonly id: string
-  readonly body?: readonly Buffer[]
-  /** Whether the body is sent by its length rather than in chunks. */
-  readonly hasLength?: boolean
+  readonly body?: Buffer
 }
 
 /** Sends a request on a connection of its own. */
-function send ({ port, method, path, id, body = [], hasLength = true }: OutgoingRequest): Promise<Answer> {
-  const length = body.reduce((sum, piece) => sum + piece.length, 0)
-  const headers = { host: 'api.example', [HEADER.requestId]: id, [HEADER.deadline]: '60000', ...(method === 'POST' && hasLength ? { 'content-length': length } : {}) }
+function send ({ port, method, path, id, body }: OutgoingRequest): Promise<Answer> {
+  const headers = { host: 'api.example', [HEADER.requestId]: id, [HEADER.deadline]: '60000', ...(body === undefined ? {} : { 'content-length': body.length }) }
   return new Promise((resolve) => {
     const outgoing = sendRequest({ host: '127.0.0.1', port, path, method, headers, agent: false }, (response) => {
       response.resume()
@@ -75,8 +73,7 @@
       response.on('error', () => resolve({ status: 0, retryAfter: undefined }))
     })
     outgoing.on('error', () => resolve({ status: 0, retryAfter: undefined }))
-    for (const piece of body) outgoing.write(piece)
-    outgoing.end()
+    outgoing.end(body)
   })
 }
 
@@ -92,7 +89,7 @@
 }
 
 function ordinaryRequest ({ front }: GatewayPorts): Omit<OutgoingRequest, 'id'> {
-  return { port: front, method: 'POST', path: '/plain/x', body: [Buffer.from('an ordinary body')] }
+  return { port: front, method: 'POST', path: '/plain/x', body: Buffer.from('an ordinary body') }
 }
 
 function assertLives (gateway: GatewayProcess): void {
@@ -129,9 +126,9 @@
   }
 
   /** Lets a crowd in, and checks the process while the crowd stays and after it has left. */
-  async function withstands (listener: keyof GatewayPorts, misbehaviour: Misbehaviour, callers = CALLERS, service = 'plain'): Promise<void> {
+  async function withstands (listener: keyof GatewayPorts, behaviour: CallerBehaviour, callers = CALLERS, service = 'plain'): Promise<void> {
     await start()
-    crowd = openCrowd(targetOf(listener, service), callers, misbehaviour)
+    crowd = openCrowd(targetOf(listener, service), callers, behaviour)
     await crowd.sent()
     await isServed(gateway, ordinaryRequest(gateway.ports))
     await answersElsewhere()
@@ -150,80 +147,80 @@
   }
 
   // Guards against bodies that don't end and take the memory of the process.
-  it('stands bodies in large chunks that stop short of the limit', { timeout: TEST_TIMEOUT }, () => withstands('front', MISBEHAVIOURS.shortOfLimitInLargeChunks(LIMITS.bodyBytes)))
+  it('stands bodies in large chunks that stop short of the limit', { timeout: TEST_TIMEOUT }, () => withstands('front', BEHAVIOURS.shortOfLimitInLargeChunks(LIMITS.bodyBytes)))
 
   // Guards against what the runtime keeps for each piece of a body, which is many times the piece.
-  it('stands bodies in chunks of one byte', { timeout: TEST_TIMEOUT }, () => withstands('front', MISBEHAVIOURS.oneByteChunks(200_000)))
+  it('stands bodies in chunks of one byte', { timeout: TEST_TIMEOUT }, () => withstands('front', BEHAVIOURS.oneByteChunks(200_000)))
 
   // Guards against the same where each piece comes with a read of its own.
-  it('stands bodies in chunks of one byte that come one by one', { timeout: TEST_TIMEOUT }, () => withstands('front', MISBEHAVIOURS.oneByteChunksApart(60_000), SLOW_CALLERS))
+  it('stands bodies in chunks of one byte that come one by one', { timeout: TEST_TIMEOUT }, () => withstands('front', BEHAVIOURS.oneByteChunksApart(60_000), SLOW_CALLERS))
 
   // Guards against bodies that are held although their last byte doesn't come.
-  it('stands bodies one byte short of their length', { timeout: TEST_TIMEOUT }, () => withstands('front', MISBEHAVIOURS.shortOfLength(LIMITS.bodyBytes)))
+  it('stands bodies one byte short of their length', { timeout: TEST_TIMEOUT }, () => withstands('front', BEHAVIOURS.shortOfLength(LIMITS.bodyBytes)))
 
   // Guards against reading on what has been refused.
-  it('stands bodies far over the limit that are announced', { timeout: TEST_TIMEOUT }, () => withstands('front', MISBEHAVIOURS.overAnnounced(8 * LIMITS.bodyBytes)))
+  it('stands bodies far over the limit that are announced', { timeout: TEST_TIMEOUT }, () => withstands('front', BEHAVIOURS.overAnnounced(8 * LIMITS.bodyBytes)))
 
   // Guards against the same without an announcement.
-  it('stands bodies far over the limit that are just sent', { timeout: TEST_TIMEOUT }, () => withstands('front', MISBEHAVIOURS.overInChunks(8 * LIMITS.bodyBytes)))
+  it('stands bodies far over the limit that are just sent', { timeout: TEST_TIMEOUT }, () => withstands('front', BEHAVIOURS.overInChunks(8 * LIMITS.bodyBytes)))
 
   // Guards against requests that are parsed and kept behind one that isn't answered.
-  it('stands requests behind one another whose answers are not read', { timeout: TEST_TIMEOUT }, () => withstands('front', MISBEHAVIOURS.pipelined(20_000)))
+  it('stands requests behind one another whose answers are not read', { timeout: TEST_TIMEOUT }, () => withstands('front', BEHAVIOURS.pipelined(20_000)))
 
   // Guards against the same where the first request waits for its upstream.
-  it('stands requests behind one that is not answered', { timeout: TEST_TIMEOUT }, () => withstands('front', MISBEHAVIOURS.pipelined(20_000), CALLERS, 'hanging'))
+  it('stands requests behind one that is not answered', { timeout: TEST_TIMEOUT }, () => withstands('front', BEHAVIOURS.pipelined(20_000), CALLERS, 'hanging'))
 
   // Guards against whole bodies that are kept while their upstream doesn't answer.
-  it('stands whole bodies whose upstream does not answer', { timeout: TEST_TIMEOUT }, () => withstands('front', MISBEHAVIOURS.whole(LIMITS.bodyBytes), CALLERS, 'hanging'))
+  it('stands whole bodies whose upstream does not answer', { timeout: TEST_TIMEOUT }, () => withstands('front', BEHAVIOURS.whole(LIMITS.bodyBytes), CALLERS, 'hanging'))
 
   // Guards against long answers that are kept for callers that don't read them.
-  it('stands callers that read no answer', { timeout: TEST_TIMEOUT }, () => withstands('front', MISBEHAVIOURS.unreadAnswers(), CALLERS, 'long'))
+  it('stands callers that read no answer', { timeout: TEST_TIMEOUT }, () => withstands('front', BEHAVIOURS.unreadAnswers(), CALLERS, 'long'))
 
   // Guards against heads that don't end.
-  it('stands half heads', { timeout: TEST_TIMEOUT }, () => withstands('front', MISBEHAVIOURS.halfHead(15_000)))
+  it('stands half heads', { timeout: TEST_TIMEOUT }, () => withstands('front', BEHAVIOURS.halfHead(15_000)))
 
   // Guards against framing that is no body.
   it('stands extensions of chunks and trailers without end', { timeout: TEST_TIMEOUT }, async () => {
-    await withstands('front', MISBEHAVIOURS.endlessExtension(1_000_000))
+    await withstands('front', BEHAVIOURS.endlessExtension(1_000_000))
     await gateway.close()
-    await withstands('front', MISBEHAVIOURS.endlessTrailers(1_000_000))
+    await withstands('front', BEHAVIOURS.endlessTrailers(1_000_000))
   })
 
   for (const listener of ['front', 'directory', 'ready'] as const) {
     // Guards against connections that take the descriptors of upstreams, the store and the other listeners.
-    it(`stands callers that send nothing to its ${listener} address`, { timeout: TEST_TIMEOUT }, () => withstands(listener, MISBEHAVIOURS.silent(), SILENT_CALLERS))
+    it(`stands callers that send nothing to its ${listener} address`, { timeout: TEST_TIMEOUT }, () => withstands(listener, BEHAVIOURS.silent(), SILENT_CALLERS))
   }
 
   for (const listener of ['directory', 'ready'] as const) {
     // Guards against bodies that nobody asked for and that are read for as long as they come.
     it(`stands bodies without end at its ${listener} address`, { timeout: TEST_TIMEOUT }, async () => {
-      await withstands(listener, MISBEHAVIOURS.overInChunks(64 * LIMITS.bodyBytes), SLOW_CALLERS)
+      await withstands(listener, BEHAVIOURS.overInChunks(64 * LIMITS.bodyBytes), SLOW_CALLERS)
       await gateway.close()
-      await withstands(listener, MISBEHAVIOURS.oneByteChunks(200_000))
+      await withstands(listener, BEHAVIOURS.oneByteChunks(200_000))
     })
 
     // Guards against requests that are kept while nobody reads their answers.
-    it(`stands requests behind one another at its ${listener} address`, { timeout: TEST_TIMEOUT }, () => withstands(listener, MISBEHAVIOURS.pipelinedWithoutBody(20_000)))
+    it(`stands requests behind one another at its ${listener} address`, { timeout: TEST_TIMEOUT }, () => withstands(listener, BEHAVIOURS.pipelinedWithoutBody(20_000)))
   }
 
   describe('and those that behave', () => {
     const wholeBody = Buffer.alloc(LIMITS.bodyBytes, 'b')
     const forms = [
-      { name: 'by its length', pieces: 1, hasLength: true },
-      { name: 'in large chunks', pieces: 256, hasLength: false },
-      { name: 'in chunks of one byte', pieces: LIMITS.bodyBytes, hasLength: false }
+      { name: 'by its length', behaviour: BEHAVIOURS.whole(LIMITS.bodyBytes) },
+      { name: 'in large chunks', behaviour: BEHAVIOURS.wholeInChunks(LIMITS.bodyBytes, 16_384) },
+      { name: 'in chunks of one byte', behaviour: BEHAVIOURS.wholeInChunks(LIMITS.bodyBytes, 1) }
     ]
 
-    for (const { name, pieces, hasLength } of forms) {
+    for (const { name, behaviour } of forms) {
       // Guards against limits on misbehaviour that a proper request meets.
       it(`serves one of the largest size in calm, ${name}`, { timeout: TEST_TIMEOUT }, async () => {
         await start()
-        const pieceBytes = LIMITS.bodyBytes / pieces
-        const body = pieces === LIMITS.bodyBytes ? Array<Buffer>(pieces).fill(wholeBody.subarray(0, 1)) : Array.from({ length: pieces }, (_, index) => wholeBody.subarray(index * pieceBytes, (index + 1) * pieceBytes))
-        const { status } = await send({ port: gateway.ports.front, method: 'POST', path: '/plain/x', id: 'largest', body, hasLength })
-        assert.equal(status, SUCCESS)
-        assert.equal(gateway.upstream('plain').runs[0]?.body.length, LIMITS.bodyBytes)
+        const caller = openCrowd(targetOf('front', 'plain'), 1, behaviour)
+        crowd = caller
+        await waitUntil(() => caller.statuses().length > 0 || gateway.endedWith() !== undefined, { clock, what: 'the answer', limit: TEST_TIMEOUT })
         assertStands(gateway)
+        assert.deepEqual(caller.statuses(), [SUCCESS])
+        assert.equal(gateway.upstream('plain').runs[0]?.body.length, LIMITS.bodyBytes)
       })
     }
 
@@ -231,7 +228,7 @@
     it('answers many of the largest size at once, or refuses them as not run', { timeout: TEST_TIMEOUT }, async () => {
       await start()
       const ids = Array.from({ length: CALLERS }, (_, index) => `large-${index}`)
-      const answers = await Promise.all(ids.map(async (id) => ({ id, ...await send({ port: gateway.ports.front, method: 'POST', path: '/plain/x', id, body: [wholeBody] }) })))
+      const answers = await Promise.all(ids.map(async (id) => ({ id, ...await send({ port: gateway.ports.front, method: 'POST', path: '/plain/x', id, body: wholeBody }) })))
       const runs = new Set(gateway.upstream('plain').runs.map(({ id }) => id))
       assert.ok(answers.some(({ status }) => status === SUCCESS))
       for (const { id, status, retryAfter } of answers) {
