All requests that a gateway node holds share one account of memory

What callers saw: bodies of a permitted size, stopped short of their end or whole before an upstream that doesn't answer, took a gateway process beyond the memory of its machine; the platform kills it, and all that it had accepted is lost. Cause: the limit on the size of a body holds for one request. Nothing bounded what all of them take. Change: each request opens a share of one account, an eighth of the machine's memory (src/caller/request-memory.ts). Blocks of a body are counted as they are allocated, the copy that joins them too, and are given back when the request ends in whatever way. Why it holds: no byte of a body is kept that isn't counted, and what may yield has never been sent to an upstream.

--- a/src/caller/http.ts
+++ b/src/caller/http.ts
@@ -3,6 +3,7 @@
 import type { Milliseconds } from '../clock.js'
 import { ServingError, httpStatusOf, toServingError } from '../verdict.js'
 import { createBodyBlocks } from './body-blocks.js'
+import type { RequestShare } from './request-memory.js'
 
 /** Request and response header with the request id. */
 export const REQUEST_ID_HEADER = 'hornbeamgap-request-id'
@@ -21,6 +22,9 @@
 /** Maximum time for which a caller may accept no data before its connection is destroyed. */
 const STALL_TIMEOUT: Milliseconds = 60_000
 
+/** Time after which a request that found no room may be sent again. Those that stand still have yielded by then. */
+const FULL_RETRY_AFTER: Milliseconds = 1_000
+
 /**
  * Wraps a handler so that any error it throws is sent as a failure with a verdict.
  *
@@ -88,33 +92,43 @@
  * Reads a request body.
  *
  * @param limit maximum size in bytes
- * @throws ServingError `too-large` for a larger body, `invalid-request` for a body that ends early
+ * @param share where the memory of the body comes from; the caller gives it back. Without one, only the limit bounds the body
+ * @throws ServingError `too-large` for a larger body, `overloaded` if there is no memory for it, `invalid-request` for a body that ends early
  * @example
- * const bytes = await readBody(request, 1_048_576)
+ * const bytes = await readBody(request, 1_048_576, share)
  */
-export function readBody (request: IncomingMessage, limit: number): Promise<Buffer> {
+export function readBody (request: IncomingMessage, limit: number, share?: RequestShare): Promise<Buffer> {
   const blocks = createBodyBlocks(announcedLength(request))
   return new Promise((resolve, reject) => {
     if (request.readableEnded) return resolve(EMPTY)
     if (request.destroyed) return endEarly()
+    share?.onYield(() => refuse(fullFailure()))
     request.on('data', take)
     request.on('end', finish)
     request.on('error', endEarly)
     request.on('close', endEarly)
 
     function take (chunk: Buffer): void {
-      if (blocks.size() + chunk.length <= limit) {
-        blocks.append(chunk)
-        return
-      }
+      if (blocks.size() + chunk.length > limit) return refuse(tooLargeFailure(limit))
+      if (share?.hold(blocks.allocatedAfter(chunk.length)) === false) return refuse(fullFailure())
+      share?.arrived(chunk.length)
+      blocks.append(chunk)
+    }
+
+    function refuse (failure: ServingError): void {
       request.pause()
       stopListening()
-      reject(new ServingError(`the body is larger than ${limit} bytes`, { code: 'too-large', verdict: 'not-run' }))
+      reject(failure)
     }
 
     function finish (): void {
       stopListening()
-      resolve(blocks.whole())
+      share?.settle()
+      if (!blocks.isSplit()) return resolve(blocks.whole())
+      if (share?.hold(blocks.allocatedAfter(0) + blocks.size()) === false) return reject(fullFailure())
+      const body = blocks.whole()
+      share?.hold(body.length)
+      resolve(body)
     }
 
     function endEarly (error?: Error): void {
@@ -131,6 +145,14 @@
   })
 }
 
+function tooLargeFailure (limit: number): ServingError {
+  return new ServingError(`the body is larger than ${limit} bytes`, { code: 'too-large', verdict: 'not-run' })
+}
+
+function fullFailure (): ServingError {
+  return new ServingError('this node holds too many requests', { code: 'overloaded', verdict: 'not-run', retryAfter: FULL_RETRY_AFTER })
+}
+
 function announcedLength ({ headers }: IncomingMessage): number | undefined {
   const length = headers['content-length']
   return length === undefined ? undefined : Number(length)
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -1,4 +1,5 @@
 /** State and services shared by the modules of a gateway node. */
+import type { RequestMemory } from '../caller/request-memory.js'
 import type { Clock, Milliseconds } from '../clock.js'
 import type { EventLog } from '../events/index.js'
 import type { EngineSpeeds, UpstreamIncarnation } from '../placement/index.js'
@@ -84,6 +85,7 @@
   readonly plannedStop: PlannedStop
   /** Memory for answers that have not been passed on. */
   readonly heldAnswers: HeldAnswers
+  readonly requestMemory: RequestMemory
   /** Begins to pass on an answer, at a rate that its node can bear. */
   readonly beginPacedAnswer: () => AnswerPace
 }
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -5,6 +5,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { onAbort } from '../abort-listeners.js'
 import { readBody } from '../caller/http.js'
+import type { RequestShare } from '../caller/request-memory.js'
 import { afterPendingInput } from '../clock.js'
 import type { Milliseconds } from '../clock.js'
 import { EVENT_SEPARATION } from '../crash-causes/index.js'
@@ -81,7 +82,9 @@
   if (limit.left(clock.now()) === 0) throw refusal('timeout', 'the time limit had been reached before the request was read', READ_LATE_RETRY_AFTER)
   cleanup.push(abortAtEnd(clock, limit, controller))
   cleanup.push(context.plannedStop.watch({ ...unsent, hasBegun: () => (callerRequest.proxied?.attempts ?? 0) > 0, abort: () => controller.abort('stopped' satisfies AbortReason) }))
-  const body = await readWholeBody(context, request, controller.signal)
+  const share = context.requestMemory.open()
+  cleanup.push(share.release)
+  const body = await readWholeBody(context, request, share, controller.signal)
   const fingerprint = fingerprintOf(request.url ?? '/', accepted.organisation?.name, body)
   if (context.quarantine.isRefused(fingerprint, clock.now())) throw refusal('overloaded', 'this request has crashed the upstreams that ran it', CRASH_RETRY_AFTER)
   const probedPart = await admitParts(context, accepted)
@@ -185,15 +188,15 @@
 
 /**
  * @returns undefined when the request has no body
- * @throws ServingError `too-large`, `request-timeout` or `stopping`
+ * @throws ServingError `too-large`, `overloaded`, `request-timeout` or `stopping`
  */
-async function readWholeBody (context: GatewayContext, request: IncomingMessage, signal: AbortSignal): Promise<Buffer | undefined> {
+async function readWholeBody (context: GatewayContext, request: IncomingMessage, share: RequestShare, signal: AbortSignal): Promise<Buffer | undefined> {
   const { headers } = request
   if (headers['content-length'] === undefined && headers['transfer-encoding'] === undefined) return undefined
   const maxBytes = context.routeTable()?.configuration.limits.bodyBytes ?? Infinity
   return new Promise((resolve, reject) => {
     const stopListening = onAbort(signal, () => reject(unreadFailure(signal.reason)))
-    readBody(request, maxBytes).then(resolve, reject).finally(stopListening)
+    readBody(request, maxBytes, share).then(resolve, reject).finally(stopListening)
   })
 }
 
--- a/src/gateway/node-metrics.ts
+++ b/src/gateway/node-metrics.ts
@@ -1,4 +1,5 @@
 /** Registers the gauges of a node's metrics page, and periodically logs request sums and measures the delay of the event loop. */
+import type { RequestMemory } from '../caller/request-memory.js'
 import type { Clock, Milliseconds } from '../clock.js'
 import type { EventLog } from '../events/index.js'
 import type { QuotaLimiter, RetryBudget } from '../quota/index.js'
@@ -32,6 +33,8 @@
   readonly inFlight: () => number
   /** Bytes of answers that this node holds. */
   readonly heldAnswerBytes: () => number
+  /** Memory of the requests that this node holds. */
+  readonly requestMemory: RequestMemory
   /** Connections that this node relays for other nodes. */
   readonly tunnels: () => number
   readonly holdsDuties: () => boolean
@@ -44,10 +47,10 @@
  * Registers the gauges and starts the periodic reports, which end with the signal.
  *
  * @example
- * exposeNodeMetrics({ metrics, clock, log, signal, sums, sources, fleet, upstreams, connections, backpressure, crashes, quotas, budgets, rollouts, inFlight, heldAnswerBytes, tunnels, holdsDuties })
+ * exposeNodeMetrics({ metrics, clock, log, signal, sums, sources, fleet, upstreams, connections, backpressure, crashes, quotas, budgets, rollouts, inFlight, heldAnswerBytes, requestMemory, tunnels, holdsDuties })
  */
 export function exposeNodeMetrics (options: NodeMetricsOptions): void {
-  const { metrics, clock, sources, fleet, upstreams, connections, quotas, budgets } = options
+  const { metrics, clock, sources, fleet, upstreams, connections, quotas, budgets, requestMemory } = options
   metrics.gauge('configuration_version', () => sources().configuration)
   metrics.gauge('configuration_age_ms', () => sources().configurationAge)
   metrics.gauge('upstreams_age_ms', () => sources().upstreamsAge)
@@ -64,6 +67,9 @@
   metrics.gauge('nodes_oldest_ms', fleet.maxSilence)
   metrics.gauge('requests_in_flight', options.inFlight)
   metrics.gauge('answers_held_bytes', options.heldAnswerBytes)
+  metrics.gauge('requests_held_bytes', requestMemory.bytes)
+  metrics.gauge('requests_yielded', () => requestMemory.counts().yielded)
+  metrics.gauge('requests_without_room', () => requestMemory.counts().refused)
   metrics.gauge('duties_held', () => options.holdsDuties() ? 1 : 0)
   metrics.gauge('resident_bytes', () => process.memoryUsage.rss())
   metrics.family('quota_granted', 'organisation', () => quotas.granted(clock.now()))
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -43,6 +43,7 @@
 import { maxCallerConnections, createCallerServer, applyCallerLimits } from './listener.js'
 import { createGatewayMetrics } from './metrics.js'
 import { trackAnswers } from '../caller/open-answers.js'
+import { createRequestMemory } from '../caller/request-memory.js'
 import { createPlannedStop } from './planned-stop.js'
 import { exposeNodeMetrics } from './node-metrics.js'
 import type { Platform } from './ports.js'
@@ -104,6 +105,9 @@
 /** Part of the memory of the process that the answers take which it holds. A node without any takes about a fourth. */
 const HELD_ANSWERS_SHARE = 1 / 5
 
+/** Part of it that the requests take which it holds. What they leave to be collected takes up to as much again, and 64 MB. */
+const REQUEST_MEMORY_SHARE = 1 / 8
+
 /** Number of past usage windows that are reported to other nodes, beside the present one. Older ones are in the store. */
 const REPORTED_PAST_WINDOWS = 1
 
@@ -151,6 +155,7 @@
   const sums = createRequestSums(clock.now())
   const work = createWorkMeter()
   const heldAnswers = createHeldAnswers(settings.memory * HELD_ANSWERS_SHARE)
+  const requestMemory = createRequestMemory(settings.memory * REQUEST_MEMORY_SHARE, clock)
   const budgets = new Map<string, RetryBudget>()
   let sharedAmong = 0
   let context = undefined as GatewayContext | undefined
@@ -247,6 +252,7 @@
     freshness: sources,
     plannedStop,
     heldAnswers,
+    requestMemory,
     beginPacedAnswer: createAnswerPace(clock)
   }
   const upstreamsSubscription = watchUpstreams(followContext, platform.registry, upstreams, connections, { drain: bounds.upstreamDrain, onSeen: versions.seen, onLeaving: evacuation.leaving })
@@ -266,7 +272,7 @@
   })
   repeat({ clock, log, signal: shutdown.signal }, 'lost-paths', PATH_TEST_PERIOD, connections.testLostPaths)
   repeat({ clock, log, signal: shutdown.signal }, 'speeds', SPEED_PERIOD, speeds.update)
-  exposeNodeMetrics({ metrics, clock, log, signal: shutdown.signal, sums, sources, fleet, upstreams, connections, backpressure, crashes, quotas, budgets, rollouts: rollouts.sums, inFlight: answers.count, heldAnswerBytes: heldAnswers.bytes, tunnels: () => tunnels?.open() ?? 0, holdsDuties: () => holder.proof() !== undefined })
+  exposeNodeMetrics({ metrics, clock, log, signal: shutdown.signal, sums, sources, fleet, upstreams, connections, backpressure, crashes, quotas, budgets, rollouts: rollouts.sums, inFlight: answers.count, heldAnswerBytes: heldAnswers.bytes, requestMemory, tunnels: () => tunnels?.open() ?? 0, holdsDuties: () => holder.proof() !== undefined })
 
   const ready = await servePaths(settings.ready)
   await servePaths(settings.metrics)
