A body that is announced beyond the limit is refused before it is read

What callers saw: the node read up to the whole limit of a body whose Content-Length said that it is larger, and answered 413 then; one that announced and sent little was never answered until its time limit. Cause: readBody looked at what had come alone. Change: it looks at the announced length first. The test 'is rejected from its announced length' stood still on the code before (ended by its time limit).

--- a/src/caller/http.ts
+++ b/src/caller/http.ts
@@ -98,8 +98,10 @@
  * const bytes = await readBody(request, 1_048_576, share)
  */
 export function readBody (request: IncomingMessage, limit: number, share?: RequestShare): Promise<Buffer> {
-  const blocks = createBodyBlocks(announcedLength(request))
+  const announced = announcedLength(request)
+  const blocks = createBodyBlocks(announced)
   return new Promise((resolve, reject) => {
+    if (announced !== undefined && announced > limit) return reject(tooLargeFailure(limit))
     if (request.readableEnded) return resolve(EMPTY)
     if (request.destroyed) return endEarly()
     share?.onYield(() => refuse(fullFailure()))
--- a/test/gateway/request-body.test.ts
+++ b/test/gateway/request-body.test.ts
@@ -49,6 +49,13 @@
     }
   })
 
+  // Guards against a body that is read up to the limit, and takes as much memory, although it was announced to be longer.
+  it('is rejected from its announced length, before any of it has come', async () => {
+    const { result, answered } = await readSent(4, (socket) => { socket.write(HEAD) })
+    assert.equal((result as ServingError).code, 'too-large')
+    await answered
+  })
+
   it('is rejected beyond the limit, and the caller still gets an answer', async () => {
     const { result, answered } = await readSent(4, (socket) => { socket.write(`${HEAD}0123456789`) })
     assert.equal((result as ServingError).code, 'too-large')
