Requests that wait behind others take part in the memory of all requests

What callers saw: a few callers that send requests of one byte behind one another ended a gateway process by SIGABRT within two seconds. Cause: node:http parses whatever arrives, and inTurn kept each request and its answer, some thousand bytes each, until the one before it was answered. Its own back-pressure counts answers that are written, and none was. Change: each waiting request holds 8 KiB of the account of all requests; where there is no room, the connection is closed (none of those that wait has been sent on), and one that has stood still for a second yields. From 16 waiting ones on, nothing more is read from the connection. inTurn moves to src/caller/in-turn.ts, for the other listeners.

--- a/src/gateway/listener.ts
+++ b/src/gateway/listener.ts
@@ -2,6 +2,8 @@
 import { createServer } from 'node:http'
 import type { RequestListener, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
+import { inTurn } from '../caller/in-turn.js'
+import type { RequestMemory } from '../caller/request-memory.js'
 import type { CallerLimits } from '../routing/index.js'
 
 /** Interval of the checks for connections that have exceeded a time limit, in milliseconds. */
@@ -32,17 +34,18 @@
  * Creates a server that is not listening yet. Its parser refuses ambiguous framing (RFC 9112, 6.3): `Content-Length`
  * together with `Transfer-Encoding`, two lengths, or a transfer encoding that does not end with `chunked`.
  *
+ * @param memory for the requests that wait behind others
  * @param onMalformed called with the error code of each request that the parser refuses
  * @example
- * const server = createCallerServer((request, response) => forward(request, response), (code) => metrics.count(code))
+ * const server = createCallerServer((request, response) => forward(request, response), memory, (code) => metrics.count(code))
  */
-export function createCallerServer (handle: RequestListener, onMalformed: (code: string) => void): Server {
+export function createCallerServer (handle: RequestListener, memory: RequestMemory, onMalformed: (code: string) => void): Server {
   const server = createServer({
     maxHeaderSize: MAX_PARSER_HEADER_BYTES,
     connectionsCheckingInterval: CHECK_PERIOD_MS,
     requestTimeout: 0,
     noDelay: true
-  }, inTurn(handle))
+  }, inTurn(handle, memory))
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
     if (error.code === 'ECONNRESET' || !socket.writable) {
       socket.destroy()
@@ -57,27 +60,6 @@
   return server
 }
 
-/**
- * Handles the requests of each connection one after another, and none behind an answer that ends its connection.
- *
- * Failure guarded against: a pipelined request is run, and its answer can't be sent, since the connection has ended with the answer before
- * it. Nothing tells that its caller has left either, as node:http reports the end of a connection to the answer in progress alone.
- */
-function inTurn (handle: RequestListener): RequestListener {
-  const latest = new WeakMap<Socket, ServerResponse>()
-  return (request, response) => {
-    const { socket } = request
-    const previous = latest.get(socket)
-    latest.set(socket, response)
-    if (previous === undefined || previous.closed) handle(request, response)
-    else previous.once('close', () => { if (isOpen(socket)) handle(request, response) })
-  }
-}
-
-function isOpen (socket: Socket): boolean {
-  return !socket.destroyed && !socket.writableEnded
-}
-
 /**
  * Applies configured limits to a running server.
  *
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -169,7 +169,7 @@
     if (context === undefined) return answerFailure(response, platform.format, undefined, refusal('no-configuration', 'the node starts', START_RETRY_AFTER))
     if (isStopping()) response.setHeader('connection', 'close')
     forwardRequest(context, request, response).catch((error) => log.error('request-handler-failed', { error: String(error) }))
-  }, (code) => metrics.count('malformed_requests', { code }))
+  }, requestMemory, (code) => metrics.count('malformed_requests', { code }))
   server.on('connection', arrivals.accepted)
   const answers = trackAnswers(server)
   server.maxConnections = maxCallerConnections(settings.mostDescriptors)
--- a/test/gateway/listener.test.ts
+++ b/test/gateway/listener.test.ts
@@ -2,6 +2,8 @@
 import { connect } from 'node:net'
 import type { AddressInfo } from 'node:net'
 import { after, before, describe, it } from 'node:test'
+import { createRequestMemory } from '../../src/caller/request-memory.js'
+import { createSystemClock } from '../../src/clock.js'
 import { maxCallerConnections, createCallerServer, applyCallerLimits } from '../../src/gateway/listener.js'
 
 describe('the callers\' listener', () => {
@@ -13,7 +15,7 @@
     if (request.url === '/last') response.setHeader('connection', 'close')
     if (request.url === '/slow') setTimeout(() => response.end('answer to /slow'), 30)
     else if (request.url !== '/held') response.end(`answer to ${request.url}`)
-  }, (code) => malformed.push(code))
+  }, createRequestMemory(1_000_000, createSystemClock()), (code) => malformed.push(code))
 
   before(async () => {
     applyCallerLimits(server, { headerBytes: 1_000, bodyBytes: 1_000, headerTimeout: 300, idleTimeout: 15_000 })
@@ -63,6 +65,14 @@
     assert.deepEqual(received.match(/answer to \/[a-z]+/g), ['answer to /first', 'answer to /slow', 'answer to /last'])
   })
 
+  // Guards against a connection that stands still once so many requests wait that no more are read.
+  it('handles all of many pipelined requests', async () => {
+    const before = handled.length
+    const paths = Array.from({ length: 40 }, (_, index) => `/number-${index}`)
+    await exchangeBytes(...paths.map((path) => `GET ${path} HTTP/1.1\r\nHost: a\r\n\r\n`), 'GET /last HTTP/1.1\r\nHost: a\r\n\r\n')
+    assert.deepEqual(handled.slice(before), [...paths, '/last'])
+  })
+
   // Guards against a misattributed error: malformed bytes follow while the first request of a connection is still being
   // answered, and an error written at once would be read as the answer to that request.
   it('writes no error while another request is being answered', async () => {
