--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -169,7 +169,7 @@
     if (context === undefined) return answerFailure(response, platform.format, undefined, refusal('no-configuration', 'the node starts', START_RETRY_AFTER))
     if (isStopping()) response.setHeader('connection', 'close')
     forwardRequest(context, request, response).catch((error) => log.error('request-handler-failed', { error: String(error) }))
-  }, requestMemory, (code) => metrics.count('malformed_requests', { code }))
+  }, requestMemory, countMalformed)
   server.on('connection', arrivals.accepted)
   const answers = trackAnswers(server)
   server.maxConnections = maxCallerConnections(settings.mostDescriptors)
@@ -280,8 +280,12 @@
   clock.sleep(HISTOGRAM_LOAD_DELAY, shutdown.signal).then(metrics.load).catch((error) => { if (!shutdown.signal.aborted) log.warn('histograms-not-loaded', { error: String(error) }) })
   log.info('node-started', { incarnation, failureDomain: settings.failureDomain, front })
 
+  function countMalformed (code: string): void {
+    metrics.count('malformed_requests', { code })
+  }
+
   async function servePaths (hostPort: HostPort): Promise<string> {
-    const paths = createServicePaths({ paths: platform.paths, isReady, addresses: fleet.addresses, addressLifetime: Math.min(ADDRESS_LIFETIME, bounds.addressLifetime), metricsText: metrics.text })
+    const paths = createServicePaths({ paths: platform.paths, isReady, addresses: fleet.addresses, addressLifetime: Math.min(ADDRESS_LIFETIME, bounds.addressLifetime), metricsText: metrics.text, memory: requestMemory, onMalformed: countMalformed })
     servers.push(paths)
     return listenAt(paths, hostPort)
   }
