Connections that wait for their callers make room for others

What callers saw: 400 callers that sent nothing held a gateway process for good: to the callers' address nobody else was served until the test ended after 120 s; to the directory's and the ready address they took 420 of 300 descriptors for sockets. Cause: (1) after the header timeout the node writes 408 and waits for the caller to close its end, which a caller needn't do, so that the connection was never given back; (2) the addresses other than the front had no limit on connections; (3) at the limit every new connection was turned away, however long the others had waited for their callers. Change: a refused connection is closed after a second at the latest. Each address has a limit out of the descriptors (front as before 0.7, directory 0.1, ready and metrics 0.02).

--- a/src/gateway/listener.ts
+++ b/src/gateway/listener.ts
@@ -4,6 +4,7 @@
 import type { Socket } from 'node:net'
 import { inTurn } from '../caller/in-turn.js'
 import type { RequestMemory } from '../caller/request-memory.js'
+import type { Milliseconds } from '../clock.js'
 import type { CallerLimits } from '../routing/index.js'
 
 /** Interval of the checks for connections that have exceeded a time limit, in milliseconds. */
@@ -21,9 +22,21 @@
 /** File descriptors reserved for files and for connections between nodes. */
 const RESERVED_DESCRIPTORS = 300
 
-/** Share of the remaining descriptors that callers may use. The rest is for upstreams. */
+/** Share of the remaining descriptors that connections to the callers' address may use. The rest is for upstreams. */
 const CALLER_SHARE = 0.7
 
+/** Share of them that connections to the directory's address may use. Its answers are immediate. */
+const DIRECTORY_SHARE = 0.1
+
+/** Share of them that connections to the address of the readiness check, or of the metrics, may use. */
+const CHECK_SHARE = 0.02
+
+/** Connections that each of these addresses takes on any machine. */
+const MIN_SERVICE_CONNECTIONS = 8
+
+/** Time for which a connection that has been refused is kept for its caller to close it. */
+const CLOSE_TIMEOUT: Milliseconds = 1_000
+
 /** Statuses of parser errors. Any other error is answered with 400. */
 const PARSER_STATUS: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
@@ -55,11 +68,18 @@
     // Failure guarded against: a malformed second request arrives while the first one is being answered, and an error
     // written here would be read as the answer to the first request.
     if (isAnswering(socket)) socket.destroy()
-    else socket.end(`HTTP/1.1 ${PARSER_STATUS[error.code ?? ''] ?? '400 Bad Request'}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
+    else refuse(socket, PARSER_STATUS[error.code ?? ''] ?? '400 Bad Request')
   })
   return server
 }
 
+/** Failure guarded against: the caller doesn't close its end, and holds the connection and its descriptor for as long as it likes. */
+function refuse (socket: Socket, status: string): void {
+  const timer = setTimeout(() => socket.destroy(), CLOSE_TIMEOUT)
+  socket.once('close', () => clearTimeout(timer))
+  socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
+}
+
 /**
  * Applies configured limits to a running server.
  *
@@ -71,19 +91,32 @@
   server.keepAliveTimeout = limits.idleTimeout + IDLE_TOLERANCE_MS
 }
 
+/** Most connections at a time to each address of a node. */
+export interface ConnectionLimits {
+  /** Of callers. */
+  readonly front: number
+  readonly directory: number
+  /** Of the readiness check, and of the metrics. */
+  readonly check: number
+}
+
 /**
- * Returns the maximum number of connections from callers.
+ * Shares the descriptors of a process out to its addresses.
  *
  * Failure guarded against: callers use up the file descriptors, no connection to an upstream can be opened, and every
- * request is refused. Connections beyond the maximum are closed before any data is read, and their callers choose
- * another node.
+ * request is refused. So each address that callers reach has a limit of its own.
  *
  * @param descriptors maximum number of open descriptors of this process
  * @example
- * server.maxConnections = maxCallerConnections(4_100) // 2_660
+ * connectionLimits(4_100) // { front: 2_660, directory: 380, check: 76 }
  */
-export function maxCallerConnections (descriptors: number): number {
-  return Math.max(1, Math.floor((descriptors - RESERVED_DESCRIPTORS) * CALLER_SHARE))
+export function connectionLimits (descriptors: number): ConnectionLimits {
+  const shared = descriptors - RESERVED_DESCRIPTORS
+  return {
+    front: Math.max(1, Math.floor(shared * CALLER_SHARE)),
+    directory: Math.max(MIN_SERVICE_CONNECTIONS, Math.floor(shared * DIRECTORY_SHARE)),
+    check: Math.max(MIN_SERVICE_CONNECTIONS, Math.floor(shared * CHECK_SHARE))
+  }
 }
 
 function isAnswering (socket: Socket): boolean {
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -40,8 +40,9 @@
 import type { StoreContext, PrefixSubscription } from './follow.js'
 import { forwardRequest } from './forwarding.js'
 import { createHeldAnswers } from './held-answers.js'
-import { maxCallerConnections, createCallerServer, applyCallerLimits } from './listener.js'
+import { applyCallerLimits, connectionLimits, createCallerServer } from './listener.js'
 import { createGatewayMetrics } from './metrics.js'
+import { limitCallerConnections } from '../caller/connection-limit.js'
 import { trackAnswers } from '../caller/open-answers.js'
 import { createRequestMemory } from '../caller/request-memory.js'
 import { createPlannedStop } from './planned-stop.js'
@@ -172,7 +173,8 @@
   }, requestMemory, countMalformed)
   server.on('connection', arrivals.accepted)
   const answers = trackAnswers(server)
-  server.maxConnections = maxCallerConnections(settings.mostDescriptors)
+  const limits = connectionLimits(settings.mostDescriptors)
+  limitAddress(server, 'front', limits.front)
   const front = await listenAt(server, settings.front)
 
   const rolloutRecords = watchRolloutRecords(followContext, platform.registry.rollouts, bounds.configurationApplies, (service) => {
@@ -274,9 +276,9 @@
   repeat({ clock, log, signal: shutdown.signal }, 'speeds', SPEED_PERIOD, speeds.update)
   exposeNodeMetrics({ metrics, clock, log, signal: shutdown.signal, sums, sources, fleet, upstreams, connections, backpressure, crashes, quotas, budgets, rollouts: rollouts.sums, inFlight: answers.count, heldAnswerBytes: heldAnswers.bytes, requestMemory, tunnels: () => tunnels?.open() ?? 0, holdsDuties: () => holder.proof() !== undefined })
 
-  const ready = await servePaths(settings.ready)
-  await servePaths(settings.metrics)
-  const directory = settings.directory === undefined ? undefined : await servePaths(settings.directory)
+  const ready = await servePaths(settings.ready, 'ready', limits.check)
+  await servePaths(settings.metrics, 'metrics', limits.check)
+  const directory = settings.directory === undefined ? undefined : await servePaths(settings.directory, 'directory', limits.directory)
   clock.sleep(HISTOGRAM_LOAD_DELAY, shutdown.signal).then(metrics.load).catch((error) => { if (!shutdown.signal.aborted) log.warn('histograms-not-loaded', { error: String(error) }) })
   log.info('node-started', { incarnation, failureDomain: settings.failureDomain, front })
 
@@ -284,8 +286,14 @@
     metrics.count('malformed_requests', { code })
   }
 
-  async function servePaths (hostPort: HostPort): Promise<string> {
+  /** Limits the connections to one of the addresses that callers reach. */
+  function limitAddress (limited: Server, address: string, max: number): void {
+    limitCallerConnections(limited, { max, clock, onFull: (what) => metrics.count('connections_full', { address, what }) })
+  }
+
+  async function servePaths (hostPort: HostPort, address: string, maxConnections: number): Promise<string> {
     const paths = createServicePaths({ paths: platform.paths, isReady, addresses: fleet.addresses, addressLifetime: Math.min(ADDRESS_LIFETIME, bounds.addressLifetime), metricsText: metrics.text, memory: requestMemory, onMalformed: countMalformed })
+    limitAddress(paths, address, maxConnections)
     servers.push(paths)
     return listenAt(paths, hostPort)
   }
--- a/test/gateway/listener.test.ts
+++ b/test/gateway/listener.test.ts
@@ -4,7 +4,7 @@
 import { after, before, describe, it } from 'node:test'
 import { createRequestMemory } from '../../src/caller/request-memory.js'
 import { createSystemClock } from '../../src/clock.js'
-import { maxCallerConnections, createCallerServer, applyCallerLimits } from '../../src/gateway/listener.js'
+import { applyCallerLimits, connectionLimits, createCallerServer } from '../../src/gateway/listener.js'
 
 describe('the callers\' listener', () => {
   const handled: string[] = []
@@ -82,7 +82,7 @@
   // Guards against callers that use up all file descriptors: no connection to an upstream can be opened, and every
   // request is refused although upstreams are idle.
   it('leaves file descriptors for upstreams', () => {
-    assert.equal(maxCallerConnections(4_100), 2_660)
-    assert.equal(maxCallerConnections(100), 1, 'a node with few descriptors still accepts connections')
+    assert.deepEqual(connectionLimits(4_100), { front: 2_660, directory: 380, check: 76 })
+    assert.deepEqual(connectionLimits(100), { front: 1, directory: 8, check: 8 }, 'a node with few descriptors still accepts connections')
   })
 })
