A refusal can be read by a caller that still sends

Cause: a connection is closed right after the answer, with bytes unread, for which the kernel resets it and drops what the caller hasn't read. Change: the answer is sent at once, with its length; the rest of the body is dropped for a second or a MiB, then the connection is closed. The own interface announces the close for any request that has not been read whole, not only for one that is too large. The test 'is received by a caller that sends its whole body first' failed with an answer that ends at once.

--- a/src/caller/http.ts
+++ b/src/caller/http.ts
@@ -4,6 +4,7 @@
 import { ServingError, httpStatusOf, toServingError } from '../verdict.js'
 import { createBodyBlocks } from './body-blocks.js'
 import type { RequestShare } from './request-memory.js'
+import { endUnread } from './unread-body.js'
 
 /** Request and response header with the request id. */
 export const REQUEST_ID_HEADER = 'hornbeamgap-request-id'
@@ -66,9 +67,10 @@
   }
   response.setHeader(VERDICT_HEADER, failure.verdict)
   if (failure.retryAfter !== undefined) response.setHeader('retry-after', retryAfterSeconds(failure.retryAfter))
-  // The rest of the request body is not read. On a connection that stays open it would be parsed as the next request.
-  if (failure.code === 'too-large') response.setHeader('connection', 'close')
-  sendJson(response, httpStatusOf(failure.code), failureBody(failure))
+  if (response.req.complete) return sendJson(response, httpStatusOf(failure.code), failureBody(failure))
+  const body = JSON.stringify(failureBody(failure))
+  response.writeHead(httpStatusOf(failure.code), { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body), connection: 'close' })
+  endUnread(response, body)
 }
 
 /**
--- a/src/gateway/answering.ts
+++ b/src/gateway/answering.ts
@@ -1,5 +1,6 @@
 /** Answers to callers that are sent whole: those of upstreams, and failures. */
 import type { ServerResponse } from 'node:http'
+import { endUnread } from '../caller/unread-body.js'
 import type { Milliseconds } from '../clock.js'
 import { resetConnection } from '../connection-reset.js'
 import { ServingError, httpStatusOf } from '../verdict.js'
@@ -62,7 +63,7 @@
   if (failure.retryAfter !== undefined) headers.push('retry-after', retryAfterSeconds(failure.retryAfter))
   if (CLOSING_CODES.has(failure.code) || !response.req.complete) headers.push('connection', 'close')
   response.writeHead(statusFor(failure), headers)
-  response.end(body)
+  endUnread(response, body)
 }
 
 /**
