--- a/src/caller/api.ts
+++ b/src/caller/api.ts
@@ -13,6 +13,7 @@
 import type { ApiRequest } from './http.js'
 import { authenticate, parseChat, parseId, parseOffset, parsePlain } from './parsing.js'
 import type { ParsedRequest } from './parsing.js'
+import type { RequestMemory } from './request-memory.js'
 
 /** Parts of the node that the API uses. */
 export interface CallerContext {
@@ -23,6 +24,8 @@
   readonly metrics: EntryMetrics
   /** Maximum size of a request body in bytes. */
   readonly bodyLimit: number
+  /** Memory of the requests that the node holds. */
+  readonly requestMemory: RequestMemory
 }
 
 type HttpService = ReturnType<typeof restana>
@@ -44,13 +47,13 @@
     sendJson(response, 200, context.addresses(organisation))
   }))
   service.post('/v1/chat/completions', authenticatedRoute(context, async (organisation, request, response) => {
-    const bytes = await readBody(request, context.bodyLimit)
+    const bytes = await readHeldBody(context, request, response)
     const parsed = parseChat(context.configuration() as Configuration, organisation, context.incarnation, request, bytes)
     const source = await submit(context, parsed, response)
     await (parsed.stream ? streamAnswer(source, 0, response) : sendCompleteAnswer(source, response))
   }))
   const plain = authenticatedRoute(context, async (organisation, request, response) => {
-    const bytes = await readBody(request, context.bodyLimit)
+    const bytes = await readHeldBody(context, request, response)
     const { className, path } = splitPlainUrl(request.url ?? '')
     const parsed = parsePlain(context.configuration() as Configuration, organisation, context.incarnation, request, className, path, bytes)
     await sendCompleteAnswer(await submit(context, parsed, response), response)
@@ -64,6 +67,13 @@
   }))
 }
 
+/** Reads a body, whose memory is given back when its caller's answer has ended. */
+function readHeldBody ({ requestMemory, bodyLimit }: CallerContext, request: ApiRequest, response: ServerResponse): Promise<Buffer> {
+  const share = requestMemory.open()
+  response.once('close', share.release)
+  return readBody(request, bodyLimit, share)
+}
+
 /** Handler of a route after authentication. */
 type AuthenticatedHandler = (organisation: OrganisationName, request: ApiRequest, response: ServerResponse) => Promise<void>
 
--- a/src/entry/listener.ts
+++ b/src/entry/listener.ts
@@ -1,7 +1,9 @@
 /** HTTP server for callers, with limits on header size, request time and number of connections. */
 import { createServer } from 'node:http'
-import type { Server } from 'node:http'
+import type { RequestListener, Server } from 'node:http'
 import type { Socket } from 'node:net'
+import { inTurn } from '../caller/in-turn.js'
+import type { RequestMemory } from '../caller/request-memory.js'
 import type { EntryMetrics } from '../metrics.js'
 import type { EntrySettings } from '../settings.js'
 
@@ -15,17 +17,18 @@
  * connection that has not sent its headers or its body in time is closed, even if it has not sent anything. Connections
  * beyond the limit are refused immediately.
  *
+ * @param memory for the requests that wait behind others
  * @example
- * const server = createCallerServer(settings.limits, metrics)
+ * const server = createCallerServer(settings.limits, metrics, memory, handle)
  */
-export function createCallerServer (limits: EntrySettings['limits'], metrics: EntryMetrics): Server {
+export function createCallerServer (limits: EntrySettings['limits'], metrics: EntryMetrics, memory: RequestMemory, handle: RequestListener): Server {
   const server = createServer({
     maxHeaderSize: limits.header_bytes,
     headersTimeout: limits.header_timeout_ms,
     requestTimeout: limits.request_timeout_ms,
     keepAliveTimeout: limits.request_timeout_ms,
     connectionsCheckingInterval: CONNECTIONS_CHECK_PERIOD
-  })
+  }, inTurn(handle, memory))
   server.maxConnections = limits.connections
   server.on('drop', () => metrics.count('connections_refused'))
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
--- a/src/entry/node.ts
+++ b/src/entry/node.ts
@@ -6,6 +6,7 @@
 import { registerCallerApi } from '../caller/api.js'
 import { sendFailure } from '../caller/http.js'
 import { trackAnswers } from '../caller/open-answers.js'
+import { createRequestMemory } from '../caller/request-memory.js'
 import type { Clock, Milliseconds } from '../clock.js'
 import { incarnationSchema } from '../identifiers.js'
 import type { Address, Incarnation } from '../identifiers.js'
@@ -144,8 +145,12 @@
   const executions = createExecutions(context, home)
   const streams = createStreams(context, executions)
 
-  const server = createCallerServer(settings.limits, metrics)
-  const service = restana({ server, prioRequestsProcessing: false, defaultRoute: (_request: unknown, response: any) => sendFailure(response, unknownRouteFailure()) })
+  const requestMemory = createRequestMemory(settings.limits.request_memory_bytes, clock)
+  metrics.gauge('requests_held_bytes', requestMemory.bytes)
+  metrics.gauge('requests_yielded', () => requestMemory.counts().yielded)
+  metrics.gauge('requests_without_room', () => requestMemory.counts().refused)
+  const service = restana({ prioRequestsProcessing: false, defaultRoute: (_request: unknown, response: any) => sendFailure(response, unknownRouteFailure()) })
+  const server = createCallerServer(settings.limits, metrics, requestMemory, (request, response) => service.handle(request as never, response as never))
   const answers = trackAnswers(server)
   service.use((_request: unknown, response: any, next: () => void) => {
     answers.opened(response)
@@ -214,7 +219,8 @@
     configuration: currentConfiguration,
     addresses: (organisation) => membership.addressAnswer(organisation, settings.addresses.lifetime_ms),
     metrics,
-    bodyLimit: settings.limits.body_bytes
+    bodyLimit: settings.limits.body_bytes,
+    requestMemory
   })
   const parts: EntryParts = { settings, clock, random, log, signal, keyValue, peers, directory, configuration, membership, context, home, executions, streams, reclaims, ledger, facts, metrics }
   registerObservationApi(service, parts)
--- a/src/settings.ts
+++ b/src/settings.ts
@@ -22,6 +22,8 @@
 /** Limits that protect the process from hostile or faulty callers. */
 export const limitSettingsSchema = z.strictObject({
   body_bytes: z.number().int().positive().default(1_048_576),
+  /** Memory for the bodies of all requests that the process holds, and for those that wait behind others. */
+  request_memory_bytes: z.number().int().positive().default(33_554_432),
   header_bytes: z.number().int().positive().default(16_384),
   connections: z.number().int().positive().default(2_000),
   header_timeout_ms: z.number().int().positive().default(5_000),
--- a/test/entry/listener.test.ts
+++ b/test/entry/listener.test.ts
@@ -4,6 +4,8 @@
 import { connect } from 'node:net'
 import type { Socket } from 'node:net'
 import { test } from 'node:test'
+import { createRequestMemory } from '../../src/caller/request-memory.js'
+import { createSystemClock } from '../../src/clock.js'
 import { createCallerServer } from '../../src/entry/listener.js'
 import { closeServer, listen } from '../../src/protocols/listen.js'
 import { listenAddressSchema } from '../../src/identifiers.js'
@@ -14,8 +16,7 @@
 
 async function withServer (body: (open: (text: string) => Promise<Socket>, metrics: ReturnType<typeof createEntryMetrics>) => Promise<void>): Promise<void> {
   const metrics = createEntryMetrics()
-  const server = createCallerServer(limits, metrics)
-  server.on('request', (_request, response) => response.end('ok'))
+  const server = createCallerServer(limits, metrics, createRequestMemory(limits.request_memory_bytes, createSystemClock()), (_request, response) => response.end('ok'))
   const address = await listen(server, listenAddressSchema.parse('127.0.0.1:0'))
   const open = async (text: string): Promise<Socket> => {
     const socket = connect({ host: '127.0.0.1', port: Number(address.split(':')[1]) })
