Connections whose bytes come in very small pieces are read in turns

What callers saw: while 64 callers sent chunks of one byte, a process answered nobody for some 30 s; it lost its store meanwhile. Cause: a read of 64 KiB holds ten thousand such chunks, some 30 ms of work, and the event loop reads a connection up to 32 times, and all of them, before it turns to anything else.

--- a/src/caller/unread-body.ts
+++ b/src/caller/unread-body.ts
@@ -1,6 +1,7 @@
 /** Ends answers to requests whose bodies haven't been read whole. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Milliseconds } from '../clock.js'
+import { notePiece } from './read-turns.js'
 
 /** Longest time for which the rest of a body is read and dropped. */
 const DROP_TIMEOUT: Milliseconds = 1_000
@@ -38,7 +39,8 @@
   request.once('close', finish)
   request.resume()
 
-  function drop (): void {
+  function drop (piece: Buffer): void {
+    notePiece(socket, piece.length)
     if (socket.bytesRead > most) finish()
   }
 
--- a/test/processes/misbehaving-callers.test.ts
+++ b/test/processes/misbehaving-callers.test.ts
@@ -30,6 +30,9 @@
 /** Callers that send each byte by itself. */
 const SLOW_CALLERS = 16
 
+/** Times that others ask while bodies come. */
+const ASKED_MEANWHILE = 20
+
 const LONG_ANSWER_BYTES = 4_000_000
 
 /** Answers of the node itself that a misbehaving caller may get. */
@@ -152,6 +155,17 @@
   // Guards against what the runtime keeps for each piece of a body, which is many times the piece.
   it('stands bodies in chunks of one byte', { timeout: TEST_TIMEOUT }, () => withstands('front', BEHAVIOURS.oneByteChunks(200_000)))
 
+  // Guards against a process that turns to others only once such bodies have been read.
+  it('answers others many times while bodies in chunks of one byte come', { timeout: TEST_TIMEOUT }, async () => {
+    await start()
+    const senders = openCrowd(targetOf('front', 'plain'), SLOW_CALLERS, BEHAVIOURS.wholeInChunks(400_000, 1))
+    crowd = senders
+    for (let asked = 0; asked < ASKED_MEANWHILE; asked += 1) await answersElsewhere()
+    await isServed(gateway, ordinaryRequest(gateway.ports))
+    assert.ok(senders.statuses().length < SLOW_CALLERS, 'all bodies had been read before')
+    assertStands(gateway)
+  })
+
   // Guards against the same where each piece comes with a read of its own.
   it('stands bodies in chunks of one byte that come one by one', { timeout: TEST_TIMEOUT }, () => withstands('front', BEHAVIOURS.oneByteChunksApart(60_000), SLOW_CALLERS))
 
