--- a/.ci/evaluate.mjs
+++ b/.ci/evaluate.mjs
@@ -10,8 +10,11 @@
 const MOST_KNOWN_RED = 3
 const NOT_IN_CI = /\(not in CI\)$/
 
+const TEST_RUNNER = { failures: /^\s*✖ (.+) \([\d.]+ms\)/gm, passed: /^ℹ pass (\d+)$/m, failed: /^ℹ (?:fail|cancelled) (\d+)$/gm }
+
 const READERS = {
-  'unit tests': { failures: /^\s*✖ (.+) \([\d.]+ms\)/gm, passed: /^ℹ pass (\d+)$/m, failed: /^ℹ (?:fail|cancelled) (\d+)$/gm },
+  'unit tests': TEST_RUNNER,
+  'process tests': TEST_RUNNER,
   scenarios: { failures: /^\d+\) Scenario: (.+) # /gm, passed: /^\d+ scenarios? \(.*?(\d+) passed/m, failed: /(\d+) (?:failed|undefined|ambiguous|pending|skipped|unknown)(?=[^()]*\)$)/gm }
 }
 
--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -48,6 +48,7 @@
   'last-counts-not-written': z.strictObject({ error }).describe('what was served during the stop is missing in the usage of its window'),
   'node-stopped': z.strictObject({ inFlight: count, relayed: count }).describe('the last line of a planned stop; so many requests were in progress and so many connections relayed when all connections were closed, and were broken off'),
   'withdrawal-failed': z.strictObject({ error }).describe('the record of a stopping node stands until its lease ends'),
+  'connections-full': z.strictObject({ address: z.string(), what: z.enum(['closed', 'turned-away']) }).describe('as many connections to the address are open as it takes: one that had waited for its caller was closed, or a new one was turned away since none had'),
   'settings-reloaded': z.strictObject({ reason: z.string(), changed: z.string(), afterRestart: z.string() }).describe('new settings; `afterRestart` names those that wait for the next start'),
   'settings-unchanged': z.strictObject({ reason: z.string() }).describe('a signal to reload, and nothing new'),
   'settings-refused': z.strictObject({ reason: z.string(), error }).describe('the settings file is wrong; those in force stay'),
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -106,7 +106,7 @@
 /** Part of the memory of the process that the answers take which it holds. A node without any takes about a fourth. */
 const HELD_ANSWERS_SHARE = 1 / 5
 
-/** Part of it that the requests take which it holds. What they leave to be collected takes up to as much again, and 64 MB. */
+/** Part of it that the requests take which it holds. The rest is for answers, the runtime, and what it has yet to collect. */
 const REQUEST_MEMORY_SHARE = 1 / 8
 
 /** Number of past usage windows that are reported to other nodes, beside the present one. Older ones are in the store. */
@@ -288,7 +288,14 @@
 
   /** Limits the connections to one of the addresses that callers reach. */
   function limitAddress (limited: Server, address: string, max: number): void {
-    limitCallerConnections(limited, { max, clock, onFull: (what) => metrics.count('connections_full', { address, what }) })
+    limitCallerConnections(limited, {
+      max,
+      clock,
+      onFull: (what) => {
+        metrics.count('connections_full', { address, what })
+        log.warn('connections-full', { address, what })
+      }
+    })
   }
 
   async function servePaths (hostPort: HostPort, address: string, maxConnections: number): Promise<string> {
--- a/test/ci.test.ts
+++ b/test/ci.test.ts
@@ -37,6 +37,7 @@
   assert.equal(await evaluate('unit tests', 1, unitTestLog(['a b', 'c'], 5, 2), ''), '5 2')
   assert.equal(await evaluate('unit tests', 1, unitTestLog(['a b', 'c'], 5, 2), 'a b | cause | issue 9\n'), '5 1')
   assert.equal(await evaluate('unit tests', 1, unitTestLog(['a b'], 5, 1), 'a b | cause | issue 9\n'), '5 0')
+  assert.equal(await evaluate('process tests', 1, unitTestLog(['a b'], 5, 1), ''), '5 1')
 })
 
 test('a run fails if it is aborted, reports no results, or has too many known red tests', async () => {
