What still comes of a body after its request has ended takes no memory

The reader of the body still listened, and held what came in the share that had just been given back, for good. Such requests would fill the account until only small ones found room. Change: the abort signal is passed down to readBody, which stops listening. A share counts as standing still from its first byte, not from when its connection was opened. The test 'takes no memory any more once its reading has been cancelled' failed with a reader that is rejected alone.

--- a/src/caller/api.ts
+++ b/src/caller/api.ts
@@ -71,7 +71,7 @@
 function readHeldBody ({ requestMemory, bodyLimit }: CallerContext, request: ApiRequest, response: ServerResponse): Promise<Buffer> {
   const share = requestMemory.open()
   response.once('close', share.release)
-  return readBody(request, bodyLimit, share)
+  return readBody(request, bodyLimit, { share })
 }
 
 /** Handler of a route after authentication. */
--- a/src/caller/http.ts
+++ b/src/caller/http.ts
@@ -1,5 +1,6 @@
 /** HTTP helpers for the APIs of callers and operators: request bodies with a size limit, responses, and failures. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import { onAbort } from '../abort-listeners.js'
 import type { Milliseconds } from '../clock.js'
 import { ServingError, httpStatusOf, toServingError } from '../verdict.js'
 import { createBodyBlocks } from './body-blocks.js'
@@ -91,22 +92,32 @@
   }
 }
 
+/** Options of {@link readBody}. */
+export interface BodyOptions {
+  /** Where the memory of the body comes from; the caller gives it back. Without one, only the limit bounds the body. */
+  readonly share?: RequestShare
+  /** Ends the reading, with this failure. */
+  readonly cancel?: { readonly signal: AbortSignal, readonly failure: () => ServingError }
+}
+
 /**
  * Reads a request body.
  *
  * @param limit maximum size in bytes
- * @param share where the memory of the body comes from; the caller gives it back. Without one, only the limit bounds the body
  * @throws ServingError `too-large` for a larger body, `overloaded` if there is no memory for it, `invalid-request` for a body that ends early
  * @example
- * const bytes = await readBody(request, 1_048_576, share)
+ * const bytes = await readBody(request, 1_048_576, { share })
  */
-export function readBody (request: IncomingMessage, limit: number, share?: RequestShare): Promise<Buffer> {
+export function readBody (request: IncomingMessage, limit: number, { share, cancel }: BodyOptions = {}): Promise<Buffer> {
   const announced = announcedLength(request)
   const blocks = createBodyBlocks(announced)
   return new Promise((resolve, reject) => {
+    let stopWatching = (): void => {}
     if (announced !== undefined && announced > limit) return reject(tooLargeFailure(limit))
     if (request.readableEnded) return resolve(EMPTY)
+    if (cancel?.signal.aborted === true) return reject(cancel.failure())
     if (request.destroyed) return endEarly()
+    if (cancel !== undefined) stopWatching = onAbort(cancel.signal, () => refuse(cancel.failure()))
     share?.onYield(() => refuse(fullFailure()))
     request.on('data', take)
     request.on('end', finish)
@@ -146,6 +157,7 @@
       request.removeListener('data', take)
       request.removeListener('end', finish)
       request.removeListener('close', endEarly)
+      stopWatching()
       // The listener for errors stays: without one, an error after this is thrown and ends the process.
     }
   })
--- a/src/caller/request-memory.ts
+++ b/src/caller/request-memory.ts
@@ -101,6 +101,7 @@
             return false
           }
         }
+        if (share.held === 0) share.progressedAt = now()
         set(share, bytes)
         return true
       },
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -3,7 +3,6 @@
  * accounting.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { onAbort } from '../abort-listeners.js'
 import { readBody } from '../caller/http.js'
 import type { RequestShare } from '../caller/request-memory.js'
 import { afterPendingInput } from '../clock.js'
@@ -194,10 +193,7 @@
   const { headers } = request
   if (headers['content-length'] === undefined && headers['transfer-encoding'] === undefined) return undefined
   const maxBytes = context.routeTable()?.configuration.limits.bodyBytes ?? Infinity
-  return new Promise((resolve, reject) => {
-    const stopListening = onAbort(signal, () => reject(unreadFailure(signal.reason)))
-    readBody(request, maxBytes, share).then(resolve, reject).finally(stopListening)
-  })
+  return readBody(request, maxBytes, { share, cancel: { signal, failure: () => unreadFailure(signal.reason) } })
 }
 
 /** Failure of a request whose body had not been read when its signal was aborted. */
--- a/test/caller/request-memory.test.ts
+++ b/test/caller/request-memory.test.ts
@@ -46,6 +46,18 @@
     assert.equal(memory.counts().yielded, 1)
   })
 
+  // Guards against taking it from a request that has just come, on a connection that was opened long before.
+  it('counts standing still from the first byte', () => {
+    const memory = createRequestMemory(CAPACITY, clock)
+    const share = memory.open()
+    now += 5_000
+    let hasYielded = false
+    share.onYield(() => { hasYielded = true })
+    share.hold(CAPACITY)
+    const [other] = openAll(memory, 1, CAPACITY)
+    assert.deepEqual([other!.holds, hasYielded], [false, false])
+  })
+
   it('gets back what is released, once', () => {
     const memory = createRequestMemory(CAPACITY, clock)
     const [one] = openAll(memory, 1, 500_000)
--- a/test/gateway/request-body.test.ts
+++ b/test/gateway/request-body.test.ts
@@ -4,8 +4,10 @@
 import type { AddressInfo, Socket } from 'node:net'
 import { afterEach, describe, it } from 'node:test'
 import { readBody } from '../../src/caller/http.js'
+import { createRequestMemory } from '../../src/caller/request-memory.js'
+import { createSystemClock } from '../../src/clock.js'
 import { closeServer } from '../../src/protocols/listen.js'
-import type { ServingError } from '../../src/verdict.js'
+import { ServingError } from '../../src/verdict.js'
 
 const HEAD = 'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n'
 
@@ -49,6 +51,33 @@
     }
   })
 
+  // Guards against memory that is taken by what still comes of a body once its request has ended, and is never given back.
+  it('takes no memory any more once its reading has been cancelled', async () => {
+    const memory = createRequestMemory(1_000_000, createSystemClock())
+    const share = memory.open()
+    const controller = new AbortController()
+    const server = createServer((request, response) => {
+      request.once('data', () => controller.abort())
+      readBody(request, 100_000, { share, cancel: { signal: controller.signal, failure: () => new ServingError('stopped', { code: 'stopping', verdict: 'not-run' }) } }).catch(() => {
+        share.release()
+        request.resume()
+        request.once('end', () => response.end())
+      })
+    })
+    cleanups.push(() => closeServer(server))
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+    await new Promise<void>((resolve) => {
+      const socket = connect((server.address() as AddressInfo).port, '127.0.0.1')
+      socket.write('POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 60000\r\n\r\nabc')
+      setTimeout(() => socket.write(Buffer.alloc(59_997)), 50)
+      socket.once('data', () => {
+        socket.destroy()
+        resolve()
+      })
+    })
+    assert.equal(memory.bytes(), 0)
+  })
+
   // Guards against a body that is read up to the limit, and takes as much memory, although it was announced to be longer.
   it('is rejected from its announced length, before any of it has come', async () => {
     const { result, answered } = await readSent(4, (socket) => { socket.write(HEAD) })
