The head of a request to the ready, directory or metrics address has a time limit

With the callers' server these addresses had lost node's own limit of 60 s (found by reading the diff): a connection that sends nothing was kept until others needed its room. It is 10 s now; callers give such an answer one second.

--- a/src/gateway/service-paths.ts
+++ b/src/gateway/service-paths.ts
@@ -27,6 +27,9 @@
 
 const TOO_LARGE = 413
 
+/** Time within which the head of a request must have come, in milliseconds. Callers give an answer a second. */
+const HEADER_TIMEOUT_MS = 10_000
+
 /** Requests of one connection after which it is closed with an answer, so that no caller keeps the process busy by one after the other. */
 const MAX_REQUESTS_PER_CONNECTION = 1_000
 
@@ -53,6 +56,7 @@
     response.send(JSON.stringify(paths.writeAddresses(nodeAddresses, addressLifetime)), 200, { 'content-type': 'application/json' })
   })
   const server = createCallerServer((request, response) => service.handle(request as never, response as never), memory, onMalformed)
+  server.headersTimeout = HEADER_TIMEOUT_MS
   server.maxRequestsPerSocket = MAX_REQUESTS_PER_CONNECTION
   return server
 }
