The body of a request that waits behind another one counts with its pieces

Found by reading inTurn for one more interleaving: node:http reads on for a request that waits, and keeps up to 16 KiB of its body, as ten thousand pieces of one byte some 4 MiB. The account counted 8 KiB. Change: a waiting request in chunks counts 4 MiB more, one by its length what one read may bring; nothing is read from its connection until its turn.

--- a/src/caller/in-turn.ts
+++ b/src/caller/in-turn.ts
@@ -1,11 +1,17 @@
 /** Handles the requests of each connection one after another. */
-import type { RequestListener, ServerResponse } from 'node:http'
+import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { RequestMemory, RequestShare } from './request-memory.js'
 
-/** Memory that the runtime keeps for a request that waits behind another one, in bytes, with a small head. */
+/** Memory that the runtime keeps for a request that waits behind another one, in bytes, with a small head and without its body. */
 const WAITING_REQUEST_BYTES = 8_192
 
+/** Bytes that one read of a connection brings at most. */
+const MAX_READ_BYTES = 65_536
+
+/** Memory that the runtime keeps for the pieces of a body in chunks of which one read brought as many as it can, in bytes. */
+const MAX_PIECES_BYTES = 4_194_304
+
 /**
  * Requests that may wait before nothing more is read from their connection. While it is read, a caller that leaves is noticed, and the request
  * in progress is ended.
@@ -16,6 +22,8 @@
 interface Turns {
   latest: ServerResponse | undefined
   waiting: number
+  /** Memory of those that wait, in bytes. */
+  waitingBytes: number
   readonly share: RequestShare
 }
 
@@ -36,7 +44,7 @@
   const connections = new WeakMap<Socket, Turns>()
 
   function turnsOf (socket: Socket): Turns {
-    const turns = connections.get(socket) ?? { latest: undefined, waiting: 0, share: memory.open() }
+    const turns = connections.get(socket) ?? { latest: undefined, waiting: 0, waitingBytes: 0, share: memory.open() }
     if (connections.has(socket)) return turns
     connections.set(socket, turns)
     socket.once('close', turns.share.release)
@@ -44,18 +52,22 @@
   }
 
   /** @returns whether there is room for one more request that waits */
-  function wait (socket: Socket, turns: Turns): boolean {
+  function wait (request: IncomingMessage, turns: Turns, bytes: number): boolean {
+    const { socket } = request
     turns.waiting += 1
+    turns.waitingBytes += bytes
     turns.share.onYield(() => socket.destroy())
-    if (!turns.share.hold(turns.waiting * WAITING_REQUEST_BYTES)) return false
-    if (turns.waiting >= MAX_READ_AHEAD) socket.pause()
+    if (!turns.share.hold(turns.waitingBytes)) return false
+    // The rest of a body is read once its request has its turn.
+    if (turns.waiting >= MAX_READ_AHEAD || hasBody(request)) socket.pause()
     return true
   }
 
-  function endWait (socket: Socket, turns: Turns): void {
+  function endWait (socket: Socket, turns: Turns, bytes: number): void {
     turns.waiting -= 1
+    turns.waitingBytes -= bytes
     if (!isOpen(socket)) return
-    turns.share.hold(turns.waiting * WAITING_REQUEST_BYTES)
+    turns.share.hold(turns.waitingBytes)
     if (turns.waiting < MAX_READ_AHEAD && socket.isPaused()) socket.resume()
   }
 
@@ -70,17 +82,34 @@
       handle(request, response)
       return
     }
-    if (!wait(socket, turns)) {
+    const bytes = waitingBytes(request)
+    if (!wait(request, turns, bytes)) {
       socket.destroy()
       return
     }
     previous.once('close', () => {
-      endWait(socket, turns)
+      endWait(socket, turns, bytes)
       if (isOpen(socket)) handle(request, response)
     })
   }
 }
 
+/** Memory that a request takes while it waits, with what has been read of its body. Pieces of a body may be of one byte where it comes in chunks. */
+function waitingBytes ({ headers }: IncomingMessage): number {
+  if (headers['transfer-encoding'] !== undefined) return WAITING_REQUEST_BYTES + MAX_PIECES_BYTES
+  return WAITING_REQUEST_BYTES + Math.min(MAX_READ_BYTES, Number(headers['content-length'] ?? 0))
+}
+
+/**
+ * Whether a request has a body, which may not have come yet.
+ *
+ * @example
+ * if (hasBody(request)) refuse(response)
+ */
+export function hasBody ({ headers }: IncomingMessage): boolean {
+  return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0
+}
+
 function isOpen (socket: Socket): boolean {
   return !socket.destroyed && !socket.writableEnded
 }
--- a/src/gateway/service-paths.ts
+++ b/src/gateway/service-paths.ts
@@ -1,6 +1,7 @@
 /** HTTP endpoints of a node for the platform and for callers: readiness, node addresses and metrics. */
-import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { Server, ServerResponse } from 'node:http'
 import restana from 'restana'
+import { hasBody } from '../caller/in-turn.js'
 import type { RequestMemory } from '../caller/request-memory.js'
 import { endUnread } from '../caller/unread-body.js'
 import type { Milliseconds } from '../clock.js'
@@ -61,10 +62,6 @@
   return server
 }
 
-function hasBody ({ headers }: IncomingMessage): boolean {
-  return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0
-}
-
 function refuseBody (response: ServerResponse): void {
   response.writeHead(TOO_LARGE, { 'content-length': 0, connection: 'close' })
   endUnread(response, '')
--- a/stand-ins/misbehaving-callers.ts
+++ b/stand-ins/misbehaving-callers.ts
@@ -142,6 +142,13 @@
       yield * repeat(Buffer.from(chunkOf(1)), chunks)
     }
   }),
+  /** A whole request, and behind it one in chunks of one byte whose end doesn't come. */
+  oneByteChunksBehindAnother: (chunks: number): CallerBehaviour => ({
+    bytes: function * (target, index) {
+      yield Buffer.concat([lengthHead(target, index, 1), Buffer.from('x'), chunkedHead(target, index)])
+      yield * inPieces(chunkOf(1), chunks)
+    }
+  }),
   /** The announced length but for the last byte. */
   shortOfLength: (length: number): CallerBehaviour => ({
     bytes: function * (target, index) {
--- a/test/processes/misbehaving-callers.test.ts
+++ b/test/processes/misbehaving-callers.test.ts
@@ -184,6 +184,9 @@
   // Guards against the same where the first request waits for its upstream.
   it('stands requests behind one that is not answered', { timeout: TEST_TIMEOUT }, () => withstands('front', BEHAVIOURS.pipelined(20_000), CALLERS, 'hanging'))
 
+  // Guards against the pieces of a body that the runtime keeps while its request waits behind another one.
+  it('stands bodies in chunks of one byte behind a request that is not answered', { timeout: TEST_TIMEOUT }, () => withstands('front', BEHAVIOURS.oneByteChunksBehindAnother(200_000), CALLERS, 'hanging'))
+
   // Guards against whole bodies that are kept while their upstream doesn't answer.
   it('stands whole bodies whose upstream does not answer', { timeout: TEST_TIMEOUT }, () => withstands('front', BEHAVIOURS.whole(LIMITS.bodyBytes), CALLERS, 'hanging'))
 
