Paths of tests keep ports that the kernel gives to nobody else

While a path refuses connections its port is free, and the kernel may give it to any socket that names none; more do so beside another run. Ports of paths lie below the kernel's range now (10,000 to 32,000, another one if it is taken at the start). The new test of severable-path.test.ts failed before.

--- a/stand-ins/machines/severable-path.ts
+++ b/stand-ins/machines/severable-path.ts
@@ -41,6 +41,15 @@
 /** Longest wait for the thread of a path to carry out a command. */
 const COMMAND_TIMEOUT: Milliseconds = 15_000
 
+/**
+ * Ports of paths lie below those that the kernel gives to connections and listeners that name none.
+ *
+ * Failure guarded against: while a path refuses connections, its port is free, and the kernel gives it to another socket. The path can't
+ * listen again then, and its thread ends.
+ */
+const MIN_PORT = 10_000
+const MAX_PORT = 32_000
+
 const BLOCKED = 1
 const RUNNING = 0
 
@@ -64,12 +73,20 @@
 
 function listen () {
   server = createServer(relay)
-  server.listen({ host: '127.0.0.1', port: address?.port ?? 0, backlog: 1 }, () => {
+  server.once('error', (error) => {
+    if (address !== undefined || error.code !== 'EADDRINUSE') throw error
+    listen()
+  })
+  server.listen({ host: '127.0.0.1', port: address?.port ?? randomPort(), backlog: 1 }, () => {
     address = server.address()
     parentPort.postMessage(address)
   })
 }
 
+function randomPort () {
+  return ${MIN_PORT} + Math.floor(Math.random() * ${MAX_PORT - MIN_PORT})
+}
+
 const commands = {
   reset: () => { for (const socket of sockets) socket.resetAndDestroy() },
   refuse: () => server.close(),
--- a/test/stand-ins/severable-path.test.ts
+++ b/test/stand-ins/severable-path.test.ts
@@ -1,6 +1,7 @@
 /** The path that can be severed. */
 import assert from 'node:assert/strict'
 import { once } from 'node:events'
+import { readFileSync } from 'node:fs'
 import { connect, createServer } from 'node:net'
 import type { Server, Socket } from 'node:net'
 import { after, before, describe, it } from 'node:test'
@@ -46,6 +47,12 @@
     return socket
   }
 
+  // Guards against a path that can't listen again once it has refused connections, since the kernel gave its port to another socket.
+  it('has a port that the kernel gives to no socket that names none', () => {
+    const [lowest] = readFileSync('/proc/sys/net/ipv4/ip_local_port_range', 'utf8').trim().split(/\s+/)
+    assert.ok(Number(path.address.split(':')[1]) < Number(lowest))
+  })
+
   // Guards against a severance that never ends, and its test with it: connections of nodes take the places in the queue that are to be filled.
   it('is severed although others open connections meanwhile', async () => {
     let isSevered = false
