--- a/src/caller/in-turn.ts
+++ b/src/caller/in-turn.ts
@@ -35,7 +35,8 @@
  *
  * Failure guarded against: a caller sends requests behind one that isn't answered, or whose answer it doesn't read, and those that wait fill the
  * memory of the process. Nothing more is read from the connection while some wait, and what has been read already takes its part of
- * the memory of all requests. Where there is no room the connection is closed: none of those that wait has been sent on.
+ * the memory of all requests. Where there is no room, or others need it after a second, the connection is closed: none of those that wait has
+ * been sent on. The answer in progress breaks off with it, and promises nothing.
  *
  * @example
  * const server = createServer(inTurn(handle, memory))
