A body is let go of once its request has ended

What callers saw: ordinary callers that stay connected, or a crowd whose requests were refused, took a gateway process beyond the memory of its machine, which the platform ends: 64 bodies of 4 MiB, one after the other, each answered with 200, 625 MB of 250 (x86-64, with the account of all requests). Cause: the listener for errors that readBody leaves on a request was the one that ends its reading, and its scope holds the blocks of the body. node:http keeps the last request of a connection for as long as that is open, and so the whole body, while the account had given it back. Change: that listener is replaced by one that keeps nothing.

--- a/src/caller/http.ts
+++ b/src/caller/http.ts
@@ -157,12 +157,16 @@
       request.removeListener('data', take)
       request.removeListener('end', finish)
       request.removeListener('close', endEarly)
+      request.removeListener('error', endEarly)
+      // Without a listener, an error after this is thrown and ends the process. This one keeps nothing of the body.
+      request.on('error', ignoreError)
       stopWatching()
-      // The listener for errors stays: without one, an error after this is thrown and ends the process.
     }
   })
 }
 
+function ignoreError (): void {}
+
 function tooLargeFailure (limit: number): ServingError {
   return new ServingError(`the body is larger than ${limit} bytes`, { code: 'too-large', verdict: 'not-run' })
 }
--- a/stand-ins/misbehaving-callers.ts
+++ b/stand-ins/misbehaving-callers.ts
@@ -197,6 +197,11 @@
     reads: false,
     bytes: ({ head }, index) => inPieces(`${head(index).replace('POST', 'GET')}${END_OF_HEAD}`, requests)
   }),
+  /** The smallest requests behind one another, for nothing that exists, whose answers are not read. */
+  smallest: (requests: number): CallerBehaviour => ({
+    reads: false,
+    bytes: () => inPieces(`GET /x HTTP/1.1\r\nhost: a\r\n${END_OF_HEAD}`, requests)
+  }),
   /** Whole requests, whose answers are not read. */
   unreadAnswers: (): CallerBehaviour => ({
     reads: false,
--- a/test/processes/misbehaving-callers.test.ts
+++ b/test/processes/misbehaving-callers.test.ts
@@ -24,6 +24,12 @@
 
 const CALLERS = 64
 
+/** Descriptors, of which callers may take enough for {@link MANY_CALLERS}. */
+const MANY_DESCRIPTORS = 1_100
+
+/** More than a process reads at once without harm, if each sends as much as it can. */
+const MANY_CALLERS = 400
+
 /** More than the descriptors that sockets may take. */
 const SILENT_CALLERS = 400
 
@@ -99,12 +105,12 @@
   assert.equal(gateway.endedWith(), undefined, `the process has ended: ${gateway.output().slice(-2_000)}`)
 }
 
-function assertStands (gateway: GatewayProcess): void {
+function assertStands (gateway: GatewayProcess, descriptors = LIMITS.descriptors): void {
   assertLives(gateway)
   const memory = gateway.peakMemory()
   assert.ok(memory <= LIMITS.memoryMb * BYTES_PER_MB, `${Math.round(memory / BYTES_PER_MB)} MB of ${LIMITS.memoryMb}`)
   const sockets = gateway.peakSockets()
-  assert.ok(sockets <= LIMITS.descriptors - FILE_DESCRIPTORS, `${sockets} sockets of ${LIMITS.descriptors - FILE_DESCRIPTORS}`)
+  assert.ok(sockets <= descriptors - FILE_DESCRIPTORS, `${sockets} sockets of ${descriptors - FILE_DESCRIPTORS}`)
 }
 
 describe('a gateway process in front of callers that misbehave', { concurrency: false }, () => {
@@ -117,8 +123,8 @@
     await gateway.close()
   })
 
-  async function start (): Promise<void> {
-    gateway = await startGatewayProcess(clock, LIMITS, { plain: {}, hanging: {}, long: { answerBytes: LONG_ANSWER_BYTES } })
+  async function start (descriptors = LIMITS.descriptors): Promise<void> {
+    gateway = await startGatewayProcess(clock, { ...LIMITS, descriptors }, { plain: {}, hanging: {}, long: { answerBytes: LONG_ANSWER_BYTES } })
     gateway.upstream('hanging').setBehaviour(() => 'hang')
   }
 
@@ -129,18 +135,18 @@
   }
 
   /** Lets a crowd in, and checks the process while the crowd stays and after it has left. */
-  async function withstands (listener: keyof GatewayPorts, behaviour: CallerBehaviour, callers = CALLERS, service = 'plain'): Promise<void> {
-    await start()
+  async function withstands (listener: keyof GatewayPorts, behaviour: CallerBehaviour, callers = CALLERS, service = 'plain', descriptors = LIMITS.descriptors): Promise<void> {
+    await start(descriptors)
     crowd = openCrowd(targetOf(listener, service), callers, behaviour)
     await crowd.sent()
     await isServed(gateway, ordinaryRequest(gateway.ports))
     await answersElsewhere()
-    assertStands(gateway)
+    assertStands(gateway, descriptors)
     const statuses = crowd.statuses()
     crowd.leave()
     await isServed(gateway, ordinaryRequest(gateway.ports))
     await answersElsewhere()
-    assertStands(gateway)
+    assertStands(gateway, descriptors)
     for (const status of statuses) assert.ok(REFUSALS.includes(status), `a misbehaving caller got ${status}`)
   }
 
@@ -220,6 +226,13 @@
     it(`stands requests behind one another at its ${listener} address`, { timeout: TEST_TIMEOUT }, () => withstands(listener, BEHAVIOURS.pipelinedWithoutBody(20_000)))
   }
 
+  describe('and that are many', () => {
+    const withstandsMany = (behaviour: CallerBehaviour, service?: string): Promise<void> => withstands('front', behaviour, MANY_CALLERS, service, MANY_DESCRIPTORS)
+
+    // Guards against memory that has been given back by the account alone.
+    it('stands whole bodies whose upstream does not answer', { timeout: TEST_TIMEOUT }, () => withstandsMany(BEHAVIOURS.whole(LIMITS.bodyBytes), 'hanging'))
+  })
+
   describe('and those that behave', () => {
     const wholeBody = Buffer.alloc(LIMITS.bodyBytes, 'b')
     const forms = [
@@ -241,6 +254,25 @@
       })
     }
 
+    // Guards against bodies that are kept after their answers, for as long as their callers stay connected.
+    it('keeps no bodies of the requests that it has answered', { timeout: TEST_TIMEOUT }, async () => {
+      await start()
+      const callers: Crowd[] = []
+      try {
+        for (let index = 0; index < CALLERS; index += 1) {
+          const caller = openCrowd(targetOf('front', 'plain'), 1, BEHAVIOURS.whole(LIMITS.bodyBytes))
+          callers.push(caller)
+          await waitUntil(() => caller.statuses().length > 0 || gateway.endedWith() !== undefined, { clock, what: 'the answer', limit: TEST_TIMEOUT })
+          assertLives(gateway)
+        }
+        assert.deepEqual(callers.flatMap((caller) => caller.statuses()), Array<number>(CALLERS).fill(SUCCESS))
+        await isServed(gateway, ordinaryRequest(gateway.ports))
+        assertStands(gateway)
+      } finally {
+        for (const caller of callers) caller.leave()
+      }
+    })
+
     // Guards against refusals that promise what doesn't hold, and against silence.
     it('answers many of the largest size at once, or refuses them as not run', { timeout: TEST_TIMEOUT }, async () => {
       await start()
