A process that can't listen at one of its addresses ends

Its gateway process lived, listened at the front alone and used no time. Cause: its port for other nodes had been given to a stand-in, which names no port; the listen failed with EADDRINUSE. runServer wrote the error and set the exit code, but the listener that was open kept the process alive. On a machine such a process serves nobody, and the platform doesn't start it again; SIGTERM didn't end it either. Change: a failed start ends the process once its error has been written.

--- a/src/bin/command-line.ts
+++ b/src/bin/command-line.ts
@@ -79,10 +79,20 @@
     const started = start(settings, options, path)
     // Failure guarded against: a signal comes during the start, and the process ends with requests that it has taken by then.
     onStopSignal(async () => (await started)())
-    await started
+    await started.catch(endAfterFailure)
   }
 }
 
+/**
+ * Failure guarded against: a node can't listen at one of its addresses. What it has opened by then keeps its process alive, which serves
+ * nobody, and which its platform doesn't start again.
+ */
+function endAfterFailure (error: unknown): never {
+  // Once the error has been written.
+  setImmediate(() => process.exit())
+  throw error
+}
+
 /**
  * Runs a command. An error of the command is written to standard error as one line and sets the exit code. An internal
  * error is written with its stack.
--- a/stand-ins/entry-process.ts
+++ b/stand-ins/entry-process.ts
@@ -7,7 +7,8 @@
 import { sha256 } from '../src/credentials.js'
 import { startDeployment } from './deployment.js'
 import type { Deployment } from './deployment.js'
-import { findFreePorts, observeProcess } from './observed-process.js'
+import { findFreePorts } from './free-ports.js'
+import { observeProcess } from './observed-process.js'
 import type { ObservedProcess } from './observed-process.js'
 
 /** Limits of the machine and of the settings. */
--- a/stand-ins/machines/gateway-process.ts
+++ b/stand-ins/machines/gateway-process.ts
@@ -7,7 +7,8 @@
 import { HEADER, NODE_PATH, STORE_KEY } from '../../platform/names.js'
 import type { Clock } from '../../src/clock.js'
 import { createRandom } from '../../src/random.js'
-import { findFreePorts, observeProcess } from '../observed-process.js'
+import { findFreePorts } from '../free-ports.js'
+import { observeProcess } from '../observed-process.js'
 import type { ObservedProcess } from '../observed-process.js'
 import { serveDutyApi } from './duty-api.js'
 import { serveMetadataStore } from './metadata-store.js'
@@ -49,11 +50,13 @@
 /**
  * Starts a process and waits until it serves. Each service has an upstream of that name and a route with that prefix.
  *
+ * @param givenPeersPort port for other nodes; a free one by default
+ * @throws if the process ends before it serves
  * @example
  * const gateway = await startGatewayProcess(clock, { memoryMb: 250, descriptors: 500, bodyBytes: 4_194_304 }, { plain: {} })
  */
-export async function startGatewayProcess (clock: Clock, limits: GatewayProcessLimits, services: Readonly<Record<string, Partial<UpstreamStandInOptions>>>): Promise<GatewayProcess> {
-  const [front, ready, directory, peers, metrics] = await findFreePorts(5) as [number, number, number, number, number]
+export async function startGatewayProcess (clock: Clock, limits: GatewayProcessLimits, services: Readonly<Record<string, Partial<UpstreamStandInOptions>>>, givenPeersPort?: number): Promise<GatewayProcess> {
+  const [front, ready, directory, freePeersPort, metrics] = await findFreePorts(5) as [number, number, number, number, number]
   const store = await serveMetadataStore(clock, createRandom(1))
   const api = await serveDutyApi(clock, createRandom(2))
   const upstreams = new Map<string, UpstreamStandIn>()
@@ -69,7 +72,7 @@
     'nodeName = "node-1"',
     `ip = "${LOOPBACK}"`,
     'zone = "zone-a"',
-    `internalPorts = [${peers}, ${metrics}]`,
+    `internalPorts = [${givenPeersPort ?? freePeersPort}, ${metrics}]`,
     'bootstrap = true',
     `listen = { front = "${LOOPBACK}:${front}", ready = "${LOOPBACK}:${ready}", directory = "${LOOPBACK}:${directory}" }`,
     `limits = { memoryMb = ${limits.memoryMb}, maxFds = ${limits.descriptors} }`,
@@ -77,8 +80,16 @@
     `cloudApi = { address = "${api.address}", duties = ["usage"] }`
   ].join('\n'))
   const observed = observeProcess({ command: runCommand(), environment: { HORNBEAMGAP_CONFIG: settingsFile }, descriptors: limits.descriptors })
+  const close = async (): Promise<void> => {
+    await observed.kill()
+    await Promise.all([store.kill(), api.kill(), ...[...upstreams.values()].map((upstream) => upstream.close())])
+    rmSync(folder, { recursive: true, force: true })
+  }
   while (await statusOf(ready, NODE_PATH.ready) !== 200) {
-    if (observed.endedWith() !== undefined) throw new Error(`the gateway process has ended: ${observed.output()}`)
+    if (observed.endedWith() !== undefined) {
+      await close()
+      throw new Error(`the gateway process has ended with ${observed.endedWith()}: ${observed.output()}`)
+    }
     await clock.sleep(20)
   }
   return {
@@ -86,11 +97,7 @@
     ports: { front, ready, directory, metrics },
     head: (service, id) => `POST /${service}/x HTTP/1.1\r\nhost: ${HOST}\r\n${HEADER.requestId}: ${id}\r\n${HEADER.deadline}: ${ROUTE_TIMEOUT_MS}\r\n`,
     upstream: (service) => upstreams.get(service)!,
-    close: async () => {
-      await observed.kill()
-      await Promise.all([store.kill(), api.kill(), ...[...upstreams.values()].map((upstream) => upstream.close())])
-      rmSync(folder, { recursive: true, force: true })
-    }
+    close
   }
 }
 
--- a/stand-ins/machines/severable-path.ts
+++ b/stand-ins/machines/severable-path.ts
@@ -7,6 +7,7 @@
 import { Worker } from 'node:worker_threads'
 import { startTimeout } from '../../src/clock.js'
 import type { Milliseconds } from '../../src/clock.js'
+import { MAX_PORT, MIN_PORT } from '../free-ports.js'
 
 /**
  * How a path is severed.
@@ -41,15 +42,6 @@
 /** Longest wait for the thread of a path to carry out a command. */
 const COMMAND_TIMEOUT: Milliseconds = 15_000
 
-/**
- * Ports of paths lie below those that the kernel gives to connections and listeners that name none.
- *
- * Failure guarded against: while a path refuses connections, its port is free, and the kernel gives it to another socket. The path can't
- * listen again then, and its thread ends.
- */
-const MIN_PORT = 10_000
-const MAX_PORT = 32_000
-
 const BLOCKED = 1
 const RUNNING = 0
 
--- a/stand-ins/observed-process.ts
+++ b/stand-ins/observed-process.ts
@@ -1,8 +1,6 @@
 /** Runs a command as a process of its own with a limit on its descriptors, and observes what the kernel says of it (Linux, proc(5)). */
 import { spawn } from 'node:child_process'
 import { readFileSync, readdirSync, readlinkSync } from 'node:fs'
-import { createServer } from 'node:net'
-import type { AddressInfo } from 'node:net'
 
 /** A process that is observed until it ends. */
 export interface ObservedProcess {
@@ -100,19 +98,3 @@
     return ''
   }
 }
-
-/**
- * Finds distinct free ports on the loopback address. Another process can take a port before it is used.
- *
- * @example
- * const [front, ready] = await findFreePorts(2)
- */
-export async function findFreePorts (count: number): Promise<number[]> {
-  const servers = await Promise.all(Array.from({ length: count }, () => new Promise<ReturnType<typeof createServer>>((resolve) => {
-    const server = createServer()
-    server.listen(0, '127.0.0.1', () => resolve(server))
-  })))
-  const ports = servers.map((server) => (server.address() as AddressInfo).port)
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))))
-  return ports
-}
