Ended answers of the own interface count as what they take, and its heap has a limit

What callers saw: 40,000 small requests, all served, took an entry process to 690 MB of 350 (8 callers, requests behind one another). An ended answer was counted as 512 bytes and its texts, and takes some 7 KB (17,816 kept ones: 200 MB of heap), so that the limit of 64 MiB let some ten times as much through. And the runtime of a process without a limit on its heap collects late: 79 MB were live after a full collection where 440 were resident. Change: 7,168 bytes and the texts of each, 32 MiB in all (4,500 small answers; a node of the size to design for ends some 500 in the two minutes for which they are kept).

--- a/src/bin/hornbeamgap-entry.ts
+++ b/src/bin/hornbeamgap-entry.ts
@@ -1,4 +1,4 @@
-#!/usr/bin/env node
+#!/usr/bin/env -S node --max-old-space-size=192
 /** `hornbeamgap-entry`: runs an entry node. */
 import { createSystemClock } from '../clock.js'
 import { startEntryNode } from '../entry/node.js'
--- a/src/entry/retention.ts
+++ b/src/entry/retention.ts
@@ -13,8 +13,8 @@
   usage (): { answers: number, bytes: number }
 }
 
-/** Estimated memory of an execution in addition to its texts. */
-const OVERHEAD_BYTES = 512
+/** Estimated memory of an execution in addition to its texts, with the promises, signals and listeners of its run. */
+const OVERHEAD_BYTES = 7_168
 
 const BYTES_PER_CHARACTER = 2
 
--- a/src/entry/submission.ts
+++ b/src/entry/submission.ts
@@ -77,7 +77,7 @@
 export const RESUMPTION_GRACE: Milliseconds = 30 * SECOND
 
 /** Limit of the estimated memory for ended answers. */
-const MAX_ANSWER_BYTES = 67_108_864
+const MAX_ANSWER_BYTES = 33_554_432
 
 /** Maximum number of ended answers that a successor receives. */
 const MAX_READABLE = 256
--- a/stand-ins/entry-process.ts
+++ b/stand-ins/entry-process.ts
@@ -29,6 +29,9 @@
 
 const BINARY = 'dist/src/bin/hornbeamgap-entry.js'
 
+/** As in the binary's first line. */
+const HEAP_LIMIT = '--max-old-space-size=192'
+
 /**
  * Starts a process before one engine and one plain service, and waits until it serves.
  *
@@ -57,7 +60,7 @@
     `body_bytes = ${bodyBytes}`,
     `connections = ${connections}`
   ].join('\n'))
-  const observed = observeProcess({ command: [process.execPath, BINARY, '--settings', settingsFile], descriptors })
+  const observed = observeProcess({ command: [process.execPath, HEAP_LIMIT, BINARY, '--settings', settingsFile], descriptors })
   while (await statusOf(port, deployment.key) !== 200) {
     if (observed.endedWith() !== undefined) throw new Error(`the entry process has ended: ${observed.output()}`)
     await clock.sleep(20)
--- a/test/processes/misbehaving-callers-of-entries.test.ts
+++ b/test/processes/misbehaving-callers-of-entries.test.ts
@@ -8,6 +8,7 @@
 import type { EntryProcess } from '../../stand-ins/entry-process.js'
 import { BEHAVIOURS, openCrowd } from '../../stand-ins/misbehaving-callers.js'
 import type { Crowd, CallerBehaviour } from '../../stand-ins/misbehaving-callers.js'
+import { waitUntil } from '../wait-until.js'
 
 /** Memory of the machines in docs/CAPACITY.md; the crowd's bodies together are larger. */
 const MEMORY_MB = 350
@@ -22,6 +23,10 @@
 
 const SILENT_CALLERS = 400
 
+/** Callers who send one small request after the other, and what each sends: more answers than the process may keep. */
+const KEEN_CALLERS = 8
+const REQUESTS_OF_A_KEEN_CALLER = 5_000
+
 /** Paths at the plain service of the sample deployment. */
 const ECHO_PATH = '/echo'
 const CLASS = 'roster-lookup'
@@ -72,6 +77,11 @@
     })
   }
 
+  async function servedRequests (): Promise<number> {
+    const metrics = await fetch(`http://127.0.0.1:${entry.port}/metrics`).then((response) => response.text(), () => '')
+    return Number(new RegExp(`requests_total\\{class="${CLASS}",outcome="served"\\} (\\d+)`).exec(metrics)?.[1] ?? 0)
+  }
+
   async function servesAnOrdinaryRequest (): Promise<void> {
     for (;;) {
       const status = await send(Buffer.from('an ordinary body'))
@@ -114,6 +124,16 @@
   // Guards against requests that are parsed and kept behind one that isn't answered.
   it('stands requests behind one another whose answers are not read', { timeout: TEST_TIMEOUT }, () => withstands(BEHAVIOURS.pipelined(20_000)))
 
+  // Guards against answers that are kept for callers who may still read them, and that take many times what they are counted as.
+  it('keeps the answers to many small requests within its memory', { timeout: TEST_TIMEOUT }, async () => {
+    entry = await startEntryProcess(clock, LIMITS)
+    crowd = openCrowd({ port: entry.port, head: () => entry.head(CLASS, ECHO_PATH) }, KEEN_CALLERS, BEHAVIOURS.pipelined(REQUESTS_OF_A_KEEN_CALLER))
+    await crowd.sent()
+    await waitUntil(async () => entry.endedWith() !== undefined || await servedRequests() >= KEEN_CALLERS * REQUESTS_OF_A_KEEN_CALLER, { clock, what: 'all answers', limit: TEST_TIMEOUT })
+    await servesAnOrdinaryRequest()
+    assertStands()
+  })
+
   // Guards against connections that take all descriptors.
   it('stands callers that send nothing', { timeout: TEST_TIMEOUT }, () => withstands(BEHAVIOURS.silent(), SILENT_CALLERS))
 
