Connections of callers are read in portions, a bounded number of bytes in each turn of the event loop

What callers saw: a few hundred callers that send requests behind one another, or chunks of one byte behind a request that isn't answered, ended a gateway process by SIGABRT (250 MB, 1,100 descriptors, 400 callers), with all that it had accepted. Cause: the event loop reads all connections, 64 KiB each, before it closes any. A read holds 400 requests or 10,000 pieces, each some hundred to thousands of bytes once parsed, and a connection that the account had closed gives them back at the end of the turn only. Pausing didn't help: node:http resumes a connection at the end of each message, and whenever a body is read (so 'nothing more is read while 16 wait' never held). Change: the process reads its callers' connections itself and hands portions to node's parser (src/caller/paced-reading.ts): 32 KiB a turn as they arrive, then 24 KiB of those that wait, newcomers first. A connection is held until its requests have had their turn. What isn't parsed counts in the account. read-turns.ts, which knew pieces of bodies alone, goes; the 4 MiB that a waiting body counted as shrink to what a portion can hold. Ruled out: a Duplex around each connection (every answer would pass through it as well); closing on the first request that waits (proper by HTTP).

--- a/src/caller/connection-limit.ts
+++ b/src/caller/connection-limit.ts
@@ -106,6 +106,8 @@
 }
 
 function waitOf ({ socket, request, response }: Connection): Wait | undefined {
+  // What has come and isn't read yet waits for this process.
+  if (socket.readableLength > 0 && socket.writableLength === 0) return undefined
   if (response === undefined) return 'first-request'
   if (response.closed) return 'next-request'
   return request?.complete === false || socket.writableLength > 0 ? 'caller' : undefined
--- a/src/caller/http.ts
+++ b/src/caller/http.ts
@@ -4,7 +4,6 @@
 import type { Milliseconds } from '../clock.js'
 import { ServingError, httpStatusOf, toServingError } from '../verdict.js'
 import { createBodyBlocks } from './body-blocks.js'
-import { notePiece } from './read-turns.js'
 import type { RequestShare } from './request-memory.js'
 import { endUnread } from './unread-body.js'
 
@@ -128,7 +127,6 @@
       if (blocks.size() + chunk.length > limit) return refuse(tooLargeFailure(limit))
       if (share?.hold(blocks.allocatedAfter(chunk.length)) === false) return refuse(fullFailure())
       share?.arrived(chunk.length)
-      notePiece(request.socket, chunk.length)
       blocks.append(chunk)
     }
 
--- a/src/caller/in-turn.ts
+++ b/src/caller/in-turn.ts
@@ -1,16 +1,14 @@
 /** Handles the requests of each connection one after another. */
 import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
+import { holdReading, PORTION_BYTES, releaseReading } from './paced-reading.js'
 import type { RequestMemory, RequestShare } from './request-memory.js'
 
 /** Memory that the runtime keeps for a request that waits behind another one, in bytes, with a small head and without its body. */
 const WAITING_REQUEST_BYTES = 8_192
 
-/** Bytes that one read of a connection brings at most. */
-const MAX_READ_BYTES = 65_536
-
-/** Memory that the runtime keeps for the pieces of a body in chunks of which one read brought as many as it can, in bytes. */
-const MAX_PIECES_BYTES = 4_194_304
+/** Memory that the runtime keeps for the pieces of a body in chunks of which one portion holds as many as it can, in bytes. */
+const MAX_PIECES_BYTES = 327_680
 
 /**
  * Requests that may wait before nothing more is read from their connection. While it is read, a caller that leaves is noticed, and the request
@@ -22,6 +20,8 @@
 interface Turns {
   latest: ServerResponse | undefined
   waiting: number
+  /** Number of those with a body, which may not have come whole. */
+  waitingBodies: number
   /** Memory of those that wait, in bytes. */
   waitingBytes: number
   readonly share: RequestShare
@@ -45,7 +45,7 @@
   const connections = new WeakMap<Socket, Turns>()
 
   function turnsOf (socket: Socket): Turns {
-    const turns = connections.get(socket) ?? { latest: undefined, waiting: 0, waitingBytes: 0, share: memory.open() }
+    const turns = connections.get(socket) ?? { latest: undefined, waiting: 0, waitingBodies: 0, waitingBytes: 0, share: memory.open() }
     if (connections.has(socket)) return turns
     connections.set(socket, turns)
     socket.once('close', turns.share.release)
@@ -57,19 +57,22 @@
     const { socket } = request
     turns.waiting += 1
     turns.waitingBytes += bytes
+    if (hasBody(request)) turns.waitingBodies += 1
     turns.share.onYield(() => socket.destroy())
     if (!turns.share.hold(turns.waitingBytes)) return false
     // The rest of a body is read once its request has its turn.
-    if (turns.waiting >= MAX_READ_AHEAD || hasBody(request)) socket.pause()
+    if (turns.waiting >= MAX_READ_AHEAD || turns.waitingBodies > 0) holdReading(socket)
     return true
   }
 
-  function endWait (socket: Socket, turns: Turns, bytes: number): void {
+  function endWait (request: IncomingMessage, turns: Turns, bytes: number): void {
+    const { socket } = request
     turns.waiting -= 1
     turns.waitingBytes -= bytes
+    if (hasBody(request)) turns.waitingBodies -= 1
     if (!isOpen(socket)) return
     turns.share.hold(turns.waitingBytes)
-    if (turns.waiting < MAX_READ_AHEAD && socket.isPaused()) socket.resume()
+    if (turns.waiting < MAX_READ_AHEAD && turns.waitingBodies === 0) releaseReading(socket)
   }
 
   return (request, response) => {
@@ -89,7 +92,7 @@
       return
     }
     previous.once('close', () => {
-      endWait(socket, turns, bytes)
+      endWait(request, turns, bytes)
       if (isOpen(socket)) handle(request, response)
     })
   }
@@ -98,7 +101,7 @@
 /** Memory that a request takes while it waits, with what has been read of its body. Pieces of a body may be of one byte where it comes in chunks. */
 function waitingBytes ({ headers }: IncomingMessage): number {
   if (headers['transfer-encoding'] !== undefined) return WAITING_REQUEST_BYTES + MAX_PIECES_BYTES
-  return WAITING_REQUEST_BYTES + Math.min(MAX_READ_BYTES, Number(headers['content-length'] ?? 0))
+  return WAITING_REQUEST_BYTES + Math.min(PORTION_BYTES, Number(headers['content-length'] ?? 0))
 }
 
 /**
--- a/src/caller/unread-body.ts
+++ b/src/caller/unread-body.ts
@@ -1,7 +1,6 @@
 /** Ends answers to requests whose bodies haven't been read whole. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Milliseconds } from '../clock.js'
-import { notePiece } from './read-turns.js'
 
 /** Longest time for which the rest of a body is read and dropped. */
 const DROP_TIMEOUT: Milliseconds = 1_000
@@ -39,8 +38,7 @@
   request.once('close', finish)
   request.resume()
 
-  function drop (piece: Buffer): void {
-    notePiece(socket, piece.length)
+  function drop (): void {
     if (socket.bytesRead > most) finish()
   }
 
--- a/src/entry/listener.ts
+++ b/src/entry/listener.ts
@@ -3,6 +3,7 @@
 import type { RequestListener, Server } from 'node:http'
 import type { Socket } from 'node:net'
 import { inTurn } from '../caller/in-turn.js'
+import { paceReading } from '../caller/paced-reading.js'
 import type { RequestMemory } from '../caller/request-memory.js'
 import type { EntryMetrics } from '../metrics.js'
 import type { EntrySettings } from '../settings.js'
@@ -29,6 +30,7 @@
     keepAliveTimeout: limits.request_timeout_ms,
     connectionsCheckingInterval: CONNECTIONS_CHECK_PERIOD
   }, inTurn(handle, memory))
+  paceReading(server, memory)
   server.maxConnections = limits.connections
   server.on('drop', () => metrics.count('connections_refused'))
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
--- a/src/gateway/listener.ts
+++ b/src/gateway/listener.ts
@@ -3,6 +3,7 @@
 import type { RequestListener, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import { inTurn } from '../caller/in-turn.js'
+import { paceReading } from '../caller/paced-reading.js'
 import type { RequestMemory } from '../caller/request-memory.js'
 import type { Milliseconds } from '../clock.js'
 import type { CallerLimits } from '../routing/index.js'
@@ -59,6 +60,7 @@
     requestTimeout: 0,
     noDelay: true
   }, inTurn(handle, memory))
+  paceReading(server, memory)
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
     if (error.code === 'ECONNRESET' || !socket.writable) {
       socket.destroy()
--- a/test/processes/misbehaving-callers.test.ts
+++ b/test/processes/misbehaving-callers.test.ts
@@ -231,6 +231,18 @@
 
     // Guards against memory that has been given back by the account alone.
     it('stands whole bodies whose upstream does not answer', { timeout: TEST_TIMEOUT }, () => withstandsMany(BEHAVIOURS.whole(LIMITS.bodyBytes), 'hanging'))
+
+    // Guards against a turn of the event loop in which all that they have sent is parsed.
+    it('stands requests behind one another whose answers are not read', { timeout: TEST_TIMEOUT }, () => withstandsMany(BEHAVIOURS.pipelined(20_000)))
+
+    // Guards against the same where the first request waits for its upstream.
+    it('stands requests behind one that is not answered', { timeout: TEST_TIMEOUT }, () => withstandsMany(BEHAVIOURS.pipelined(20_000), 'hanging'))
+
+    // Guards against the same with the most requests that a read can hold.
+    it('stands the smallest requests behind one another', { timeout: TEST_TIMEOUT }, () => withstandsMany(BEHAVIOURS.smallest(10_000)))
+
+    // Guards against the same where a read is full of pieces of a body.
+    it('stands bodies in chunks of one byte behind a request that is not answered', { timeout: TEST_TIMEOUT }, () => withstandsMany(BEHAVIOURS.oneByteChunksBehindAnother(200_000), 'hanging'))
   })
 
   describe('and those that behave', () => {
