A test of cut answers waits for each end before it plays the next answer

Traced by a line of the test: an answer whose interim part says Connection: close is known to be broken by its bytes, before its relaying node is ended a millisecond later. By then the next sound answer was asked for, over a new connection, and that was broken off in its place. The product does what it should. The test waits for the end that belongs to an answer before it goes on. What is asserted is unchanged, and all cuts are played.

--- a/test/gateway/answers-cut-short.test.ts
+++ b/test/gateway/answers-cut-short.test.ts
@@ -73,7 +73,7 @@
 
 describe('an answer that is cut short on a kept connection', () => {
   const cleanups: (() => unknown)[] = []
-  const cuts = new Map<string, { readonly bytes: string, readonly cut: Cut, isKept: boolean }>()
+  const cuts = new Map<string, { readonly bytes: string, readonly cut: Cut, isKept: boolean, end: unknown }>()
   let connections: UpstreamConnections
   let tunnels: TunnelServer
   let addresses: { readonly direct: string, readonly relayed: string }
@@ -86,9 +86,12 @@
         requests += 1
         const path = String(request).split(' ', 2)[1]!
         const cut = cuts.get(path)
-        if (cut === undefined) return socket.write(`${headFor(SOUND)}Content-Length: 2\r\n\r\nok`)
+        if (cut === undefined) {
+          socket.write(`${headFor(SOUND)}Content-Length: 2\r\n\r\nok`)
+          return
+        }
         cut.isKept = requests > 1
-        return cut.cut(socket, cut.bytes)
+        cut.end = cut.cut(socket, cut.bytes)
       })
     })
     const [peerServer, closed] = [createServer(), createTcpServer()]
@@ -123,11 +126,13 @@
       // The first relayed connection shows that the direct path is lost, and the pool is replaced.
       await ask(upstream, SOUND, '/')
       for (let bytes = waiting.pop(); bytes !== undefined; bytes = waiting.pop()) {
-        const played = { bytes, cut, isKept: false }
+        const played = { bytes, cut, isKept: false, end: undefined }
         cuts.set(`/${lane}`, played)
         while (!played.isKept) {
           assert.equal(await ask(upstream, SOUND, '/'), 'ok')
           if (await ask(upstream, 'cut', `/${lane}`) !== undefined) looksWhole.push(bytes)
+          // Some answers are known to be broken before their connection ends, and the end must not break the next one.
+          await played.end
         }
       }
     }))
