--- a/src/caller/in-turn.ts
+++ b/src/caller/in-turn.ts
@@ -34,8 +34,8 @@
  * it. Nothing tells that its caller has left either, as node:http reports the end of a connection to the answer in progress alone.
  *
  * Failure guarded against: a caller sends requests behind one that isn't answered, or whose answer it doesn't read, and those that wait fill the
- * memory of the process. Nothing more is read from the connection while some wait, and what has been read already takes its part of
- * the memory of all requests. Where there is no room, or others need it after a second, the connection is closed: none of those that wait has
+ * memory of the process. Nothing more is read from the connection while many wait, or one with a body, and what has been read already takes
+ * its part of the memory of all requests. Where there is no room, or others need it after a second, the connection is closed: none of those that wait has
  * been sent on. The answer in progress breaks off with it, and promises nothing.
  *
  * @example
--- a/test/caller/paced-reading.test.ts
+++ b/test/caller/paced-reading.test.ts
@@ -62,6 +62,20 @@
     assert.ok(mostInTurn <= mostBytes / ONE_BYTE_CHUNK.length, `${mostInTurn} pieces in one turn`)
   })
 
+  // Guards against slowing ordinary requests down.
+  it('reads a request of a usual size in the turn in which it comes', async () => {
+    let isNextTurn = false
+    let readInTurn: boolean | undefined
+    const server = await serve((request) => {
+      setImmediate(() => { isNextTurn = true })
+      request.resume()
+      request.on('end', () => { readInTurn = !isNextTurn })
+    })
+    open(server).write(`POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 6000\r\n\r\n${'x'.repeat(6_000)}`)
+    await waitUntil(() => readInTurn !== undefined, { clock, what: 'the whole request' })
+    assert.equal(readInTurn, true)
+  })
+
   // Guards against a wait for all that others have sent.
   it('serves an ordinary request before the rest of large ones', async () => {
     const order: string[] = []
